--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,86 @@
+import tseslint from "typescript-eslint";
+import { verbs } from "./scripts/verbs.mjs";
+
+const verbPattern = new RegExp(`^(${verbs.join("|")})([A-Z0-9].*)?$`);
+
+const functionNameStartsWithVerb = {
+    meta: {
+        type: "suggestion",
+        messages: { verb: "Function '{{name}}' must begin with a listed verb (scripts/verbs.mjs)." },
+    },
+    create(context) {
+        const check = id => {
+            if (id && !verbPattern.test(id.name)) {
+                context.report({ node: id, messageId: "verb", data: { name: id.name } });
+            }
+        };
+        return {
+            FunctionDeclaration: node => check(node.id),
+            VariableDeclarator: node => {
+                const isFunction = node.init?.type === "ArrowFunctionExpression"
+                    || node.init?.type === "FunctionExpression";
+                if (isFunction && node.id.type === "Identifier") {
+                    check(node.id);
+                }
+            },
+        };
+    },
+};
+
+// Imports point inward: a folder may not import the ones listed against it.
+const outer = {
+    policy: ["tables", "systems", "adapters", "cli", "codec"],
+    tables: ["systems", "adapters", "cli", "codec"],
+    codec: ["tables", "systems", "adapters", "cli"],
+    config: ["tables", "systems", "adapters", "cli"],
+    systems: ["adapters", "cli", "codec"],
+    adapters: ["cli"],
+};
+const pureFolders = new Set(["policy", "tables", "codec", "config", "systems"]);
+const inwardImports = Object.entries(outer).map(([folder, forbidden]) => ({
+    files: [`src/${folder}/**/*.ts`],
+    rules: {
+        "no-restricted-imports": ["error", {
+            patterns: [
+                {
+                    group: forbidden.map(name => `**/${name}/**`),
+                    message: `src/${folder} must not import outer folders.`,
+                },
+                ...(pureFolders.has(folder)
+                    ? [{
+                        group: ["node:http", "node:https", "node:net", "node:fs", "node:timers", "node:fs/promises"],
+                        message: "I/O belongs to src/adapters.",
+                    }]
+                    : []),
+            ],
+        }],
+    },
+}));
+
+export default tseslint.config(
+    { ignores: ["node_modules/**", "dist/**", "build/**"] },
+    ...tseslint.configs.strict,
+    {
+        files: ["**/*.ts"],
+        languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+        plugins: { local: { rules: { "function-name-starts-with-verb": functionNameStartsWithVerb } } },
+        rules: {
+            "local/function-name-starts-with-verb": "error",
+            "curly": ["error", "all"],
+            "eqeqeq": "error",
+            "no-restricted-syntax": ["error", { selector: "ExportDefaultDeclaration", message: "No default exports." }],
+            "@typescript-eslint/no-floating-promises": "error",
+            "@typescript-eslint/no-misused-promises": "error",
+            "@typescript-eslint/await-thenable": "error",
+            "@typescript-eslint/consistent-type-imports": "error",
+            "@typescript-eslint/no-invalid-void-type": "off",
+            "@typescript-eslint/no-unused-vars": ["error", {
+                ignoreRestSiblings: true,
+                varsIgnorePattern: "^_",
+                argsIgnorePattern: "^_",
+            }],
+        },
+    },
+    { files: ["vitest.config.ts"], rules: { "no-restricted-syntax": "off" } },
+    ...inwardImports,
+);
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,18 @@
+// Bundles a TypeScript entry point into one CommonJS file.
+import { build } from "esbuild";
+
+export async function bundle(entry, outfile) {
+    await build({
+        entryPoints: [entry],
+        outfile,
+        bundle: true,
+        platform: "node",
+        target: "node20",
+        format: "cjs",
+        // The CommonJS entry of ts-results cannot be bundled, so its module entry comes first.
+        mainFields: ["module", "main"],
+        sourcemap: "inline",
+        logLevel: "warning",
+        external: ["cbor-extract"],
+    });
+}
--- /dev/null
+++ b/scripts/verbs.mjs
@@ -0,0 +1,10 @@
+// Verbs that function names begin with. The same list is in docs/glossary.md.
+// dprint-ignore
+export const verbs = [
+    "add", "admit", "answer", "append", "apply", "build", "can", "cancel", "check", "choose", "claim", "close",
+    "compute", "confirm", "create", "decode", "drain", "encode", "end", "estimate", "exchange", "expire", "find",
+    "follow", "format", "get", "grant", "handle", "has", "hash", "is", "list", "load", "log", "measure", "merge",
+    "open", "parse", "place", "post", "print", "read", "record", "refuse", "register", "release", "remove", "request",
+    "reserve", "resume", "retry", "revoke", "route", "run", "schedule", "send", "settle", "start", "stop",
+    "subscribe", "to", "update", "wait", "write",
+];
--- /dev/null
+++ b/src/adapters/callerServer.ts
@@ -0,0 +1,348 @@
+/** HTTP server for callers: reads requests, posts them as events, writes refusals and answers. */
+import { createHash, randomUUID } from "node:crypto";
+import * as http from "node:http";
+import { decodeCompletion } from "../codec/openai";
+import { encodeEvent } from "../codec/sse";
+import type { Settings } from "../config/settings";
+import type { EffectOf } from "../effects";
+import type { Event } from "../events";
+import { type CallId, type KeyHash, type RequestId, toCallId, toKeyHash, toRequestId } from "../ids";
+import { formatRefusal, type Refusal, refusalKinds } from "../refusals";
+import type { Endpoint } from "../requests";
+import type { Clock } from "../runner";
+import { parseAddress } from "./httpClient";
+import type { OpenRequests } from "./openRequests";
+
+export interface CallerServerOptions {
+    readonly settings: Settings;
+    readonly clock: Clock;
+    readonly post: (event: Event) => void;
+    readonly openRequests: OpenRequests;
+    /** True when the process can admit requests. */
+    readonly isReady: () => boolean;
+    readonly getMetrics: () => Promise<string>;
+}
+
+export interface CallerServer {
+    readonly server: http.Server;
+    start(): Promise<void>;
+    refuse(effect: EffectOf<"refuseRequest">): void;
+    interrupt(effect: EffectOf<"interruptAnswer">): void;
+    replay(effect: EffectOf<"replayAnswer">): void;
+    answer(effect: EffectOf<"answerCaller">): void;
+    closeListener(): void;
+    stop(): void;
+}
+
+const bearerPattern = /^Bearer +(\S+)$/i;
+const maxTimeoutMs = 24 * 3600 * 1000;
+
+const hashText = (text: string): string => createHash("sha256").update(text).digest("hex");
+
+/** The caller's key as sent; kept only while the request is read. */
+function readKey(request: http.IncomingMessage): string | undefined {
+    return bearerPattern.exec(request.headers.authorization ?? "")?.[1];
+}
+
+const toHash = (
+    key: string | undefined,
+): KeyHash | undefined => (key === undefined ? undefined : toKeyHash(hashText(key)));
+
+function readNumberHeader(request: http.IncomingMessage, name: string): number | undefined {
+    const value = Number(request.headers[name]);
+    return Number.isInteger(value) && value > 0 && value <= maxTimeoutMs ? value : undefined;
+}
+
+function readTextHeader(request: http.IncomingMessage, name: string): string | undefined {
+    const value = request.headers[name];
+    return typeof value === "string" && value.length > 0 && value.length <= 255 ? value : undefined;
+}
+
+/** Reads a body of bounded length; undefined when it is longer. */
+async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+        length += chunk.length;
+        if (length > maxBytes) {
+            return undefined;
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+}
+
+interface ServiceTarget {
+    readonly name: string;
+    readonly path: string;
+}
+
+function parseServicePath(url: string): ServiceTarget | undefined {
+    const found = /^\/services\/([A-Za-z0-9._-]{1,64})(\/[^#]*|\?[^#]*)?$/.exec(url);
+    return found?.[1] === undefined ? undefined : { name: found[1], path: found[2] ?? "/" };
+}
+
+/** Writes a JSON answer. */
+export function sendJson(
+    response: http.ServerResponse,
+    status: number,
+    body: unknown,
+    headers: http.OutgoingHttpHeaders = {},
+): void {
+    if (response.headersSent || response.destroyed) {
+        return;
+    }
+    const text = JSON.stringify(body);
+    response.writeHead(status, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(text),
+        ...headers,
+    });
+    response.end(text);
+}
+
+function sendRefusal(response: http.ServerResponse, requestId: string, refusal: Refusal): void {
+    const headers: http.OutgoingHttpHeaders = { "x-request-id": requestId };
+    if (refusal.retryAfterSeconds !== undefined) {
+        headers["retry-after"] = String(Math.max(1, Math.ceil(refusal.retryAfterSeconds)));
+    }
+    if (refusal.code === "draining" || refusal.code === "body_too_large") {
+        headers["connection"] = "close";
+    }
+    sendJson(response, refusalKinds[refusal.code].status, formatRefusal(refusal, requestId), headers);
+}
+
+/** Creates the server for callers. */
+export function createCallerServer(options: CallerServerOptions): CallerServer {
+    const { settings, clock, post, openRequests, isReady, getMetrics } = options;
+    const calls = new Map<CallId, http.ServerResponse>();
+
+    function openCall(response: http.ServerResponse): CallId {
+        const call = toCallId(randomUUID());
+        calls.set(call, response);
+        response.on("close", () => {
+            calls.delete(call);
+        });
+        return call;
+    }
+
+    async function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const url = request.url ?? "/";
+        const service = parseServicePath(url);
+        if (service) {
+            await handleService(request, response, service);
+            return;
+        }
+        const handler = fixedPaths[`${request.method} ${url.split("?")[0]}`];
+        if (handler) {
+            await handler(request, response);
+            return;
+        }
+        sendRefusal(response, randomUUID(), {
+            code: "route_unknown",
+            verdict: "not_run",
+            detail: "There is no such path.",
+        });
+    }
+
+    const fixedPaths: Readonly<
+        Record<string, (request: http.IncomingMessage, response: http.ServerResponse) => void | Promise<void>>
+    > = {
+        "POST /v1/chat/completions": (request, response) => handleCompletion(request, response, "chat"),
+        "POST /v1/completions": (request, response) => handleCompletion(request, response, "completions"),
+        "GET /v1/models": (request, response) => {
+            post({ kind: "modelsAsked", call: openCall(response), keyHash: toHash(readKey(request)) });
+        },
+        "GET /v1/entries": (request, response) => {
+            post({ kind: "entriesAsked", call: openCall(response), keyHash: toHash(readKey(request)) });
+        },
+        "GET /healthz": (_request, response) => {
+            sendJson(response, 200, { status: "alive" });
+        },
+        "GET /readyz": (_request, response) => {
+            const ready = isReady();
+            sendJson(response, ready ? 200 : 503, { ready });
+        },
+        "GET /metrics": async (_request, response) => {
+            response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+            response.end(await getMetrics());
+        },
+    };
+
+    async function handleCompletion(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        endpoint: Exclude<Endpoint, "service">,
+    ): Promise<void> {
+        const id = toRequestId(randomUUID());
+        const arrivedAt = clock.getNow();
+        const body = await readBody(request, settings.limits.bodyBytes);
+        const key = readKey(request);
+        if (!body) {
+            sendRefusal(response, id, { code: "body_too_large", verdict: "not_run" });
+            return;
+        }
+        const decoded = decodeCompletion(endpoint, body);
+        if (decoded.err || (key !== undefined && body.includes(key))) {
+            const detail = decoded.err ? decoded.val : "The body must not contain the key.";
+            sendRefusal(response, id, { code: "bad_request", verdict: "not_run", detail });
+            return;
+        }
+        const completion = decoded.val;
+        openRequest({
+            id,
+            response,
+            request,
+            body,
+            completion,
+            routeName: completion.model,
+            isStream: completion.stream,
+        });
+        post({
+            kind: "requestArrived",
+            arrival: {
+                request: id,
+                keyHash: toHash(key),
+                endpoint,
+                routeName: completion.model,
+                method: "POST",
+                path: "",
+                stream: completion.stream,
+                prompt: completion.prompt,
+                maxTokens: completion.maxTokens,
+                priority: completion.priority,
+                bodyBytes: body.length,
+                bodyHash: "",
+                idempotencyKey: readTextHeader(request, "idempotency-key"),
+                timeoutMs: readNumberHeader(request, "x-request-timeout-ms"),
+                arrivedAt,
+            },
+        });
+    }
+
+    async function handleService(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        service: ServiceTarget,
+    ): Promise<void> {
+        const id = toRequestId(randomUUID());
+        const arrivedAt = clock.getNow();
+        const method = request.method ?? "GET";
+        const body = await readBody(request, settings.limits.bodyBytes);
+        const key = readKey(request);
+        if (!body) {
+            sendRefusal(response, id, { code: "body_too_large", verdict: "not_run" });
+            return;
+        }
+        if (key !== undefined && (body.includes(key) || service.path.includes(key))) {
+            const detail = "The body and the path must not contain the key.";
+            sendRefusal(response, id, { code: "bad_request", verdict: "not_run", detail });
+            return;
+        }
+        openRequest({ id, response, request, body, completion: undefined, routeName: service.name, isStream: false });
+        post({
+            kind: "requestArrived",
+            arrival: {
+                request: id,
+                keyHash: toHash(key),
+                endpoint: "service",
+                routeName: service.name,
+                method,
+                path: service.path,
+                stream: false,
+                prompt: new Uint8Array(),
+                maxTokens: undefined,
+                priority: undefined,
+                bodyBytes: body.length,
+                bodyHash: createHash("sha256").update(`${method} ${service.path}\n`).update(body).digest("hex"),
+                idempotencyKey: readTextHeader(request, "idempotency-key"),
+                timeoutMs: readNumberHeader(request, "x-request-timeout-ms"),
+                arrivedAt,
+            },
+        });
+    }
+
+    function openRequest(
+        opened: Omit<Parameters<OpenRequests["add"]>[0], "headers"> & { readonly request: http.IncomingMessage; },
+    ): void {
+        const { request, ...rest } = opened;
+        const { response, id } = rest;
+        openRequests.add({ ...rest, headers: request.headers });
+        response.on("close", () => {
+            post(
+                response.writableFinished
+                    ? { kind: "answerDelivered", request: id }
+                    : { kind: "callerGone", request: id },
+            );
+        });
+    }
+
+    function getResponse(id: RequestId): http.ServerResponse | undefined {
+        return openRequests.get(id)?.response;
+    }
+
+    const server = http.createServer(
+        {
+            maxHeaderSize: settings.limits.headerBytes,
+            headersTimeout: 10_000,
+            requestTimeout: settings.timeouts.requestMs,
+            keepAliveTimeout: 30_000,
+        },
+        (request, response) => {
+            handleRequest(request, response).catch(() => {
+                response.destroy();
+            });
+        },
+    );
+    server.maxConnections = settings.limits.connections;
+
+    return {
+        server,
+        start: () =>
+            new Promise((resolve, reject) => {
+                server.once("error", reject);
+                server.listen(parseAddress(settings.listen.callers), resolve);
+            }),
+        refuse: ({ request, refusal }) => {
+            const response = getResponse(request);
+            if (response) {
+                sendRefusal(response, request, refusal);
+            }
+        },
+        interrupt: ({ request, refusal }) => {
+            const open = openRequests.get(request);
+            if (open?.isStream) {
+                const body = JSON.stringify(formatRefusal(refusal, request));
+                open.response.end(encodeEvent({ id: undefined, event: "error", data: body }));
+            }
+            else {
+                open?.response.destroy();
+            }
+        },
+        replay: ({ request, answer }) => {
+            const response = getResponse(request);
+            if (response && !response.headersSent) {
+                response.writeHead(answer.status, {
+                    "content-type": answer.contentType,
+                    "x-request-id": request,
+                    "idempotent-replayed": "true",
+                });
+                response.end(answer.body);
+            }
+        },
+        answer: ({ call, status, body }) => {
+            const response = calls.get(call);
+            if (response) {
+                sendJson(response, status, body, { "x-request-id": call });
+            }
+        },
+        closeListener: () => {
+            server.close();
+            server.closeIdleConnections();
+        },
+        stop: () => {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+}
--- /dev/null
+++ b/src/adapters/httpClient.ts
@@ -0,0 +1,102 @@
+/** Small HTTP client on Node's `http` for calls with short answers. */
+import * as http from "node:http";
+
+export interface HttpCall {
+    readonly method: string;
+    /** IP:PORT. */
+    readonly address: string;
+    readonly path: string;
+    readonly headers?: http.OutgoingHttpHeaders;
+    readonly body?: string;
+    readonly timeoutMs: number;
+    readonly agent?: http.Agent;
+    /** Longest answer that is read, in bytes. */
+    readonly maxBytes?: number;
+}
+
+export interface HttpAnswer {
+    readonly status: number;
+    readonly text: string;
+}
+
+/** Error of a call; `wasSent` is true when the request may have reached the server. */
+export class HttpCallError extends Error {
+    readonly wasSent: boolean;
+
+    constructor(message: string, wasSent: boolean) {
+        super(message);
+        this.name = "HttpCallError";
+        this.wasSent = wasSent;
+    }
+}
+
+/** Splits IP:PORT into the options of Node's `http`. */
+export function parseAddress(address: string): { readonly host: string; readonly port: number; } {
+    const colon = address.lastIndexOf(":");
+    return { host: address.slice(0, colon).replace(/^\[|\]$/g, ""), port: Number(address.slice(colon + 1)) };
+}
+
+/** Reports once when the first byte of a request is about to be handed to a connected socket. */
+export function subscribeToBytesHanded(request: http.ClientRequest, handler: () => void): void {
+    request.once("socket", socket => {
+        if (socket.connecting) {
+            socket.once("connect", handler);
+        }
+        else {
+            handler();
+        }
+    });
+}
+
+/** Sends a request and reads the whole answer. The deadline covers both. */
+export function sendHttpCall(call: HttpCall): Promise<HttpAnswer> {
+    const { method, address, path, headers = {}, body, timeoutMs, agent, maxBytes = 16 * 1024 * 1024 } = call;
+    return new Promise((resolve, reject) => {
+        let wasSent = false;
+        const request = http.request({
+            ...parseAddress(address),
+            method,
+            path,
+            headers: body === undefined ? headers : { "content-length": Buffer.byteLength(body), ...headers },
+            ...(agent ? { agent } : {}),
+        });
+        const timer = setTimeout(() => {
+            request.destroy(new Error("The call timed out."));
+        }, timeoutMs);
+        const handleError = (error: Error): void => {
+            clearTimeout(timer);
+            reject(new HttpCallError(error.message, wasSent));
+        };
+        subscribeToBytesHanded(request, () => {
+            wasSent = true;
+        });
+        request.on("error", handleError);
+        request.on("response", response => {
+            const chunks: Buffer[] = [];
+            let length = 0;
+            response.on("data", (chunk: Buffer) => {
+                chunks.push(chunk);
+                length += chunk.length;
+                if (length > maxBytes) {
+                    request.destroy(new Error("The answer is too long."));
+                }
+            });
+            response.on("error", handleError);
+            response.on("end", () => {
+                clearTimeout(timer);
+                if (response.complete) {
+                    resolve({ status: response.statusCode ?? 0, text: Buffer.concat(chunks).toString("utf8") });
+                }
+                else {
+                    handleError(new Error("The answer was cut short."));
+                }
+            });
+        });
+        request.end(body);
+    });
+}
+
+/** Creates an agent that keeps a bounded number of idle connections. */
+export function createKeepAliveAgent({ maxSockets = 64 }: { readonly maxSockets?: number; } = {}): http.Agent {
+    return new http.Agent({ keepAlive: true, maxSockets, maxFreeSockets: 16, timeout: 30_000 });
+}
--- /dev/null
+++ b/src/adapters/metrics.ts
@@ -0,0 +1,70 @@
+/** Metrics: counters and latency histograms, as Prometheus text. */
+import { build, type Histogram } from "hdr-histogram-js";
+import { Counter, Gauge, Registry } from "prom-client";
+import type { CounterName, EffectOf, HistogramName } from "../effects";
+
+const counterLabels: { readonly [Name in CounterName]: readonly string[]; } = {
+    requests_total: ["route", "account"],
+    refusals_total: ["code", "verdict"],
+    attempts_total: ["outcome"],
+    retries_total: ["outcome"],
+    prompt_tokens_total: ["account"],
+    cached_tokens_total: ["account"],
+    generated_tokens_total: ["account"],
+    store_failures_total: ["call"],
+    grants_total: ["outcome"],
+    orders_total: ["outcome"],
+};
+
+const histogramNames: readonly HistogramName[] = ["first_token_ms", "queue_ms", "request_ms"];
+const quantiles = [50, 95, 99, 99.9] as const;
+/** Longest duration that is told apart: one hour. */
+const highestMs = 3_600_000;
+
+export interface Metrics {
+    addCount(effect: EffectOf<"addCount">): void;
+    recordValue(effect: EffectOf<"recordValue">): void;
+    format(): Promise<string>;
+}
+
+/** Creates the metrics of a process. Durations are in milliseconds. */
+export function createMetrics(): Metrics {
+    const registry = new Registry();
+    const counters = new Map<CounterName, Counter>();
+    const histograms = new Map<HistogramName, Histogram>();
+    for (const [name, labels] of Object.entries(counterLabels)) {
+        const counter = new Counter({
+            name: `marjoramvane_${name}`,
+            help: name.replaceAll("_", " "),
+            labelNames: [...labels],
+            registers: [registry],
+        });
+        counters.set(name as CounterName, counter);
+    }
+    for (const name of histogramNames) {
+        const histogram = build({ highestTrackableValue: highestMs, numberOfSignificantValueDigits: 3 });
+        histograms.set(name, histogram);
+        registry.registerMetric(
+            new Gauge({
+                name: `marjoramvane_${name}`,
+                help: `${name.replaceAll("_", " ")}, by quantile`,
+                labelNames: ["quantile"],
+                registers: [],
+                collect() {
+                    for (const quantile of quantiles) {
+                        this.set({ quantile: String(quantile / 100) }, histogram.getValueAtPercentile(quantile));
+                    }
+                },
+            }),
+        );
+    }
+    return {
+        addCount: ({ name, value, labels }) => {
+            counters.get(name)?.inc(labels, value);
+        },
+        recordValue: ({ name, value }) => {
+            histograms.get(name)?.recordValue(Math.min(highestMs, Math.max(0, Math.round(value))));
+        },
+        format: () => registry.metrics(),
+    };
+}
--- /dev/null
+++ b/src/adapters/peerServer.ts
@@ -0,0 +1,73 @@
+/** tRPC server for peers. */
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { randomUUID, timingSafeEqual } from "node:crypto";
+import * as http from "node:http";
+import type { EffectOf } from "../effects";
+import type { Event } from "../events";
+import { type CallId, toCallId } from "../ids";
+import type { PeerAnswer } from "../peers";
+import { parseAddress } from "./httpClient";
+import { peerRouter } from "./peerProtocol";
+
+export interface PeerServerOptions {
+    readonly listen: string;
+    readonly fleetSecret: string;
+    readonly post: (event: Event) => void;
+}
+
+export interface PeerServer {
+    start(): Promise<void>;
+    answer(effect: EffectOf<"answerPeer">): void;
+    stop(): void;
+}
+
+/** A call that no system answers within this time fails. */
+const answerTimeoutMs = 2000;
+
+function isSecret(header: string | undefined, secret: string): boolean {
+    const given = Buffer.from((header ?? "").replace(/^Bearer +/i, ""));
+    const expected = Buffer.from(secret);
+    return given.length === expected.length && timingSafeEqual(given, expected);
+}
+
+/** Creates the server for peers. */
+export function createPeerServer({ listen, fleetSecret, post }: PeerServerOptions): PeerServer {
+    const waiting = new Map<CallId, (answer: PeerAnswer) => void>();
+
+    const handler = createHTTPHandler({
+        router: peerRouter,
+        createContext: ({ req }) => ({
+            isAuthenticated: isSecret(req.headers.authorization, fleetSecret),
+            ask: request =>
+                new Promise<PeerAnswer>((resolve, reject) => {
+                    const call = toCallId(randomUUID());
+                    const timer = setTimeout(() => {
+                        waiting.delete(call);
+                        reject(new Error("No answer in time."));
+                    }, answerTimeoutMs);
+                    waiting.set(call, answer => {
+                        clearTimeout(timer);
+                        resolve(answer);
+                    });
+                    post({ kind: "peerAsked", call, request });
+                }),
+        }),
+    });
+    const server = http.createServer({ keepAliveTimeout: 30_000 }, handler);
+
+    return {
+        start: () =>
+            new Promise((resolve, reject) => {
+                server.once("error", reject);
+                server.listen(parseAddress(listen), resolve);
+            }),
+        answer: ({ call, answer }) => {
+            waiting.get(call)?.(answer);
+            waiting.delete(call);
+        },
+        stop: () => {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+}
--- /dev/null
+++ b/src/adapters/storeClient.ts
@@ -0,0 +1,143 @@
+/** Client of the platform's key-value store: calls and watches over the JSON mapping of the etcd v3 API. */
+import * as http from "node:http";
+import { Err, Ok, type Result } from "ts-results";
+import { decodeWatch, encodeCall, encodeWatch, watchPath } from "../codec/etcd";
+import type { EffectOf } from "../effects";
+import type { Event, WatchName } from "../events";
+import type { Clock } from "../runner";
+import type { StoreAnswer, StoreFailure } from "../store";
+import { createKeepAliveAgent, HttpCallError, parseAddress, sendHttpCall } from "./httpClient";
+
+/** A watch that delivers nothing for this long is opened again, so that a dead connection is noticed. */
+const watchSilenceMs = 60_000;
+
+export interface StoreClientOptions {
+    readonly address: string;
+    readonly timeoutMs: number;
+    readonly clock: Clock;
+    readonly post: (event: Event) => void;
+}
+
+export interface StoreClient {
+    call(effect: EffectOf<"callStore">): void;
+    openWatch(effect: EffectOf<"openWatch">): void;
+    closeWatch(watch: WatchName): void;
+    close(): void;
+}
+
+/** Creates the store client of a process. */
+export function createStoreClient({ address, timeoutMs, clock, post }: StoreClientOptions): StoreClient {
+    const agent = createKeepAliveAgent();
+    const watches = new Map<WatchName, http.ClientRequest>();
+
+    async function sendCall(effect: EffectOf<"callStore">): Promise<Result<StoreAnswer, StoreFailure>> {
+        const { path, body, decode } = encodeCall(effect.call);
+        try {
+            const answer = await sendHttpCall({
+                method: "POST",
+                address,
+                path,
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify(body),
+                timeoutMs,
+                agent,
+            });
+            if (answer.status === 200) {
+                return Ok(decode(JSON.parse(answer.text)));
+            }
+            // A lease that is gone is an answer, not a failure.
+            if (answer.status === 404 && effect.call.kind === "renewLease") {
+                return Ok({ kind: "lease", lease: effect.call.lease, ttlSeconds: 0 });
+            }
+            return Err({
+                effect: answer.status < 500 ? "none" : "unknown",
+                message: `The store answered ${answer.status}.`,
+            });
+        }
+        catch (error) {
+            const wasSent = error instanceof HttpCallError ? error.wasSent : true;
+            const message = error instanceof Error ? error.message : "The call failed.";
+            return Err({ effect: wasSent ? "unknown" : "none", message });
+        }
+    }
+
+    function closeWatch(watch: WatchName): void {
+        const request = watches.get(watch);
+        watches.delete(watch);
+        request?.destroy();
+    }
+
+    function openWatch(effect: EffectOf<"openWatch">): void {
+        closeWatch(effect.watch);
+        const request = http.request({
+            ...parseAddress(address),
+            method: "POST",
+            path: watchPath,
+            headers: { "content-type": "application/json" },
+            agent: false,
+            timeout: watchSilenceMs,
+        });
+        watches.set(effect.watch, request);
+        const handleEnd = (): void => {
+            if (watches.get(effect.watch) === request) {
+                watches.delete(effect.watch);
+                post({ kind: "watchEnded", watch: effect.watch });
+            }
+        };
+        request.on("timeout", () => request.destroy());
+        request.on("error", handleEnd);
+        request.on("response", response => {
+            readWatch(effect.watch, response, () => request.destroy());
+            response.on("error", handleEnd);
+            response.on("close", handleEnd);
+        });
+        request.end(JSON.stringify(encodeWatch({ key: effect.key, prefix: effect.prefix }, effect.fromRevision)));
+    }
+
+    function readWatch(watch: WatchName, response: http.IncomingMessage, closeRequest: () => void): void {
+        let pending = "";
+        response.setEncoding("utf8");
+        response.on("data", (chunk: string) => {
+            const lines = (pending + chunk).split("\n");
+            pending = lines.pop() ?? "";
+            for (const line of lines.filter(text => text.trim() !== "")) {
+                handleWatchLine(watch, line, closeRequest);
+            }
+        });
+    }
+
+    function handleWatchLine(watch: WatchName, line: string, closeRequest: () => void): void {
+        let message: ReturnType<typeof decodeWatch>;
+        try {
+            message = decodeWatch(line);
+        }
+        catch {
+            closeRequest();
+            return;
+        }
+        if (message.kind === "ended") {
+            closeRequest();
+        }
+        if (message.kind === "changes") {
+            const { revision, changes } = message;
+            post({ kind: "watchDelivered", watch, revision, changes, heardAt: clock.getNow() });
+        }
+    }
+
+    return {
+        call: effect => {
+            const sentAt = clock.getNow();
+            void sendCall(effect).then(result => {
+                post({ kind: "storeReplied", purpose: effect.purpose, outcome: { result, sentAt } });
+            });
+        },
+        openWatch,
+        closeWatch,
+        close: () => {
+            for (const watch of [...watches.keys()]) {
+                closeWatch(watch);
+            }
+            agent.destroy();
+        },
+    };
+}
--- /dev/null
+++ b/src/adapters/streamRelay.ts
@@ -0,0 +1,194 @@
+/** Relays the stream of an engine to a caller; checks order, owner and completeness of its events. */
+import type * as http from "node:http";
+import { decodeAnswer, type DecodedAnswer, doneMarker, isAnswerOf } from "../codec/openai";
+import { createEventParser, encodeEvent, type ServerSentEvent } from "../codec/sse";
+import type { Event } from "../events";
+import type { AttemptFailure, Usage } from "../requests";
+import type { OpenRequest } from "./openRequests";
+
+/** Generated tokens after which progress is reported, so that they are settled while the stream runs. */
+const progressTokens = 32;
+/** Longest single event of a stream. */
+const maxEventLength = 4 * 1024 * 1024;
+
+export interface StreamRelayOptions {
+    readonly open: OpenRequest;
+    readonly attempt: number;
+    readonly post: (event: Event) => void;
+}
+
+export interface StreamRelay {
+    /** Connects a response of the engine: the first one, or the rest of a resumed stream. */
+    connect(response: http.IncomingMessage): void;
+    /** Lets events through to the caller; until then the response is paused. */
+    startRelay(): void;
+    /** Drops the response without any further event. */
+    stop(): void;
+    getLastEventId(): number;
+}
+
+type EventCheck = "relay" | "drop" | "gap";
+
+/** Creates the relay of one attempt. It lives on over resumed responses of the same engine. */
+export function createStreamRelay({ open, attempt, post }: StreamRelayOptions): StreamRelay {
+    const { id: request, response: caller } = open;
+    let upstream: http.IncomingMessage | undefined;
+    let parser = createEventParser();
+    let lastEventId = 0;
+    let usage: Usage | undefined;
+    let isFinished = false;
+    let hasFirstToken = false;
+    let reportedTokens = 0;
+    let isEnded = false;
+    let isRelaying = false;
+
+    function closeWithFailure(failure: AttemptFailure): void {
+        if (isEnded || !upstream) {
+            return;
+        }
+        const failed = upstream;
+        upstream = undefined;
+        failed.destroy();
+        post({ kind: "attemptFailed", request, attempt, failure, lastEventId });
+    }
+
+    /** Events count up by one from 1; an engine that does not number its events sends no ids. */
+    function checkEventId(id: string | undefined): EventCheck {
+        if (id === undefined) {
+            return lastEventId === 0 ? "relay" : "gap";
+        }
+        const number = Number(id);
+        if (number <= lastEventId) {
+            return "drop";
+        }
+        return number === lastEventId + 1 ? "relay" : "gap";
+    }
+
+    function recordAnswer(answer: DecodedAnswer): void {
+        usage = answer.usage ?? usage;
+        isFinished ||= answer.isFinished;
+        if (answer.hasChoices && !hasFirstToken) {
+            hasFirstToken = true;
+            post({ kind: "attemptFirstToken", request, attempt, ...(answer.usage ? { usage: answer.usage } : {}) });
+        }
+        const generated = usage?.completionTokens ?? 0;
+        if (generated - reportedTokens >= progressTokens) {
+            post({ kind: "attemptProgressed", request, attempt, tokens: generated - reportedTokens });
+            reportedTokens = generated;
+        }
+    }
+
+    function encodeForCaller(event: ServerSentEvent, answer: DecodedAnswer): string | undefined {
+        const wantsUsage = open.completion?.includeUsage ?? false;
+        if (!answer.hasChoices && !wantsUsage) {
+            return undefined;
+        }
+        const { usage: _usage, ...rest } = answer.body;
+        const body = { ...rest, model: open.routeName, ...(wantsUsage ? { usage: answer.body["usage"] ?? null } : {}) };
+        return encodeEvent({ id: event.id, event: undefined, data: JSON.stringify(body) });
+    }
+
+    function writeToCaller(text: string): void {
+        const source = upstream;
+        if (!caller.write(text) && source) {
+            // The engine's socket is paused, so that a slow reader slows only its own stream.
+            source.pause();
+            caller.once("drain", () => source.resume());
+        }
+    }
+
+    function closeFinished(event: ServerSentEvent): void {
+        if (!isFinished) {
+            closeWithFailure("broken_stream");
+            return;
+        }
+        isEnded = true;
+        upstream = undefined;
+        caller.end(encodeEvent(event));
+        post({ kind: "attemptFinished", request, attempt, ...(usage ? { usage } : {}) });
+    }
+
+    function handleEvent(event: ServerSentEvent): void {
+        if (event.event === "error") {
+            closeWithFailure("broken_stream");
+            return;
+        }
+        const answer = event.data === doneMarker ? undefined : decodeAnswer(event.data);
+        if (answer && !isAnswerOf(answer.id, request)) {
+            return;
+        }
+        const check = checkEventId(event.id);
+        if (check === "drop") {
+            return;
+        }
+        if (check === "gap" || (!answer && event.data !== doneMarker)) {
+            closeWithFailure("broken_stream");
+            return;
+        }
+        if (event.id !== undefined) {
+            lastEventId = Number(event.id);
+        }
+        if (!answer) {
+            closeFinished(event);
+            return;
+        }
+        recordAnswer(answer);
+        const text = encodeForCaller(event, answer);
+        if (text !== undefined) {
+            writeToCaller(text);
+        }
+    }
+
+    function readUpstream(source: http.IncomingMessage): void {
+        parser = createEventParser();
+        source.on("data", (chunk: Buffer) => {
+            for (const event of parser.add(chunk)) {
+                if (source === upstream) {
+                    handleEvent(event);
+                }
+            }
+            if (parser.getPendingLength() > maxEventLength) {
+                closeWithFailure("broken_stream");
+            }
+        });
+        const handleEnd = (): void => {
+            if (source === upstream) {
+                closeWithFailure("broken_stream");
+            }
+        };
+        source.on("end", handleEnd);
+        source.on("error", handleEnd);
+        source.on("close", handleEnd);
+        if (source.destroyed) {
+            handleEnd();
+        }
+    }
+
+    return {
+        connect: response => {
+            upstream = response;
+            if (isRelaying) {
+                readUpstream(response);
+            }
+        },
+        startRelay: () => {
+            if (isRelaying || !upstream) {
+                return;
+            }
+            isRelaying = true;
+            caller.writeHead(200, {
+                "content-type": "text/event-stream",
+                "cache-control": "no-store",
+                "x-request-id": request,
+            });
+            caller.flushHeaders();
+            readUpstream(upstream);
+        },
+        stop: () => {
+            isEnded = true;
+            upstream?.destroy();
+            upstream = undefined;
+        },
+        getLastEventId: () => lastEventId,
+    };
+}
--- /dev/null
+++ b/src/adapters/targetClient.ts
@@ -0,0 +1,283 @@
+/** HTTP client for targets: sends requests, resumes streams, and reports what happened as events. */
+import * as http from "node:http";
+import { decodeAnswer, encodeEngineBody, isAnswerOf } from "../codec/openai";
+import type { Settings } from "../config/settings";
+import type { EffectOf } from "../effects";
+import type { Event } from "../events";
+import type { RequestId } from "../ids";
+import type { AnswerRecord, AttemptFailure, TargetCall } from "../requests";
+import { createKeepAliveAgent, parseAddress, subscribeToBytesHanded } from "./httpClient";
+import type { OpenRequest, OpenRequests } from "./openRequests";
+import { createStreamRelay, type StreamRelay } from "./streamRelay";
+import { buildAnswerHeaders, buildTargetHeaders } from "./targetHeaders";
+
+/** Answers up to this size are recorded with an idempotency claim. */
+const maxRecordBytes = 64 * 1024;
+
+interface WholeAnswer {
+    readonly status: number;
+    readonly headers: http.OutgoingHttpHeaders;
+    readonly body: Buffer;
+}
+
+interface RunningAttempt {
+    readonly attempt: number;
+    request: http.ClientRequest | undefined;
+    relay: StreamRelay | undefined;
+    whole: WholeAnswer | undefined;
+}
+
+export interface TargetClientOptions {
+    readonly settings: Settings;
+    readonly post: (event: Event) => void;
+    readonly openRequests: OpenRequests;
+}
+
+export interface TargetClient {
+    send(effect: EffectOf<"sendRequest">): void;
+    relay(effect: EffectOf<"relayAnswer">): void;
+    resume(effect: EffectOf<"resumeStream">): void;
+    cancel(effect: EffectOf<"cancelAttempt">): void;
+    forget(request: RequestId): void;
+    close(): void;
+}
+
+const notRunHeader = "x-not-run";
+/** Answers by which an engine says that it did not run the request: unknown model, other weights, queue full. */
+const refusedByEngine: ReadonlySet<number> = new Set([404, 409, 429]);
+
+function isRefusedBeforeRun(call: TargetCall, response: http.IncomingMessage): boolean {
+    const saysNotRun = response.headers[notRunHeader] === "1";
+    return saysNotRun || (call.engine !== undefined && refusedByEngine.has(response.statusCode ?? 0));
+}
+
+const isEventStream = (response: http.IncomingMessage): boolean =>
+    response.statusCode === 200 && (response.headers["content-type"] ?? "").startsWith("text/event-stream");
+
+function buildRecord(response: http.IncomingMessage, body: Buffer): AnswerRecord | undefined {
+    const contentType = response.headers["content-type"] ?? "application/octet-stream";
+    const isText = /^(text\/|application\/json)/.test(contentType);
+    return isText && body.length <= maxRecordBytes
+        ? { status: response.statusCode ?? 0, contentType, body: body.toString("utf8") }
+        : undefined;
+}
+
+/** Creates the client for targets. */
+export function createTargetClient({ settings, post, openRequests }: TargetClientOptions): TargetClient {
+    const agent = createKeepAliveAgent({ maxSockets: 1024 });
+    const attempts = new Map<RequestId, RunningAttempt>();
+    const { idleMs, connectMs } = settings.timeouts;
+
+    function postFailure(id: RequestId, running: RunningAttempt, failure: AttemptFailure): void {
+        if (attempts.get(id) === running && running.request) {
+            running.request = undefined;
+            const lastEventId = running.relay?.getLastEventId() ?? 0;
+            post({ kind: "attemptFailed", request: id, attempt: running.attempt, failure, lastEventId });
+        }
+    }
+
+    function readWhole(
+        open: OpenRequest,
+        running: RunningAttempt,
+        call: TargetCall,
+        response: http.IncomingMessage,
+    ): void {
+        const chunks: Buffer[] = [];
+        let length = 0;
+        response.on("data", (chunk: Buffer) => {
+            chunks.push(chunk);
+            length += chunk.length;
+            if (length > settings.limits.answerBytes) {
+                postFailure(open.id, running, "answer_too_large");
+                response.destroy();
+            }
+        });
+        response.on("error", () => {
+            postFailure(open.id, running, "closed");
+        });
+        response.on("close", () => {
+            if (!response.complete) {
+                postFailure(open.id, running, "closed");
+            }
+        });
+        response.on("end", () => {
+            if (response.complete && attempts.get(open.id) === running && running.request) {
+                handleWhole(open, running, call, response, Buffer.concat(chunks));
+            }
+        });
+    }
+
+    function handleWhole(
+        open: OpenRequest,
+        running: RunningAttempt,
+        call: TargetCall,
+        response: http.IncomingMessage,
+        body: Buffer,
+    ): void {
+        const status = response.statusCode ?? 0;
+        const answer = call.engine && status === 200 ? decodeAnswer(body.toString("utf8")) : undefined;
+        if (call.engine && status === 200 && (!answer || !isAnswerOf(answer.id, open.id) || !answer.isFinished)) {
+            postFailure(open.id, running, "mismatched_answer");
+            return;
+        }
+        running.request = undefined;
+        running.whole = {
+            status,
+            headers: buildAnswerHeaders(response.headers, open.id),
+            body: answer ? Buffer.from(JSON.stringify({ ...answer.body, model: open.routeName })) : body,
+        };
+        const record = call.engine ? undefined : buildRecord(response, body);
+        post({
+            kind: "attemptAnswered",
+            request: open.id,
+            attempt: running.attempt,
+            status,
+            refusedBeforeRun: isRefusedBeforeRun(call, response),
+            whole: { ...(answer?.usage ? { usage: answer.usage } : {}), ...(record ? { record } : {}) },
+        });
+    }
+
+    function handleResponse(
+        open: OpenRequest,
+        running: RunningAttempt,
+        call: TargetCall,
+        response: http.IncomingMessage,
+    ): void {
+        if (!call.engine || !isEventStream(response)) {
+            readWhole(open, running, call, response);
+            return;
+        }
+        running.relay = createStreamRelay({ open, attempt: running.attempt, post });
+        running.relay.connect(response);
+        post({
+            kind: "attemptAnswered",
+            request: open.id,
+            attempt: running.attempt,
+            status: 200,
+            refusedBeforeRun: false,
+        });
+    }
+
+    function openConnection(
+        id: RequestId,
+        running: RunningAttempt,
+        options: http.RequestOptions,
+        failure: AttemptFailure,
+    ): http.ClientRequest {
+        const request = http.request(options);
+        let isConnected = false;
+        const connectTimer = setTimeout(() => {
+            request.destroy();
+        }, connectMs);
+        subscribeToBytesHanded(request, () => {
+            isConnected = true;
+            clearTimeout(connectTimer);
+            request.setTimeout(idleMs, () => request.destroy());
+            post({ kind: "attemptBytesHanded", request: id, attempt: running.attempt });
+        });
+        request.on("error", () => {
+            clearTimeout(connectTimer);
+            if (!running.relay || failure !== "closed") {
+                postFailure(id, running, isConnected ? failure : "connect");
+            }
+        });
+        running.request = request;
+        return request;
+    }
+
+    function send({ request: id, attempt, call }: EffectOf<"sendRequest">): void {
+        const open = openRequests.get(id);
+        if (!open) {
+            return;
+        }
+        const running: RunningAttempt = { attempt, request: undefined, relay: undefined, whole: undefined };
+        attempts.set(id, running);
+        const body = call.engine && open.completion
+            ? Buffer.from(encodeEngineBody(open.completion.body, call.engine, call.stream))
+            : open.body;
+        const hasBody = body.length > 0 || !["GET", "HEAD", "OPTIONS"].includes(call.method);
+        const request = openConnection(id, running, {
+            ...parseAddress(call.address),
+            method: call.method,
+            path: call.path,
+            headers: {
+                ...buildTargetHeaders(open.headers, id, call),
+                ...(hasBody ? { "content-length": body.length } : {}),
+                ...(call.freshConnection ? { connection: "close" } : {}),
+            },
+            agent: call.freshConnection ? false : agent,
+        }, "closed");
+        request.on("response", response => {
+            if (attempts.get(id) === running) {
+                handleResponse(open, running, call, response);
+            }
+            else {
+                response.destroy();
+            }
+        });
+        request.end(hasBody ? body : undefined);
+    }
+
+    function resume({ request: id, attempt, address, lastEventId }: EffectOf<"resumeStream">): void {
+        const running = attempts.get(id);
+        const relay = running?.relay;
+        if (!running || !relay || running.attempt !== attempt) {
+            return;
+        }
+        const request = openConnection(id, running, {
+            ...parseAddress(address),
+            method: "GET",
+            path: `/v1/streams/${id}`,
+            headers: { "last-event-id": String(lastEventId), "x-request-id": id },
+            agent,
+        }, "not_resumable");
+        request.on("response", response => {
+            if (attempts.get(id) !== running || !isEventStream(response)) {
+                response.destroy();
+                postFailure(id, running, "not_resumable");
+                return;
+            }
+            relay.connect(response);
+        });
+        request.end();
+    }
+
+    function closeAttempt(id: RequestId): void {
+        const running = attempts.get(id);
+        attempts.delete(id);
+        running?.relay?.stop();
+        running?.request?.destroy();
+    }
+
+    return {
+        send,
+        resume,
+        relay: ({ request: id, attempt }) => {
+            const running = attempts.get(id);
+            const caller = openRequests.get(id)?.response;
+            if (!running || running.attempt !== attempt || !caller) {
+                return;
+            }
+            if (running.whole && !caller.headersSent) {
+                const { status, headers, body } = running.whole;
+                caller.writeHead(status, { ...headers, "content-length": body.length });
+                caller.end(body);
+            }
+            running.relay?.startRelay();
+        },
+        cancel: ({ request }) => {
+            closeAttempt(request);
+        },
+        forget: id => {
+            const running = attempts.get(id);
+            attempts.delete(id);
+            running?.relay?.stop();
+        },
+        close: () => {
+            for (const id of [...attempts.keys()]) {
+                closeAttempt(id);
+            }
+            agent.destroy();
+        },
+    };
+}
--- /dev/null
+++ b/src/config/document.ts
@@ -0,0 +1,190 @@
+/** The configuration document: its schema, its checks and its default values. */
+import { Err, Ok, type Result } from "ts-results";
+import { z } from "zod";
+import type { AccountId, DataCentreId, KeyHash, ModelId, ModelVersion, RouteId, TargetId } from "../ids";
+
+const id = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, "expected 1 to 64 letters, digits, dots, dashes");
+const keyHash = z.string().regex(/^[0-9a-f]{64}$/, "expected a SHA-256 hash in hexadecimal");
+const address = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, "expected IP:PORT");
+const tokens = z.number().int().positive();
+
+const accountSchema = z.strictObject({
+    /** Tokens a second, prompt and generated, over the whole fleet. */
+    rate: tokens,
+    /** Tokens that may be used at once. */
+    burst: tokens,
+    /** Higher is served first among queued requests. */
+    priority: z.number().int().min(0).max(9).default(5),
+});
+
+const keySchema = z.strictObject({ account: id, label: z.string().max(100).default("") });
+
+const operatorSchema = z.strictObject({ label: z.string().max(100).default("") });
+
+const modelSchema = z.strictObject({
+    /** Lower bound of the tokenizer: bytes of prompt text for each token. */
+    bytesPerToken: z.number().min(1).max(16).default(1),
+    /** Tokens in one cache block of the engines. */
+    blockTokens: z.number().int().min(1).max(65_536).default(4096),
+    /** `max_tokens` of a request that names none. */
+    defaultMaxTokens: tokens.default(512),
+    /** Prompt tokens that an engine computes in a second, used for the routing estimate. */
+    prefillTokensPerSecond: tokens.default(20_000),
+    /** Tokens generated for one request in a second, used for the routing estimate. */
+    decodeTokensPerSecond: tokens.default(50),
+});
+
+const modelRouteSchema = z.strictObject({
+    kind: z.literal("model"),
+    model: id,
+    version: id,
+    /** Open routes run without a key. */
+    open: z.boolean().default(false),
+    /** Accounts that may use the route; an absent list means every account. */
+    accounts: z.array(id).optional(),
+    /** 0 weighs only waiting time, 1 the expected value, above 1 favours cache hits. */
+    affinityWeight: z.number().min(0).max(10).default(1),
+    repeatable: z.boolean().default(true),
+});
+
+const serviceRouteSchema = z.strictObject({
+    kind: z.literal("service"),
+    service: id,
+    open: z.boolean().default(false),
+    accounts: z.array(id).optional(),
+    /** False for calls such as print orders, which may run at most once. GET and HEAD are always repeatable. */
+    repeatable: z.boolean().default(false),
+    /** Tokens charged for each call. */
+    tokens: z.number().int().min(0).default(1),
+});
+
+const engineSchema = z.strictObject({
+    kind: z.literal("engine"),
+    address,
+    dataCentre: id,
+    /** Model and version that the engine should serve. */
+    model: id,
+    version: id,
+    /** True when the engine refuses an order with an old fencing number. */
+    checksFencing: z.boolean().default(false),
+    /** Requests the engine runs at once; more wait in its queue. */
+    slots: z.number().int().positive().default(8),
+    leaving: z.boolean().default(false),
+});
+
+const serviceTargetSchema = z.strictObject({
+    kind: z.literal("service"),
+    address,
+    dataCentre: id,
+    service: id,
+    slots: z.number().int().positive().default(64),
+    leaving: z.boolean().default(false),
+});
+
+const documentSchema = z.strictObject({
+    accounts: z.record(id, accountSchema).default({}),
+    keys: z.record(keyHash, keySchema).default({}),
+    operators: z.record(keyHash, operatorSchema).default({}),
+    models: z.record(id, modelSchema).default({}),
+    routes: z.record(id, z.discriminatedUnion("kind", [modelRouteSchema, serviceRouteSchema])).default({}),
+    targets: z.record(id, z.discriminatedUnion("kind", [engineSchema, serviceTargetSchema])).default({}),
+});
+
+export type Account = z.output<typeof accountSchema>;
+export type KeyGrant = z.output<typeof keySchema>;
+export type Model = z.output<typeof modelSchema>;
+export type ModelRoute = z.output<typeof modelRouteSchema>;
+export type ServiceRoute = z.output<typeof serviceRouteSchema>;
+export type Route = ModelRoute | ServiceRoute;
+export type EngineConfiguration = z.output<typeof engineSchema>;
+export type ServiceConfiguration = z.output<typeof serviceTargetSchema>;
+export type TargetConfiguration = EngineConfiguration | ServiceConfiguration;
+
+/** The configuration in force: one validated document. */
+export interface ConfigurationDocument {
+    readonly accounts: Readonly<Record<AccountId, Account>>;
+    readonly keys: Readonly<Record<KeyHash, KeyGrant>>;
+    readonly operators: Readonly<Record<KeyHash, { readonly label: string; }>>;
+    readonly models: Readonly<Record<ModelId, Model>>;
+    readonly routes: Readonly<Record<RouteId, Route>>;
+    readonly targets: Readonly<Record<TargetId, TargetConfiguration>>;
+}
+
+/** Sections of the document; each maps ids to entries. */
+export const documentSections = ["accounts", "keys", "operators", "models", "routes", "targets"] as const;
+export type DocumentSection = (typeof documentSections)[number];
+
+/** One fault of a document or of the settings: where, and what was expected. */
+export interface Fault {
+    readonly path: string;
+    readonly message: string;
+}
+
+type ParsedDocument = z.output<typeof documentSchema>;
+
+function listReferenceFaults(document: ParsedDocument): Fault[] {
+    const faults: Fault[] = [];
+    const checkReference = (path: string, section: DocumentSection, name: string): void => {
+        if (!Object.hasOwn(document[section], name)) {
+            faults.push({ path, message: `expected an entry of ${section}, found "${name}"` });
+        }
+    };
+    for (const [hash, key] of Object.entries(document.keys)) {
+        checkReference(`keys.${hash.slice(0, 8)}.account`, "accounts", key.account);
+    }
+    for (const [name, route] of Object.entries(document.routes)) {
+        if (route.kind === "model") {
+            checkReference(`routes.${name}.model`, "models", route.model);
+        }
+        for (const [index, account] of (route.accounts ?? []).entries()) {
+            checkReference(`routes.${name}.accounts.${index}`, "accounts", account);
+        }
+    }
+    for (const [name, target] of Object.entries(document.targets)) {
+        if (target.kind === "engine") {
+            checkReference(`targets.${name}.model`, "models", target.model);
+        }
+    }
+    return faults;
+}
+
+/** Turns the issues of a schema check into faults. */
+export function listSchemaFaults(error: z.ZodError): Fault[] {
+    return error.issues.map(issue => ({ path: issue.path.join(".") || "(document)", message: issue.message }));
+}
+
+/**
+ * Checks a configuration document and fills in defaults. Reports every fault at once.
+ *
+ * @example
+ * const result = parseDocument({ accounts: { shop: { rate: 1000, burst: 5000 } } });
+ * result.ok; // true
+ */
+export function parseDocument(input: unknown): Result<ConfigurationDocument, readonly Fault[]> {
+    const parsed = documentSchema.safeParse(input);
+    if (!parsed.success) {
+        return Err(listSchemaFaults(parsed.error));
+    }
+    const faults = listReferenceFaults(parsed.data);
+    return faults.length > 0 ? Err(faults) : Ok(parsed.data as ConfigurationDocument);
+}
+
+export const emptyDocument: ConfigurationDocument = {
+    accounts: {},
+    keys: {},
+    operators: {},
+    models: {},
+    routes: {},
+    targets: {},
+};
+
+/** Model name and version as a route or an engine names them. */
+export interface ModelReference {
+    readonly model: ModelId;
+    readonly version: ModelVersion;
+}
+
+export const toModelReference = (entry: { readonly model: string; readonly version: string; }): ModelReference =>
+    entry as unknown as ModelReference;
+
+export const toDataCentre = (entry: { readonly dataCentre: string; }): DataCentreId => entry.dataCentre as DataCentreId;
--- /dev/null
+++ b/src/config/settings.ts
@@ -0,0 +1,109 @@
+/** Settings of one process, read from a TOML file. */
+import { parse as parseToml } from "smol-toml";
+import { Err, Ok, type Result } from "ts-results";
+import { z } from "zod";
+import type { DataCentreId, VmId } from "../ids";
+import { type Fault, listSchemaFaults } from "./document";
+
+const ipAndPort = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, "expected IP:PORT");
+const milliseconds = z.number().int().positive();
+
+const settingsSchema = z.strictObject({
+    /** Name of this VM; unique in the fleet. */
+    vm: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, "expected 1 to 64 letters, digits, dots, dashes"),
+    dataCentre: z.string().min(1),
+    /** Secret that the processes of the fleet share. Never logged. */
+    fleetSecret: z.string().min(16, "expected at least 16 characters"),
+    listen: z.strictObject({
+        callers: ipAndPort,
+        operators: ipAndPort,
+        peers: ipAndPort,
+        /** Address that callers are told to use, when it differs from `callers`. */
+        advertise: ipAndPort.optional(),
+    }),
+    store: z.strictObject({
+        /** Base address of the platform's key-value service. */
+        address: ipAndPort,
+        timeoutMs: milliseconds.default(1000),
+    }),
+    vmList: z.strictObject({ address: ipAndPort, everyMs: milliseconds.default(2000) }).optional(),
+    /** Peer addresses to try at start, besides the members found in the store. */
+    peers: z.array(ipAndPort).default([]),
+    limits: z
+        .strictObject({
+            bodyBytes: z.number().int().positive().default(8 * 1024 * 1024),
+            headerBytes: z.number().int().positive().default(16 * 1024),
+            answerBytes: z.number().int().positive().default(16 * 1024 * 1024),
+            connections: z.number().int().positive().default(10_000),
+            /** Requests of one account waiting for a target. */
+            queuedRequests: z.number().int().positive().default(256),
+            prefixRows: z.number().int().positive().default(200_000),
+        })
+        .prefault({}),
+    timeouts: z
+        .strictObject({
+            requestMs: milliseconds.default(120_000),
+            connectMs: milliseconds.default(1000),
+            /** Longest silence of a target in the middle of an answer. */
+            idleMs: milliseconds.default(30_000),
+            drainNoticeMs: milliseconds.default(3000),
+        })
+        .prefault({}),
+    membership: z
+        .strictObject({
+            leaseSeconds: z.number().int().min(2).default(10),
+            exchangeEveryMs: milliseconds.default(1000),
+            /** Configuration counts as confirmed for this long. */
+            freshForMs: milliseconds.default(5000),
+            /** Seconds for which callers keep the list of entries. */
+            entriesKeepSeconds: z.number().int().positive().default(10),
+        })
+        .prefault({}),
+    rates: z
+        .strictObject({
+            grantTtlMs: milliseconds.default(2000),
+            /** Part of rate and burst that is divided among floor slots. */
+            floorFraction: z.number().min(0).max(1).default(0.4),
+            floorSlots: z.number().int().positive().default(5),
+            floorLeaseSeconds: z.number().int().positive().default(7200),
+        })
+        .prefault({}),
+    retries: z
+        .strictObject({
+            attempts: z.number().int().min(1).default(3),
+            /** Retries allowed for each request sent, over time. */
+            budgetFraction: z.number().min(0).max(1).default(0.1),
+        })
+        .prefault({}),
+    claims: z.strictObject({ retentionHours: z.number().positive().default(168) }).prefault({}),
+    log: z.strictObject({ level: z.enum(["error", "warn", "info", "debug"]).default("info") }).prefault({}),
+});
+
+type ParsedSettings = z.output<typeof settingsSchema>;
+
+export type Settings = Omit<ParsedSettings, "vm" | "dataCentre"> & {
+    readonly vm: VmId;
+    readonly dataCentre: DataCentreId;
+};
+
+/** Checks settings given as a plain object and fills in defaults. */
+export function parseSettings(input: unknown): Result<Settings, readonly Fault[]> {
+    const parsed = settingsSchema.safeParse(input);
+    return parsed.success ? Ok(parsed.data as Settings) : Err(listSchemaFaults(parsed.error));
+}
+
+/**
+ * Parses a TOML settings file. Reports every fault at once.
+ *
+ * @example
+ * const result = parseSettingsFile('vm = "entry-1"');
+ * if (result.err) { result.val.map(fault => fault.path); }
+ */
+export function parseSettingsFile(text: string): Result<Settings, readonly Fault[]> {
+    try {
+        return parseSettings(parseToml(text));
+    }
+    catch (error) {
+        return Err([{ path: "(file)", message: error instanceof Error ? error.message : "expected TOML" }]);
+    }
+}
--- /dev/null
+++ b/src/effects.ts
@@ -0,0 +1,167 @@
+/** Effects: what systems ask adapters to do. Outcomes come back as events. */
+import type { PeerPurpose, StorePurpose, WatchName } from "./events";
+import type { CallId, Incarnation, RequestId, TargetId } from "./ids";
+import type { OperatorAnswer } from "./operators";
+import type { PeerAnswer, PeerRequest } from "./peers";
+import type { Refusal } from "./refusals";
+import type { AnswerRecord, TargetCall } from "./requests";
+import type { StoreCall } from "./store";
+import type { EngineOrder } from "./targets";
+
+/** Prefix of a log line: the part of the system that speaks. */
+export type LogPrefix =
+    | "config:"
+    | "member:"
+    | "target:"
+    | "admit:"
+    | "rate:"
+    | "claim:"
+    | "route:"
+    | "stream:"
+    | "place:"
+    | "peer:"
+    | "drain:"
+    | "store:";
+
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined | readonly string[]>>;
+
+/** Names of the metrics that systems record. Units are in the names. */
+export type CounterName =
+    | "requests_total"
+    | "refusals_total"
+    | "attempts_total"
+    | "retries_total"
+    | "prompt_tokens_total"
+    | "cached_tokens_total"
+    | "generated_tokens_total"
+    | "store_failures_total"
+    | "grants_total"
+    | "orders_total";
+export type HistogramName = "first_token_ms" | "queue_ms" | "request_ms";
+
+export type Effect =
+    /* callers */
+    | { readonly kind: "refuseRequest"; readonly request: RequestId; readonly refusal: Refusal; }
+    | {
+        readonly kind: "answerCaller";
+        readonly call: CallId;
+        readonly status: number;
+        readonly body: unknown;
+    }
+    /** Replays a recorded answer of a finished request. */
+    | { readonly kind: "replayAnswer"; readonly request: RequestId; readonly answer: AnswerRecord; }
+    /** Relays the answer of the attempt to the caller. */
+    | { readonly kind: "relayAnswer"; readonly request: RequestId; readonly attempt: number; }
+    /** Ends an answer that has begun with an explicit error. */
+    | { readonly kind: "interruptAnswer"; readonly request: RequestId; readonly refusal: Refusal; }
+    /** Drops the request body; nothing more will be sent for the request. */
+    | { readonly kind: "forgetRequest"; readonly request: RequestId; }
+    /* attempts */
+    | {
+        readonly kind: "sendRequest";
+        readonly request: RequestId;
+        readonly attempt: number;
+        readonly call: TargetCall;
+    }
+    | {
+        readonly kind: "resumeStream";
+        readonly request: RequestId;
+        readonly attempt: number;
+        readonly address: string;
+        readonly lastEventId: number;
+    }
+    | { readonly kind: "cancelAttempt"; readonly request: RequestId; readonly attempt: number; }
+    /* targets */
+    | { readonly kind: "readTarget"; readonly target: TargetId; readonly address: string; }
+    | {
+        readonly kind: "followCacheEvents";
+        readonly target: TargetId;
+        readonly address: string;
+        readonly incarnation: Incarnation;
+        readonly after: number;
+    }
+    | { readonly kind: "stopCacheEvents"; readonly target: TargetId; }
+    | { readonly kind: "sendOrder"; readonly target: TargetId; readonly address: string; readonly order: EngineOrder; }
+    /* platform */
+    | { readonly kind: "callStore"; readonly purpose: StorePurpose; readonly call: StoreCall; }
+    | {
+        readonly kind: "openWatch";
+        readonly watch: WatchName;
+        readonly key: string;
+        readonly prefix: boolean;
+        readonly fromRevision: number;
+    }
+    | { readonly kind: "closeWatch"; readonly watch: WatchName; }
+    | { readonly kind: "readVmList"; }
+    /* peers */
+    | {
+        readonly kind: "askPeer";
+        readonly purpose: PeerPurpose;
+        readonly address: string;
+        readonly request: PeerRequest;
+    }
+    | { readonly kind: "answerPeer"; readonly call: CallId; readonly answer: PeerAnswer; }
+    /* operators */
+    | { readonly kind: "answerOperator"; readonly call: CallId; readonly answer: OperatorAnswer; }
+    /* process */
+    | {
+        readonly kind: "writeLog";
+        readonly level: "info" | "warn" | "error";
+        readonly prefix: LogPrefix;
+        readonly message: string;
+        readonly fields: LogFields;
+    }
+    | {
+        readonly kind: "addCount";
+        readonly name: CounterName;
+        readonly value: number;
+        readonly labels: Readonly<Record<string, string>>;
+    }
+    | { readonly kind: "recordValue"; readonly name: HistogramName; readonly value: number; }
+    | { readonly kind: "closeListeners"; }
+    | { readonly kind: "exitProcess"; readonly code: number; };
+
+export type EffectKind = Effect["kind"];
+export type EffectOf<Kind extends EffectKind> = Extract<Effect, { readonly kind: Kind; }>;
+
+/** Adapters provide one handler for each kind of effect. */
+export type EffectHandlers = { readonly [Kind in EffectKind]: (effect: EffectOf<Kind>) => void; };
+
+/** Effects that systems appended in the current tick. */
+export interface EffectQueue {
+    append(effect: Effect): void;
+    /** Removes and returns all effects in order. */
+    takeAll(): readonly Effect[];
+}
+
+/** Creates an empty effect queue. */
+export function createEffectQueue(): EffectQueue {
+    let effects: Effect[] = [];
+    return {
+        append: effect => {
+            effects.push(effect);
+        },
+        takeAll: () => {
+            const taken = effects;
+            effects = [];
+            return taken;
+        },
+    };
+}
+
+/** Appends a log line. */
+export function logInfo(effects: EffectQueue, prefix: LogPrefix, message: string, fields: LogFields = {}): void {
+    effects.append({ kind: "writeLog", level: "info", prefix, message, fields });
+}
+
+/** Appends a log line about something an operator should look at. */
+export function logWarning(effects: EffectQueue, prefix: LogPrefix, message: string, fields: LogFields = {}): void {
+    effects.append({ kind: "writeLog", level: "warn", prefix, message, fields });
+}
+
+/** Carries out effects in order. */
+export function runEffects(effects: readonly Effect[], handlers: EffectHandlers): void {
+    for (const effect of effects) {
+        (handlers[effect.kind] as (effect: Effect) => void)(effect);
+    }
+}
--- /dev/null
+++ b/src/operators.ts
@@ -0,0 +1,110 @@
+/** Commands of operators and their answers, independent of the wire format. */
+import type { ConfigurationDocument, Fault } from "./config/document";
+import type { AccountId, ConfigVersion, DataCentreId, Incarnation, KeyHash, RequestId, TargetId, VmId } from "./ids";
+
+export type OperatorCommand =
+    | { readonly kind: "getConfiguration"; readonly key: KeyHash | undefined; }
+    | {
+        readonly kind: "putConfiguration";
+        readonly key: KeyHash | undefined;
+        readonly document: unknown;
+        /** Version the document was edited from; absent means the version in force. */
+        readonly expected?: ConfigVersion;
+        readonly note: string;
+    }
+    | { readonly kind: "listHistory"; readonly key: KeyHash | undefined; }
+    | {
+        readonly kind: "grantKey";
+        readonly key: KeyHash | undefined;
+        readonly hash: KeyHash;
+        readonly account: AccountId;
+        readonly label: string;
+    }
+    | { readonly kind: "withdrawKey"; readonly key: KeyHash | undefined; readonly hash: KeyHash; }
+    | { readonly kind: "getStatus"; readonly key: KeyHash | undefined; }
+    | { readonly kind: "explainRequest"; readonly key: KeyHash | undefined; readonly request: RequestId; };
+
+export interface HistoryEntry {
+    readonly version: ConfigVersion;
+    readonly at: string;
+    readonly operator: string;
+    readonly note: string;
+    readonly changed: readonly string[];
+}
+
+/** State of one VM as `status` shows it. */
+export interface NodeStatus {
+    readonly vm: VmId;
+    readonly dataCentre: DataCentreId;
+    readonly incarnation: Incarnation;
+    readonly state: "starting" | "live" | "draining";
+    readonly configVersion: ConfigVersion;
+    readonly freshness: "fresh" | "store_outage" | "isolated" | "unknown";
+    readonly storeReachable: boolean;
+    readonly members: readonly {
+        readonly vm: VmId;
+        readonly state: string;
+        readonly heardAgeMs: number;
+        readonly configVersion: ConfigVersion;
+    }[];
+    readonly targets: readonly {
+        readonly target: TargetId;
+        readonly state: string;
+        readonly model?: string;
+        readonly version?: string;
+        readonly inFlight: number;
+        readonly reportAgeMs?: number;
+    }[];
+    readonly rates: readonly {
+        readonly account: AccountId;
+        readonly owner: boolean;
+        readonly available: number;
+        readonly reserved: number;
+    }[];
+    readonly requests: { readonly waiting: number; readonly running: number; };
+}
+
+/** One candidate of a routing decision. */
+export interface CandidateScore {
+    readonly target: TargetId;
+    readonly scoreMs: number;
+    readonly waitMs: number;
+    readonly missedTokens: number;
+    readonly hitTokens: number;
+}
+
+/** Why a request went where it went. */
+export interface RequestExplanation {
+    readonly request: RequestId;
+    readonly account?: AccountId;
+    readonly route?: string;
+    readonly state: string;
+    readonly reservedTokens: number;
+    readonly promptTokens: number;
+    readonly decisions: readonly {
+        readonly attempt: number;
+        readonly chosen: TargetId;
+        readonly candidates: readonly CandidateScore[];
+    }[];
+    readonly attempts: readonly { readonly target: TargetId; readonly outcome: string; }[];
+    readonly refusal?: string;
+}
+
+export type OperatorAnswer =
+    | { readonly kind: "configuration"; readonly version: ConfigVersion; readonly document: ConfigurationDocument; }
+    | {
+        readonly kind: "changed";
+        readonly state: "accepted" | "committed";
+        readonly version: ConfigVersion;
+        readonly confirmed: number;
+        readonly members: number;
+    }
+    | { readonly kind: "conflict"; readonly version: ConfigVersion; }
+    | { readonly kind: "invalid"; readonly faults: readonly Fault[]; }
+    | { readonly kind: "history"; readonly entries: readonly HistoryEntry[]; }
+    | { readonly kind: "status"; readonly status: NodeStatus; }
+    | { readonly kind: "explanation"; readonly explanation: RequestExplanation; }
+    | { readonly kind: "unauthorized"; }
+    | { readonly kind: "not_found"; readonly message: string; }
+    /** `effect: "unknown"`: the change may have been made; ask again with `getConfiguration`. */
+    | { readonly kind: "unavailable"; readonly effect: "none" | "unknown"; readonly message: string; };
--- /dev/null
+++ b/src/peers.ts
@@ -0,0 +1,96 @@
+/** Messages between the processes of the fleet, independent of their encoding. */
+import type { ConfigurationChange } from "./config/change";
+import type { ConfigurationDocument } from "./config/document";
+import type { AccountId, ConfigVersion, DataCentreId, FencingNumber, Incarnation, TargetId, VmId } from "./ids";
+
+/** What a process says of itself in each exchange. */
+export interface MemberDigest {
+    readonly vm: VmId;
+    readonly incarnation: Incarnation;
+    readonly dataCentre: DataCentreId;
+    readonly callerAddress: string;
+    readonly peerAddress: string;
+    readonly state: "live" | "draining";
+    readonly configVersion: ConfigVersion;
+    /** Age in milliseconds of the last confirmation of the configuration head by the store, this process's own. */
+    readonly storeConfirmedAgeMs: number;
+    /** Age in milliseconds of the freshest confirmation this process knows of, its own or a peer's. */
+    readonly headConfirmedAgeMs: number;
+}
+
+/** Says that an engine holds a prompt prefix. Prefix ids travel in hexadecimal. */
+export interface PrefixUpdate {
+    readonly target: TargetId;
+    readonly incarnation: Incarnation;
+    readonly prefix: string;
+}
+
+export interface Exchange {
+    readonly digest: MemberDigest;
+    /** Digest ages of other members as this process heard them, in milliseconds. */
+    readonly heard: readonly { readonly digest: MemberDigest; readonly ageMs: number; }[];
+    readonly prefixes: readonly PrefixUpdate[];
+}
+
+export interface GrantRequest {
+    readonly vm: VmId;
+    readonly incarnation: Incarnation;
+    readonly account: AccountId;
+    readonly tokens: number;
+    /** Least number of tokens that is of use to the asking process. */
+    readonly atLeast: number;
+    /** Tokens of earlier grants of this owner that the holder has spent or settled since its last report. */
+    readonly spent: number;
+}
+
+export type GrantAnswer =
+    | {
+        readonly kind: "granted";
+        readonly grant: string;
+        readonly tokens: number;
+        readonly fencing: FencingNumber;
+        readonly ttlMs: number;
+    }
+    | { readonly kind: "empty"; readonly retryAfterMs: number; }
+    | { readonly kind: "not_owner"; readonly owner?: VmId; };
+
+/** Reports that tokens of a grant were spent (`spent`) or will not be used (`unused`). */
+export interface GrantReturn {
+    readonly vm: VmId;
+    readonly account: AccountId;
+    readonly grant: string;
+    readonly spent: number;
+    readonly unused: number;
+}
+
+/** Configuration of one version, whole or as the change from the version before. */
+export type ConfigurationUpdate =
+    | { readonly kind: "snapshot"; readonly version: ConfigVersion; readonly document: ConfigurationDocument; }
+    | { readonly kind: "change"; readonly version: ConfigVersion; readonly change: ConfigurationChange; };
+
+/** Every message a peer may send, with its answer. */
+export interface PeerProtocol {
+    readonly exchange: { readonly request: Exchange; readonly answer: Exchange; };
+    readonly requestGrant: { readonly request: GrantRequest; readonly answer: GrantAnswer; };
+    readonly returnGrant: { readonly request: GrantReturn; readonly answer: { readonly accepted: boolean; }; };
+    readonly pullConfiguration: {
+        readonly request: { readonly above: ConfigVersion; };
+        readonly answer: { readonly update?: ConfigurationUpdate; };
+    };
+    readonly pushConfiguration: {
+        readonly request: ConfigurationUpdate;
+        readonly answer: { readonly version: ConfigVersion; };
+    };
+}
+
+export type PeerMessageKind = keyof PeerProtocol;
+
+/** A request of a peer, tagged with its kind. */
+export type PeerRequest = {
+    readonly [Kind in PeerMessageKind]: { readonly kind: Kind; readonly body: PeerProtocol[Kind]["request"]; };
+}[PeerMessageKind];
+
+/** An answer to a peer, tagged with the kind of its request. */
+export type PeerAnswer = {
+    readonly [Kind in PeerMessageKind]: { readonly kind: Kind; readonly body: PeerProtocol[Kind]["answer"]; };
+}[PeerMessageKind];
--- /dev/null
+++ b/src/policy/freshness.ts
@@ -0,0 +1,37 @@
+/** Freshness: whether a process may trust that its configuration, and so its keys, are still in force. */
+
+export type Freshness = "fresh" | "store_outage" | "isolated" | "unknown";
+
+export interface FreshnessFacts {
+    /** Version in force; 0 when there is none yet. */
+    readonly version: number;
+    /** Age of the freshest confirmation by the store, this process's own or a peer's. */
+    readonly confirmedAgeMs: number;
+    /** Members of the fleet, this process included. */
+    readonly members: number;
+    /** Members heard within `freshForMs`, this process included. */
+    readonly heard: number;
+    /** Heard members that reached the store within `freshForMs`. */
+    readonly reachingStore: number;
+    readonly freshForMs: number;
+}
+
+/**
+ * Decides how fresh the configuration is.
+ *
+ * A change counts as accepted only when a majority of members acknowledged it. So a process that hears a
+ * majority, none of which reaches the store, knows that nothing was accepted without it.
+ */
+export function computeFreshness(facts: FreshnessFacts): Freshness {
+    if (facts.version === 0) {
+        return "unknown";
+    }
+    if (facts.confirmedAgeMs <= facts.freshForMs) {
+        return "fresh";
+    }
+    const hearsMajority = facts.heard * 2 > facts.members;
+    return hearsMajority && facts.reachingStore === 0 ? "store_outage" : "isolated";
+}
+
+/** True when keyed requests may be admitted. */
+export const canTrustKeys = (freshness: Freshness): boolean => freshness === "fresh" || freshness === "store_outage";
--- /dev/null
+++ b/src/systems/answerEntries.ts
@@ -0,0 +1,21 @@
+/** Answers `/v1/entries`: the addresses a caller should use, in order. */
+import { listByRendezvous } from "../policy/rendezvous";
+import type { Tick, World } from "../world";
+import { findAccount } from "./admitRequests";
+import { listLiveMembers } from "./updateMembership";
+
+/**
+ * Reads: members, configuration. Writes: nothing.
+ * Effects: answers to callers. The order depends on the client account, so that an account's prefix
+ * knowledge and grants concentrate on few VMs.
+ */
+export function answerEntries(world: World, tick: Tick): void {
+    for (const { call, keyHash } of tick.events.list("entriesAsked")) {
+        const live = listLiveMembers(world, tick.now);
+        const account = findAccount(world.tables.configuration.document, keyHash);
+        const order = listByRendezvous(world.hasher, account ?? "", live.map(row => row.vm));
+        const addresses = order.map(vm => world.tables.members.get(vm)?.callerAddress ?? "");
+        const body = { entries: addresses, keep_seconds: world.settings.membership.entriesKeepSeconds };
+        world.effects.append({ kind: "answerCaller", call, status: 200, body });
+    }
+}
--- /dev/null
+++ b/src/systems/applyConfiguration.ts
@@ -0,0 +1,244 @@
+/** Learns the configuration from the store and from peers, and decides how fresh it is. */
+import { applyChange, type ConfigurationChange } from "../config/change";
+import { type ConfigurationDocument, parseDocument } from "../config/document";
+import { logInfo, logWarning } from "../effects";
+import { addMillis, type ConfigVersion, type Millis, toConfigVersion } from "../ids";
+import { computeFreshness } from "../policy/freshness";
+import { listAnswerRows, type StoreOutcome, type StoreRow } from "../store";
+import type { Tick, World } from "../world";
+
+export const headKey = "config/head";
+export const snapshotKey = "config/snapshot";
+export const changePrefix = "config/change/";
+
+/** Key of a change; versions are padded so that keys sort by version. */
+export const toChangeKey = (version: number): string => `${changePrefix}${String(version).padStart(12, "0")}`;
+
+export interface ConfigurationHead {
+    readonly version: ConfigVersion;
+    /** Unique id of the write, by which a writer recognises its own change. */
+    readonly changeId: string;
+}
+
+export interface ChangeRecord {
+    readonly version: ConfigVersion;
+    readonly change: ConfigurationChange;
+    readonly at: string;
+    readonly operator: string;
+    readonly note: string;
+}
+
+export interface SnapshotRecord {
+    readonly version: ConfigVersion;
+    readonly document: ConfigurationDocument;
+}
+
+const retryMs = 500;
+
+function loadConfiguration(world: World): void {
+    world.effects.append({
+        kind: "callStore",
+        purpose: { for: "configurationHead", step: "load" },
+        call: {
+            kind: "transaction",
+            compare: [],
+            success: [{ kind: "range", range: { key: headKey } }, { kind: "range", range: { key: snapshotKey } }],
+        },
+    });
+}
+
+function loadChanges(world: World): void {
+    const above = world.tables.configuration.version;
+    const range = { key: toChangeKey(above + 1), end: `${changePrefix}~` };
+    world.effects.append({
+        kind: "callStore",
+        purpose: { for: "configurationChanges", above },
+        call: { kind: "range", range },
+    });
+}
+
+/** Takes a configuration into force if its version is higher than the one in force. */
+export function applyDocument(world: World, version: ConfigVersion, input: unknown, source: string): boolean {
+    const parsed = parseDocument(input);
+    if (parsed.err) {
+        logWarning(world.effects, "config:", "Configuration is invalid and was not applied.", {
+            version,
+            source,
+            faults: parsed.val.map(fault => `${fault.path}: ${fault.message}`),
+        });
+        return false;
+    }
+    if (!world.tables.configuration.apply(version, parsed.val)) {
+        return false;
+    }
+    world.tables.targets.applyConfiguration(parsed.val.targets);
+    logInfo(world.effects, "config:", "Configuration is in force.", { version, source });
+    return true;
+}
+
+/** Applies a change if it follows the version in force. */
+export function applyChangeRecord(
+    world: World,
+    version: ConfigVersion,
+    change: ConfigurationChange,
+    source: string,
+): boolean {
+    const { configuration } = world.tables;
+    return version === configuration.version + 1
+        && applyDocument(world, version, applyChange(configuration.document, change), source);
+}
+
+function handleHead(world: World, row: StoreRow | undefined, at: Millis): void {
+    const { configuration } = world.tables;
+    const version = row ? (JSON.parse(row.value) as ConfigurationHead).version : toConfigVersion(0);
+    if (version === configuration.version) {
+        configuration.confirmedAt = at;
+        return;
+    }
+    if (version > configuration.version) {
+        loadChanges(world);
+    }
+}
+
+function handleLoad(world: World, tick: Tick, outcome: StoreOutcome): void {
+    if (outcome.result.err) {
+        const at = addMillis(tick.now, retryMs * (0.5 + world.random()));
+        world.timers.schedule({ name: "configurationRetry", at });
+        return;
+    }
+    const answer = outcome.result.val;
+    if (answer.kind !== "transaction") {
+        return;
+    }
+    const [headRows = [], snapshotRows = []] = answer.reads;
+    const snapshot = snapshotRows[0];
+    if (snapshot) {
+        const record = JSON.parse(snapshot.value) as SnapshotRecord;
+        applyDocument(world, record.version, record.document, "store");
+    }
+    handleHead(world, headRows[0], outcome.sentAt);
+    world.effects.append({
+        kind: "openWatch",
+        watch: "configuration",
+        key: headKey,
+        prefix: false,
+        fromRevision: answer.revision + 1,
+    });
+}
+
+function handleChanges(world: World, above: ConfigVersion, outcome: StoreOutcome): void {
+    if (outcome.result.err) {
+        return;
+    }
+    const { configuration } = world.tables;
+    const records = listAnswerRows(outcome.result.val).map(row => JSON.parse(row.value) as ChangeRecord);
+    const first = records[0];
+    if (first && first.version > above + 1 && first.version > configuration.version + 1) {
+        // Older changes were pruned; the snapshot covers them.
+        loadConfiguration(world);
+        return;
+    }
+    for (const record of records) {
+        applyChangeRecord(world, record.version, record.change, "store");
+    }
+    if (records.at(-1)?.version === configuration.version) {
+        configuration.confirmedAt = outcome.sentAt;
+    }
+}
+
+function handleConfirm(world: World, outcome: StoreOutcome): void {
+    if (outcome.result.ok) {
+        handleHead(world, listAnswerRows(outcome.result.val)[0], outcome.sentAt);
+    }
+}
+
+/** Last known confirmation of the head, by this process or a peer. */
+export function getConfirmedAt(world: World): Millis | undefined {
+    const { confirmedAt, peerConfirmedAt } = world.tables.configuration;
+    if (confirmedAt === undefined || peerConfirmedAt === undefined) {
+        return confirmedAt ?? peerConfirmedAt;
+    }
+    return confirmedAt > peerConfirmedAt ? confirmedAt : peerConfirmedAt;
+}
+
+function updateFreshness(world: World, tick: Tick): void {
+    const { configuration, members } = world.tables;
+    const { freshForMs } = world.settings.membership;
+    const confirmedAt = getConfirmedAt(world);
+    const isRecent = (at: Millis | undefined): boolean => at !== undefined && tick.now - at <= freshForMs;
+    const roster = members.list().filter(member => !member.isLeaving);
+    const isSelf = (vm: string): boolean => vm === world.settings.vm;
+    const heard = roster.filter(member => isSelf(member.vm) || isRecent(member.heardAt));
+    const freshness = computeFreshness({
+        version: configuration.version,
+        confirmedAgeMs: confirmedAt === undefined ? Number.POSITIVE_INFINITY : tick.now - confirmedAt,
+        members: Math.max(1, roster.length),
+        heard: Math.max(1, heard.length),
+        reachingStore: heard.filter(member => !isSelf(member.vm) && isRecent(member.storeConfirmedAt)).length,
+        freshForMs,
+    });
+    if (freshness !== configuration.freshness) {
+        logInfo(world.effects, "config:", "Freshness changed.", { from: configuration.freshness, to: freshness });
+        configuration.freshness = freshness;
+    }
+}
+
+/** Reads the head when no process is known to have read it lately. Jitter spreads the reads over the fleet. */
+function confirmHead(world: World, tick: Tick): void {
+    const confirmedAt = getConfirmedAt(world);
+    const age = confirmedAt === undefined ? Number.POSITIVE_INFINITY : tick.now - confirmedAt;
+    if (tick.due.has("freshness") && age > world.settings.membership.freshForMs * (0.3 + 0.2 * world.random())) {
+        world.effects.append({
+            kind: "callStore",
+            purpose: { for: "configurationHead", step: "confirm" },
+            call: { kind: "range", range: { key: headKey } },
+        });
+    }
+}
+
+/**
+ * Reads: members. Writes: configuration, targets (rows of the configuration).
+ * Effects: store reads, the configuration watch, log lines.
+ */
+export function applyConfiguration(world: World, tick: Tick): void {
+    if (tick.number === 1) {
+        loadConfiguration(world);
+        world.timers.subscribe({ name: "freshness", everyMs: world.settings.membership.freshForMs / 10 }, tick.now);
+    }
+    if (tick.due.has("configurationRetry")) {
+        loadConfiguration(world);
+    }
+    for (const { purpose, outcome } of tick.events.listStoreReplies("configurationHead")) {
+        if (purpose.step === "load") {
+            handleLoad(world, tick, outcome);
+        }
+        else {
+            handleConfirm(world, outcome);
+        }
+    }
+    for (const { purpose, outcome } of tick.events.listStoreReplies("configurationChanges")) {
+        handleChanges(world, purpose.above, outcome);
+    }
+    for (const event of tick.events.list("watchDelivered")) {
+        if (event.watch === "configuration") {
+            const row = event.changes.at(-1);
+            if (row?.value !== undefined) {
+                handleHead(
+                    world,
+                    { key: row.key, value: row.value, createRevision: 0, modRevision: row.modRevision },
+                    event.heardAt,
+                );
+            }
+        }
+    }
+    for (const event of tick.events.list("watchEnded")) {
+        if (event.watch === "configuration") {
+            world.timers.schedule({
+                name: "configurationRetry",
+                at: addMillis(tick.now, retryMs * (0.5 + world.random())),
+            });
+        }
+    }
+    confirmHead(world, tick);
+    updateFreshness(world, tick);
+}
--- /dev/null
+++ b/src/systems/expireRequests.ts
@@ -0,0 +1,41 @@
+/** Ends requests whose deadline passed, whose caller went away or whose key was withdrawn. */
+import type { RequestId } from "../ids";
+import type { Tick, World } from "../world";
+import { refuseRequest } from "./requestEnd";
+
+function expireOverdue(world: World, tick: Tick): void {
+    for (const id of tick.due.listKeys("requestDeadline")) {
+        const row = world.tables.requests.get(id as RequestId);
+        if (row && row.state !== "done") {
+            refuseRequest(world, row, "deadline_exceeded");
+        }
+    }
+}
+
+function expireWithdrawn(world: World): void {
+    const { configuration, requests } = world.tables;
+    for (const row of requests.listOpen()) {
+        const { keyHash } = row.arrival;
+        if (row.account === undefined || keyHash === undefined) {
+            continue;
+        }
+        if (configuration.document.keys[keyHash]?.account !== row.account) {
+            refuseRequest(world, row, "key_withdrawn");
+        }
+    }
+}
+
+/**
+ * Reads: configuration. Writes: requests, targets, floors.
+ * Effects: refusals, interruptions, cancelled attempts.
+ */
+export function expireRequests(world: World, tick: Tick): void {
+    expireOverdue(world, tick);
+    for (const { request } of tick.events.list("callerGone")) {
+        const row = world.tables.requests.get(request);
+        if (row && row.state !== "done") {
+            refuseRequest(world, row, "caller_gone");
+        }
+    }
+    expireWithdrawn(world);
+}
--- /dev/null
+++ b/src/systems/index.ts
@@ -0,0 +1,27 @@
+/** The systems in the order in which they run in each tick. */
+import type { System } from "../world";
+import { admitRequests } from "./admitRequests";
+import { answerEntries } from "./answerEntries";
+import { applyConfiguration } from "./applyConfiguration";
+import { drainNode } from "./drainNode";
+import { exchangeWithPeers } from "./exchangeWithPeers";
+import { expireRequests } from "./expireRequests";
+import { followAttempts } from "./followAttempts";
+import { reserveTokens } from "./reserveTokens";
+import { routeRequests } from "./routeRequests";
+import { updateMembership } from "./updateMembership";
+import { updateTargets } from "./updateTargets";
+
+export const systems: readonly System[] = [
+    applyConfiguration,
+    updateMembership,
+    updateTargets,
+    followAttempts,
+    expireRequests,
+    admitRequests,
+    reserveTokens,
+    routeRequests,
+    answerEntries,
+    exchangeWithPeers,
+    drainNode,
+];
--- /dev/null
+++ b/src/systems/requestEnd.ts
@@ -0,0 +1,68 @@
+/** How requests end: settlement of tokens, refusal, interruption. Shared by the systems that end requests. */
+import { logInfo } from "../effects";
+import type { Refusal, RefusalCode } from "../refusals";
+import type { RequestRow } from "../tables/requests";
+import { computeVerdict } from "../verdict";
+import type { Tick, World } from "../world";
+import { settleReservations } from "./tokenSources";
+
+/** Removes the request from its target's work in flight. */
+export function removeInFlight(world: World, row: RequestRow): void {
+    const attempt = row.attempts.at(-1);
+    if (attempt) {
+        world.tables.targets.get(attempt.target)?.inFlight.delete(row.id);
+    }
+}
+
+/** Ends a request: returns unused tokens and drops its body. */
+export function closeRequest(world: World, row: RequestRow): void {
+    removeInFlight(world, row);
+    settleReservations(world, row, { spent: 0, isFinal: true });
+    world.tables.requests.updateState(row, "done");
+    world.effects.append({ kind: "forgetRequest", request: row.id });
+}
+
+/** Derives the refusal of a request from its attempts. */
+export function buildRefusal(row: RequestRow, code: RefusalCode, options: Partial<Refusal> = {}): Refusal {
+    return { ...options, code, verdict: computeVerdict(row.attempts.map(attempt => attempt.evidence)) };
+}
+
+/** Refuses a request, or interrupts its answer when the answer has begun. */
+export function refuseRequest(world: World, row: RequestRow, code: RefusalCode, options: Partial<Refusal> = {}): void {
+    const refusal = buildRefusal(row, code, options);
+    row.refusal = refusal;
+    const last = row.attempts.at(-1);
+    if (last && (last.state === "sent" || last.state === "answered" || last.state === "relaying")) {
+        last.state = "failed";
+        last.outcome = code;
+        world.effects.append({ kind: "cancelAttempt", request: row.id, attempt: last.number });
+    }
+    world.effects.append({
+        kind: row.isRelaying ? "interruptAnswer" : "refuseRequest",
+        request: row.id,
+        refusal,
+    });
+    world.effects.append({
+        kind: "addCount",
+        name: "refusals_total",
+        value: 1,
+        labels: { code, verdict: refusal.verdict },
+    });
+    logInfo(world.effects, "admit:", "Request refused.", {
+        request: row.id,
+        account: row.account,
+        code,
+        verdict: refusal.verdict,
+    });
+    closeRequest(world, row);
+}
+
+/** Records the end of an answered request. */
+export function recordRequestEnd(world: World, tick: Tick, row: RequestRow): void {
+    const attempt = row.attempts.at(-1);
+    world.effects.append({ kind: "recordValue", name: "request_ms", value: tick.now - row.arrival.arrivedAt });
+    if (attempt?.firstTokenAt !== undefined) {
+        const firstTokenMs = attempt.firstTokenAt - row.arrival.arrivedAt;
+        world.effects.append({ kind: "recordValue", name: "first_token_ms", value: firstTokenMs });
+    }
+}
--- /dev/null
+++ b/src/systems/tokenSources.ts
@@ -0,0 +1,78 @@
+/** Settlement of reserved tokens with the source they were reserved from. */
+import type { AccountId } from "../ids";
+import { settleBucket } from "../policy/bucket";
+import type { RequestRow, TokenReservation, TokenSource } from "../tables/requests";
+import type { World } from "../world";
+
+interface Settlement {
+    readonly spent: number;
+    readonly unused: number;
+}
+
+type SourceHandlers = {
+    readonly [Kind in TokenSource["kind"]]: (
+        world: World,
+        account: AccountId,
+        source: Extract<TokenSource, { readonly kind: Kind; }>,
+        settlement: Settlement,
+    ) => void;
+};
+
+const sourceHandlers: SourceHandlers = {
+    floor: (world, account, _source, settlement) => {
+        const bucket = world.tables.floors.get(account);
+        if (bucket) {
+            settleBucket(bucket, settlement);
+        }
+    },
+    grant: () => undefined,
+};
+
+function settleWithSource(world: World, account: AccountId, source: TokenSource, settlement: Settlement): void {
+    (sourceHandlers[source.kind] as (
+        world: World,
+        account: AccountId,
+        source: TokenSource,
+        settlement: Settlement,
+    ) => void)(world, account, source, settlement);
+}
+
+function settleReservation(
+    world: World,
+    account: AccountId,
+    reservation: TokenReservation,
+    spent: number,
+    isFinal: boolean,
+): number {
+    const settled = Math.min(spent, reservation.open);
+    const unused = isFinal ? reservation.open - settled : 0;
+    reservation.open -= settled + unused;
+    reservation.spent += settled;
+    if (settled > 0 || unused > 0) {
+        settleWithSource(world, account, reservation.source, { spent: settled, unused });
+    }
+    return spent - settled;
+}
+
+/**
+ * Settles `spent` tokens of a request. With `isFinal` the rest of the reservation is returned.
+ * Returns the tokens that were spent beyond the reservation.
+ */
+export function settleReservations(
+    world: World,
+    row: RequestRow,
+    { spent, isFinal = false }: { readonly spent: number; readonly isFinal?: boolean; },
+): number {
+    if (row.account === undefined) {
+        return 0;
+    }
+    let rest = spent;
+    for (const reservation of row.reservations) {
+        rest = settleReservation(world, row.account, reservation, rest, isFinal);
+    }
+    return rest;
+}
+
+/** Tokens of a request that are settled as spent. */
+export const computeSpentTokens = (row: RequestRow): number =>
+    row.reservations.reduce((sum, reservation) => sum + reservation.spent, 0);
--- /dev/null
+++ b/src/systems/updateMembership.ts
@@ -0,0 +1,285 @@
+/** Registers this process in the store and keeps the table of members. */
+import { logInfo, logWarning } from "../effects";
+import { addMillis, type Millis, toConfigVersion, toLeaseId, type VmId } from "../ids";
+import { listAnswerRows, type StoreOutcome } from "../store";
+import type { MemberRow } from "../tables/members";
+import { isLeaseValid } from "../tables/node";
+import type { Tick, World } from "../world";
+
+export const memberPrefix = "members/";
+
+/** What a process writes about itself in the store. */
+export interface MemberRecord {
+    readonly vm: VmId;
+    readonly incarnation: string;
+    readonly dataCentre: string;
+    readonly callerAddress: string;
+    readonly peerAddress: string;
+}
+
+const retryMs = 500;
+
+const computeJitter = (world: World, milliseconds: number): number => milliseconds * (0.5 + world.random());
+
+function createOwnRow(world: World, tick: Tick): MemberRow {
+    const { settings, incarnation } = world;
+    return {
+        vm: settings.vm,
+        incarnation,
+        dataCentre: settings.dataCentre,
+        callerAddress: settings.listen.advertise ?? settings.listen.callers,
+        peerAddress: settings.listen.peers,
+        state: "live",
+        configVersion: toConfigVersion(0),
+        heardAt: tick.now,
+        storeConfirmedAt: undefined,
+        isRegistered: false,
+        isLeaving: false,
+    };
+}
+
+function updateOwnRow(world: World, tick: Tick): void {
+    const { members, node, configuration } = world.tables;
+    const row = members.get(world.settings.vm);
+    if (row) {
+        row.heardAt = tick.now;
+        row.storeConfirmedAt = configuration.confirmedAt;
+        row.configVersion = configuration.version;
+        row.state = node.state === "draining" ? "draining" : "live";
+    }
+}
+
+function requestLease(world: World): void {
+    const { memberLease } = world.tables.node;
+    if (memberLease.isPending) {
+        return;
+    }
+    memberLease.isPending = true;
+    world.effects.append({
+        kind: "callStore",
+        purpose: { for: "lease", lease: "member", step: memberLease.id === undefined ? "grant" : "renew" },
+        call: memberLease.id === undefined
+            ? { kind: "grantLease", ttlSeconds: world.settings.membership.leaseSeconds }
+            : { kind: "renewLease", lease: memberLease.id },
+    });
+}
+
+function registerMember(world: World): void {
+    const { node, members } = world.tables;
+    const row = members.get(world.settings.vm);
+    if (!row || node.memberLease.id === undefined) {
+        return;
+    }
+    const record: MemberRecord = {
+        vm: row.vm,
+        incarnation: row.incarnation,
+        dataCentre: row.dataCentre,
+        callerAddress: row.callerAddress,
+        peerAddress: row.peerAddress,
+    };
+    world.effects.append({
+        kind: "callStore",
+        purpose: { for: "member", step: "register" },
+        call: {
+            kind: "transaction",
+            compare: [],
+            success: [{
+                kind: "put",
+                key: `${memberPrefix}${row.vm}`,
+                value: JSON.stringify(record),
+                lease: node.memberLease.id,
+            }],
+        },
+    });
+}
+
+function listMembers(world: World): void {
+    world.effects.append({
+        kind: "callStore",
+        purpose: { for: "member", step: "list" },
+        call: { kind: "range", range: { key: memberPrefix, prefix: true } },
+    });
+}
+
+function handleLease(world: World, tick: Tick, outcome: StoreOutcome): void {
+    const { memberLease } = world.tables.node;
+    memberLease.isPending = false;
+    if (outcome.result.err || outcome.result.val.kind !== "lease") {
+        world.timers.schedule({ name: "memberRetry", at: addMillis(tick.now, computeJitter(world, retryMs)) });
+        return;
+    }
+    const { lease, ttlSeconds } = outcome.result.val;
+    if (ttlSeconds <= 0) {
+        logWarning(world.effects, "member:", "The lease of this VM expired in the store.", {});
+        memberLease.id = undefined;
+        requestLease(world);
+        return;
+    }
+    const isNew = memberLease.id === undefined;
+    memberLease.id = toLeaseId(lease);
+    memberLease.validUntil = addMillis(outcome.sentAt, ttlSeconds * 1000);
+    if (isNew) {
+        registerMember(world);
+    }
+}
+
+/** Adds or updates a member from its registration in the store. */
+function applyRecord(world: World, record: MemberRecord): void {
+    const { members } = world.tables;
+    const known = members.get(record.vm);
+    if (known) {
+        if (record.vm !== world.settings.vm) {
+            known.incarnation = record.incarnation as MemberRow["incarnation"];
+            known.callerAddress = record.callerAddress;
+            known.peerAddress = record.peerAddress;
+        }
+        known.isRegistered = true;
+        return;
+    }
+    members.add({
+        ...(record as unknown as Pick<MemberRow, "vm" | "incarnation" | "dataCentre">),
+        callerAddress: record.callerAddress,
+        peerAddress: record.peerAddress,
+        state: "live",
+        configVersion: toConfigVersion(0),
+        heardAt: undefined,
+        storeConfirmedAt: undefined,
+        isRegistered: true,
+        isLeaving: false,
+    });
+    logInfo(world.effects, "member:", "Member registered.", { vm: record.vm, address: record.peerAddress });
+}
+
+/** Removes a member whose registration ended, unless it still speaks to us. */
+function removeRegistration(world: World, tick: Tick, vm: VmId): void {
+    const row = world.tables.members.get(vm);
+    if (!row || vm === world.settings.vm) {
+        return;
+    }
+    row.isRegistered = false;
+    const isSilent = row.heardAt === undefined || tick.now - row.heardAt > world.settings.membership.freshForMs;
+    if (isSilent) {
+        world.tables.members.remove(vm);
+        logInfo(world.effects, "member:", "Member removed.", { vm });
+    }
+}
+
+function handleMemberList(world: World, tick: Tick, outcome: StoreOutcome): void {
+    if (outcome.result.err || outcome.result.val.kind !== "rows") {
+        world.timers.schedule({
+            name: "watchRetry",
+            at: addMillis(tick.now, computeJitter(world, retryMs)),
+            key: "members",
+        });
+        return;
+    }
+    const records = listAnswerRows(outcome.result.val).map(row => JSON.parse(row.value) as MemberRecord);
+    const registered = new Set(records.map(record => record.vm));
+    for (const record of records) {
+        applyRecord(world, record);
+    }
+    for (const row of world.tables.members.list()) {
+        if (!registered.has(row.vm)) {
+            removeRegistration(world, tick, row.vm);
+        }
+    }
+    world.effects.append({
+        kind: "openWatch",
+        watch: "members",
+        key: memberPrefix,
+        prefix: true,
+        fromRevision: outcome.result.val.revision + 1,
+    });
+}
+
+function handleWatch(world: World, tick: Tick): void {
+    for (const event of tick.events.list("watchDelivered")) {
+        if (event.watch !== "members") {
+            continue;
+        }
+        for (const change of event.changes) {
+            if (change.value === undefined) {
+                removeRegistration(world, tick, change.key.slice(memberPrefix.length) as VmId);
+            }
+            else {
+                applyRecord(world, JSON.parse(change.value) as MemberRecord);
+            }
+        }
+    }
+    if (tick.events.list("watchEnded").some(event => event.watch === "members")) {
+        world.timers.schedule({
+            name: "watchRetry",
+            at: addMillis(tick.now, computeJitter(world, retryMs)),
+            key: "members",
+        });
+    }
+}
+
+function handleVmList(world: World, tick: Tick): void {
+    const list = tick.events.list("vmListRead").at(-1);
+    if (!list) {
+        return;
+    }
+    const states = new Map(list.vms.map(vm => [vm.id, vm.state]));
+    for (const row of world.tables.members.list()) {
+        row.isLeaving = states.get(row.vm) === "leaving";
+        const isGone = !states.has(row.vm) && !row.isRegistered && row.vm !== world.settings.vm;
+        if (isGone && (row.heardAt === undefined || tick.now - row.heardAt > world.settings.membership.freshForMs)) {
+            world.tables.members.remove(row.vm);
+        }
+    }
+}
+
+/** Members that callers may be sent to. */
+export function listLiveMembers(world: World, now: Millis): MemberRow[] {
+    const { freshForMs } = world.settings.membership;
+    return world.tables.members.list().filter(row =>
+        row.state === "live"
+        && !row.isLeaving
+        && (row.vm === world.settings.vm || (row.heardAt !== undefined && now - row.heardAt <= freshForMs))
+    );
+}
+
+/**
+ * Reads: configuration. Writes: members, node (member lease).
+ * Effects: store calls for the lease and the registration, the members watch, VM list reads, log lines.
+ */
+export function updateMembership(world: World, tick: Tick): void {
+    const { node, members } = world.tables;
+    const { membership, vmList } = world.settings;
+    if (tick.number === 1) {
+        members.add(createOwnRow(world, tick));
+        requestLease(world);
+        listMembers(world);
+        world.timers.subscribe({ name: "leaseRenewal", everyMs: (membership.leaseSeconds * 1000) / 3 }, tick.now);
+        if (vmList) {
+            world.timers.subscribe({ name: "vmList", everyMs: vmList.everyMs, firstAfterMs: 0 }, tick.now);
+        }
+    }
+    updateOwnRow(world, tick);
+    if (tick.due.has("vmList")) {
+        world.effects.append({ kind: "readVmList" });
+    }
+    const isLeaseWanted = node.state !== "stopped";
+    if (isLeaseWanted && (tick.due.has("leaseRenewal") || tick.due.has("memberRetry"))) {
+        requestLease(world);
+    }
+    for (const { purpose, outcome } of tick.events.listStoreReplies("lease")) {
+        if (purpose.lease === "member" && purpose.step !== "revoke") {
+            handleLease(world, tick, outcome);
+        }
+    }
+    for (const { purpose, outcome } of tick.events.listStoreReplies("member")) {
+        if (purpose.step === "list") {
+            handleMemberList(world, tick, outcome);
+        }
+        else if (outcome.result.err && isLeaseValid(node.memberLease, tick.now)) {
+            registerMember(world);
+        }
+    }
+    handleWatch(world, tick);
+    if (tick.due.listKeys("watchRetry").includes("members")) {
+        listMembers(world);
+    }
+    handleVmList(world, tick);
+}
--- /dev/null
+++ b/src/systems/updateTargets.ts
@@ -0,0 +1,154 @@
+/** Keeps what is known of targets: load reports, incarnations, cache events, leaving targets. */
+import { logInfo } from "../effects";
+import { addMillis, type Millis } from "../ids";
+import { isEngine, type TargetRow } from "../tables/targets";
+import type { CacheEvent, TargetReport } from "../targets";
+import type { Tick, World } from "../world";
+
+/** Reports are read this often while requests run, and `idleReportMs` otherwise. */
+const reportMs = 250;
+const idleReportMs = 5000;
+const backOffMs = 500;
+const maxBackOffMs = 10_000;
+
+/** Takes a target out of routing for a while; the wait doubles with each failure in a row. */
+export function recordTargetFailure(world: World, tick: Tick, target: TargetRow): void {
+    target.failures += 1;
+    const wait = Math.min(maxBackOffMs, backOffMs * 2 ** (target.failures - 1));
+    target.backOffUntil = addMillis(tick.now, wait * (0.75 + 0.5 * world.random()));
+    logInfo(world.effects, "target:", "Target failed and is backed off.", {
+        target: target.id,
+        failures: target.failures,
+    });
+}
+
+export function recordTargetSuccess(target: TargetRow): void {
+    target.failures = 0;
+    target.backOffUntil = 0 as Millis;
+}
+
+function updateIncarnation(world: World, tick: Tick, target: TargetRow, report: TargetReport): void {
+    if (target.incarnation === report.incarnation) {
+        return;
+    }
+    logInfo(world.effects, "target:", "Target has a new incarnation.", {
+        target: target.id,
+        incarnation: report.incarnation,
+    });
+    target.incarnation = report.incarnation;
+    target.cacheValidFrom = tick.now;
+    target.cacheSeq = 0;
+    if (target.isFollowingCache) {
+        target.isFollowingCache = false;
+        world.effects.append({ kind: "stopCacheEvents", target: target.id });
+    }
+}
+
+function handleReport(world: World, tick: Tick, target: TargetRow, report: TargetReport): void {
+    updateIncarnation(world, tick, target, report);
+    target.report = report;
+    target.reportedAt = tick.now;
+    target.isLeaving = target.configuration.leaving || report.state === "leaving";
+    if (target.failures > 0 && tick.now >= target.backOffUntil) {
+        recordTargetSuccess(target);
+    }
+}
+
+/** Applies one cache event of the incarnation that is alive. */
+function applyCacheEvent(world: World, tick: Tick, target: TargetRow, event: CacheEvent): void {
+    const { prefixes } = world.tables;
+    const { incarnation } = target;
+    if (event.kind === "cleared" || incarnation === undefined) {
+        target.cacheValidFrom = tick.now;
+        return;
+    }
+    for (const block of event.blocks) {
+        if (event.kind === "stored") {
+            prefixes.add(block, { target: target.id, incarnation, seenAt: tick.now });
+        }
+        else {
+            prefixes.remove(block, target.id);
+        }
+    }
+}
+
+function handleCacheEvents(world: World, tick: Tick): void {
+    for (const batch of tick.events.list("cacheEventsReceived")) {
+        const target = world.tables.targets.get(batch.target);
+        if (!target || target.incarnation !== batch.incarnation) {
+            continue;
+        }
+        for (const event of batch.events) {
+            if (event.seq > target.cacheSeq) {
+                target.cacheSeq = event.seq;
+                applyCacheEvent(world, tick, target, event);
+            }
+        }
+    }
+    for (const event of tick.events.list("cacheEventsClosed")) {
+        const target = world.tables.targets.get(event.target);
+        if (target) {
+            target.isFollowingCache = false;
+        }
+    }
+}
+
+function followCacheEvents(world: World, target: TargetRow): void {
+    if (!target.isFollowingCache && target.incarnation !== undefined && isEngine(target)) {
+        target.isFollowingCache = true;
+        world.effects.append({
+            kind: "followCacheEvents",
+            target: target.id,
+            address: target.configuration.address,
+            incarnation: target.incarnation,
+            after: target.cacheSeq,
+        });
+    }
+}
+
+/** A report is due at once for a new target, often while requests run, and seldom otherwise. */
+function isReportDue(target: TargetRow, tick: Tick, isBusy: boolean): boolean {
+    if (target.askedAt === undefined) {
+        return true;
+    }
+    return tick.due.has("targetReports") && (isBusy || tick.now - target.askedAt >= idleReportMs - reportMs);
+}
+
+function readTargets(world: World, tick: Tick): void {
+    const { requests, targets } = world.tables;
+    const isBusy = requests.count("running") > 0 || requests.count("queued") > 0;
+    for (const target of targets.list()) {
+        if (isEngine(target) && isReportDue(target, tick, isBusy)) {
+            target.askedAt = tick.now;
+            world.effects.append({ kind: "readTarget", target: target.id, address: target.configuration.address });
+            followCacheEvents(world, target);
+        }
+    }
+}
+
+/**
+ * Reads: requests. Writes: targets, prefixes.
+ * Effects: target reads, cache event streams, log lines.
+ */
+export function updateTargets(world: World, tick: Tick): void {
+    const { targets } = world.tables;
+    if (tick.number === 1) {
+        world.timers.subscribe({ name: "targetReports", everyMs: reportMs }, tick.now);
+    }
+    for (const event of tick.events.list("targetReported")) {
+        const target = targets.get(event.target);
+        if (target) {
+            handleReport(world, tick, target, event.report);
+        }
+    }
+    for (const event of tick.events.list("targetUnreachable")) {
+        const target = targets.get(event.target);
+        if (target) {
+            target.reportedAt = tick.now;
+            target.report = undefined;
+            recordTargetFailure(world, tick, target);
+        }
+    }
+    handleCacheEvents(world, tick);
+    readTargets(world, tick);
+}
--- /dev/null
+++ b/src/tables/members.ts
@@ -0,0 +1,46 @@
+/** Members of the fleet as this process knows them, itself included. */
+import type { ConfigVersion, DataCentreId, Incarnation, Millis, VmId } from "../ids";
+
+export interface MemberRow {
+    readonly vm: VmId;
+    incarnation: Incarnation;
+    dataCentre: DataCentreId;
+    callerAddress: string;
+    peerAddress: string;
+    state: "live" | "draining";
+    configVersion: ConfigVersion;
+    /** Last time at which the member spoke, directly or as a peer reported it. */
+    heardAt: Millis | undefined;
+    /** Last time at which the member confirmed the configuration head with the store itself. */
+    storeConfirmedAt: Millis | undefined;
+    /** True while the store holds a registration of the member on a valid lease. */
+    isRegistered: boolean;
+    /** True when the platform's list says that the VM is leaving. */
+    isLeaving: boolean;
+}
+
+export interface MembersTable {
+    readonly size: number;
+    get(vm: VmId): MemberRow | undefined;
+    list(): readonly MemberRow[];
+    add(row: MemberRow): void;
+    remove(vm: VmId): void;
+}
+
+/** Creates an empty table. */
+export function createMembersTable(): MembersTable {
+    const rows = new Map<VmId, MemberRow>();
+    return {
+        get size() {
+            return rows.size;
+        },
+        get: vm => rows.get(vm),
+        list: () => [...rows.values()],
+        add: row => {
+            rows.set(row.vm, row);
+        },
+        remove: vm => {
+            rows.delete(vm);
+        },
+    };
+}
--- /dev/null
+++ b/src/targets.ts
@@ -0,0 +1,26 @@
+/** What targets say of themselves, independent of the wire format. */
+import type { FencingNumber, Incarnation, ModelId, ModelVersion, OrderId, PrefixId } from "./ids";
+
+/** State report of an engine; it lags behind the engine. */
+export interface TargetReport {
+    readonly incarnation: Incarnation;
+    readonly state: "ready" | "loading" | "leaving";
+    readonly model: ModelId;
+    readonly version: ModelVersion;
+    readonly runningRequests: number;
+    readonly waitingRequests: number;
+    /** Prompt tokens that the engine has accepted and not yet computed. */
+    readonly waitingTokens: number;
+}
+
+export type CacheEvent =
+    | { readonly seq: number; readonly kind: "stored" | "removed"; readonly blocks: readonly PrefixId[]; }
+    | { readonly seq: number; readonly kind: "cleared"; };
+
+/** Order to an engine to load a model version. */
+export interface EngineOrder {
+    readonly order: OrderId;
+    readonly fencing: FencingNumber;
+    readonly model: ModelId;
+    readonly version: ModelVersion;
+}
--- /dev/null
+++ b/src/verdict.ts
@@ -0,0 +1,39 @@
+/** Verdicts: whether a request may have run on a target. */
+import { match } from "ts-pattern";
+
+export type Verdict = "not_run" | "may_have_run" | "ran";
+
+/** What is known about one attempt to run a request on a target. */
+export interface AttemptEvidence {
+    /** True from the moment the first byte of the request is handed to a socket. */
+    readonly bytesHanded: boolean;
+    /** `refused` is an answer that the target's contract defines as given before running. */
+    readonly answer: "none" | "refused" | "answered";
+}
+
+function computeAttemptVerdict(attempt: AttemptEvidence): Verdict {
+    if (!attempt.bytesHanded) {
+        return "not_run";
+    }
+    return match(attempt.answer)
+        .with("none", () => "may_have_run" as const)
+        .with("refused", () => "not_run" as const)
+        .with("answered", () => "ran" as const)
+        .exhaustive();
+}
+
+const verdictRank: Readonly<Record<Verdict, number>> = { not_run: 0, may_have_run: 1, ran: 2 };
+
+/**
+ * Derives the verdict of a request from all its attempts. The strongest claim wins: one attempt that ran
+ * makes the request `ran`.
+ *
+ * @example
+ * computeVerdict([]); // "not_run"
+ * computeVerdict([{ bytesHanded: true, answer: "none" }]); // "may_have_run"
+ */
+export function computeVerdict(attempts: readonly AttemptEvidence[]): Verdict {
+    return attempts
+        .map(computeAttemptVerdict)
+        .reduce<Verdict>((worst, verdict) => (verdictRank[verdict] > verdictRank[worst] ? verdict : worst), "not_run");
+}
--- /dev/null
+++ b/standins/engine.ts
@@ -0,0 +1,454 @@
+/**
+ * Stand-in of a model engine over HTTP: OpenAI-compatible completions, a limited prefix cache, prefill that takes
+ * time for each missed token, continuous batching, lagged load reports, late and gappy cache events, orders.
+ */
+import { createHash, randomUUID } from "node:crypto";
+import type * as http from "node:http";
+import { sendJson, type StandinCall, startStandinServer } from "./httpServer";
+import { type CacheChange, createPrefixCache } from "./prefixCache";
+
+export interface EngineOptions {
+    readonly port?: number;
+    readonly model: string;
+    readonly version: string;
+    readonly slots?: number;
+    readonly maxBlocks?: number;
+    readonly blockTokens?: number;
+    readonly bytesPerToken?: number;
+    readonly prefillTokensPerSecond?: number;
+    /** Milliseconds for each generated token. */
+    readonly decodeMs?: number;
+    /** Milliseconds by which `/state` lags. */
+    readonly reportLagMs?: number;
+    readonly cacheEventDelayMs?: number;
+    /** Part of the cache events that is lost. */
+    readonly cacheEventLoss?: number;
+    readonly checksFencing?: boolean;
+    readonly loadMs?: number;
+}
+
+/** Faults that can be switched while the engine runs. */
+export interface EngineFaults {
+    /** Streams break off after this many events; 0 means never. */
+    breakAfterEvents: number;
+    /** Number of coming answers that carry another request's id. */
+    crossAnswers: number;
+    /** Number of coming streams in which one event is left out. */
+    skipEvents: number;
+    canResume: boolean;
+    /** Milliseconds before anything is answered. */
+    delayMs: number;
+    /** Status answered instead of running, 0 for none. */
+    refuseWith: number;
+}
+
+export interface EngineRun {
+    readonly request: string;
+    readonly cacheSalt: string;
+    readonly headers: http.IncomingHttpHeaders;
+    readonly body: string;
+    readonly promptTokens: number;
+    readonly cachedTokens: number;
+    isCancelled: boolean;
+    isFinished: boolean;
+}
+
+export interface Engine {
+    readonly address: string;
+    readonly faults: EngineFaults;
+    readonly runs: readonly EngineRun[];
+    readonly orders: readonly { readonly fence: number; readonly version: string; readonly accepted: boolean; }[];
+    getIncarnation(): string;
+    /** Loses all state, closes every connection and goes on with a new incarnation. */
+    crash(): void;
+    startLeaving(): void;
+    stop(): Promise<void>;
+}
+
+interface CompletionBody {
+    readonly model: string;
+    readonly stream?: boolean;
+    readonly max_tokens?: number;
+    readonly cache_salt?: string;
+    readonly prompt?: string | string[];
+    readonly messages?: readonly { readonly role: string; readonly content?: unknown; }[];
+}
+
+interface StreamLog {
+    readonly events: string[];
+    isDone: boolean;
+    readonly listeners: Set<() => void>;
+}
+
+const wait = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds));
+
+function computePrompt(body: CompletionBody): string {
+    if (body.messages) {
+        return body.messages.map(message => `${message.role}\n${String(message.content)}`).join("\n");
+    }
+    return Array.isArray(body.prompt) ? body.prompt.join("") : body.prompt ?? "";
+}
+
+/** Text of the n-th generated token: depends on the prompt, so that answers can be checked. */
+export function computeToken(prompt: string, index: number): string {
+    return ` ${createHash("sha256").update(`${prompt}#${index}`).digest("hex").slice(0, 4)}`;
+}
+
+/** Starts an engine on loopback. */
+export async function startEngine(options: EngineOptions): Promise<Engine> {
+    const {
+        slots = 8,
+        maxBlocks = 64,
+        blockTokens = 4096,
+        bytesPerToken = 4,
+        prefillTokensPerSecond = 20_000,
+        decodeMs = 5,
+        reportLagMs = 200,
+        cacheEventDelayMs = 50,
+        cacheEventLoss = 0,
+        checksFencing = false,
+        loadMs = 200,
+    } = options;
+    const faults: EngineFaults = {
+        breakAfterEvents: 0,
+        crossAnswers: 0,
+        skipEvents: 0,
+        canResume: true,
+        delayMs: 0,
+        refuseWith: 0,
+    };
+    const runs: EngineRun[] = [];
+    const orders: { fence: number; version: string; accepted: boolean; }[] = [];
+    const streams = new Map<string, StreamLog>();
+    const cacheListeners = new Set<http.ServerResponse>();
+    let incarnation: string = randomUUID();
+    let { model, version } = options;
+    let state: "ready" | "loading" | "leaving" = "ready";
+    let running = 0;
+    let waitingTokens = 0;
+    let cacheSeq = 0;
+    let highestFence = 0;
+    let waiters: (() => void)[] = [];
+    let prefillQueue: Promise<void> = Promise.resolve();
+    let lastReport = buildReport();
+    const reportTimer = setInterval(() => {
+        lastReport = buildReport();
+    }, Math.max(10, reportLagMs));
+
+    function buildReport(): Record<string, unknown> {
+        return {
+            incarnation,
+            state,
+            model,
+            version,
+            running_requests: running,
+            waiting_requests: waiters.length,
+            waiting_tokens: waitingTokens,
+        };
+    }
+
+    function sendCacheEvent(change: CacheChange): void {
+        cacheSeq += 1;
+        const event = JSON.stringify({ seq: cacheSeq, incarnation, ...change });
+        if (Math.random() < cacheEventLoss) {
+            return;
+        }
+        setTimeout(() => {
+            for (const listener of cacheListeners) {
+                listener.write(`data: ${event}\n\n`);
+            }
+        }, cacheEventDelayMs);
+    }
+
+    const cache = createPrefixCache({ maxBlocks, onChange: sendCacheEvent });
+
+    async function waitForSlot(): Promise<void> {
+        if (running < slots) {
+            running += 1;
+            return;
+        }
+        await new Promise<void>(resolve => {
+            waiters.push(resolve);
+        });
+    }
+
+    function releaseSlot(): void {
+        const next = waiters.shift();
+        if (next) {
+            next();
+            return;
+        }
+        running -= 1;
+    }
+
+    /** Computes the missed part of a prompt; prompts are computed one after the other. */
+    function runPrefill(missedTokens: number): Promise<void> {
+        const turn = prefillQueue.then(() => wait((missedTokens / prefillTokensPerSecond) * 1000));
+        prefillQueue = turn;
+        return turn;
+    }
+
+    function createRun(
+        { request, body }: StandinCall,
+        parsed: CompletionBody,
+    ): EngineRun & { readonly blocks: string[]; } {
+        const header = request.headers["x-prefix-blocks"];
+        const blocks = typeof header === "string" && header !== "" ? header.split(",") : [];
+        const promptTokens = Math.ceil(Buffer.byteLength(computePrompt(parsed)) / bytesPerToken);
+        const hits = cache.findHits(blocks);
+        return {
+            request: String(request.headers["x-request-id"]),
+            cacheSalt: parsed.cache_salt ?? "",
+            headers: request.headers,
+            body,
+            promptTokens,
+            cachedTokens: Math.min(promptTokens, hits * blockTokens),
+            isCancelled: false,
+            isFinished: false,
+            blocks,
+        };
+    }
+
+    function createUsage(run: EngineRun, completionTokens: number): Record<string, unknown> {
+        return {
+            prompt_tokens: run.promptTokens,
+            completion_tokens: completionTokens,
+            total_tokens: run.promptTokens + completionTokens,
+            prompt_tokens_details: { cached_tokens: run.cachedTokens },
+        };
+    }
+
+    function createChoice(isChat: boolean, isStream: boolean, text: string, reason: string | null): unknown {
+        if (!isChat) {
+            return { index: 0, text, finish_reason: reason };
+        }
+        return {
+            index: 0,
+            [isStream ? "delta" : "message"]: { role: "assistant", content: text },
+            finish_reason: reason,
+        };
+    }
+
+    async function handleCompletion(call: StandinCall, isChat: boolean): Promise<void> {
+        const parsed = JSON.parse(call.body) as CompletionBody;
+        if (faults.refuseWith > 0) {
+            sendJson(call.response, faults.refuseWith, { error: { message: "Refused." } });
+            return;
+        }
+        if (state !== "ready" || parsed.model !== `${model}@${version}`) {
+            sendJson(call.response, 404, { error: { code: "model_not_found", message: "This model is not loaded." } });
+            return;
+        }
+        const born = incarnation;
+        const run = createRun(call, parsed);
+        runs.push(run);
+        call.response.on("close", () => {
+            run.isCancelled ||= !call.response.writableFinished;
+        });
+        const missed = run.promptTokens - run.cachedTokens;
+        waitingTokens += missed;
+        await wait(faults.delayMs);
+        await waitForSlot();
+        await runPrefill(missed);
+        waitingTokens = Math.max(0, waitingTokens - missed);
+        if (born !== incarnation) {
+            return;
+        }
+        cache.add(run.blocks);
+        try {
+            await runDecode(call, parsed, run, isChat, born);
+        }
+        finally {
+            if (born === incarnation) {
+                releaseSlot();
+            }
+        }
+    }
+
+    async function runDecode(
+        call: StandinCall,
+        parsed: CompletionBody,
+        run: EngineRun,
+        isChat: boolean,
+        born: string,
+    ): Promise<void> {
+        const isCrossed = faults.crossAnswers > 0;
+        faults.crossAnswers -= isCrossed ? 1 : 0;
+        const id = `${isChat ? "chatcmpl" : "cmpl"}-${isCrossed ? randomUUID() : run.request}`;
+        const prompt = computePrompt(parsed);
+        const count = parsed.max_tokens ?? 16;
+        const object = isChat ? "chat.completion" : "text_completion";
+        if (!parsed.stream) {
+            await wait(count * decodeMs);
+            const text = Array.from({ length: count }, (_, index) => computeToken(prompt, index)).join("");
+            run.isFinished = true;
+            sendJson(call.response, 200, {
+                id,
+                object,
+                model: parsed.model,
+                choices: [createChoice(isChat, false, text, "stop")],
+                usage: createUsage(run, count),
+            });
+            return;
+        }
+        const log: StreamLog = { events: [], isDone: false, listeners: new Set() };
+        streams.set(run.request, log);
+        sendStream(call.response, log, 0, faults.breakAfterEvents);
+        for (let index = 0; index < count && born === incarnation; index += 1) {
+            await wait(decodeMs);
+            const reason = index === count - 1 ? "stop" : null;
+            log.events.push(JSON.stringify({
+                id,
+                object: isChat ? "chat.completion.chunk" : object,
+                model: parsed.model,
+                choices: [createChoice(isChat, true, computeToken(prompt, index), reason)],
+                usage: createUsage(run, index + 1),
+            }));
+            log.listeners.forEach(listener => {
+                listener();
+            });
+            if (run.isCancelled && !faults.canResume) {
+                return;
+            }
+        }
+        log.events.push(
+            JSON.stringify({ id, object, model: parsed.model, choices: [], usage: createUsage(run, count) }),
+        );
+        log.events.push("[DONE]");
+        log.isDone = true;
+        run.isFinished = true;
+        log.listeners.forEach(listener => {
+            listener();
+        });
+    }
+
+    /** Sends the events of a stream after the given one, and those to come. */
+    function sendStream(response: http.ServerResponse, log: StreamLog, after: number, breakAfter: number): void {
+        let next = after;
+        let skipAt = faults.skipEvents > 0 ? after + 2 : -1;
+        faults.skipEvents -= skipAt >= 0 ? 1 : 0;
+        response.writeHead(200, { "content-type": "text/event-stream" });
+        const sendNew = (): void => {
+            while (next < log.events.length && !response.destroyed) {
+                const data = log.events[next] ?? "";
+                next += 1;
+                if (next === skipAt) {
+                    skipAt = -1;
+                    continue;
+                }
+                response.write(`id: ${next}\ndata: ${data}\n\n`);
+                if (breakAfter > 0 && next - after >= breakAfter) {
+                    response.destroy();
+                }
+            }
+            if (log.isDone && next >= log.events.length && !response.destroyed) {
+                response.end();
+            }
+        };
+        log.listeners.add(sendNew);
+        response.on("close", () => {
+            log.listeners.delete(sendNew);
+        });
+        sendNew();
+    }
+
+    function handleResume({ request, response, url }: StandinCall): void {
+        const id = url.pathname.slice("/v1/streams/".length);
+        const log = streams.get(id);
+        if (!log || !faults.canResume) {
+            sendJson(response, 404, { error: { message: "No such stream." } });
+            return;
+        }
+        sendStream(response, log, Number(request.headers["last-event-id"] ?? 0), 0);
+    }
+
+    function handleOrder({ response, body }: StandinCall): void {
+        const order = JSON.parse(body) as { fence: number; model: string; version: string; };
+        const accepted = !checksFencing || order.fence >= highestFence;
+        orders.push({ fence: order.fence, version: order.version, accepted });
+        if (!accepted) {
+            sendJson(response, 409, { error: { message: "The fencing number is old." } });
+            return;
+        }
+        highestFence = Math.max(highestFence, order.fence);
+        if (state === "ready" && (model !== order.model || version !== order.version)) {
+            state = "loading";
+            setTimeout(() => {
+                ({ model, version } = order);
+                state = "ready";
+                cache.clear();
+            }, loadMs);
+        }
+        sendJson(response, 202, {});
+    }
+
+    function handleCrash(): void {
+        incarnation = randomUUID();
+        running = 0;
+        waitingTokens = 0;
+        waiters = [];
+        prefillQueue = Promise.resolve();
+        streams.clear();
+        cache.clear();
+        cacheSeq = 0;
+        state = "ready";
+        lastReport = buildReport();
+        server.closeConnections();
+    }
+
+    const server = await startStandinServer({
+        port: options.port ?? 0,
+        handlers: {
+            "POST /v1/chat/completions": call => handleCompletion(call, true),
+            "POST /v1/completions": call => handleCompletion(call, false),
+            "GET /state": ({ response }) => {
+                sendJson(response, 200, lastReport);
+            },
+            "GET /cache-events": ({ response }) => {
+                response.writeHead(200, { "content-type": "text/event-stream" });
+                response.flushHeaders();
+                cacheListeners.add(response);
+                response.on("close", () => cacheListeners.delete(response));
+            },
+            "POST /orders": handleOrder,
+            "POST /control/faults": ({ response, body }) => {
+                Object.assign(faults, JSON.parse(body));
+                sendJson(response, 200, faults);
+            },
+            "POST /control/crash": ({ response }) => {
+                response.end(handleCrash);
+            },
+            "POST /control/leave": ({ response }) => {
+                state = "leaving";
+                sendJson(response, 200, {});
+            },
+            "GET /control/runs": ({ response }) => {
+                sendJson(response, 200, runs.map(run => ({ ...run, body: undefined })));
+            },
+            "*": call => {
+                if (call.url.pathname.startsWith("/v1/streams/")) {
+                    handleResume(call);
+                    return;
+                }
+                sendJson(call.response, 404, { error: { message: "No such path." } });
+            },
+        },
+    });
+
+    return {
+        address: server.address,
+        faults,
+        runs,
+        orders,
+        getIncarnation: () => incarnation,
+        crash: handleCrash,
+        startLeaving: () => {
+            state = "leaving";
+            lastReport = buildReport();
+        },
+        stop: () => {
+            clearInterval(reportTimer);
+            return server.stop();
+        },
+    };
+}
--- /dev/null
+++ b/standins/prefixCache.ts
@@ -0,0 +1,71 @@
+/** Prefix cache of an engine: blocks in least-recently-used order, with cache events. */
+
+export interface CacheChange {
+    readonly kind: "stored" | "removed" | "cleared";
+    readonly blocks: readonly string[];
+}
+
+export interface PrefixCache {
+    readonly size: number;
+    /** Number of leading blocks that are cached; refreshes their age. */
+    findHits(blocks: readonly string[]): number;
+    add(blocks: readonly string[]): void;
+    clear(): void;
+}
+
+/** Creates a cache of at most `maxBlocks` blocks. */
+export function createPrefixCache(
+    { maxBlocks, onChange = () => undefined }: {
+        readonly maxBlocks: number;
+        readonly onChange?: (change: CacheChange) => void;
+    },
+): PrefixCache {
+    const blocks = new Set<string>();
+
+    function removeOldest(): void {
+        const removed: string[] = [];
+        for (const block of blocks) {
+            if (blocks.size <= maxBlocks) {
+                break;
+            }
+            blocks.delete(block);
+            removed.push(block);
+        }
+        if (removed.length > 0) {
+            onChange({ kind: "removed", blocks: removed });
+        }
+    }
+
+    return {
+        get size() {
+            return blocks.size;
+        },
+        findHits: wanted => {
+            let hits = 0;
+            for (const block of wanted) {
+                if (!blocks.delete(block)) {
+                    break;
+                }
+                blocks.add(block);
+                hits += 1;
+            }
+            return hits;
+        },
+        add: added => {
+            const stored = added.filter(block => !blocks.has(block));
+            // Added from the longest prefix down, so that the shortest prefixes are the youngest.
+            for (const block of [...added].reverse()) {
+                blocks.delete(block);
+                blocks.add(block);
+            }
+            if (stored.length > 0) {
+                onChange({ kind: "stored", blocks: stored });
+            }
+            removeOldest();
+        },
+        clear: () => {
+            blocks.clear();
+            onChange({ kind: "cleared", blocks: [] });
+        },
+    };
+}
--- /dev/null
+++ b/test/support/fleet.ts
@@ -0,0 +1,115 @@
+/** Starts stand-ins and router processes on loopback for tests. */
+import { createHash } from "node:crypto";
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+import { type RunningNode, startNode } from "../../src/adapters/node";
+import { parseSettings, type Settings } from "../../src/config/settings";
+import { headKey, snapshotKey } from "../../src/systems/applyConfiguration";
+import { type Platform, startPlatform } from "../../standins/platform";
+
+export const hashKey = (key: string): string => createHash("sha256").update(key).digest("hex");
+
+/** Finds free ports on loopback. */
+export async function findPorts(count: number): Promise<number[]> {
+    const servers = Array.from({ length: count }, () => http.createServer());
+    const ports: number[] = [];
+    for (const server of servers) {
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        ports.push((server.address() as AddressInfo).port);
+    }
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+}
+
+export async function buildSettings(
+    index: number,
+    platform: Platform,
+    overrides: Record<string, unknown> = {},
+): Promise<Settings> {
+    const [callers, operators, peers] = await findPorts(3);
+    const parsed = parseSettings({
+        vm: `entry-${index}`,
+        dataCentre: `dc-${index % 3}`,
+        fleetSecret: "a-secret-of-the-test-fleet",
+        listen: {
+            callers: `127.0.0.1:${callers}`,
+            operators: `127.0.0.1:${operators}`,
+            peers: `127.0.0.1:${peers}`,
+        },
+        store: { address: platform.address },
+        membership: { leaseSeconds: 2, exchangeEveryMs: 200, freshForMs: 2000 },
+        ...overrides,
+    });
+    if (parsed.err) {
+        throw new Error(JSON.stringify(parsed.val));
+    }
+    return parsed.val;
+}
+
+/** Writes a whole configuration into the store, as an operator's first `config put` does. */
+export function writeConfiguration(platform: Platform, version: number, document: unknown): void {
+    platform.store.runTransaction([], [
+        { kind: "put", key: snapshotKey, value: JSON.stringify({ version, document }) },
+        { kind: "put", key: headKey, value: JSON.stringify({ version, changeId: `test-${version}` }) },
+    ], []);
+}
+
+export interface FleetNode {
+    readonly settings: Settings;
+    readonly node: RunningNode;
+    readonly exits: number[];
+}
+
+export interface Fleet {
+    readonly platform: Platform;
+    readonly nodes: readonly FleetNode[];
+    stop(): Promise<void>;
+}
+
+/** Starts a platform and `count` router processes inside this test process. */
+export async function startFleet(
+    { count, document, overrides }: {
+        readonly count: number;
+        readonly document?: unknown;
+        readonly overrides?: Record<string, unknown>;
+    },
+): Promise<Fleet> {
+    const platform = await startPlatform();
+    if (document !== undefined) {
+        writeConfiguration(platform, 1, document);
+    }
+    const nodes: FleetNode[] = [];
+    for (let index = 0; index < count; index += 1) {
+        const settings = await buildSettings(index, platform, overrides);
+        const exits: number[] = [];
+        const node = await startNode({ settings, onExit: code => exits.push(code), writeLog: () => undefined });
+        nodes.push({ settings, node, exits });
+    }
+    return {
+        platform,
+        nodes,
+        stop: async () => {
+            for (const { node } of nodes) {
+                node.stop();
+            }
+            await platform.stop();
+        },
+    };
+}
+
+/** Waits until the check holds; fails after `limitMs`. The limit only bounds a failing test. */
+export async function waitUntil(check: () => boolean | Promise<boolean>, limitMs = 15_000): Promise<void> {
+    const end = performance.now() + limitMs;
+    while (!(await check())) {
+        if (performance.now() > end) {
+            throw new Error("The condition was not reached.");
+        }
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+}
+
+export async function waitUntilReady(fleet: Fleet): Promise<void> {
+    for (const { settings } of fleet.nodes) {
+        await waitUntil(async () => (await fetch(`http://${settings.listen.callers}/readyz`)).status === 200);
+    }
+}
