--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -13,6 +13,5 @@
         mainFields: ["module", "main"],
         sourcemap: "inline",
         logLevel: "warning",
-        external: ["cbor-extract"],
     });
 }
