--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -55,6 +55,8 @@
             exchangeEveryMs: milliseconds.default(1000),
             /** Configuration counts as confirmed for this long. */
             freshForMs: milliseconds.default(5000),
+            /** Prefix updates in one exchange, about 80 bytes each. */
+            prefixUpdatesPerExchange: z.number().int().min(0).max(1024).default(32),
             /** Seconds for which callers keep the list of entries. */
             entriesKeepSeconds: z.number().int().positive().default(10),
         })
--- a/src/systems/exchangeWithPeers.ts
+++ b/src/systems/exchangeWithPeers.ts
@@ -5,6 +5,7 @@
 import type { MemberRow } from "../tables/members";
 import type { Tick, World } from "../world";
 import { applyChangeRecord, applyDocument, getConfirmedAt } from "./applyConfiguration";
+import { applyPrefixUpdates, listPrefixUpdates } from "./prefixUpdates";
 
 /** A fleet up to this size exchanges with every peer each time; a larger one with random peers. */
 const fullExchangeMembers = 8;
@@ -41,7 +42,7 @@
     return chosen;
 }
 
-function createExchange(world: World, tick: Tick): Exchange {
+function createExchange(world: World, tick: Tick, prefixes: Exchange["prefixes"]): Exchange {
     const { members } = world.tables;
     const own = members.get(world.settings.vm) as MemberRow;
     const others = members.list().filter(row => row !== own && row.heardAt !== undefined);
@@ -51,7 +52,7 @@
             digest: createDigest(world, tick, row),
             ageMs: computeAge(tick.now, row.heardAt),
         })),
-        prefixes: [],
+        prefixes,
     };
 }
 
@@ -103,6 +104,7 @@
     for (const { digest, ageMs } of exchange.heard) {
         applyDigest(world, toMillis(receivedAt - ageMs), digest);
     }
+    applyPrefixUpdates(world, receivedAt, exchange.prefixes);
     if (exchange.digest.configVersion > world.tables.configuration.version) {
         world.effects.append({
             kind: "askPeer",
@@ -119,12 +121,13 @@
     const addresses = [...new Set([...known, ...world.settings.peers])]
         .filter(address => address !== world.settings.listen.peers);
     const chosen = addresses.length <= fullExchangeMembers ? addresses : chooseRandom(world, addresses, randomPeers);
+    const body = createExchange(world, tick, chosen.length > 0 ? listPrefixUpdates(world) : []);
     for (const address of chosen) {
         world.effects.append({
             kind: "askPeer",
             purpose: { for: "exchange" },
             address,
-            request: { kind: "exchange", body: createExchange(world, tick) },
+            request: { kind: "exchange", body },
         });
     }
 }
@@ -137,7 +140,7 @@
             world.effects.append({
                 kind: "answerPeer",
                 call,
-                answer: { kind: "exchange", body: createExchange(world, tick) },
+                answer: { kind: "exchange", body: createExchange(world, tick, []) },
             });
         }
         if (request.kind === "pullConfiguration") {
--- /dev/null
+++ b/standins/processes.ts
@@ -0,0 +1,103 @@
+/** Starts router processes from the bundled command line, for the demo and for tests with real processes. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { stringify } from "smol-toml";
+
+const program = "build/marjoramvane.cjs";
+
+/** Finds free ports on loopback. */
+export async function findPorts(count: number): Promise<number[]> {
+    const servers = Array.from({ length: count }, () => http.createServer());
+    const ports: number[] = [];
+    for (const server of servers) {
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        ports.push((server.address() as AddressInfo).port);
+    }
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+}
+
+export interface RouterOptions {
+    readonly vm: string;
+    readonly dataCentre: string;
+    readonly storeAddress: string;
+    readonly vmListAddress?: string;
+    readonly peers?: readonly string[];
+    /** Settings that replace the defaults, by section. */
+    readonly overrides?: Readonly<Record<string, unknown>>;
+}
+
+export interface RouterProcess {
+    readonly vm: string;
+    readonly callers: string;
+    readonly operators: string;
+    readonly peers: string;
+    readonly process: ChildProcess;
+    /** Exit code, or the signal that ended the process. */
+    readonly exited: Promise<number | NodeJS.Signals>;
+    /** Log lines so far, as the process wrote them. */
+    getLog(): string;
+}
+
+export const fleetSecret = "fleet-secret-of-stand-ins";
+
+/** Starts one router process. */
+export async function startRouter(options: RouterOptions): Promise<RouterProcess> {
+    const ports = await findPorts(3);
+    const [callers, operators, peers] = ports.map(port => `127.0.0.1:${port}`) as [string, string, string];
+    const directory = mkdtempSync(path.join(tmpdir(), "marjoramvane-"));
+    const file = path.join(directory, "settings.toml");
+    writeFileSync(
+        file,
+        stringify({
+            vm: options.vm,
+            dataCentre: options.dataCentre,
+            fleetSecret,
+            listen: { callers, operators, peers },
+            store: { address: options.storeAddress },
+            ...(options.vmListAddress === undefined ? {} : { vmList: { address: options.vmListAddress } }),
+            peers: [...(options.peers ?? [])],
+            ...options.overrides,
+        }),
+    );
+    const child = spawn(process.execPath, [program, "serve", "--settings", file], {
+        stdio: ["ignore", "ignore", "pipe"],
+    });
+    let log = "";
+    child.stderr.setEncoding("utf8").on("data", (text: string) => {
+        log += text;
+    });
+    const exited = new Promise<number | NodeJS.Signals>(resolve => {
+        child.once("exit", (code, signal) => {
+            rmSync(directory, { recursive: true, force: true });
+            resolve(code ?? signal ?? 1);
+        });
+    });
+    return { vm: options.vm, callers, operators, peers, process: child, exited, getLog: () => log };
+}
+
+/** Ends a process at once and waits for its end. */
+export async function stopRouter(router: RouterProcess): Promise<void> {
+    router.process.kill("SIGCONT");
+    router.process.kill("SIGKILL");
+    await router.exited;
+}
+
+/** Waits until the process answers that it is ready. */
+export async function waitForRouter(router: RouterProcess, limitMs = 15_000): Promise<void> {
+    const end = performance.now() + limitMs;
+    for (;;) {
+        const response = await fetch(`http://${router.callers}/readyz`).catch(() => undefined);
+        if (response?.status === 200) {
+            return;
+        }
+        if (performance.now() > end) {
+            throw new Error(`${router.vm} did not become ready: ${router.getLog().slice(-2000)}`);
+        }
+        await new Promise(resolve => setTimeout(resolve, 25));
+    }
+}
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -1,26 +1,13 @@
 /** Starts stand-ins and router processes on loopback for tests. */
 import { createHash } from "node:crypto";
-import * as http from "node:http";
-import type { AddressInfo } from "node:net";
 import { type RunningNode, startNode } from "../../src/adapters/node";
 import { parseSettings, type Settings } from "../../src/config/settings";
 import { headKey, snapshotKey } from "../../src/systems/applyConfiguration";
 import { type Platform, startPlatform } from "../../standins/platform";
+import { findPorts } from "../../standins/processes";
 
 export const hashKey = (key: string): string => createHash("sha256").update(key).digest("hex");
 
-/** Finds free ports on loopback. */
-export async function findPorts(count: number): Promise<number[]> {
-    const servers = Array.from({ length: count }, () => http.createServer());
-    const ports: number[] = [];
-    for (const server of servers) {
-        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-        ports.push((server.address() as AddressInfo).port);
-    }
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
-}
-
 export async function buildSettings(
     index: number,
     platform: Platform,
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,6 +6,7 @@
         server: { deps: { inline: ["ts-results"] } },
         testTimeout: 30_000,
         hookTimeout: 30_000,
+        globalSetup: ["scripts/bundleCli.mjs"],
         pool: "forks",
         maxWorkers: 4,
     },
