--- a/test/streams.test.ts
+++ b/test/streams.test.ts
@@ -1,6 +1,6 @@
 /** Streams are complete and in order, or end with an explicit error; answers go to their own request only. */
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { type Engine, startEngine } from "../standins/engine";
+import { type Engine, type EngineRun, startEngine } from "../standins/engine";
 import { type CompletionOutcome, sendCompletion } from "../standins/loadClient";
 import { type Fleet, hashKey, startFleet, waitUntil, waitUntilReady } from "./support/fleet";
 
@@ -44,8 +44,8 @@
         await Promise.all(engines.map(engine => engine.stop()));
     });
 
-    const countRuns = (prompt: string): number =>
-        engines.flatMap(engine => engine.runs).filter(run => run.body.includes(prompt)).length;
+    const listRuns = (prompt: string): EngineRun[] =>
+        engines.flatMap(engine => engine.runs).filter(run => run.body.includes(prompt));
 
     function sendPrompt(prompt: string, stream = true): Promise<CompletionOutcome> {
         const address = fleet.nodes[0]?.settings.listen.callers ?? "";
@@ -61,13 +61,13 @@
     it("resumes a stream that breaks off, on the same run", async () => {
         updateFaults({ breakAfterEvents: 7 });
         expect(await sendPrompt("breaks off")).toMatchObject({ kind: "complete" });
-        expect(countRuns("breaks off")).toBe(1);
+        expect(listRuns("breaks off")).toHaveLength(1);
     });
 
     it("ends a stream that cannot be resumed with an explicit error and without an end marker", async () => {
         updateFaults({ breakAfterEvents: 7, canResume: false });
         expect(await sendPrompt("cannot resume")).toEqual({ kind: "interrupted", code: "stream_interrupted" });
-        expect(countRuns("cannot resume")).toBe(1);
+        expect(listRuns("cannot resume")).toHaveLength(1);
     });
 
     it("notices a missing event and fetches it", async () => {
@@ -87,15 +87,15 @@
     it("retries on another engine when an engine crashes before its answer began", async () => {
         updateFaults({ delayMs: 200 });
         const answer = sendPrompt("crash before", false);
-        await waitUntil(() => countRuns("crash before") === 1);
+        await waitUntil(() => listRuns("crash before").length === 1);
         engines.find(engine => engine.runs.some(run => run.body.includes("crash before")))?.crash();
         expect(await answer).toMatchObject({ kind: "complete" });
-        expect(countRuns("crash before")).toBe(2);
+        expect(listRuns("crash before")).toHaveLength(2);
     });
 
     it("never continues a stream from another run when the engine crashes in the middle", async () => {
         const answer = sendPrompt("crash in the middle");
-        await waitUntil(() => countRuns("crash in the middle") === 1);
+        await waitUntil(() => listRuns("crash in the middle").length === 1);
         await new Promise(resolve => setTimeout(resolve, 30));
         engines.find(engine => engine.runs.some(run => run.body.includes("crash in the middle")))?.crash();
         expect(["complete", "interrupted"]).toContain((await answer).kind);
@@ -112,7 +112,7 @@
             stream: true,
             signal: abort.signal,
         });
-        await waitUntil(() => countRuns("caller goes away") === 1);
+        await waitUntil(() => listRuns("caller goes away").length === 1);
         abort.abort();
         expect((await answer).kind).toBe("unreachable");
         await waitUntil(() =>
