Accept both outcomes that an aborted caller can see

Cause: the stream test failed once in two runs. The abort came after the headers, so the caller saw an interrupted answer instead of no connection. Ruled out: the router; the engine's run was cancelled in both cases, which the test still requires.

--- a/test/streams.test.ts
+++ b/test/streams.test.ts
@@ -114,7 +114,8 @@
         });
         await waitUntil(() => listRuns("caller goes away").length === 1);
         abort.abort();
-        expect((await answer).kind).toBe("unreachable");
+        // Whether the headers had arrived at the time of the abort is left to chance; the answer must not complete.
+        expect(["unreachable", "interrupted"]).toContain((await answer).kind);
         await waitUntil(() =>
             engines.flatMap(engine => engine.runs).some(run => run.body.includes("caller goes away") && run.isCancelled)
         );
