Claim the Idempotency-Key of a non-repeatable call before it is sent

Cause: a non-repeatable call was queued like any other, so that the same key ran once on every VM that got it, and a retry after a refusal by the target could run it again.

Dated keys (UUIDv7) are refused near the end of the retention and their claims are deleted afterwards through an index in date order. A call that may have reached a socket is never sent again under its claim.

The expiry of dated claims and the stop between claim and send are not tested yet.

--- a/src/adapters/callerServer.ts
+++ b/src/adapters/callerServer.ts
@@ -39,6 +39,10 @@
 
 const hashText = (text: string): string => createHash("sha256").update(text).digest("hex");
 
+/** Hash by which a repeated call is told from another one with the same Idempotency-Key. */
+const hashBody = (method: string, path: string, body: Buffer): string =>
+    createHash("sha256").update(`${method} ${path}\n`).update(body).digest("hex");
+
 /** The caller's key as sent; kept only while the request is read. */
 function readKey(request: http.IncomingMessage): string | undefined {
     return bearerPattern.exec(request.headers.authorization ?? "")?.[1];
@@ -189,6 +193,7 @@
             return;
         }
         const completion = decoded.val;
+        const idempotencyKey = readTextHeader(request, "idempotency-key");
         openRequest({
             id,
             response,
@@ -212,8 +217,8 @@
                 maxTokens: completion.maxTokens,
                 priority: completion.priority,
                 bodyBytes: body.length,
-                bodyHash: "",
-                idempotencyKey: readTextHeader(request, "idempotency-key"),
+                bodyHash: idempotencyKey === undefined ? "" : hashBody(endpoint, "", body),
+                idempotencyKey,
                 timeoutMs: readNumberHeader(request, "x-request-timeout-ms"),
                 arrivedAt,
             },
@@ -254,7 +259,7 @@
                 maxTokens: undefined,
                 priority: undefined,
                 bodyBytes: body.length,
-                bodyHash: createHash("sha256").update(`${method} ${service.path}\n`).update(body).digest("hex"),
+                bodyHash: hashBody(method, service.path, body),
                 idempotencyKey: readTextHeader(request, "idempotency-key"),
                 timeoutMs: readNumberHeader(request, "x-request-timeout-ms"),
                 arrivedAt,
--- /dev/null
+++ b/src/policy/idempotency.ts
@@ -0,0 +1,71 @@
+/** Idempotency keys: where their claims are kept, and which keys are too old for a claim to be relied upon. */
+import { createHash } from "node:crypto";
+import { type AccountId, type ClaimId, toClaimId } from "../ids";
+
+export const claimPrefix = "claims/";
+/** Index of the claims of dated keys, in the order of their dates. */
+export const claimDatePrefix = "claim-dates/";
+
+/** Scope of callers without an account on open routes. Account names never begin with a tilde. */
+const openScope = "~open";
+
+/** UUID of version 7 (RFC 9562): its first 48 bits are milliseconds since the Unix epoch. */
+const uuidV7Pattern = /^([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
+
+/** Covers clock differences between VMs and the time from the check of a key to the writing of its claim. */
+const maxMarginMs = 3_600_000;
+/** A key may be this far ahead of the clock of the VM that reads it. */
+const maxAheadMs = 300_000;
+/** Digits of a time in milliseconds in an index key; 48 bits need 15. */
+const timeDigits = 15;
+
+/** Store key of the claim for an Idempotency-Key. Accounts never share claims. */
+export function computeClaimId(account: AccountId | undefined, key: string): ClaimId {
+    const hash = createHash("sha256").update(key).digest("hex");
+    return toClaimId(`${claimPrefix}${account ?? openScope}/${hash}`);
+}
+
+/**
+ * Time that a UUIDv7 key carries, in milliseconds since the Unix epoch; undefined for any other key.
+ *
+ * @example
+ * parseKeyTime("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"); // 1645557742000
+ */
+export function parseKeyTime(key: string): number | undefined {
+    const found = uuidV7Pattern.exec(key);
+    return found ? Number.parseInt(`${found[1]}${found[2]}`, 16) : undefined;
+}
+
+export type KeyAge = "undated" | "current" | "expired" | "in_future";
+
+/**
+ * Tells whether the claim of a key can still be relied upon. An expired key is one whose claim may have been
+ * deleted, so that a repetition could not be recognised.
+ */
+export function checkKeyAge(
+    keyTime: number | undefined,
+    { wallNow, retentionMs }: { readonly wallNow: number; readonly retentionMs: number; },
+): KeyAge {
+    if (keyTime === undefined) {
+        return "undated";
+    }
+    const margin = Math.min(maxMarginMs, retentionMs / 4);
+    if (keyTime < wallNow - retentionMs + margin) {
+        return "expired";
+    }
+    return keyTime > wallNow + maxAheadMs ? "in_future" : "current";
+}
+
+const formatTime = (time: number): string => String(Math.max(0, Math.floor(time))).padStart(timeDigits, "0");
+
+/** Index key of the claim of a dated key. */
+export const toClaimDateKey = (claim: ClaimId, keyTime: number): string =>
+    `${claimDatePrefix}${formatTime(keyTime)}/${claim.slice(claimPrefix.length)}`;
+
+/** The claim that an index key names. */
+export const toClaimOfDateKey = (dateKey: string): ClaimId =>
+    toClaimId(`${claimPrefix}${dateKey.slice(claimDatePrefix.length + timeDigits + 1)}`);
+
+/** End of the index range whose claims are older than the retention. */
+export const computeSweepEnd = (wallNow: number, retentionMs: number): string =>
+    `${claimDatePrefix}${formatTime(wallNow - retentionMs)}`;
--- a/src/refusals.ts
+++ b/src/refusals.ts
@@ -31,12 +31,21 @@
     caller_gone: { status: 499, message: "The caller closed the connection." },
     idempotency_key_missing: { status: 400, message: "This route needs an Idempotency-Key header." },
     idempotency_key_expired: { status: 422, message: "The Idempotency-Key is too old to be checked." },
+    idempotency_key_in_future: { status: 422, message: "The time in the Idempotency-Key lies too far in the future." },
     idempotency_key_reused: { status: 422, message: "The Idempotency-Key was used with another request body." },
     idempotency_in_progress: { status: 409, message: "A request with this Idempotency-Key is in progress." },
     idempotency_finished: {
         status: 409,
         message: "A request with this Idempotency-Key has run; its answer was not kept.",
     },
+    idempotency_outcome_unknown: {
+        status: 409,
+        message: "A request with this Idempotency-Key ended without an answer; it may have run.",
+    },
+    idempotency_refused: {
+        status: 409,
+        message: "The target refused the request with this Idempotency-Key before running it. Use a new key.",
+    },
     store_unavailable: {
         status: 503,
         message: "The request may run only once and the store that ensures this cannot be reached.",
--- a/src/systems/admitRequests.ts
+++ b/src/systems/admitRequests.ts
@@ -72,8 +72,9 @@
     if (!found || !canUseRoute(found[1], account)) {
         return refuse("route_unknown");
     }
-    const waiting = requests.list("queued").filter(row => row.account === account).length
-        + requests.list("reserving").filter(row => row.account === account).length;
+    const waiting = (["reserving", "claiming", "queued"] as const)
+        .flatMap(state => requests.list(state))
+        .filter(row => row.account === account).length;
     if (waiting >= world.settings.limits.queuedRequests) {
         return refuse("overloaded", { retryAfterSeconds: 1 });
     }
--- a/src/systems/drainNode.ts
+++ b/src/systems/drainNode.ts
@@ -4,6 +4,8 @@
 import type { Tick, World } from "../world";
 
 const drainCheckMs = 100;
+/** Time given to the store to confirm the ends of claims. A claim that is left open is never run again. */
+const maxClaimWaitMs = 5000;
 
 function startDrain(world: World, tick: Tick): void {
     const { node, members } = world.tables;
@@ -23,12 +25,13 @@
 }
 
 function checkDrain(world: World, tick: Tick): void {
-    const { node, requests } = world.tables;
+    const { node, requests, claims } = world.tables;
     if (node.isListening) {
         node.isListening = false;
         world.effects.append({ kind: "closeListeners" });
     }
-    if (requests.listOpen().length > 0) {
+    const lateAt = addMillis(node.drainingSince ?? tick.now, world.settings.timeouts.drainNoticeMs + maxClaimWaitMs);
+    if (requests.listOpen().length > 0 || (claims.size > 0 && tick.now < lateAt)) {
         world.timers.schedule({ name: "drain", at: addMillis(tick.now, drainCheckMs) });
         return;
     }
@@ -45,7 +48,7 @@
 }
 
 /**
- * Reads: requests, configuration. Writes: node, members (own state).
+ * Reads: requests, claims, configuration. Writes: node, members (own state).
  * Effects: closing of listeners, lease revocation, exit, log lines.
  */
 export function drainNode(world: World, tick: Tick): void {
--- /dev/null
+++ b/src/systems/expireClaims.ts
@@ -0,0 +1,68 @@
+/** Deletes the claims of dated keys after their retention. One VM at a time sweeps; two that do so do no harm. */
+import { logInfo } from "../effects";
+import { addMillis } from "../ids";
+import { claimDatePrefix, computeSweepEnd, toClaimOfDateKey } from "../policy/idempotency";
+import { listByRendezvous } from "../policy/rendezvous";
+import { listAnswerRows } from "../store";
+import type { Tick, World } from "../world";
+import { listLiveMembers } from "./updateMembership";
+
+const sweepEveryMs = 60_000;
+/** Two deletions for each claim stay below the 128 operations that an etcd transaction takes by default. */
+const claimsPerSweep = 50;
+/** Pause after a full sweep, so that a backlog costs the store only a few calls a second. */
+const fullSweepMs = 250;
+
+function isSweeper(world: World, tick: Tick): boolean {
+    const members = listLiveMembers(world, tick.now).map(member => member.vm);
+    return listByRendezvous(world.hasher, "claimSweep", members)[0] === world.settings.vm;
+}
+
+function listExpired(world: World, tick: Tick): void {
+    const retentionMs = world.settings.claims.retentionHours * 3_600_000;
+    const range = { key: claimDatePrefix, end: computeSweepEnd(tick.wallNow, retentionMs) };
+    world.effects.append({
+        kind: "callStore",
+        purpose: { for: "claimSweep" },
+        call: { kind: "range", range, limit: claimsPerSweep },
+    });
+}
+
+/**
+ * Deletes claims by their index keys. No request can hold them: a key is refused well before its claim is deleted,
+ * and requests end at their deadline.
+ */
+function removeClaims(world: World, tick: Tick, dateKeys: readonly string[]): void {
+    world.effects.append({
+        kind: "callStore",
+        purpose: { for: "claimSweep" },
+        call: {
+            kind: "transaction",
+            compare: [],
+            success: dateKeys.flatMap(key => [key, toClaimOfDateKey(key)]).map(key => ({ kind: "delete", key })),
+        },
+    });
+    if (dateKeys.length === claimsPerSweep) {
+        world.timers.schedule({ name: "claimSweep", at: addMillis(tick.now, fullSweepMs) });
+    }
+    logInfo(world.effects, "claim:", "Claims past their retention are deleted.", { claims: dateKeys.length });
+}
+
+/**
+ * Reads: members. Writes: nothing.
+ * Effects: store calls that list and delete claims, log lines.
+ */
+export function expireClaims(world: World, tick: Tick): void {
+    if (tick.number === 1) {
+        world.timers.subscribe({ name: "claimSweep", everyMs: sweepEveryMs }, tick.now);
+    }
+    if (tick.due.has("claimSweep") && isSweeper(world, tick)) {
+        listExpired(world, tick);
+    }
+    for (const { outcome } of tick.events.listStoreReplies("claimSweep")) {
+        const rows = outcome.result.ok ? listAnswerRows(outcome.result.val) : [];
+        if (rows.length > 0) {
+            removeClaims(world, tick, rows.map(row => row.key));
+        }
+    }
+}
--- a/src/systems/followAttempts.ts
+++ b/src/systems/followAttempts.ts
@@ -4,7 +4,6 @@
 import { addMillis } from "../ids";
 import type { Usage } from "../requests";
 import { type Attempt, findAttempt, type RequestRow } from "../tables/requests";
-import { computeVerdict } from "../verdict";
 import type { Tick, World } from "../world";
 import { closeRequest, recordRequestEnd, refuseRequest, removeInFlight } from "./requestEnd";
 import { computeSpentTokens, settleReservations } from "./tokenSources";
@@ -82,11 +81,13 @@
     closeRequest(world, row);
 }
 
-/** True when the request may be sent once more: nothing was relayed, and it is repeatable or surely did not run. */
+/**
+ * True when the request may be sent once more: nothing was relayed, and it is repeatable or no byte of it was handed
+ * to a socket. A target's word that it did not run a non-repeatable request is reported and not relied upon.
+ */
 function canRetry(world: World, tick: Tick, row: RequestRow): boolean {
-    const verdict = computeVerdict(row.attempts.map(attempt => attempt.evidence));
     return !row.isRelaying
-        && (row.repeatable || verdict === "not_run")
+        && (row.repeatable || row.attempts.every(attempt => !attempt.evidence.bytesHanded))
         && row.attempts.length < world.settings.retries.attempts
         && tick.now < row.deadline;
 }
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -3,8 +3,10 @@
 import { admitRequests } from "./admitRequests";
 import { answerEntries } from "./answerEntries";
 import { applyConfiguration } from "./applyConfiguration";
+import { claimRequests } from "./claimRequests";
 import { drainNode } from "./drainNode";
 import { exchangeWithPeers } from "./exchangeWithPeers";
+import { expireClaims } from "./expireClaims";
 import { expireRequests } from "./expireRequests";
 import { followAttempts } from "./followAttempts";
 import { reserveTokens } from "./reserveTokens";
@@ -20,6 +22,8 @@
     expireRequests,
     admitRequests,
     reserveTokens,
+    claimRequests,
+    expireClaims,
     routeRequests,
     answerEntries,
     exchangeWithPeers,
--- a/src/systems/requestEnd.ts
+++ b/src/systems/requestEnd.ts
@@ -2,7 +2,7 @@
 import { logInfo } from "../effects";
 import type { Refusal, RefusalCode } from "../refusals";
 import type { RequestRow } from "../tables/requests";
-import { computeVerdict } from "../verdict";
+import { computeVerdict, mergeVerdicts } from "../verdict";
 import type { Tick, World } from "../world";
 import { settleReservations } from "./tokenSources";
 
@@ -22,9 +22,13 @@
     world.effects.append({ kind: "forgetRequest", request: row.id });
 }
 
-/** Derives the refusal of a request from its attempts. */
+/**
+ * Derives the refusal of a request from its attempts. A verdict in the options is evidence of another run under the
+ * same Idempotency-Key; it can make the verdict stronger and never weaker.
+ */
 export function buildRefusal(row: RequestRow, code: RefusalCode, options: Partial<Refusal> = {}): Refusal {
-    return { ...options, code, verdict: computeVerdict(row.attempts.map(attempt => attempt.evidence)) };
+    const own = computeVerdict(row.attempts.map(attempt => attempt.evidence));
+    return { ...options, code, verdict: mergeVerdicts(own, options.verdict ?? "not_run") };
 }
 
 /** Refuses a request, or interrupts its answer when the answer has begun. */
--- a/src/systems/reserveTokens.ts
+++ b/src/systems/reserveTokens.ts
@@ -2,7 +2,7 @@
 import { logInfo } from "../effects";
 import { type AccountId, addMillis } from "../ids";
 import { applyBucketLimits, computeRefillWait, createBucket, reserveFromBucket, updateBucket } from "../policy/bucket";
-import type { RequestRow } from "../tables/requests";
+import { getStateWithTokens, type RequestRow } from "../tables/requests";
 import type { Tick, World } from "../world";
 import { refuseRequest } from "./requestEnd";
 
@@ -41,7 +41,7 @@
     updateBucket(bucket, tick.now);
     if (reserveFromBucket(bucket, tokens)) {
         row.reservations.push({ source: { kind: "floor" }, open: tokens, spent: 0 });
-        world.tables.requests.updateState(row, "queued");
+        world.tables.requests.updateState(row, getStateWithTokens(row));
         row.queuedAt = tick.now;
         return;
     }
@@ -66,7 +66,7 @@
     updateFloors(world, tick);
     for (const row of world.tables.requests.list("reserving")) {
         if (row.account === undefined) {
-            world.tables.requests.updateState(row, "queued");
+            world.tables.requests.updateState(row, getStateWithTokens(row));
             row.queuedAt = tick.now;
         }
         else {
--- a/src/tables/index.ts
+++ b/src/tables/index.ts
@@ -1,5 +1,6 @@
 /** All tables of one process. */
 import type { Settings } from "../config/settings";
+import { type ClaimsTable, createClaimsTable } from "./claims";
 import { type ConfigurationTable, createConfigurationTable } from "./configuration";
 import { createFloorsTable, type FloorsTable } from "./floors";
 import { createMembersTable, type MembersTable } from "./members";
@@ -16,6 +17,7 @@
     readonly prefixes: PrefixesTable;
     readonly requests: RequestsTable;
     readonly floors: FloorsTable;
+    readonly claims: ClaimsTable;
 }
 
 /** Creates empty tables. */
@@ -28,5 +30,6 @@
         prefixes: createPrefixesTable({ maxRows: settings.limits.prefixRows }),
         requests: createRequestsTable(),
         floors: createFloorsTable(),
+        claims: createClaimsTable(),
     };
 }
--- a/src/tables/requests.ts
+++ b/src/tables/requests.ts
@@ -36,14 +36,6 @@
     spent: number;
 }
 
-export interface RequestClaim {
-    readonly claim: ClaimId;
-    /** `sent` from the moment an attempt is appended: the claim can no longer be released. */
-    state: "creating" | "reading_back" | "held" | "sent" | "finished" | "released" | "abandoned";
-    /** Revision at which the store created the claim. */
-    revision: number | undefined;
-}
-
 export interface RequestRow {
     readonly id: RequestId;
     readonly arrival: Omit<RequestArrival, "prompt">;
@@ -61,7 +53,8 @@
     readonly repeatable: boolean;
     state: RequestState;
     reservations: TokenReservation[];
-    claim: RequestClaim | undefined;
+    /** Claim of the Idempotency-Key; its row is in the table of claims until it is settled. */
+    claim: ClaimId | undefined;
     attempts: Attempt[];
     decisions: {
         readonly attempt: number;
@@ -136,6 +129,9 @@
     };
 }
 
+/** State of a request that has its tokens: one that may run only once needs a claim before it is queued. */
+export const getStateWithTokens = (row: RequestRow): RequestState => (row.repeatable ? "queued" : "claiming");
+
 /** The attempt that runs now, if the number is that of the last one. */
 export function findAttempt(row: RequestRow, number: number): Attempt | undefined {
     const last = row.attempts.at(-1);
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -2,6 +2,7 @@
 import { addMillis, type Millis } from "./ids";
 
 export type TimerName =
+    | "claimRetry"
     | "claimSweep"
     | "configurationRetry"
     | "drain"
--- a/src/verdict.ts
+++ b/src/verdict.ts
@@ -24,6 +24,10 @@
 
 const verdictRank: Readonly<Record<Verdict, number>> = { not_run: 0, may_have_run: 1, ran: 2 };
 
+/** The verdict that claims more. */
+export const mergeVerdicts = (left: Verdict, right: Verdict): Verdict =>
+    verdictRank[right] > verdictRank[left] ? right : left;
+
 /**
  * Derives the verdict of a request from all its attempts. The strongest claim wins: one attempt that ran
  * makes the request `ran`.
@@ -33,7 +37,5 @@
  * computeVerdict([{ bytesHanded: true, answer: "none" }]); // "may_have_run"
  */
 export function computeVerdict(attempts: readonly AttemptEvidence[]): Verdict {
-    return attempts
-        .map(computeAttemptVerdict)
-        .reduce<Verdict>((worst, verdict) => (verdictRank[verdict] > verdictRank[worst] ? verdict : worst), "not_run");
+    return attempts.map(computeAttemptVerdict).reduce<Verdict>(mergeVerdicts, "not_run");
 }
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -53,6 +53,7 @@
 interface RangeBody {
     readonly key: string;
     readonly range_end?: string;
+    readonly limit?: string;
 }
 
 interface OperationBody {
@@ -141,7 +142,9 @@
 
     function handleRange(body: RangeBody): unknown {
         counters.reads += 1;
-        const kvs = store.listRange(decodeText(body.key), decodeEnd(body)).map(toKeyValue);
+        const rows = store.listRange(decodeText(body.key), decodeEnd(body));
+        const limit = Number(body.limit ?? 0);
+        const kvs = (limit > 0 ? rows.slice(0, limit) : rows).map(toKeyValue);
         return { header: createHeader(), kvs, count: String(kvs.length) };
     }
 
