Count only confirmations whose age is known for the freshness of the configuration

Pushes and pulls of configuration move to a system of their own that runs first in the tick, so that a key withdrawn by a peer ends its streams in the same tick. Store records and pushed changes are checked by schema, since a malformed one would have thrown inside a system. Members that ended their registration and fell silent later are removed.

--- a/src/events.ts
+++ b/src/events.ts
@@ -22,7 +22,7 @@
 export type StorePurpose =
     | { readonly for: "configurationHead"; readonly step: "load" | "confirm"; }
     | { readonly for: "configurationChanges"; readonly above: ConfigVersion; }
-    | { readonly for: "configurationWrite"; readonly call: CallId; readonly step: "commit" | "readBack"; }
+    | { readonly for: "configurationWrite"; readonly call: CallId; readonly step: "read" | "commit"; }
     | { readonly for: "configurationHistory"; readonly call: CallId; }
     | { readonly for: "lease"; readonly lease: "member" | "slot"; readonly step: "grant" | "renew" | "revoke"; }
     | { readonly for: "member"; readonly step: "register" | "list"; }
@@ -40,7 +40,7 @@
 
 /** Says which decision a call to a peer belongs to. */
 export type PeerPurpose =
-    | { readonly for: "exchange"; }
+    | { readonly for: "exchange"; readonly askedAt: Millis; }
     | { readonly for: "grant"; readonly account: AccountId; readonly askedAt: Millis; }
     | { readonly for: "grantReturn"; readonly account: AccountId; }
     | { readonly for: "pull"; }
--- a/src/policy/freshness.ts
+++ b/src/policy/freshness.ts
@@ -13,6 +13,8 @@
     readonly heard: number;
     /** Heard members that reached the store within `freshForMs`. */
     readonly reachingStore: number;
+    /** True when a heard member has a higher version. */
+    readonly isBehind: boolean;
     readonly freshForMs: number;
 }
 
@@ -20,7 +22,7 @@
  * Decides how fresh the configuration is.
  *
  * A change counts as accepted only when a majority of members acknowledged it. So a process that hears a
- * majority, none of which reaches the store, knows that nothing was accepted without it.
+ * majority, none of which reaches the store or has a higher version, knows that nothing was accepted without it.
  */
 export function computeFreshness(facts: FreshnessFacts): Freshness {
     if (facts.version === 0) {
@@ -30,7 +32,7 @@
         return "fresh";
     }
     const hearsMajority = facts.heard * 2 > facts.members;
-    return hearsMajority && facts.reachingStore === 0 ? "store_outage" : "isolated";
+    return hearsMajority && facts.reachingStore === 0 && !facts.isBehind ? "store_outage" : "isolated";
 }
 
 /** True when keyed requests may be admitted. */
--- a/src/systems/applyConfiguration.ts
+++ b/src/systems/applyConfiguration.ts
@@ -1,38 +1,22 @@
 /** Learns the configuration from the store and from peers, and decides how fresh it is. */
-import { applyChange, type ConfigurationChange } from "../config/change";
-import { type ConfigurationDocument, parseDocument } from "../config/document";
+import { applyChange } from "../config/change";
+import { parseDocument } from "../config/document";
+import {
+    changePrefix,
+    headKey,
+    isChange,
+    parseChangeRecord,
+    parseHead,
+    parseSnapshot,
+    snapshotKey,
+    toChangeKey,
+} from "../config/records";
 import { logInfo, logWarning } from "../effects";
 import { addMillis, type ConfigVersion, type Millis, toConfigVersion } from "../ids";
 import { computeFreshness } from "../policy/freshness";
 import { listAnswerRows, type StoreOutcome, type StoreRow } from "../store";
 import type { Tick, World } from "../world";
 
-export const headKey = "config/head";
-export const snapshotKey = "config/snapshot";
-export const changePrefix = "config/change/";
-
-/** Key of a change; versions are padded so that keys sort by version. */
-export const toChangeKey = (version: number): string => `${changePrefix}${String(version).padStart(12, "0")}`;
-
-export interface ConfigurationHead {
-    readonly version: ConfigVersion;
-    /** Unique id of the write, by which a writer recognises its own change. */
-    readonly changeId: string;
-}
-
-export interface ChangeRecord {
-    readonly version: ConfigVersion;
-    readonly change: ConfigurationChange;
-    readonly at: string;
-    readonly operator: string;
-    readonly note: string;
-}
-
-export interface SnapshotRecord {
-    readonly version: ConfigVersion;
-    readonly document: ConfigurationDocument;
-}
-
 const retryMs = 500;
 
 function loadConfiguration(world: World): void {
@@ -47,7 +31,8 @@
     });
 }
 
-function loadChanges(world: World): void {
+/** Reads the changes that follow the version in force. */
+export function loadChanges(world: World): void {
     const above = world.tables.configuration.version;
     const range = { key: toChangeKey(above + 1), end: `${changePrefix}~` };
     world.effects.append({
@@ -80,30 +65,40 @@
 export function applyChangeRecord(
     world: World,
     version: ConfigVersion,
-    change: ConfigurationChange,
+    change: unknown,
     source: string,
 ): boolean {
     const { configuration } = world.tables;
     return version === configuration.version + 1
+        && isChange(change)
         && applyDocument(world, version, applyChange(configuration.document, change), source);
 }
 
-function handleHead(world: World, row: StoreRow | undefined, at: Millis): void {
+/** Compares the head with the version in force. `confirmedAt` is absent when the head may be an old one. */
+function handleHead(world: World, row: StoreRow | undefined, confirmedAt?: Millis): void {
     const { configuration } = world.tables;
-    const version = row ? (JSON.parse(row.value) as ConfigurationHead).version : toConfigVersion(0);
-    if (version === configuration.version) {
-        configuration.confirmedAt = at;
+    const head = row && parseHead(row.value);
+    if (row && !head) {
+        logWarning(world.effects, "config:", "The head in the store is invalid and was not used.", { key: row.key });
         return;
     }
+    const version = head?.version ?? toConfigVersion(0);
     if (version > configuration.version) {
         loadChanges(world);
     }
+    else if (version === configuration.version && confirmedAt !== undefined) {
+        configuration.confirmedAt = confirmedAt;
+    }
+}
+
+function scheduleLoad(world: World, tick: Tick): void {
+    const at = addMillis(tick.now, retryMs * (0.5 + world.random()));
+    world.timers.schedule({ name: "configurationRetry", at });
 }
 
 function handleLoad(world: World, tick: Tick, outcome: StoreOutcome): void {
     if (outcome.result.err) {
-        const at = addMillis(tick.now, retryMs * (0.5 + world.random()));
-        world.timers.schedule({ name: "configurationRetry", at });
+        scheduleLoad(world, tick);
         return;
     }
     const answer = outcome.result.val;
@@ -111,10 +106,9 @@
         return;
     }
     const [headRows = [], snapshotRows = []] = answer.reads;
-    const snapshot = snapshotRows[0];
+    const snapshot = snapshotRows[0] && parseSnapshot(snapshotRows[0].value);
     if (snapshot) {
-        const record = JSON.parse(snapshot.value) as SnapshotRecord;
-        applyDocument(world, record.version, record.document, "store");
+        applyDocument(world, snapshot.version, snapshot.document, "store");
     }
     handleHead(world, headRows[0], outcome.sentAt);
     world.effects.append({
@@ -126,24 +120,26 @@
     });
 }
 
-function handleChanges(world: World, above: ConfigVersion, outcome: StoreOutcome): void {
+function handleChanges(world: World, tick: Tick, outcome: StoreOutcome): void {
     if (outcome.result.err) {
         return;
     }
     const { configuration } = world.tables;
-    const records = listAnswerRows(outcome.result.val).map(row => JSON.parse(row.value) as ChangeRecord);
-    const first = records[0];
-    if (first && first.version > above + 1 && first.version > configuration.version + 1) {
-        // Older changes were pruned; the snapshot covers them.
-        loadConfiguration(world);
-        return;
-    }
+    const records = listAnswerRows(outcome.result.val).map(row => parseChangeRecord(row.value));
     for (const record of records) {
-        applyChangeRecord(world, record.version, record.change, "store");
+        if (record) {
+            applyChangeRecord(world, record.version, record.change, "store");
+        }
     }
-    if (records.at(-1)?.version === configuration.version) {
+    const last = records.at(-1);
+    if (last?.version === configuration.version) {
         configuration.confirmedAt = outcome.sentAt;
     }
+    else if (records.some(record => record === undefined || record.version > configuration.version)) {
+        // Older changes were pruned or one cannot be applied; a snapshot may cover them. The delay keeps a
+        // store without such a snapshot from being read in a loop.
+        scheduleLoad(world, tick);
+    }
 }
 
 function handleConfirm(world: World, outcome: StoreOutcome): void {
@@ -166,7 +162,8 @@
     const { freshForMs } = world.settings.membership;
     const confirmedAt = getConfirmedAt(world);
     const isRecent = (at: Millis | undefined): boolean => at !== undefined && tick.now - at <= freshForMs;
-    const roster = members.list().filter(member => !member.isLeaving);
+    // Leaving members count: only the store knows whether others have joined in their place.
+    const roster = members.list();
     const isSelf = (vm: string): boolean => vm === world.settings.vm;
     const heard = roster.filter(member => isSelf(member.vm) || isRecent(member.heardAt));
     const freshness = computeFreshness({
@@ -175,6 +172,7 @@
         members: Math.max(1, roster.length),
         heard: Math.max(1, heard.length),
         reachingStore: heard.filter(member => !isSelf(member.vm) && isRecent(member.storeConfirmedAt)).length,
+        isBehind: heard.some(member => member.configVersion > configuration.version),
         freshForMs,
     });
     if (freshness !== configuration.freshness) {
@@ -216,28 +214,20 @@
             handleConfirm(world, outcome);
         }
     }
-    for (const { purpose, outcome } of tick.events.listStoreReplies("configurationChanges")) {
-        handleChanges(world, purpose.above, outcome);
+    for (const { outcome } of tick.events.listStoreReplies("configurationChanges")) {
+        handleChanges(world, tick, outcome);
     }
     for (const event of tick.events.list("watchDelivered")) {
         if (event.watch === "configuration") {
             const row = event.changes.at(-1);
+            // A delivery can be late, so it shows a newer version but never confirms that there is none.
             if (row?.value !== undefined) {
-                handleHead(
-                    world,
-                    { key: row.key, value: row.value, createRevision: 0, modRevision: row.modRevision },
-                    event.heardAt,
-                );
+                handleHead(world, { ...row, value: row.value, createRevision: 0 });
             }
         }
     }
-    for (const event of tick.events.list("watchEnded")) {
-        if (event.watch === "configuration") {
-            world.timers.schedule({
-                name: "configurationRetry",
-                at: addMillis(tick.now, retryMs * (0.5 + world.random())),
-            });
-        }
+    if (tick.events.list("watchEnded").some(event => event.watch === "configuration")) {
+        scheduleLoad(world, tick);
     }
     confirmHead(world, tick);
     updateFreshness(world, tick);
--- a/src/systems/exchangeWithPeers.ts
+++ b/src/systems/exchangeWithPeers.ts
@@ -4,7 +4,7 @@
 import type { Exchange, MemberDigest } from "../peers";
 import type { MemberRow } from "../tables/members";
 import type { Tick, World } from "../world";
-import { applyChangeRecord, applyDocument, getConfirmedAt } from "./applyConfiguration";
+import { getConfirmedAt } from "./applyConfiguration";
 
 /** A fleet up to this size exchanges with every peer each time; a larger one with random peers. */
 const fullExchangeMembers = 8;
@@ -24,7 +24,8 @@
         peerAddress: row.peerAddress,
         state: row.state,
         configVersion: row.configVersion,
-        storeConfirmedAgeMs: computeAge(tick.now, row.storeConfirmedAt),
+        // The receiver counts from the time at which the member was heard.
+        storeConfirmedAgeMs: computeAge(row.heardAt ?? tick.now, row.storeConfirmedAt),
         headConfirmedAgeMs: row.vm === world.settings.vm
             ? computeAge(tick.now, getConfirmedAt(world))
             : Number.MAX_SAFE_INTEGER,
@@ -55,42 +56,29 @@
     };
 }
 
-function applyDigest(world: World, heardAt: Millis, digest: MemberDigest): void {
-    const { members, configuration } = world.tables;
-    if (digest.vm === world.settings.vm) {
-        return;
-    }
-    const known = members.get(digest.vm);
-    if (known?.heardAt !== undefined && known.heardAt >= heardAt) {
-        return;
-    }
-    const storeConfirmedAt = toMillis(heardAt - digest.storeConfirmedAgeMs);
-    if (known) {
-        known.incarnation = digest.incarnation;
-        known.state = digest.state;
-        known.configVersion = digest.configVersion;
-        known.callerAddress = digest.callerAddress;
-        known.peerAddress = digest.peerAddress;
-        known.heardAt = heardAt;
-        known.storeConfirmedAt = storeConfirmedAt;
-    }
-    else {
-        members.add({
-            vm: digest.vm,
-            incarnation: digest.incarnation,
-            dataCentre: digest.dataCentre,
-            callerAddress: digest.callerAddress,
-            peerAddress: digest.peerAddress,
-            state: digest.state,
-            configVersion: digest.configVersion,
-            heardAt,
-            storeConfirmedAt,
-            isRegistered: false,
-            isLeaving: false,
-        });
-        logInfo(world.effects, "member:", "Member heard for the first time.", { vm: digest.vm });
-    }
-    const confirmedAt = toMillis(heardAt - digest.headConfirmedAgeMs);
+function addMember(world: World, digest: MemberDigest): MemberRow {
+    const row: MemberRow = {
+        vm: digest.vm,
+        incarnation: digest.incarnation,
+        dataCentre: digest.dataCentre,
+        callerAddress: digest.callerAddress,
+        peerAddress: digest.peerAddress,
+        state: digest.state,
+        configVersion: digest.configVersion,
+        heardAt: undefined,
+        storeConfirmedAt: undefined,
+        isRegistered: false,
+        isLeaving: false,
+    };
+    world.tables.members.add(row);
+    logInfo(world.effects, "member:", "Member heard for the first time.", { vm: digest.vm });
+    return row;
+}
+
+/** Keeps the freshest confirmation of the version in force. */
+function recordConfirmation(world: World, heardAt: Millis, digest: MemberDigest): void {
+    const { configuration } = world.tables;
+    const confirmedAt = toMillis(heardAt - Math.min(digest.headConfirmedAgeMs, digest.storeConfirmedAgeMs));
     const isNewer = configuration.peerConfirmedAt === undefined || confirmedAt > configuration.peerConfirmedAt;
     // A confirmation is of use only to a process that has the version that was confirmed.
     if (isNewer && digest.configVersion === configuration.version) {
@@ -98,21 +86,58 @@
     }
 }
 
-function applyExchange(world: World, exchange: Exchange, receivedAt: Millis): void {
-    applyDigest(world, receivedAt, exchange.digest);
-    for (const { digest, ageMs } of exchange.heard) {
-        applyDigest(world, toMillis(receivedAt - ageMs), digest);
+function applyDigest(world: World, heardAt: Millis, digest: MemberDigest): void {
+    const { members } = world.tables;
+    if (digest.vm === world.settings.vm) {
+        return;
     }
-    if (exchange.digest.configVersion > world.tables.configuration.version) {
+    const row = members.get(digest.vm) ?? addMember(world, digest);
+    if (row.heardAt !== undefined && row.heardAt >= heardAt) {
+        return;
+    }
+    row.incarnation = digest.incarnation;
+    row.state = digest.state;
+    row.configVersion = digest.configVersion;
+    row.callerAddress = digest.callerAddress;
+    row.peerAddress = digest.peerAddress;
+    row.heardAt = heardAt;
+    row.storeConfirmedAt = toMillis(heardAt - digest.storeConfirmedAgeMs);
+    recordConfirmation(world, heardAt, digest);
+}
+
+function requestNewer(world: World, digest: MemberDigest): void {
+    if (digest.configVersion > world.tables.configuration.version) {
         world.effects.append({
             kind: "askPeer",
             purpose: { for: "pull" },
-            address: exchange.digest.peerAddress,
+            address: digest.peerAddress,
             request: { kind: "pullConfiguration", body: { above: world.tables.configuration.version } },
         });
     }
 }
 
+/** Applies a reply. Its ages count from the time of asking, the only bound on when they were measured. */
+function applyReply(world: World, exchange: Exchange, askedAt: Millis): void {
+    applyDigest(world, askedAt, exchange.digest);
+    for (const { digest, ageMs } of exchange.heard) {
+        applyDigest(world, toMillis(askedAt - ageMs), digest);
+    }
+    requestNewer(world, exchange.digest);
+}
+
+/**
+ * Learns members and versions from an exchange that a peer began. It says nothing about the present: it may
+ * have waited in a socket buffer while this process was paused.
+ */
+function applyRequest(world: World, exchange: Exchange): void {
+    for (const digest of [exchange.digest, ...exchange.heard.map(entry => entry.digest)]) {
+        if (!world.tables.members.get(digest.vm)) {
+            addMember(world, digest);
+        }
+    }
+    requestNewer(world, exchange.digest);
+}
+
 function sendExchanges(world: World, tick: Tick): void {
     const { members } = world.tables;
     const known = members.list().filter(row => row.vm !== world.settings.vm).map(row => row.peerAddress);
@@ -122,7 +147,7 @@
     for (const address of chosen) {
         world.effects.append({
             kind: "askPeer",
-            purpose: { for: "exchange" },
+            purpose: { for: "exchange", askedAt: tick.now },
             address,
             request: { kind: "exchange", body: createExchange(world, tick) },
         });
@@ -130,51 +155,28 @@
 }
 
 function answerPeers(world: World, tick: Tick): void {
-    const { configuration } = world.tables;
     for (const { call, request } of tick.events.list("peerAsked")) {
         if (request.kind === "exchange") {
-            applyExchange(world, request.body, tick.now);
+            applyRequest(world, request.body);
             world.effects.append({
                 kind: "answerPeer",
                 call,
                 answer: { kind: "exchange", body: createExchange(world, tick) },
             });
         }
-        if (request.kind === "pullConfiguration") {
-            const isNewer = configuration.version > request.body.above;
-            const { version, document } = configuration;
-            world.effects.append({
-                kind: "answerPeer",
-                call,
-                answer: {
-                    kind: "pullConfiguration",
-                    body: isNewer ? { update: { kind: "snapshot", version, document } } : {},
-                },
-            });
-        }
     }
 }
 
 function handleReplies(world: World, tick: Tick): void {
-    for (const reply of tick.events.listPeerReplies("exchange")) {
-        if (reply.result.ok && reply.result.val.kind === "exchange") {
-            applyExchange(world, reply.result.val.body, tick.now);
-        }
-    }
-    for (const reply of tick.events.listPeerReplies("pull")) {
-        const answer = reply.result.ok ? reply.result.val : undefined;
-        const update = answer?.kind === "pullConfiguration" ? answer.body.update : undefined;
-        if (update?.kind === "snapshot") {
-            applyDocument(world, update.version, update.document, "peer");
-        }
-        if (update?.kind === "change") {
-            applyChangeRecord(world, update.version, update.change, "peer");
+    for (const { purpose, result } of tick.events.listPeerReplies("exchange")) {
+        if (result.ok && result.val.kind === "exchange") {
+            applyReply(world, result.val.body, purpose.askedAt);
         }
     }
 }
 
 /**
- * Reads: configuration. Writes: members, configuration (peer confirmations, newer versions).
+ * Reads: configuration. Writes: members, configuration (peer confirmations).
  * Effects: calls and answers to peers, log lines.
  */
 export function exchangeWithPeers(world: World, tick: Tick): void {
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -3,6 +3,7 @@
 import { admitRequests } from "./admitRequests";
 import { answerEntries } from "./answerEntries";
 import { applyConfiguration } from "./applyConfiguration";
+import { applyPeerConfiguration } from "./applyPeerConfiguration";
 import { drainNode } from "./drainNode";
 import { exchangeWithPeers } from "./exchangeWithPeers";
 import { expireRequests } from "./expireRequests";
@@ -13,6 +14,7 @@
 import { updateTargets } from "./updateTargets";
 
 export const systems: readonly System[] = [
+    applyPeerConfiguration,
     applyConfiguration,
     updateMembership,
     updateTargets,
--- a/src/systems/updateMembership.ts
+++ b/src/systems/updateMembership.ts
@@ -230,6 +230,23 @@
     }
 }
 
+/**
+ * Removes members that ended their registration while they still spoke and have fallen silent since. Only while
+ * the store confirms the configuration to this process: otherwise their registration may merely be unknown.
+ */
+function removeSilentMembers(world: World, tick: Tick): void {
+    const { members, configuration } = world.tables;
+    const { freshForMs } = world.settings.membership;
+    if (configuration.confirmedAt === undefined || tick.now - configuration.confirmedAt > freshForMs) {
+        return;
+    }
+    for (const row of members.list()) {
+        if (!row.isRegistered) {
+            removeRegistration(world, tick, row.vm);
+        }
+    }
+}
+
 /** Members that callers may be sent to. */
 export function listLiveMembers(world: World, now: Millis): MemberRow[] {
     const { freshForMs } = world.settings.membership;
@@ -282,4 +299,7 @@
         listMembers(world);
     }
     handleVmList(world, tick);
+    if (tick.due.has("leaseRenewal")) {
+        removeSilentMembers(world, tick);
+    }
 }
--- /dev/null
+++ b/test/freshness.test.ts
@@ -0,0 +1,213 @@
+/** Freshness: when a process may trust that the keys of its configuration are still in force. */
+import { Err, Ok } from "ts-results";
+import { beforeEach, describe, expect, it } from "vitest";
+import type { Event } from "../src/events";
+import { toCallId, toConfigVersion, toDataCentreId, toIncarnation, toMillis, toVmId, type VmId } from "../src/ids";
+import type { Exchange, MemberDigest } from "../src/peers";
+import { systems } from "../src/systems";
+import { createVirtualNode, type VirtualNode } from "./support/world";
+
+const never = Number.MAX_SAFE_INTEGER;
+
+function buildDigest(index: number, changes: Partial<MemberDigest> = {}): MemberDigest {
+    return {
+        vm: toVmId(`entry-${index}`),
+        incarnation: toIncarnation(`run-${index}`),
+        dataCentre: toDataCentreId("dc-0"),
+        callerAddress: `127.0.0.1:${2000 + index}`,
+        peerAddress: `127.0.0.1:${3000 + index}`,
+        state: "live",
+        configVersion: toConfigVersion(1),
+        storeConfirmedAgeMs: never,
+        headConfirmedAgeMs: never,
+        ...changes,
+    };
+}
+
+const buildExchange = (digest: MemberDigest, heard: Exchange["heard"] = []): Exchange => ({
+    digest,
+    heard,
+    prefixes: [],
+});
+
+describe("freshness", () => {
+    let node: VirtualNode;
+
+    /** A peer's answer to an exchange that this process sent `ageMs` ago. */
+    const buildReply = (exchange: Exchange, ageMs = 0): Event => ({
+        kind: "peerReplied",
+        purpose: { for: "exchange", askedAt: toMillis(node.getNow() - ageMs) },
+        address: exchange.digest.peerAddress,
+        result: Ok({ kind: "exchange", body: exchange }),
+    });
+
+    const buildHead = (version: number): Event => ({
+        kind: "watchDelivered",
+        watch: "configuration",
+        revision: 5,
+        changes: [{ key: "config/head", value: JSON.stringify({ version, changeId: "c" }), modRevision: 5 }],
+        heardAt: toMillis(node.getNow()),
+    });
+
+    const buildStoreFailure = (): Event => ({
+        kind: "storeReplied",
+        purpose: { for: "configurationHead", step: "confirm" },
+        outcome: { result: Err({ effect: "none", message: "refused" }), sentAt: toMillis(node.getNow()) },
+    });
+
+    /** Starts with version 1 in force, confirmed by the store, among `count` registered members. */
+    beforeEach(async () => {
+        node = await createVirtualNode(systems);
+        node.run();
+        const sentAt = toMillis(node.getNow());
+        const snapshot = { version: 1, document: { accounts: { shop: { rate: 1, burst: 1 } } } };
+        const buildRow = (key: string, value: unknown) => ({
+            key,
+            value: JSON.stringify(value),
+            createRevision: 1,
+            modRevision: 1,
+        });
+        node.run([
+            {
+                kind: "storeReplied",
+                purpose: { for: "configurationHead", step: "load" },
+                outcome: {
+                    sentAt,
+                    result: Ok({
+                        kind: "transaction",
+                        succeeded: true,
+                        revision: 4,
+                        reads: [[buildRow("config/head", { version: 1, changeId: "c" })], [
+                            buildRow("config/snapshot", snapshot),
+                        ]],
+                    }),
+                },
+            },
+            {
+                kind: "storeReplied",
+                purpose: { for: "member", step: "list" },
+                outcome: {
+                    sentAt,
+                    result: Ok({
+                        kind: "rows",
+                        revision: 4,
+                        rows: [0, 1, 2, 3].map(index =>
+                            buildRow(`members/entry-${index}`, {
+                                vm: `entry-${index}`,
+                                incarnation: `run-${index}`,
+                                dataCentre: "dc-0",
+                                callerAddress: `127.0.0.1:${2000 + index}`,
+                                peerAddress: `127.0.0.1:${3000 + index}`,
+                            })
+                        ),
+                    }),
+                },
+            },
+        ]);
+        expect(getFreshness()).toBe("fresh");
+    });
+
+    const getFreshness = () => node.world.tables.configuration.freshness;
+
+    const runReplies = (...exchanges: readonly Exchange[]): void => {
+        node.run(exchanges.map(exchange => buildReply(exchange)));
+    };
+
+    it("serves on when no member reaches the store, also while one of four members is dead", () => {
+        node.run([buildStoreFailure()], 10_000);
+        runReplies(buildExchange(buildDigest(1)), buildExchange(buildDigest(2)));
+        node.run();
+        expect(getFreshness()).toBe("store_outage");
+    });
+
+    it("refuses keys when cut off from store and peers", () => {
+        node.run([buildStoreFailure()], 5001);
+        expect(getFreshness()).toBe("isolated");
+    });
+
+    it("refuses keys when it hears only half of the members during a store outage", () => {
+        node.run([buildStoreFailure()], 10_000);
+        runReplies(buildExchange(buildDigest(1)));
+        node.run();
+        expect(getFreshness()).toBe("isolated");
+    });
+
+    it("stays fresh by the confirmation of a peer when only its own store connection is cut", () => {
+        node.run([buildStoreFailure()], 10_000);
+        runReplies(buildExchange(buildDigest(1, { storeConfirmedAgeMs: 100, headConfirmedAgeMs: 100 })));
+        node.run();
+        expect(getFreshness()).toBe("fresh");
+    });
+
+    it("does not count the confirmation of a peer that has another version", () => {
+        node.run([buildStoreFailure()], 10_000);
+        const ages = { storeConfirmedAgeMs: 100, headConfirmedAgeMs: 100 };
+        runReplies(buildExchange(buildDigest(1, { ...ages, configVersion: toConfigVersion(2) })));
+        node.run();
+        expect(getFreshness()).toBe("isolated");
+    });
+
+    // A delivery may have waited in a socket while the process was paused, so it says nothing about now.
+    it("does not take a late watch delivery for a confirmation", () => {
+        node.run([buildStoreFailure()], 10_000);
+        node.run([buildHead(1)]);
+        expect(getFreshness()).toBe("isolated");
+    });
+
+    // Requests of peers can wait in a socket buffer for as long as the process is paused.
+    it("does not take an exchange begun by a peer for a confirmation or as a sign of a store outage", () => {
+        node.run([buildStoreFailure()], 60_000);
+        for (const index of [1, 2, 3]) {
+            const body = buildExchange(buildDigest(index, { headConfirmedAgeMs: 100 }));
+            node.run([{ kind: "peerAsked", call: toCallId(`c${index}`), request: { kind: "exchange", body } }]);
+        }
+        node.run();
+        expect(getFreshness()).toBe("isolated");
+    });
+
+    it("counts the age of a reply from the time at which it was asked for", () => {
+        node.run([buildStoreFailure()], 10_000);
+        const digest = buildDigest(1, { storeConfirmedAgeMs: 100, headConfirmedAgeMs: 100 });
+        node.run([buildReply(buildExchange(digest), 5000)]);
+        node.run();
+        expect(getFreshness()).toBe("isolated");
+    });
+
+    it("counts a relayed store confirmation once, not older by the age of the relayed digest", () => {
+        const relayed = buildDigest(2, { storeConfirmedAgeMs: 3000 });
+        runReplies(buildExchange(buildDigest(1), [{ digest: relayed, ageMs: 2500 }]));
+        const row = node.world.tables.members.get("entry-2" as VmId);
+        expect(row?.heardAt).toBe(node.getNow() - 2500);
+        expect(row?.storeConfirmedAt).toBe(node.getNow() - 2500 - 3000);
+        const effects = node.run([], 1000);
+        const asked = effects.find(effect => effect.kind === "askPeer" && effect.request.kind === "exchange");
+        const body = asked?.kind === "askPeer" ? asked.request.body as Exchange : undefined;
+        const sent = body?.heard.find(entry => entry.digest.vm === "entry-2");
+        expect(sent?.ageMs).toBe(3500);
+        expect(sent?.digest.storeConfirmedAgeMs).toBe(3000);
+    });
+
+    // Otherwise a process that missed an accepted withdrawal would serve the key for the whole outage.
+    it("does not serve through an outage while a member that it hears has a higher version", () => {
+        node.run([buildStoreFailure()], 10_000);
+        runReplies(
+            buildExchange(buildDigest(1)),
+            buildExchange(buildDigest(2, { configVersion: toConfigVersion(2) })),
+        );
+        node.run();
+        expect(getFreshness()).toBe("isolated");
+    });
+
+    // The VM list says nothing about members that joined meanwhile, so it must not shrink the majority.
+    it("counts leaving members in the majority", () => {
+        const vms = [1, 2, 3].map(index => ({
+            id: toVmId(`entry-${index}`),
+            address: "127.0.0.1:1",
+            dataCentre: "dc-0",
+            state: "leaving" as const,
+        }));
+        node.run([buildStoreFailure(), { kind: "vmListRead", vms }], 10_000);
+        node.run();
+        expect(getFreshness()).toBe("isolated");
+    });
+});
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -3,8 +3,8 @@
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
 import { type RunningNode, startNode } from "../../src/adapters/node";
+import { headKey, snapshotKey } from "../../src/config/records";
 import { parseSettings, type Settings } from "../../src/config/settings";
-import { headKey, snapshotKey } from "../../src/systems/applyConfiguration";
 import { type Platform, startPlatform } from "../../standins/platform";
 
 export const hashKey = (key: string): string => createHash("sha256").update(key).digest("hex");
--- /dev/null
+++ b/test/support/world.ts
@@ -0,0 +1,57 @@
+/** Runs systems over a world with a virtual clock, without adapters. */
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { loadHasher } from "../../src/adapters/hasher";
+import { parseSettings } from "../../src/config/settings";
+import { createEffectQueue, type Effect } from "../../src/effects";
+import { createEventBatch, type Event } from "../../src/events";
+import { toIncarnation, toMillis } from "../../src/ids";
+import { createTables } from "../../src/tables";
+import { createTimerService } from "../../src/timers";
+import type { System, World } from "../../src/world";
+
+export interface VirtualNode {
+    readonly world: World;
+    getNow(): number;
+    /** Runs one tick `afterMs` later and returns its effects. */
+    run(events?: readonly Event[], afterMs?: number): readonly Effect[];
+}
+
+export const virtualSettings = {
+    vm: "entry-0",
+    dataCentre: "dc-0",
+    fleetSecret: "a-secret-of-the-test-fleet",
+    listen: { callers: "127.0.0.1:1001", operators: "127.0.0.1:1002", peers: "127.0.0.1:1003" },
+    store: { address: "127.0.0.1:1004" },
+};
+
+/** Creates a world over which the given systems run. */
+export async function createVirtualNode(systems: readonly System[], seed = 1): Promise<VirtualNode> {
+    const settings = parseSettings(virtualSettings).unwrap();
+    const generator = xoroshiro128plus(seed);
+    const world: World = {
+        settings,
+        incarnation: toIncarnation("run-0"),
+        hasher: await loadHasher(),
+        random: () => (generator.next() >>> 0) / 2 ** 32,
+        tables: createTables(settings),
+        effects: createEffectQueue(),
+        timers: createTimerService(),
+    };
+    let now = 100_000;
+    let number = 0;
+    return {
+        world,
+        getNow: () => now,
+        run: (events = [], afterMs = 0) => {
+            now += afterMs;
+            number += 1;
+            const at = toMillis(now);
+            const due = world.timers.takeDue(at);
+            const tick = { number, now: at, wallNow: 1_800_000_000_000 + now, events: createEventBatch(events), due };
+            for (const system of systems) {
+                system(world, tick);
+            }
+            return world.effects.takeAll();
+        },
+    };
+}
