--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -3,6 +3,7 @@
 import { admitRequests } from "./admitRequests";
 import { answerEntries } from "./answerEntries";
 import { applyConfiguration } from "./applyConfiguration";
+import { applyPeerConfiguration } from "./applyPeerConfiguration";
 import { claimRequests } from "./claimRequests";
 import { drainNode } from "./drainNode";
 import { exchangeWithPeers } from "./exchangeWithPeers";
@@ -15,6 +16,7 @@
 import { updateTargets } from "./updateTargets";
 
 export const systems: readonly System[] = [
+    applyPeerConfiguration,
     applyConfiguration,
     updateMembership,
     updateTargets,
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -1,8 +1,8 @@
 /** Starts stand-ins and router processes on loopback for tests. */
 import { createHash } from "node:crypto";
 import { type RunningNode, startNode } from "../../src/adapters/node";
+import { headKey, snapshotKey } from "../../src/config/records";
 import { parseSettings, type Settings } from "../../src/config/settings";
-import { headKey, snapshotKey } from "../../src/systems/applyConfiguration";
 import { type Platform, startPlatform } from "../../standins/platform";
 import { findPorts } from "../../standins/processes";
 
