--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -43,6 +43,8 @@
 }
 
 export interface EngineRun {
+    /** Milliseconds of this process's monotonic clock. */
+    readonly at: number;
     readonly request: string;
     readonly cacheSalt: string;
     readonly headers: http.IncomingHttpHeaders;
@@ -197,6 +199,7 @@
         const promptTokens = Math.ceil(Buffer.byteLength(computePrompt(parsed)) / bytesPerToken);
         const hits = cache.findHits(blocks);
         return {
+            at: performance.now(),
             request: String(request.headers["x-request-id"]),
             cacheSalt: parsed.cache_salt ?? "",
             headers: request.headers,
--- /dev/null
+++ b/standins/load.ts
@@ -0,0 +1,153 @@
+/** Load tool: callers of one deployment that send completions with nested prompts and orders that may run once. */
+import { randomBytes } from "node:crypto";
+import { type AccountPlan, blockTokens, bytesPerToken, type DeploymentPlan } from "./deployments";
+import { createEntryList, type EntryList, sendCompletion } from "./loadClient";
+import { type AccountRecord, addRefusal, type LoadRecord, type OrderRecord, recordOutcome } from "./loadRecord";
+import { computeArrivalDelay, createPrompt, createRandom, type Random } from "./workload";
+
+export interface LoadOptions {
+    readonly plan: DeploymentPlan;
+    /** Entry addresses that callers know at the start. */
+    readonly entries: readonly string[];
+    readonly durationMs: number;
+    readonly seed: number;
+    readonly record: LoadRecord;
+    /** Orders among all requests. */
+    readonly orderFraction?: number;
+}
+
+const maxTokens = 16;
+/** Sends of one request, over different entries when one cannot be reached. */
+const maxSends = 4;
+const orderRetryMs = 200;
+
+const wait = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds));
+
+/** Creates a UUIDv7 (RFC 9562): 48 bits of time, then random bits. */
+export function createDatedId(now: number): string {
+    const bytes = randomBytes(16);
+    bytes.writeUIntBE(now, 0, 6);
+    bytes[6] = ((bytes[6] ?? 0) & 0x0f) | 0x70;
+    bytes[8] = ((bytes[8] ?? 0) & 0x3f) | 0x80;
+    return bytes.toString("hex").replace(/^(.{8})(.{4})(.{4})(.{4})(.{12})$/, "$1-$2-$3-$4-$5");
+}
+
+interface Caller {
+    readonly plan: DeploymentPlan;
+    readonly account: AccountPlan;
+    readonly accountRecord: AccountRecord;
+    readonly record: LoadRecord;
+    readonly entries: EntryList;
+}
+
+async function sendOneCompletion(caller: Caller, prompt: string): Promise<void> {
+    const { plan, account, accountRecord, record, entries } = caller;
+    const tokens = Math.ceil(Buffer.byteLength(prompt) / bytesPerToken) + maxTokens;
+    accountRecord.sent += 1;
+    for (let send = 1; send <= maxSends; send += 1) {
+        const address = await entries.get();
+        const outcome = await sendCompletion({
+            address,
+            key: account.key,
+            route: plan.route,
+            prompt,
+            maxTokens,
+            stream: true,
+        });
+        const isElsewhere = outcome.kind === "refused"
+            && ["draining", "configuration_stale"].includes(outcome.refusal.code);
+        if (outcome.kind !== "unreachable" && !isElsewhere) {
+            recordOutcome(record, accountRecord, outcome, tokens);
+            return;
+        }
+        entries.recordFailure(address);
+    }
+    accountRecord.unreachable += 1;
+}
+
+async function sendOrderOnce(caller: Caller, order: OrderRecord): Promise<"done" | "not_run" | "unknown"> {
+    const { plan, account, record, entries } = caller;
+    const address = await entries.get();
+    order.sends += 1;
+    const response = await fetch(`http://${address}/services/${plan.service}/orders`, {
+        method: "POST",
+        headers: {
+            "content-type": "application/json",
+            authorization: `Bearer ${account.key}`,
+            "idempotency-key": order.id,
+        },
+        body: JSON.stringify({ order: order.id, account: account.account }),
+    }).catch(() => undefined);
+    if (!response) {
+        entries.recordFailure(address);
+        return "unknown";
+    }
+    if (response.ok) {
+        await response.arrayBuffer().catch(() => undefined);
+        return "done";
+    }
+    const body = await response.json().catch(() => undefined) as
+        | { error?: { code?: string; verdict?: string; }; }
+        | undefined;
+    const verdict = body?.error?.verdict ?? "may_have_run";
+    addRefusal(record, `order: ${body?.error?.code ?? "no answer"}`, verdict);
+    if (verdict === "ran") {
+        return "done";
+    }
+    return verdict === "not_run" ? "not_run" : "unknown";
+}
+
+/** Sends an order until it is known to have run, with the same id each time. */
+async function sendOrder(caller: Caller): Promise<void> {
+    const order: OrderRecord = {
+        id: createDatedId(Date.now()),
+        account: caller.account.account,
+        sends: 0,
+        state: "open",
+    };
+    caller.record.orders.set(order.id, order);
+    let hasUnknown = false;
+    while (order.sends < maxSends * 2) {
+        const result = await sendOrderOnce(caller, order);
+        hasUnknown ||= result === "unknown";
+        if (result === "done") {
+            order.state = "done";
+            return;
+        }
+        await wait(orderRetryMs * order.sends);
+    }
+    order.state = hasUnknown ? "unknown" : "refused";
+}
+
+async function runCaller(caller: Caller, options: LoadOptions, random: Random): Promise<void> {
+    const end = performance.now() + options.durationMs;
+    const running: Promise<void>[] = [];
+    let sequence = 0;
+    for (;;) {
+        await wait(computeArrivalDelay(random, caller.account.requestsPerSecond));
+        if (performance.now() >= end) {
+            break;
+        }
+        sequence += 1;
+        const prompt = createPrompt(options.plan, caller.account.account, random, sequence);
+        const isOrder = random() < (options.orderFraction ?? 0.1);
+        running.push(isOrder ? sendOrder(caller) : sendOneCompletion(caller, prompt));
+    }
+    await Promise.all(running);
+}
+
+/** Runs the callers of every account of a deployment and resolves when all answers have come. */
+export async function runLoad(options: LoadOptions): Promise<void> {
+    const { plan, entries, seed, record } = options;
+    await Promise.all(plan.accounts.map((account, index) => {
+        const accountRecord = record.accounts.get(account.account) as AccountRecord;
+        // Each account starts with a rotated list, as callers that ask at different times do.
+        const first = [...entries.slice(index % entries.length), ...entries.slice(0, index % entries.length)];
+        const caller = { plan, account, accountRecord, record, entries: createEntryList({ first, key: account.key }) };
+        return runCaller(caller, options, createRandom(seed * 1000 + index));
+    }));
+}
+
+/** Tokens of the longest shared prefix of a deployment's prompts. */
+export const computeSharedTokens = (plan: DeploymentPlan): number =>
+    (plan.documentBlocks + plan.caseBlocks) * blockTokens;
--- /dev/null
+++ b/standins/operatorClient.ts
@@ -0,0 +1,37 @@
+/** Operator calls of the demo and of tests with real processes. */
+import { fleetSecret, type RouterProcess } from "./processes";
+
+async function sendCall(
+    router: RouterProcess,
+    method: string,
+    path: string,
+    key: string,
+    body?: unknown,
+): Promise<{ readonly status: number; readonly body: unknown; }> {
+    const response = await fetch(`http://${router.operators}/operator/${path}`, {
+        method,
+        headers: { "content-type": "application/json", authorization: `Bearer ${key}` },
+        ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+    });
+    return { status: response.status, body: await response.json() };
+}
+
+/** Puts a configuration document. Without a configuration in force the fleet secret serves as the operator's key. */
+export async function sendConfiguration(router: RouterProcess, document: unknown, key = fleetSecret): Promise<void> {
+    const end = performance.now() + 10_000;
+    for (;;) {
+        const answer = await sendCall(router, "PUT", "configuration", key, document).catch(() => undefined);
+        if (answer?.status === 200) {
+            return;
+        }
+        if (performance.now() > end) {
+            throw new Error(`The configuration was not accepted: ${JSON.stringify(answer)}`);
+        }
+        await new Promise(resolve => setTimeout(resolve, 100));
+    }
+}
+
+/** Withdraws the key with the given label. */
+export async function revokeKey(router: RouterProcess, label: string, key: string): Promise<number> {
+    return (await sendCall(router, "DELETE", `keys/${label}`, key)).status;
+}
