--- a/standins/loadClient.ts
+++ b/standins/loadClient.ts
@@ -135,15 +135,27 @@
     readonly keep_seconds: number;
 }
 
+/** An entry that failed is used last for this long, also when a new list names it first. */
+const failedEntryMs = 10_000;
+
 /** Creates the list of entries of one caller. `first` are the addresses it knows at the start. */
 export function createEntryList(
     { first, key }: { readonly first: readonly string[]; readonly key: string; },
 ): EntryList {
+    const failedAt = new Map<string, number>();
     let entries = [...first];
     let expiresAt = 0;
 
+    const hasFailed = (address: string): boolean =>
+        performance.now() - (failedAt.get(address) ?? Number.NEGATIVE_INFINITY) < failedEntryMs;
+
+    const listInOrder = (addresses: readonly string[]): string[] => [
+        ...addresses.filter(address => !hasFailed(address)),
+        ...addresses.filter(hasFailed),
+    ];
+
     async function updateEntries(): Promise<void> {
-        for (const address of [...new Set([...entries, ...first])]) {
+        for (const address of listInOrder([...new Set([...entries, ...first])])) {
             const response = await fetch(`http://${address}/v1/entries`, {
                 headers: { authorization: `Bearer ${key}` },
                 signal: AbortSignal.timeout(1000),
@@ -162,10 +174,10 @@
             if (performance.now() >= expiresAt) {
                 await updateEntries();
             }
-            return entries[0] ?? "";
+            return listInOrder(entries)[0] ?? "";
         },
         recordFailure: address => {
-            entries = [...entries.filter(entry => entry !== address), address];
+            failedAt.set(address, performance.now());
             expiresAt = 0;
         },
     };
--- /dev/null
+++ b/test/processes.test.ts
@@ -0,0 +1,191 @@
+/** Real router processes under kill, freeze, store outage, herd restart and graceful shutdown. */
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { emptyDocument } from "../src/config/document";
+import { blockTokens, bytesPerToken } from "../standins/deployments";
+import { type Engine, startEngine } from "../standins/engine";
+import { createDatedId } from "../standins/load";
+import { type CompletionOutcome, sendCompletion } from "../standins/loadClient";
+import { type Platform, startPlatform } from "../standins/platform";
+import { type RouterProcess, startRouter, stopRouter, waitForRouter } from "../standins/processes";
+import { type Service, startService } from "../standins/service";
+import { hashKey, waitUntil, writeConfiguration } from "./support/fleet";
+
+const key = "sk-process-test";
+const entryCount = 4;
+const freshForMs = 2000;
+
+function buildDocument(engines: readonly Engine[], services: readonly Service[]): Record<string, unknown> {
+    return {
+        accounts: { shop: { rate: 1_000_000, burst: 10_000_000 } },
+        keys: { [hashKey(key)]: { account: "shop" } },
+        models: { copy: { bytesPerToken, blockTokens } },
+        routes: {
+            copywriter: { kind: "model", model: "copy", version: "v1" },
+            orders: { kind: "service", service: "orders" },
+        },
+        targets: {
+            ...Object.fromEntries(engines.map((engine, index) => [`engine-${index}`, {
+                kind: "engine",
+                address: engine.address,
+                dataCentre: "dc-0",
+                model: "copy",
+                version: "v1",
+            }])),
+            ...Object.fromEntries(services.map((service, index) => [`service-${index}`, {
+                kind: "service",
+                address: service.address,
+                dataCentre: "dc-0",
+                service: "orders",
+            }])),
+        },
+    };
+}
+
+describe("router processes", () => {
+    let platform: Platform;
+    let engines: Engine[];
+    let services: Service[];
+    let entries: RouterProcess[];
+
+    async function startEntry(index: number): Promise<RouterProcess> {
+        return startRouter({
+            vm: `entry-${index}`,
+            dataCentre: "dc-0",
+            storeAddress: platform.address,
+            peers: entries.map(entry => entry.peers),
+            overrides: {
+                membership: { leaseSeconds: 2, exchangeEveryMs: 200, freshForMs },
+                timeouts: { drainNoticeMs: 300, requestMs: 20_000 },
+            },
+        });
+    }
+
+    beforeEach(async () => {
+        platform = await startPlatform();
+        engines = await Promise.all([0, 1, 2].map(() => startEngine({ model: "copy", version: "v1", decodeMs: 3 })));
+        services = [await startService()];
+        entries = [];
+        writeConfiguration(platform, 1, buildDocument(engines, services));
+        for (let index = 0; index < entryCount; index += 1) {
+            entries.push(await startEntry(index));
+        }
+        await Promise.all(entries.map(entry => waitForRouter(entry)));
+        await Promise.all(entries.map(waitUntilServing));
+    });
+
+    afterEach(async () => {
+        await Promise.all(entries.map(stopRouter));
+        await Promise.all([...engines, ...services].map(target => target.stop()));
+        await platform.stop();
+    });
+
+    const getEntry = (index: number): RouterProcess => entries[index] as RouterProcess;
+
+    function sendPrompt(entry: RouterProcess, prompt = "hello", maxTokens = 5): Promise<CompletionOutcome> {
+        return sendCompletion({ address: entry.callers, key, route: "copywriter", prompt, maxTokens, stream: true });
+    }
+
+    /** Waits until the entry has tokens for the account: buckets and floors start empty. */
+    async function waitUntilServing(entry: RouterProcess): Promise<void> {
+        await waitUntil(async () => (await sendPrompt(entry)).kind === "complete");
+    }
+
+    async function sendOrder(
+        entry: RouterProcess,
+        id: string,
+    ): Promise<{ status: number; verdict: string | undefined; }> {
+        const response = await fetch(`http://${entry.callers}/services/orders/print`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${key}`, "idempotency-key": id, "content-type": "application/json" },
+            body: JSON.stringify({ order: id }),
+        });
+        const body = await response.json() as { error?: { verdict: string; }; };
+        return { status: response.status, verdict: body.error?.verdict };
+    }
+
+    const getRuns = (id: string): number => services[0]?.getRunCounts().byKey[id] ?? 0;
+
+    async function listEntries(entry: RouterProcess): Promise<string[]> {
+        const response = await fetch(`http://${entry.callers}/v1/entries`);
+        return (await response.json() as { entries: string[]; }).entries;
+    }
+
+    it("serves through the others after one process is killed, and stops naming it", async () => {
+        await stopRouter(getEntry(1));
+        for (const index of [0, 2, 3]) {
+            expect(await sendPrompt(getEntry(index))).toMatchObject({ kind: "complete" });
+        }
+        await waitUntil(async () => !(await listEntries(getEntry(0))).includes(getEntry(1).callers));
+    });
+
+    it("refuses a withdrawn key on a process that was frozen while the key was withdrawn", async () => {
+        const frozen = getEntry(2);
+        frozen.process.kill("SIGSTOP");
+        const answer = sendPrompt(frozen);
+        const document = buildDocument(engines, services);
+        writeConfiguration(platform, 2, { ...document, keys: {} }, { ...emptyDocument, ...document });
+        await waitUntil(async () => (await sendPrompt(getEntry(0))).kind === "refused");
+        await new Promise(resolve => setTimeout(resolve, freshForMs + 500));
+        frozen.process.kill("SIGCONT");
+        expect((await answer).kind).toBe("refused");
+        expect((await sendPrompt(frozen)).kind).toBe("refused");
+    });
+
+    it("goes on serving through a store outage, and a process that restarts in it serves too", async () => {
+        platform.startOutage();
+        await new Promise(resolve => setTimeout(resolve, freshForMs * 2));
+        for (const entry of entries) {
+            expect(await sendPrompt(entry)).toMatchObject({ kind: "complete" });
+        }
+        await stopRouter(getEntry(3));
+        entries[3] = await startEntry(3);
+        await waitForRouter(getEntry(3));
+        platform.endOutage();
+        await waitUntilServing(getEntry(3));
+    });
+
+    it("runs no order while the store is down, says so truly, and runs it once afterwards", async () => {
+        const id = createDatedId(Date.now());
+        platform.startOutage();
+        expect(await sendOrder(getEntry(0), id)).toEqual({ status: 503, verdict: "not_run" });
+        expect(getRuns(id)).toBe(0);
+        platform.endOutage();
+        await waitUntil(async () => (await sendOrder(getEntry(1), id)).status === 200);
+        await Promise.all(entries.map(entry => sendOrder(entry, id)));
+        expect(getRuns(id)).toBe(1);
+    });
+
+    it("runs an order at most once when the process that sent it is killed before the answer", async () => {
+        const id = createDatedId(Date.now());
+        Object.assign(services[0]?.faults ?? {}, { hangs: 1 });
+        const first = sendOrder(getEntry(0), id).catch(() => undefined);
+        await waitUntil(() => getRuns(id) === 1);
+        await stopRouter(getEntry(0));
+        expect(await first).toBeUndefined();
+        const second = await sendOrder(getEntry(1), id);
+        expect(second.verdict).toBe("may_have_run");
+        expect(getRuns(id)).toBe(1);
+    });
+
+    it("restarts as a herd with few reads of the store for each process", async () => {
+        await Promise.all(entries.map(stopRouter));
+        const before = { ...platform.counters };
+        entries = [];
+        entries = await Promise.all([0, 1, 2, 3].map(startEntry));
+        await Promise.all(entries.map(entry => waitForRouter(entry)));
+        const reads = platform.counters.reads - before.reads;
+        // Each process reads the configuration, the members and the slots once; the rest are confirmations.
+        expect(reads).toBeLessThanOrEqual(entryCount * 6);
+        await Promise.all(entries.map(waitUntilServing));
+    });
+
+    it("finishes a running stream after SIGTERM and only then exits", async () => {
+        const draining = getEntry(0);
+        const answer = sendPrompt(draining, "a long answer", 400);
+        await waitUntil(() => engines.some(engine => engine.runs.some(run => run.body.includes("a long answer"))));
+        draining.process.kill("SIGTERM");
+        expect(await answer).toMatchObject({ kind: "complete" });
+        expect(await draining.exited).toBe(0);
+        await waitUntil(async () => !(await listEntries(getEntry(1))).includes(draining.callers));
+    });
+});
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -1,7 +1,9 @@
 /** Starts stand-ins and router processes on loopback for tests. */
 import { createHash } from "node:crypto";
 import { type RunningNode, startNode } from "../../src/adapters/node";
-import { headKey, snapshotKey } from "../../src/config/records";
+import { computeChange } from "../../src/config/change";
+import { type ConfigurationDocument, emptyDocument } from "../../src/config/document";
+import { headKey, snapshotKey, toChangeKey } from "../../src/config/records";
 import { parseSettings, type Settings } from "../../src/config/settings";
 import { type Platform, startPlatform } from "../../standins/platform";
 import { findPorts } from "../../standins/processes";
@@ -33,11 +35,17 @@
     return parsed.val;
 }
 
-/** Writes a whole configuration into the store, as an operator's first `config put` does. */
-export function writeConfiguration(platform: Platform, version: number, document: unknown): void {
+/** Writes a configuration into the store with the change from `previous`, as an operator's `config put` does. */
+export function writeConfiguration(platform: Platform, version: number, document: unknown, previous?: unknown): void {
+    const changeId = `test-${version}`;
+    const change = computeChange(
+        (previous ?? emptyDocument) as ConfigurationDocument,
+        { ...emptyDocument, ...(document as ConfigurationDocument) },
+    );
     platform.store.runTransaction([], [
         { kind: "put", key: snapshotKey, value: JSON.stringify({ version, document }) },
-        { kind: "put", key: headKey, value: JSON.stringify({ version, changeId: `test-${version}` }) },
+        { kind: "put", key: toChangeKey(version), value: JSON.stringify({ version, changeId, change }) },
+        { kind: "put", key: headKey, value: JSON.stringify({ version, changeId }) },
     ], []);
 }
 
