--- a/src/systems/followAttempts.ts
+++ b/src/systems/followAttempts.ts
@@ -69,7 +69,6 @@
         recordUsage(world, row, usage);
     }
     settleUsage(world, row, usage);
-    recordPrefixes(world, tick, row, attempt);
     recordRequestEnd(world, tick, row);
     logInfo(world.effects, "stream:", "Request finished.", {
         request: row.id,
@@ -126,6 +125,7 @@
     world.effects.append({ kind: "relayAnswer", request: row.id, attempt: attempt.number });
     if (event.whole) {
         attempt.firstTokenAt = tick.now;
+        recordPrefixes(world, tick, row, attempt);
         endAttempt(world, tick, row, attempt, event.whole.usage);
     }
 }
