Check the keys of open requests once for each configuration version

Cause: each tick walked every open request to see whether its key was still granted, although only a new version can withdraw a key.

--- a/src/systems/expireRequests.ts
+++ b/src/systems/expireRequests.ts
@@ -12,8 +12,13 @@
     }
 }
 
+/** A key can only be withdrawn by a new version, so that open requests are checked once for each version. */
 function expireWithdrawn(world: World): void {
     const { configuration, requests } = world.tables;
+    if (requests.keysCheckedVersion === configuration.version) {
+        return;
+    }
+    requests.keysCheckedVersion = configuration.version;
     for (const row of requests.listOpen()) {
         const { keyHash } = row.arrival;
         if (row.account === undefined || keyHash === undefined) {
--- a/src/tables/requests.ts
+++ b/src/tables/requests.ts
@@ -1,6 +1,17 @@
 /** Requests of this VM, from arrival until some time after their end. */
 import type { ModelReference, Route } from "../config/document";
-import type { AccountId, ClaimId, Incarnation, Millis, PrefixId, RequestId, RouteId, TargetId } from "../ids";
+import {
+    type AccountId,
+    type ClaimId,
+    type ConfigVersion,
+    type Incarnation,
+    type Millis,
+    type PrefixId,
+    type RequestId,
+    type RouteId,
+    type TargetId,
+    toConfigVersion,
+} from "../ids";
 import type { CandidateScore } from "../operators";
 import type { Refusal } from "../refusals";
 import type { RequestArrival } from "../requests";
@@ -71,6 +82,8 @@
 
 export interface RequestsTable {
     readonly size: number;
+    /** Version of the configuration against which the keys of open requests were last checked. */
+    keysCheckedVersion: ConfigVersion;
     get(id: RequestId): RequestRow | undefined;
     add(row: RequestRow): void;
     updateState(row: RequestRow, state: RequestState): void;
@@ -110,6 +123,7 @@
         get size() {
             return rows.size;
         },
+        keysCheckedVersion: toConfigVersion(0),
         get: id => rows.get(id),
         add: row => {
             rows.set(row.id, row);
