Derive verdicts of service calls from evidence only

Cause: x-not-run was believed on any status, a 5xx of a service was dropped and the call run again on another target, and evidence about an attempt was lost once another one had begun. An oversized answer was asked for three times. A store call that the store cancelled (408) counted as not applied.

Change: x-not-run counts on a 503 only; a service's 5xx is passed on; evidence is kept for every attempt; an oversized answer ends the request; only statuses given before a store call is applied count as not applied.

--- a/src/adapters/storeClient.ts
+++ b/src/adapters/storeClient.ts
@@ -11,6 +11,9 @@
 /** A watch that delivers nothing for this long is opened again, so that a dead connection is noticed. */
 const watchSilenceMs = 60_000;
 
+/** Statuses that the store gives before it applies a call. A cancelled call (408) may have been applied. */
+const refusedStatuses: ReadonlySet<number> = new Set([400, 401, 403, 404, 412, 429]);
+
 export interface StoreClientOptions {
     readonly address: string;
     readonly timeoutMs: number;
@@ -50,7 +53,7 @@
                 return Ok({ kind: "lease", lease: effect.call.lease, ttlSeconds: 0 });
             }
             return Err({
-                effect: answer.status < 500 ? "none" : "unknown",
+                effect: refusedStatuses.has(answer.status) ? "none" : "unknown",
                 message: `The store answered ${answer.status}.`,
             });
         }
--- a/src/adapters/targetClient.ts
+++ b/src/adapters/targetClient.ts
@@ -47,7 +47,7 @@
 const refusedByEngine: ReadonlySet<number> = new Set([404, 409, 429]);
 
 function isRefusedBeforeRun(call: TargetCall, response: http.IncomingMessage): boolean {
-    const saysNotRun = response.headers[notRunHeader] === "1";
+    const saysNotRun = response.statusCode === 503 && response.headers[notRunHeader] === "1";
     return saysNotRun || (call.engine !== undefined && refusedByEngine.has(response.statusCode ?? 0));
 }
 
--- a/src/systems/followAttempts.ts
+++ b/src/systems/followAttempts.ts
@@ -96,7 +96,8 @@
     attempt.state = "failed";
     attempt.outcome = outcome;
     removeInFlight(world, row);
-    if (!canRetry(world, tick, row)) {
+    // Another run would give an answer of the same size.
+    if (outcome === "answer_too_large" || !canRetry(world, tick, row)) {
         refuseRequest(world, row, row.isRelaying ? "stream_interrupted" : "target_failed");
         return;
     }
@@ -115,8 +116,9 @@
     event: EventOf<"attemptAnswered">,
 ): void {
     attempt.evidence = { bytesHanded: true, answer: event.refusedBeforeRun ? "refused" : "answered" };
-    const isServerError = event.status >= 500;
-    if (event.refusedBeforeRun || (isServerError && row.repeatable && canRetry(world, tick, row))) {
+    // A service's error is an answer of its own; an engine's error is not, and another engine can take the request.
+    const isEngineError = event.status >= 500 && row.model !== undefined;
+    if (event.refusedBeforeRun || (isEngineError && row.repeatable && canRetry(world, tick, row))) {
         world.effects.append({ kind: "cancelAttempt", request: row.id, attempt: attempt.number });
         retryOrRefuse(world, tick, row, attempt, `status ${event.status}`);
         return;
@@ -204,11 +206,19 @@
 /** Kinds in the order in which they can follow each other within one tick. */
 const handlerOrder = Object.keys(handlers) as AttemptEventKind[];
 
+/** Evidence counts for every attempt of a request, any other event only for the attempt that runs. */
+function findEventAttempt(row: RequestRow, kind: AttemptEventKind, number: number): Attempt | undefined {
+    if (kind === "attemptBytesHanded") {
+        return row.attempts.find(attempt => attempt.number === number);
+    }
+    return row.state === "running" ? findAttempt(row, number) : undefined;
+}
+
 function handleEvents<Kind extends AttemptEventKind>(world: World, tick: Tick, kind: Kind): void {
     for (const event of tick.events.list(kind)) {
         const { request, attempt: number } = event as EventOf<AttemptEventKind>;
         const row = world.tables.requests.get(request);
-        const attempt = row && row.state === "running" ? findAttempt(row, number) : undefined;
+        const attempt = row && findEventAttempt(row, kind, number);
         if (row && attempt) {
             (handlers[kind] as Handler<Kind>)(world, tick, row, attempt, event);
         }
