--- a/src/adapters/callerServer.ts
+++ b/src/adapters/callerServer.ts
@@ -11,6 +11,7 @@
 import type { Endpoint } from "../requests";
 import type { Clock } from "../runner";
 import { parseAddress } from "./httpClient";
+import { hasKey } from "./keyCheck";
 import type { OpenRequests } from "./openRequests";
 
 export interface CallerServerOptions {
@@ -187,7 +188,7 @@
             return;
         }
         const decoded = decodeCompletion(endpoint, body);
-        if (decoded.err || (key !== undefined && body.includes(key))) {
+        if (decoded.err || hasKey(body, key)) {
             const detail = decoded.err ? decoded.val : "The body must not contain the key.";
             sendRefusal(response, id, { code: "bad_request", verdict: "not_run", detail });
             return;
@@ -239,8 +240,9 @@
             sendRefusal(response, id, { code: "body_too_large", verdict: "not_run" });
             return;
         }
-        if (key !== undefined && (body.includes(key) || service.path.includes(key))) {
-            const detail = "The body and the path must not contain the key.";
+        const idempotencyKey = readTextHeader(request, "idempotency-key");
+        if ([body, service.path, idempotencyKey ?? ""].some(part => hasKey(part, key))) {
+            const detail = "The body, the path and the Idempotency-Key must not contain the key.";
             sendRefusal(response, id, { code: "bad_request", verdict: "not_run", detail });
             return;
         }
@@ -260,7 +262,7 @@
                 priority: undefined,
                 bodyBytes: body.length,
                 bodyHash: hashBody(method, service.path, body),
-                idempotencyKey: readTextHeader(request, "idempotency-key"),
+                idempotencyKey,
                 timeoutMs: readNumberHeader(request, "x-request-timeout-ms"),
                 arrivedAt,
             },
--- /dev/null
+++ b/src/adapters/keyCheck.ts
@@ -0,0 +1,29 @@
+/** Finds a caller's key in its own request, in clear or in the escapes that targets commonly decode. */
+
+/** Escapes of printable ASCII, of which keys consist: percent-encoding and JSON. */
+const escapes: readonly { readonly marker: string; readonly pattern: RegExp; }[] = [
+    { marker: "%", pattern: /%([2-7][0-9a-f])/gi },
+    { marker: "\\u00", pattern: /\\u00([2-7][0-9a-f])/gi },
+];
+
+/**
+ * True when the text contains the key.
+ *
+ * @example
+ * hasKey("/jobs?token=%73k-1", "sk-1"); // true
+ */
+export function hasKey(part: Buffer | string, key: string | undefined): boolean {
+    if (key === undefined) {
+        return false;
+    }
+    if (part.includes(key)) {
+        return true;
+    }
+    const decode = (pattern: RegExp): string =>
+        part.toString("latin1").replace(
+            pattern,
+            (_match, code: string) => String.fromCharCode(Number.parseInt(code, 16)),
+        );
+    // Most bodies have no marker and are not decoded.
+    return escapes.some(({ marker, pattern }) => part.includes(marker) && decode(pattern).includes(key));
+}
--- a/src/adapters/targetClient.ts
+++ b/src/adapters/targetClient.ts
@@ -56,9 +56,11 @@
 
 function buildRecord(response: http.IncomingMessage, body: Buffer): AnswerRecord | undefined {
     const contentType = response.headers["content-type"] ?? "application/octet-stream";
-    const isText = /^(text\/|application\/json)/.test(contentType);
-    return isText && body.length <= maxRecordBytes
-        ? { status: response.statusCode ?? 0, contentType, body: body.toString("utf8") }
+    const text = body.length <= maxRecordBytes ? body.toString("utf8") : undefined;
+    // A body that is encoded, or is no text, would not be replayed as it was given.
+    const isExact = text !== undefined && Buffer.from(text, "utf8").equals(body);
+    return isExact && response.headers["content-encoding"] === undefined
+        ? { status: response.statusCode ?? 0, contentType, body: text }
         : undefined;
 }
 
--- a/src/adapters/targetHeaders.ts
+++ b/src/adapters/targetHeaders.ts
@@ -2,6 +2,7 @@
 import type * as http from "node:http";
 import type { RequestId } from "../ids";
 import type { TargetCall } from "../requests";
+import { hasKey } from "./keyCheck";
 
 /** Caller's headers that reach a plain service. Everything else is dropped, credentials and hop-by-hop headers included. */
 const passedToTarget: readonly string[] = [
@@ -30,6 +31,7 @@
     "trailer",
     "transfer-encoding",
     "upgrade",
+    "x-not-run",
     "x-request-id",
 ]);
 
@@ -54,7 +56,7 @@
     const key = findKey(headers);
     for (const name of passedToTarget) {
         const value = headers[name];
-        if (typeof value === "string" && !(key && value.includes(key))) {
+        if (typeof value === "string" && !hasKey(value, key || undefined)) {
             result[name] = value;
         }
     }
@@ -66,6 +68,8 @@
 
 /** Headers of a target's answer that the caller gets. */
 export function buildAnswerHeaders(headers: http.IncomingHttpHeaders, request: RequestId): http.OutgoingHttpHeaders {
-    const passed = Object.entries(headers).filter(([name]) => !droppedFromAnswer.has(name));
+    // RFC 9110, section 7.6.1: `Connection` names further headers that are for this hop only.
+    const named = (headers.connection ?? "").split(",").map(name => name.trim().toLowerCase());
+    const passed = Object.entries(headers).filter(([name]) => !droppedFromAnswer.has(name) && !named.includes(name));
     return { ...Object.fromEntries(passed), "x-request-id": request };
 }
