Order engines to load the wanted model versions from one placement owner

Cause: no system compared engine reports with the configuration, so a changed version was never loaded, and routing took the configured version of an engine that had not reported.

An order carries a timeout and the end of the lease, and the adapter drops it after that. An engine's 409 makes the owner give the role up and acquire it again. Routing needs a report.

The stand-in engine no longer finishes a load that a crash interrupted.

--- a/src/adapters/node.ts
+++ b/src/adapters/node.ts
@@ -72,7 +72,7 @@
     const peerClient = createPeerClient({ fleetSecret: settings.fleetSecret, post });
     const store = createStoreClient({ ...settings.store, clock, post });
     const targets = createTargetClient({ settings, post, openRequests });
-    const targetReader = createTargetReader({ post });
+    const targetReader = createTargetReader({ post, clock });
 
     function stop(): void {
         runner.stop();
--- a/src/adapters/targetReader.ts
+++ b/src/adapters/targetReader.ts
@@ -5,10 +5,11 @@
 import type { EffectOf } from "../effects";
 import type { Event } from "../events";
 import type { TargetId } from "../ids";
+import type { Clock } from "../runner";
+import type { OrderOutcome } from "../targets";
 import { createKeepAliveAgent, HttpCallError, parseAddress, sendHttpCall } from "./httpClient";
 
 const stateTimeoutMs = 1000;
-const orderTimeoutMs = 5000;
 /** Cache events of one target are posted together after this time, so that many of them share a tick. */
 const cacheBatchMs = 50;
 
@@ -20,8 +21,19 @@
     close(): void;
 }
 
+const outdatedStatus = 409;
+
+function toOrderOutcome(status: number): OrderOutcome {
+    if (status < 300) {
+        return "accepted";
+    }
+    return status === outdatedStatus ? "outdated" : "refused";
+}
+
 /** Creates the reader of target states. */
-export function createTargetReader({ post }: { readonly post: (event: Event) => void; }): TargetReader {
+export function createTargetReader(
+    { post, clock }: { readonly post: (event: Event) => void; readonly clock: Clock; },
+): TargetReader {
     const agent = createKeepAliveAgent();
     const reading = new Set<TargetId>();
     const followers = new Map<TargetId, http.ClientRequest>();
@@ -110,10 +122,15 @@
         request.end();
     }
 
-    async function sendOrder({ target, address, order }: EffectOf<"sendOrder">): Promise<void> {
-        const handleOutcome = (outcome: "accepted" | "refused" | "unknown"): void => {
+    async function sendOrder(effect: EffectOf<"sendOrder">): Promise<void> {
+        const { target, address, order, timeoutMs, notAfter } = effect;
+        const handleOutcome = (outcome: OrderOutcome): void => {
             post({ kind: "orderAnswered", target, order: order.order, outcome });
         };
+        if (clock.getNow() >= notAfter) {
+            handleOutcome("not_sent");
+            return;
+        }
         try {
             const answer = await sendHttpCall({
                 method: "POST",
@@ -121,13 +138,13 @@
                 path: "/orders",
                 headers: { "content-type": "application/json" },
                 body: encodeOrder(order),
-                timeoutMs: orderTimeoutMs,
+                timeoutMs,
                 agent,
             });
-            handleOutcome(answer.status < 300 ? "accepted" : "refused");
+            handleOutcome(toOrderOutcome(answer.status));
         }
         catch (error) {
-            handleOutcome(error instanceof HttpCallError && !error.wasSent ? "refused" : "unknown");
+            handleOutcome(error instanceof HttpCallError && !error.wasSent ? "not_sent" : "unknown");
         }
     }
 
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -1,6 +1,6 @@
 /** Effects: what systems ask adapters to do. Outcomes come back as events. */
 import type { PeerPurpose, StorePurpose, WatchName } from "./events";
-import type { CallId, Incarnation, RequestId, TargetId } from "./ids";
+import type { CallId, Incarnation, Millis, RequestId, TargetId } from "./ids";
 import type { OperatorAnswer } from "./operators";
 import type { PeerAnswer, PeerRequest } from "./peers";
 import type { Refusal } from "./refusals";
@@ -81,7 +81,15 @@
         readonly after: number;
     }
     | { readonly kind: "stopCacheEvents"; readonly target: TargetId; }
-    | { readonly kind: "sendOrder"; readonly target: TargetId; readonly address: string; readonly order: EngineOrder; }
+    | {
+        readonly kind: "sendOrder";
+        readonly target: TargetId;
+        readonly address: string;
+        readonly order: EngineOrder;
+        readonly timeoutMs: number;
+        /** The order is dropped from this time on: the sender's lease is no longer certain. */
+        readonly notAfter: Millis;
+    }
     /* platform */
     | { readonly kind: "callStore"; readonly purpose: StorePurpose; readonly call: StoreCall; }
     | {
--- a/src/events.ts
+++ b/src/events.ts
@@ -16,7 +16,7 @@
 import type { PeerAnswer, PeerRequest } from "./peers";
 import type { AnswerRecord, AttemptFailure, RequestArrival, Usage } from "./requests";
 import type { StoreChange, StoreOutcome } from "./store";
-import type { CacheEvent, TargetReport } from "./targets";
+import type { CacheEvent, OrderOutcome, TargetReport } from "./targets";
 
 /** Says which decision a store call belongs to, so that its outcome reaches the right system. */
 export type StorePurpose =
@@ -123,7 +123,7 @@
         readonly kind: "orderAnswered";
         readonly target: TargetId;
         readonly order: OrderId;
-        readonly outcome: "accepted" | "refused" | "unknown";
+        readonly outcome: OrderOutcome;
     }
     /* platform */
     | { readonly kind: "storeReplied"; readonly purpose: StorePurpose; readonly outcome: StoreOutcome; }
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -7,6 +7,7 @@
 import { exchangeWithPeers } from "./exchangeWithPeers";
 import { expireRequests } from "./expireRequests";
 import { followAttempts } from "./followAttempts";
+import { placeModels } from "./placeModels";
 import { reserveTokens } from "./reserveTokens";
 import { routeRequests } from "./routeRequests";
 import { updateMembership } from "./updateMembership";
@@ -21,6 +22,7 @@
     admitRequests,
     reserveTokens,
     routeRequests,
+    placeModels,
     answerEntries,
     exchangeWithPeers,
     drainNode,
--- /dev/null
+++ b/src/systems/placementRole.ts
@@ -0,0 +1,133 @@
+/** The placement owner role: one VM of the fleet holds it by a store key on its member lease. */
+import { logInfo, logWarning } from "../effects";
+import { addMillis, type FencingNumber, type LeaseId, toFencingNumber } from "../ids";
+import { listByRendezvous } from "../policy/rendezvous";
+import type { StoreOutcome, StoreRow } from "../store";
+import { isLeaseValid } from "../tables/node";
+import type { Tick, World } from "../world";
+import { listLiveMembers } from "./updateMembership";
+
+export const placementKey = "placement/owner";
+
+/** Members that request the role, by rendezvous hashing. The second one covers a first one without the store. */
+const candidateCount = 2;
+const retryMs = 1000;
+
+/** Value of the owner key; by it a process recognises its own key when the store's answer was lost. */
+interface OwnerRecord {
+    readonly vm: string;
+    readonly incarnation: string;
+    readonly lease: LeaseId;
+}
+
+/** True while this process certainly holds the role, by its own clock. */
+export function isPlacementOwner(world: World, tick: Tick): boolean {
+    const { node, orders: { role } } = world.tables;
+    return role.state === "owner" && role.lease === node.memberLease.id && isLeaseValid(node.memberLease, tick.now);
+}
+
+function scheduleRequest(world: World, tick: Tick): void {
+    const { role } = world.tables.orders;
+    role.state = "standby";
+    role.notBefore = addMillis(tick.now, retryMs * (0.5 + world.random()));
+}
+
+/** Gives the role up. The key is deleted only if it is still the one this process created. */
+export function releaseRole(world: World, tick: Tick, fencing: FencingNumber, reason: string): void {
+    const { role } = world.tables.orders;
+    logInfo(world.effects, "place:", "Owner role given up.", { fencing, reason });
+    scheduleRequest(world, tick);
+    role.state = "releasing";
+    role.fencing = undefined;
+    role.lease = undefined;
+    role.releasedFencing = fencing;
+    world.effects.append({
+        kind: "callStore",
+        purpose: { for: "placement", step: "release" },
+        call: {
+            kind: "transaction",
+            compare: [{ key: placementKey, createRevision: fencing }],
+            success: [{ kind: "delete", key: placementKey }],
+        },
+    });
+}
+
+function requestRole(world: World, lease: LeaseId): void {
+    const record: OwnerRecord = { vm: world.settings.vm, incarnation: world.incarnation, lease };
+    world.tables.orders.role.state = "requested";
+    world.effects.append({
+        kind: "callStore",
+        purpose: { for: "placement", step: "acquire" },
+        call: {
+            kind: "transaction",
+            compare: [{ key: placementKey, createRevision: 0 }],
+            success: [
+                { kind: "put", key: placementKey, value: JSON.stringify(record), lease },
+                { kind: "range", range: { key: placementKey } },
+            ],
+            failure: [{ kind: "range", range: { key: placementKey } }],
+        },
+    });
+}
+
+function isOwnKey(world: World, row: StoreRow): boolean {
+    const record = JSON.parse(row.value) as OwnerRecord;
+    return record.incarnation === world.incarnation && record.lease === world.tables.node.memberLease.id;
+}
+
+function handleRequestAnswer(world: World, tick: Tick, outcome: StoreOutcome): void {
+    const { node, orders: { role } } = world.tables;
+    scheduleRequest(world, tick);
+    const answer = outcome.result.ok ? outcome.result.val : undefined;
+    const row = answer?.kind === "transaction" ? answer.reads[0]?.[0] : undefined;
+    if (!row || !isOwnKey(world, row)) {
+        return;
+    }
+    const fencing = toFencingNumber(row.createRevision);
+    if (fencing === role.releasedFencing) {
+        releaseRole(world, tick, fencing, "An earlier release did not take effect.");
+        return;
+    }
+    role.state = "owner";
+    role.fencing = fencing;
+    role.lease = node.memberLease.id;
+    role.acquiredAt = tick.now;
+    logInfo(world.effects, "place:", "Owner role acquired.", { fencing });
+}
+
+function canRequestRole(world: World, tick: Tick): boolean {
+    const { node, orders: { role } } = world.tables;
+    if (role.state !== "standby" || tick.now < role.notBefore || !isLeaseValid(node.memberLease, tick.now)) {
+        return false;
+    }
+    const live = listLiveMembers(world, tick.now).map(row => row.vm);
+    return listByRendezvous(world.hasher, placementKey, live).slice(0, candidateCount).includes(world.settings.vm);
+}
+
+/** Requests, confirms and gives up the role. */
+export function updatePlacementRole(world: World, tick: Tick): void {
+    const { node, orders: { role } } = world.tables;
+    for (const { purpose, outcome } of tick.events.listStoreReplies("placement")) {
+        if (purpose.step === "acquire") {
+            handleRequestAnswer(world, tick, outcome);
+        }
+        else if (role.state === "releasing") {
+            role.state = "standby";
+        }
+    }
+    if (role.state === "owner" && role.lease !== node.memberLease.id) {
+        logWarning(world.effects, "place:", "Owner role lost with its lease.", { fencing: role.fencing });
+        role.fencing = undefined;
+        role.lease = undefined;
+        scheduleRequest(world, tick);
+    }
+    if (node.state !== "live") {
+        if (role.state === "owner" && role.fencing !== undefined) {
+            releaseRole(world, tick, role.fencing, "This VM is shutting down.");
+        }
+        return;
+    }
+    if (tick.due.has("placement") && node.memberLease.id !== undefined && canRequestRole(world, tick)) {
+        requestRole(world, node.memberLease.id);
+    }
+}
--- a/src/systems/routeRequests.ts
+++ b/src/systems/routeRequests.ts
@@ -29,8 +29,7 @@
     if (!row.model || configuration.kind !== "engine") {
         return false;
     }
-    const { model, version } = report ?? configuration;
-    return model === row.model.model && version === row.model.version && (report?.state ?? "ready") === "ready";
+    return report?.state === "ready" && report.model === row.model.model && report.version === row.model.version;
 }
 
 function canTake(target: TargetRow, row: RequestRow, tick: Tick): boolean {
--- a/src/systems/updateTargets.ts
+++ b/src/systems/updateTargets.ts
@@ -115,8 +115,8 @@
 }
 
 function readTargets(world: World, tick: Tick): void {
-    const { requests, targets } = world.tables;
-    const isBusy = requests.count("running") > 0 || requests.count("queued") > 0;
+    const { orders, requests, targets } = world.tables;
+    const isBusy = requests.count("running") > 0 || requests.count("queued") > 0 || orders.role.needsReports;
     for (const target of targets.list()) {
         if (isEngine(target) && isReportDue(target, tick, isBusy)) {
             target.askedAt = tick.now;
@@ -127,7 +127,7 @@
 }
 
 /**
- * Reads: requests. Writes: targets, prefixes.
+ * Reads: requests, orders. Writes: targets, prefixes.
  * Effects: target reads, cache event streams, log lines.
  */
 export function updateTargets(world: World, tick: Tick): void {
--- a/src/tables/index.ts
+++ b/src/tables/index.ts
@@ -4,6 +4,7 @@
 import { createFloorsTable, type FloorsTable } from "./floors";
 import { createMembersTable, type MembersTable } from "./members";
 import { createNodeRow, type NodeRow } from "./node";
+import { createOrdersTable, type OrdersTable } from "./orders";
 import { createPrefixesTable, type PrefixesTable } from "./prefixes";
 import { createRequestsTable, type RequestsTable } from "./requests";
 import { createTargetsTable, type TargetsTable } from "./targets";
@@ -16,6 +17,7 @@
     readonly prefixes: PrefixesTable;
     readonly requests: RequestsTable;
     readonly floors: FloorsTable;
+    readonly orders: OrdersTable;
 }
 
 /** Creates empty tables. */
@@ -28,5 +30,6 @@
         prefixes: createPrefixesTable({ maxRows: settings.limits.prefixRows }),
         requests: createRequestsTable(),
         floors: createFloorsTable(),
+        orders: createOrdersTable(),
     };
 }
--- a/src/targets.ts
+++ b/src/targets.ts
@@ -17,6 +17,12 @@
     | { readonly seq: number; readonly kind: "stored" | "removed"; readonly blocks: readonly PrefixId[]; }
     | { readonly seq: number; readonly kind: "cleared"; };
 
+/**
+ * How an order to an engine ended. `outdated`: the engine has seen a higher fencing number. `unknown`: it may have
+ * been carried out.
+ */
+export type OrderOutcome = "accepted" | "outdated" | "refused" | "not_sent" | "unknown";
+
 /** Order to an engine to load a model version. */
 export interface EngineOrder {
     readonly order: OrderId;
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -373,7 +373,11 @@
         highestFence = Math.max(highestFence, order.fence);
         if (state === "ready" && (model !== order.model || version !== order.version)) {
             state = "loading";
+            const born = incarnation;
             setTimeout(() => {
+                if (born !== incarnation || state !== "loading") {
+                    return;
+                }
                 ({ model, version } = order);
                 state = "ready";
                 cache.clear();
--- /dev/null
+++ b/test/support/simulatedEngine.ts
@@ -0,0 +1,211 @@
+/** An engine on the virtual clock: state reports with a lag, orders, slots and a serial prefill. */
+import type { EffectOf } from "../../src/effects";
+import type { Event } from "../../src/events";
+import { type RequestId, toIncarnation, toModelId, toModelVersion } from "../../src/ids";
+import type { OrderOutcome, TargetReport } from "../../src/targets";
+import type { Simulation } from "./simulation";
+
+type Post = (event: Event) => void;
+
+export interface SimulatedEngineOptions {
+    readonly address: string;
+    readonly version: string;
+    readonly checksFencing?: boolean;
+    readonly loadMs?: number;
+    readonly slots?: number;
+    readonly prefillTokensPerSecond?: number;
+    readonly decodeMs?: number;
+}
+
+export interface SimulatedEngine {
+    readonly address: string;
+    /** Orders as they arrived, with their outcome. */
+    readonly orders: { readonly at: number; readonly fence: number; readonly version: string; accepted: boolean; }[];
+    readonly attempts: {
+        readonly at: number;
+        readonly request: RequestId;
+        readonly call: EffectOf<"sendRequest">["call"];
+    }[];
+    readonly faults: {
+        isDown: boolean;
+        /** Coming orders that never arrive. */
+        loseOrders: number;
+        /** Coming orders whose answers are lost. */
+        loseOrderAnswers: number;
+        /** Milliseconds that coming orders spend on their way. */
+        orderDelayMs: number;
+        /** Status answered instead of running; 0 for none. */
+        failWith: number;
+    };
+    /** State now; `getReport` is older. */
+    getState(): { readonly state: TargetReport["state"]; readonly version: string; };
+    getReport(): TargetReport | undefined;
+    handleOrder(effect: EffectOf<"sendOrder">, post: Post): void;
+    handleRequest(effect: EffectOf<"sendRequest">, post: Post): void;
+    cancelRequest(request: RequestId): void;
+    crash(): void;
+    startLeaving(): void;
+}
+
+const reportLagMs = 900;
+const orderTimeoutMs = 2000;
+
+/** Adds an engine to the simulation. */
+export function addSimulatedEngine(simulation: Simulation, options: SimulatedEngineOptions): SimulatedEngine {
+    const {
+        address,
+        checksFencing = false,
+        loadMs = 800,
+        slots = 8,
+        prefillTokensPerSecond = 20_000,
+        decodeMs = 200,
+    } = options;
+    let { version } = options;
+    let state: TargetReport["state"] = "ready";
+    let incarnation = 1;
+    let highestFence = 0;
+    let running = 0;
+    let prefillFreeAt = 0;
+    const queue: (() => void)[] = [];
+    const cancelled = new Set<RequestId>();
+    const orders: SimulatedEngine["orders"] = [];
+    const attempts: SimulatedEngine["attempts"] = [];
+    const faults = { isDown: false, loseOrders: 0, loseOrderAnswers: 0, orderDelayMs: 1, failWith: 0 };
+    let report = buildReport();
+
+    function buildReport(): TargetReport {
+        return {
+            incarnation: toIncarnation(`${address}-${incarnation}`),
+            state,
+            model: toModelId("copywriter"),
+            version: toModelVersion(version),
+            runningRequests: running,
+            waitingRequests: queue.length,
+            waitingTokens: 0,
+        };
+    }
+
+    function updateReport(): void {
+        report = buildReport();
+        simulation.schedule(reportLagMs, updateReport);
+    }
+    updateReport();
+
+    function handleArrivedOrder({ order }: EffectOf<"sendOrder">): OrderOutcome {
+        const accepted = !checksFencing || order.fencing >= highestFence;
+        orders.push({ at: simulation.getNow(), fence: order.fencing, version: order.version, accepted });
+        if (!accepted) {
+            return "outdated";
+        }
+        highestFence = Math.max(highestFence, order.fencing);
+        if (state === "ready" && version !== order.version) {
+            state = "loading";
+            const born = incarnation;
+            simulation.schedule(loadMs, () => {
+                if (born === incarnation && state === "loading") {
+                    version = order.version;
+                    state = "ready";
+                }
+            });
+        }
+        return "accepted";
+    }
+
+    function handleOrder(effect: EffectOf<"sendOrder">, post: Post): void {
+        const { target, order: { order } } = effect;
+        const isLost = faults.loseOrders > 0 || faults.isDown;
+        faults.loseOrders -= faults.loseOrders > 0 ? 1 : 0;
+        const isAnswerLost = isLost || faults.loseOrderAnswers > 0;
+        faults.loseOrderAnswers -= !isLost && faults.loseOrderAnswers > 0 ? 1 : 0;
+        if (isAnswerLost) {
+            simulation.schedule(orderTimeoutMs, () => {
+                post({ kind: "orderAnswered", target, order, outcome: "unknown" });
+            });
+        }
+        if (!isLost) {
+            simulation.schedule(faults.orderDelayMs, () => {
+                const outcome = handleArrivedOrder(effect);
+                if (!isAnswerLost) {
+                    post({ kind: "orderAnswered", target, order, outcome });
+                }
+            });
+        }
+    }
+
+    function startNext(): void {
+        if (running < slots) {
+            queue.shift()?.();
+        }
+    }
+
+    function runRequest({ request, attempt, call }: EffectOf<"sendRequest">, post: Post): void {
+        const born = incarnation;
+        const isGone = (): boolean => cancelled.has(request) || born !== incarnation;
+        running += 1;
+        const tokens = Number(call.engine?.blocks.length ?? 0) * 1000;
+        const start = Math.max(simulation.getNow(), prefillFreeAt);
+        prefillFreeAt = start + (tokens / prefillTokensPerSecond) * 1000;
+        simulation.schedule(prefillFreeAt - simulation.getNow(), () => {
+            if (isGone()) {
+                return;
+            }
+            post({ kind: "attemptAnswered", request, attempt, status: 200, refusedBeforeRun: false });
+            post({ kind: "attemptFirstToken", request, attempt });
+        });
+        simulation.schedule(prefillFreeAt - simulation.getNow() + decodeMs, () => {
+            if (born === incarnation) {
+                running -= 1;
+                startNext();
+            }
+            if (!isGone()) {
+                post({ kind: "attemptFinished", request, attempt });
+            }
+        });
+    }
+
+    function handleRequest(effect: EffectOf<"sendRequest">, post: Post): void {
+        const { request, attempt, call } = effect;
+        attempts.push({ at: simulation.getNow(), request, call });
+        if (faults.isDown) {
+            post({ kind: "attemptFailed", request, attempt, failure: "connect", lastEventId: 0 });
+            return;
+        }
+        post({ kind: "attemptBytesHanded", request, attempt });
+        const isRefused = state !== "ready" || call.engine?.model !== `copywriter@${version}`;
+        if (faults.failWith > 0 || isRefused) {
+            const status = faults.failWith > 0 ? faults.failWith : 404;
+            post({ kind: "attemptAnswered", request, attempt, status, refusedBeforeRun: isRefused, whole: {} });
+            return;
+        }
+        queue.push(() => {
+            runRequest(effect, post);
+        });
+        startNext();
+    }
+
+    const engine: SimulatedEngine = {
+        address,
+        orders,
+        attempts,
+        faults,
+        getState: () => ({ state, version }),
+        getReport: () => (faults.isDown ? undefined : report),
+        handleOrder,
+        handleRequest,
+        cancelRequest: request => {
+            cancelled.add(request);
+        },
+        crash: () => {
+            incarnation += 1;
+            running = 0;
+            queue.length = 0;
+            state = "ready";
+            report = buildReport();
+        },
+        startLeaving: () => {
+            state = "leaving";
+        },
+    };
+    simulation.addEngine(engine);
+    return engine;
+}
--- /dev/null
+++ b/test/support/simulation.ts
@@ -0,0 +1,351 @@
+/** Runs the real systems of several processes on a virtual clock, with a store and engines in memory. */
+import { Ok } from "ts-results";
+import { loadHasher } from "../../src/adapters/hasher";
+import { computeChange } from "../../src/config/change";
+import { emptyDocument, parseDocument } from "../../src/config/document";
+import { parseSettings, type Settings } from "../../src/config/settings";
+import { createEffectQueue, type EffectHandlers, type EffectOf } from "../../src/effects";
+import type { Event } from "../../src/events";
+import { type Millis, toIncarnation, toLeaseId, toMillis } from "../../src/ids";
+import { type Clock, createRunner } from "../../src/runner";
+import {
+    computePrefixEnd,
+    type StoreAnswer,
+    type StoreCall,
+    type StoreCompare,
+    type StoreRange,
+} from "../../src/store";
+import { systems } from "../../src/systems";
+import { headKey, snapshotKey, toChangeKey } from "../../src/systems/applyConfiguration";
+import { createTables } from "../../src/tables";
+import { createTimerService } from "../../src/timers";
+import type { World } from "../../src/world";
+import { createKeyValueStore, type KeyValueStore, type Watcher } from "../../standins/keyValueStore";
+import type { SimulatedEngine } from "./simulatedEngine";
+
+/** Milliseconds that a message takes. */
+const messageMs = 1;
+
+export interface Simulation {
+    readonly store: KeyValueStore;
+    readonly engines: Map<string, SimulatedEngine>;
+    readonly faults: { isStoreDown: boolean; };
+    getNow(): Millis;
+    schedule(delayMs: number, action: () => void): void;
+    runFor(durationMs: number): void;
+    /** Runs until the check holds; fails after `limitMs` of virtual time. */
+    runUntil(check: () => boolean, limitMs?: number): void;
+    writeConfiguration(version: number, document: unknown): void;
+    addEngine(engine: SimulatedEngine): void;
+}
+
+/** Creates a simulation at time 0. Actions at the same time run in the order in which they were scheduled. */
+export function createSimulation(): Simulation {
+    let now = 0;
+    let sequence = 0;
+    const actions: { readonly at: number; readonly sequence: number; readonly action: () => void; }[] = [];
+    const store = createKeyValueStore({ getNow: () => now });
+    const faults = { isStoreDown: false };
+    const engines = new Map<string, SimulatedEngine>();
+    let lastDocument = emptyDocument;
+
+    function schedule(delayMs: number, action: () => void): void {
+        const entry = { at: now + Math.max(0, delayMs), sequence, action };
+        sequence += 1;
+        let index = actions.length;
+        while (index > 0 && (actions[index - 1]?.at ?? 0) > entry.at) {
+            index -= 1;
+        }
+        actions.splice(index, 0, entry);
+    }
+
+    function runFor(durationMs: number): void {
+        const end = now + durationMs;
+        while ((actions[0]?.at ?? Infinity) <= end) {
+            const next = actions.shift();
+            now = next?.at ?? now;
+            next?.action();
+        }
+        now = end;
+    }
+
+    function expireLeases(): void {
+        if (!faults.isStoreDown) {
+            store.expireLeases();
+        }
+        schedule(100, expireLeases);
+    }
+    expireLeases();
+
+    return {
+        store,
+        engines,
+        faults,
+        getNow: () => toMillis(now),
+        schedule,
+        runFor,
+        runUntil: (check, limitMs = 120_000) => {
+            const end = now + limitMs;
+            while (!check()) {
+                if (now >= end) {
+                    throw new Error("The condition was not reached.");
+                }
+                runFor(10);
+            }
+        },
+        writeConfiguration: (version, document) => {
+            const parsed = parseDocument(document).unwrap();
+            const change = computeChange(lastDocument, parsed);
+            lastDocument = parsed;
+            store.runTransaction([], [
+                { kind: "put", key: snapshotKey, value: JSON.stringify({ version, document }) },
+                { kind: "put", key: toChangeKey(version), value: JSON.stringify({ version, change }) },
+                { kind: "put", key: headKey, value: JSON.stringify({ version, changeId: `test-${version}` }) },
+            ], []);
+        },
+        addEngine: engine => {
+            engines.set(engine.address, engine);
+        },
+    };
+}
+
+const toEnd = (range: StoreRange): string | undefined =>
+    range.end ?? (range.prefix ? computePrefixEnd(range.key) : undefined);
+
+function toStandinRange(range: StoreRange): { kind: "range"; key: string; end?: string; } {
+    const end = toEnd(range);
+    return { kind: "range", key: range.key, ...(end === undefined ? {} : { end }) };
+}
+
+function toStandinCompare(compare: StoreCompare): Parameters<KeyValueStore["runTransaction"]>[0][number] {
+    if ("createRevision" in compare) {
+        return { key: compare.key, target: "CREATE", expected: compare.createRevision };
+    }
+    return "modRevision" in compare
+        ? { key: compare.key, target: "MOD", expected: compare.modRevision }
+        : { key: compare.key, target: "VALUE", expected: compare.value };
+}
+
+function runStoreCall(store: KeyValueStore, call: StoreCall): StoreAnswer {
+    switch (call.kind) {
+        case "range":
+            return {
+                kind: "rows",
+                revision: store.getRevision(),
+                rows: store.listRange(call.range.key, toEnd(call.range)),
+            };
+        case "transaction": {
+            const [success, failure] = [call.success, call.failure ?? []].map(operations =>
+                operations.map(operation => (operation.kind === "range" ? toStandinRange(operation.range) : operation))
+            );
+            return {
+                kind: "transaction",
+                ...store.runTransaction(call.compare.map(toStandinCompare), success ?? [], failure ?? []),
+            };
+        }
+        case "grantLease":
+            return {
+                kind: "lease",
+                lease: toLeaseId(store.grantLease(call.ttlSeconds)),
+                ttlSeconds: call.ttlSeconds,
+            };
+        case "renewLease":
+            return { kind: "lease", lease: call.lease, ttlSeconds: store.renewLease(call.lease) };
+        case "revokeLease":
+            store.revokeLease(call.lease);
+            return { kind: "revoked" };
+    }
+}
+
+export interface SimulatedNode {
+    readonly world: World;
+    readonly settings: Settings;
+    readonly logs: EffectOf<"writeLog">[];
+    readonly refusals: EffectOf<"refuseRequest">[];
+    readonly exits: number[];
+    /** Effects of these kinds are lost on their way while the flag is set. */
+    readonly faults: { loseStoreAnswers: number; };
+    post(event: Event): void;
+    /** Stops the process in the middle of its work; messages to it wait. */
+    pause(): void;
+    resume(): void;
+    stop(): void;
+}
+
+/** Starts a process in the simulation. */
+export async function startSimulatedNode(
+    simulation: Simulation,
+    { vm, seed = 1, overrides = {} }: {
+        readonly vm: string;
+        readonly seed?: number;
+        readonly overrides?: Record<string, unknown>;
+    },
+): Promise<SimulatedNode> {
+    const settings = parseSettings({
+        vm,
+        dataCentre: "dc-1",
+        fleetSecret: "a-secret-of-the-test-fleet",
+        listen: { callers: "10.0.0.1:1", operators: "10.0.0.1:2", peers: "10.0.0.1:3" },
+        store: { address: "10.0.0.9:1" },
+        membership: { leaseSeconds: 4 },
+        ...overrides,
+    }).unwrap();
+    let state = seed;
+    const world: World = {
+        settings,
+        incarnation: toIncarnation(`${vm}-1`),
+        hasher: await loadHasher(),
+        random: () => {
+            state = (state * 48_271) % 2_147_483_647;
+            return state / 2_147_483_647;
+        },
+        tables: createTables(settings),
+        effects: createEffectQueue(),
+        timers: createTimerService(),
+    };
+    let isPaused = false;
+    let isStopped = false;
+    let waiting: (() => void)[] = [];
+    let wakeNumber = 0;
+    const runWhenAwake = (action: () => void): void => {
+        if (isPaused) {
+            waiting.push(action);
+        }
+        else if (!isStopped) {
+            action();
+        }
+    };
+    const clock: Clock = {
+        getNow: simulation.getNow,
+        getWallNow: () => simulation.getNow(),
+        scheduleWake: (at, wake) => {
+            wakeNumber += 1;
+            const number = wakeNumber;
+            simulation.schedule(at - simulation.getNow(), () => {
+                if (number === wakeNumber) {
+                    runWhenAwake(wake);
+                }
+            });
+        },
+        scheduleSoon: wake => {
+            simulation.schedule(0, () => {
+                runWhenAwake(wake);
+            });
+        },
+        cancelWake: () => {
+            wakeNumber += 1;
+        },
+    };
+    const logs: EffectOf<"writeLog">[] = [];
+    const refusals: EffectOf<"refuseRequest">[] = [];
+    const exits: number[] = [];
+    const faults = { loseStoreAnswers: 0 };
+    const watches = new Map<string, Watcher>();
+    const post = (event: Event): void => {
+        simulation.schedule(messageMs, () => {
+            runner.post(event);
+        });
+    };
+
+    function runCall({ purpose, call }: EffectOf<"callStore">): void {
+        const sentAt = simulation.getNow();
+        simulation.schedule(messageMs, () => {
+            const answer = simulation.faults.isStoreDown ? undefined : runStoreCall(simulation.store, call);
+            const isLost = answer?.kind === "transaction" && faults.loseStoreAnswers > 0;
+            faults.loseStoreAnswers -= isLost ? 1 : 0;
+            const result = answer && !isLost
+                ? Ok(answer)
+                : { ok: false, err: true, val: { effect: "unknown", message: "No answer." } };
+            post({ kind: "storeReplied", purpose, outcome: { result: result as never, sentAt } });
+        });
+    }
+
+    function openWatch({ watch, key, prefix, fromRevision }: EffectOf<"openWatch">): void {
+        const watcher: Watcher = {
+            key,
+            end: prefix ? computePrefixEnd(key) : undefined,
+            deliver: (revision, changes) => {
+                post({
+                    kind: "watchDelivered",
+                    watch,
+                    revision,
+                    changes: changes.map(({ row, isDeleted }) => ({
+                        key: row.key,
+                        value: isDeleted ? undefined : row.value,
+                        modRevision: row.modRevision,
+                    })),
+                    heardAt: simulation.getNow(),
+                });
+            },
+        };
+        watches.set(watch, watcher);
+        simulation.store.addWatcher(watcher, fromRevision);
+    }
+
+    const handleNothing = (): void => undefined;
+    const handlers: EffectHandlers = {
+        refuseRequest: effect => refusals.push(effect),
+        answerCaller: handleNothing,
+        replayAnswer: handleNothing,
+        relayAnswer: handleNothing,
+        interruptAnswer: handleNothing,
+        forgetRequest: handleNothing,
+        sendRequest: effect => simulation.engines.get(effect.call.address)?.handleRequest(effect, post),
+        resumeStream: handleNothing,
+        cancelAttempt: effect =>
+            simulation.engines.forEach(engine => {
+                engine.cancelRequest(effect.request);
+            }),
+        readTarget: ({ target, address }) => {
+            simulation.schedule(messageMs, () => {
+                const report = simulation.engines.get(address)?.getReport();
+                post(report ? { kind: "targetReported", target, report } : { kind: "targetUnreachable", target });
+            });
+        },
+        followCacheEvents: handleNothing,
+        stopCacheEvents: handleNothing,
+        sendOrder: effect => {
+            simulation.engines.get(effect.address)?.handleOrder(effect, post);
+        },
+        callStore: runCall,
+        openWatch,
+        closeWatch: handleNothing,
+        readVmList: handleNothing,
+        askPeer: handleNothing,
+        answerPeer: handleNothing,
+        answerOperator: handleNothing,
+        writeLog: effect => logs.push(effect),
+        addCount: handleNothing,
+        recordValue: handleNothing,
+        closeListeners: handleNothing,
+        exitProcess: ({ code }) => exits.push(code),
+    };
+    const runner = createRunner({ world, systems, handlers, clock });
+    runner.start();
+    return {
+        world,
+        settings,
+        logs,
+        refusals,
+        exits,
+        faults,
+        post: event => {
+            runner.post(event);
+        },
+        pause: () => {
+            isPaused = true;
+        },
+        resume: () => {
+            isPaused = false;
+            const actions = waiting;
+            waiting = [];
+            actions.forEach(action => {
+                action();
+            });
+        },
+        stop: () => {
+            isStopped = true;
+            runner.stop();
+        },
+    };
+}
