Take targets on leaving VMs out of routing

Cause: the VM list marked members as leaving, but no target; a target on a leaving VM got new work until its own report said so, which an idle process read every 5 s.

Change: the targets table matches VM list entries by IP address. A VM that was listed as leaving stays so when the list drops it; a VM that the list never named stays in use. Idle processes read reports every 3 s, so that a target's own word is known within a few seconds.

Checked: test/leavingTargets.test.ts, 5 tests. Without the change the two tests on the VM list fail (the leaving engine keeps getting requests); the tests on the target's own state, the configuration and absent VMs passed before and guard against a return.

--- a/src/systems/updateTargets.ts
+++ b/src/systems/updateTargets.ts
@@ -5,9 +5,10 @@
 import type { CacheEvent, TargetReport } from "../targets";
 import type { Tick, World } from "../world";
 
-/** Reports are read this often while requests run, and `idleReportMs` otherwise. */
+/** Reports are read this often while requests run or placement waits, and `idleReportMs` otherwise. */
 const reportMs = 250;
-const idleReportMs = 5000;
+/** Bounds the time for which an idle process misses that a target leaves. */
+const idleReportMs = 3000;
 const backOffMs = 500;
 const maxBackOffMs = 10_000;
 
@@ -46,9 +47,7 @@
 
 function handleReport(world: World, tick: Tick, target: TargetRow, report: TargetReport): void {
     updateIncarnation(world, tick, target, report);
-    target.report = report;
-    target.reportedAt = tick.now;
-    target.isLeaving = target.configuration.leaving || report.state === "leaving";
+    world.tables.targets.applyReport(target, report, tick.now);
     if (target.failures > 0 && tick.now >= target.backOffUntil) {
         recordTargetSuccess(target);
     }
@@ -106,6 +105,21 @@
     }
 }
 
+function handleVmList(world: World, tick: Tick): void {
+    const { targets } = world.tables;
+    const list = tick.events.list("vmListRead").at(-1);
+    if (!list) {
+        return;
+    }
+    const before = new Set(targets.list().filter(target => target.isLeaving));
+    targets.applyVmList(list.vms);
+    for (const target of targets.list()) {
+        if (target.isLeaving && !before.has(target)) {
+            logInfo(world.effects, "target:", "The VM of a target is leaving.", { target: target.id });
+        }
+    }
+}
+
 /** A report is due at once for a new target, often while requests run, and seldom otherwise. */
 function isReportDue(target: TargetRow, tick: Tick, isBusy: boolean): boolean {
     if (target.askedAt === undefined) {
@@ -149,6 +163,7 @@
             recordTargetFailure(world, tick, target);
         }
     }
+    handleVmList(world, tick);
     handleCacheEvents(world, tick);
     readTargets(world, tick);
 }
--- a/src/tables/targets.ts
+++ b/src/tables/targets.ts
@@ -21,6 +21,8 @@
     incarnation: Incarnation | undefined;
     /** True when the configuration, the VM list or the target itself says that it leaves. */
     isLeaving: boolean;
+    /** True when the last report of the target said that it leaves. */
+    isReportedLeaving: boolean;
     readonly inFlight: Map<RequestId, InFlight>;
     failures: number;
     /** Gets no request before this time. */
@@ -37,6 +39,13 @@
     list(): readonly TargetRow[];
     /** Adds, updates and removes rows so that they match the configuration. */
     applyConfiguration(targets: Readonly<Record<TargetId, TargetConfiguration>>): void;
+    /**
+     * Marks targets on leaving VMs by IP address. A VM that leaves the list after it was listed as leaving still
+     * counts as leaving; one that was never listed does not, because the list lags.
+     */
+    applyVmList(vms: readonly { readonly address: string; readonly state: "live" | "leaving"; }[]): void;
+    /** Takes a report and what it says about leaving. */
+    applyReport(row: TargetRow, report: TargetReport, now: Millis): void;
 }
 
 function createTargetRow(id: TargetId, configuration: TargetConfiguration): TargetRow {
@@ -48,6 +57,7 @@
         askedAt: undefined,
         incarnation: undefined,
         isLeaving: configuration.leaving,
+        isReportedLeaving: false,
         inFlight: new Map(),
         failures: 0,
         backOffUntil: 0 as Millis,
@@ -57,9 +67,26 @@
     };
 }
 
+/** Host part of an address with or without a port; IPv6 addresses with a port are in brackets. */
+function toIp(address: string): string {
+    if (address.startsWith("[")) {
+        return address.slice(1, address.indexOf("]"));
+    }
+    const parts = address.split(":");
+    return parts.length === 2 ? parts[0] ?? address : address;
+}
+
 /** Creates an empty table. */
 export function createTargetsTable(): TargetsTable {
     const rows = new Map<TargetId, TargetRow>();
+    let leavingIps = new Set<string>();
+
+    function updateLeaving(row: TargetRow): void {
+        row.isLeaving = row.configuration.leaving
+            || row.isReportedLeaving
+            || leavingIps.has(toIp(row.configuration.address));
+    }
+
     return {
         get: id => rows.get(id),
         list: () => [...rows.values()],
@@ -73,12 +100,30 @@
                 const row = rows.get(id);
                 if (row) {
                     row.configuration = configuration;
-                    row.isLeaving = configuration.leaving || row.report?.state === "leaving";
                 }
                 else {
                     rows.set(id, createTargetRow(id, configuration));
                 }
             }
+            rows.forEach(updateLeaving);
+        },
+        applyVmList: vms => {
+            const listIps = (state: "live" | "leaving"): string[] =>
+                vms.filter(vm => vm.state === state).map(vm => toIp(vm.address));
+            const used = new Set([...rows.values()].map(row => toIp(row.configuration.address)));
+            const kept = [...leavingIps].filter(ip => used.has(ip));
+            leavingIps = new Set([...kept, ...listIps("leaving")]);
+            // An address that is also live belongs to the VM that replaced the leaving one.
+            for (const ip of listIps("live")) {
+                leavingIps.delete(ip);
+            }
+            rows.forEach(updateLeaving);
+        },
+        applyReport: (row, report, now) => {
+            row.report = report;
+            row.reportedAt = now;
+            row.isReportedLeaving = report.state === "leaving";
+            updateLeaving(row);
         },
     };
 }
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -8,6 +8,8 @@
 import { type CacheChange, createPrefixCache } from "./prefixCache";
 
 export interface EngineOptions {
+    /** Loopback address; engines on VMs of their own get addresses of their own. */
+    readonly host?: string;
     readonly port?: number;
     readonly model: string;
     readonly version: string;
@@ -401,6 +403,7 @@
     }
 
     const server = await startStandinServer({
+        ...(options.host === undefined ? {} : { host: options.host }),
         port: options.port ?? 0,
         handlers: {
             "POST /v1/chat/completions": call => handleCompletion(call, true),
--- /dev/null
+++ b/test/leavingTargets.test.ts
@@ -0,0 +1,140 @@
+/** Leaving targets: they get no new work, and what runs on them ends. */
+import { afterEach, describe, expect, it } from "vitest";
+import type { VmListEntry } from "../src/events";
+import { startEngine } from "../standins/engine";
+import { buildOpenDocument, postArrival } from "./support/arrivals";
+import { startFleet, waitUntil, waitUntilReady } from "./support/fleet";
+import { addSimulatedEngine, type SimulatedEngine } from "./support/simulatedEngine";
+import { createSimulation, type SimulatedNode, type Simulation, startSimulatedNode } from "./support/simulation";
+
+const addresses = ["10.1.0.1:80", "10.1.0.2:80"];
+
+interface Traffic {
+    readonly simulation: Simulation;
+    readonly node: SimulatedNode;
+    readonly engines: readonly SimulatedEngine[];
+    /** Sends ten requests a second and returns how many each engine got. */
+    measureAttempts(durationMs: number): number[];
+    postVmList(states: readonly ("live" | "leaving" | "absent")[]): void;
+}
+
+async function startTraffic(): Promise<Traffic> {
+    const simulation = createSimulation();
+    const engines = addresses.map(address => addSimulatedEngine(simulation, { address, version: "v1" }));
+    simulation.writeConfiguration(1, buildOpenDocument(engines));
+    const node = await startSimulatedNode(simulation, { vm: "entry-1" });
+    simulation.runFor(1000);
+    return {
+        simulation,
+        node,
+        engines,
+        measureAttempts: durationMs => {
+            const before = engines.map(engine => engine.attempts.length);
+            for (let elapsed = 0; elapsed < durationMs; elapsed += 100) {
+                postArrival(simulation, node);
+                postArrival(simulation, node);
+                simulation.runFor(100);
+            }
+            return engines.map((engine, index) => engine.attempts.length - (before[index] ?? 0));
+        },
+        postVmList: states => {
+            const vms = states.flatMap((state, index) =>
+                state === "absent"
+                    ? []
+                    : [{ id: `vm-${index}`, address: `10.1.0.${index + 1}`, dataCentre: "dc-1", state } as VmListEntry]
+            );
+            node.post({ kind: "vmListRead", vms });
+            simulation.runFor(1);
+        },
+    };
+}
+
+describe("leaving targets", () => {
+    it("get no request once the VM list says so, even after the VM left the list", async () => {
+        const traffic = await startTraffic();
+        traffic.postVmList(["live", "live"]);
+        expect(Math.min(...traffic.measureAttempts(2000))).toBeGreaterThan(0);
+        traffic.postVmList(["leaving", "live"]);
+        expect(traffic.measureAttempts(2000)).toEqual([0, 40]);
+        traffic.postVmList(["absent", "live"]);
+        expect(traffic.measureAttempts(2000)).toEqual([0, 40]);
+        traffic.postVmList(["live", "live"]);
+        expect(Math.min(...traffic.measureAttempts(2000))).toBeGreaterThan(0);
+    });
+
+    // Guards against a lagging list that takes new engines out of use.
+    it("are not those that the VM list does not name", async () => {
+        const traffic = await startTraffic();
+        traffic.postVmList(["absent", "live"]);
+        expect(Math.min(...traffic.measureAttempts(2000))).toBeGreaterThan(0);
+    });
+
+    it("get no request a few seconds after they say so, also in an idle process", async () => {
+        const traffic = await startTraffic();
+        traffic.simulation.runFor(20_000);
+        traffic.engines[0]?.startLeaving();
+        traffic.simulation.runFor(5000);
+        expect(traffic.measureAttempts(2000)).toEqual([0, 40]);
+    });
+
+    it("get no request once the configuration says so, and a report does not bring them back", async () => {
+        const traffic = await startTraffic();
+        const [first, second] = addresses.map(address => ({ address }));
+        traffic.simulation.writeConfiguration(
+            2,
+            buildOpenDocument([{ address: "", ...first, leaving: true }, { address: "", ...second }]),
+        );
+        traffic.simulation.runFor(100);
+        expect(traffic.measureAttempts(5000)).toEqual([0, 100]);
+    });
+});
+
+describe("a leaving target over HTTP", () => {
+    const stops: (() => Promise<void>)[] = [];
+
+    afterEach(async () => {
+        await Promise.all(stops.splice(0).map(stop => stop()));
+    });
+
+    it("finishes the stream it runs", async () => {
+        const options = { model: "copywriter", version: "v1", decodeMs: 20 };
+        const engines = [
+            await startEngine({ ...options, host: "127.0.0.2" }),
+            await startEngine({ ...options, host: "127.0.0.3" }),
+        ];
+        const platformFirst = await startFleet({ count: 0 });
+        const fleet = await startFleet({
+            count: 1,
+            document: buildOpenDocument(engines),
+            overrides: { vmList: { address: platformFirst.platform.address, everyMs: 100 } },
+        });
+        stops.push(fleet.stop, platformFirst.stop, ...engines.map(engine => engine.stop));
+        await waitUntilReady(fleet);
+        const sendCompletion = (maxTokens: number): Promise<Response> =>
+            fetch(`http://${fleet.nodes[0]?.settings.listen.callers}/v1/completions`, {
+                method: "POST",
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify({ model: "catalogue", prompt: "x", stream: true, max_tokens: maxTokens }),
+            });
+        const running = await sendCompletion(100);
+        const leaving = engines.findIndex(engine => engine.runs.length > 0);
+        const used = engines[leaving];
+        platformFirst.platform.updateVms([
+            { id: "vm-x", address: used?.address ?? "", dataCentre: "dc-1", state: "leaving" },
+        ]);
+        let lastCount = -1;
+        await waitUntil(async () => {
+            lastCount = engines[1 - leaving]?.runs.length ?? 0;
+            await (await sendCompletion(1)).text();
+            return engines[1 - leaving]?.runs.length === lastCount + 1;
+        });
+        const before = used?.runs.length;
+        for (let index = 0; index < 10; index += 1) {
+            await (await sendCompletion(1)).text();
+        }
+        expect(used?.runs.length).toBe(before);
+        const text = await running.text();
+        expect(text.match(/^data: /gm)?.length).toBe(101);
+        expect(text).toContain("data: [DONE]");
+    });
+});
