--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -10,6 +10,7 @@
 import { expireClaims } from "./expireClaims";
 import { expireRequests } from "./expireRequests";
 import { followAttempts } from "./followAttempts";
+import { placeModels } from "./placeModels";
 import { reserveTokens } from "./reserveTokens";
 import { routeRequests } from "./routeRequests";
 import { updateMembership } from "./updateMembership";
@@ -27,6 +28,7 @@
     claimRequests,
     expireClaims,
     routeRequests,
+    placeModels,
     answerEntries,
     exchangeWithPeers,
     drainNode,
--- a/src/tables/index.ts
+++ b/src/tables/index.ts
@@ -5,6 +5,7 @@
 import { createFloorsTable, type FloorsTable } from "./floors";
 import { createMembersTable, type MembersTable } from "./members";
 import { createNodeRow, type NodeRow } from "./node";
+import { createOrdersTable, type OrdersTable } from "./orders";
 import { createPrefixesTable, type PrefixesTable } from "./prefixes";
 import { createRequestsTable, type RequestsTable } from "./requests";
 import { createTargetsTable, type TargetsTable } from "./targets";
@@ -18,6 +19,7 @@
     readonly requests: RequestsTable;
     readonly floors: FloorsTable;
     readonly claims: ClaimsTable;
+    readonly orders: OrdersTable;
 }
 
 /** Creates empty tables. */
@@ -31,5 +33,6 @@
         requests: createRequestsTable(),
         floors: createFloorsTable(),
         claims: createClaimsTable(),
+        orders: createOrdersTable(),
     };
 }
