Test that the configuration in force never reverts and converges

A property test with a fixed seed delivers versions in random order from the store, the watch, pushes and pulls, some of them late, repeated or invalid.

--- /dev/null
+++ b/test/configuration.test.ts
@@ -0,0 +1,163 @@
+/** The configuration in force never goes back to a lower version and converges, whatever the sources deliver. */
+import * as fc from "fast-check";
+import { Ok } from "ts-results";
+import { describe, expect, it } from "vitest";
+import { computeChange } from "../src/config/change";
+import { type ConfigurationDocument, parseDocument } from "../src/config/document";
+import { changePrefix, headKey, snapshotKey, toChangeKey } from "../src/config/records";
+import type { Event } from "../src/events";
+import { toCallId, toConfigVersion, toMillis } from "../src/ids";
+import type { ConfigurationUpdate } from "../src/peers";
+import type { StoreRow } from "../src/store";
+import { systems } from "../src/systems";
+import { createVirtualNode, type VirtualNode } from "./support/world";
+
+const lastVersion = 8;
+
+/** Document of a version: the rate of the only account is the version. */
+const buildDocument = (version: number): ConfigurationDocument =>
+    parseDocument({ accounts: { shop: { rate: Math.max(1, version), burst: 1 } } }).unwrap();
+
+const buildRow = (key: string, value: unknown): StoreRow => ({
+    key,
+    value: typeof value === "string" ? value : JSON.stringify(value),
+    createRevision: 1,
+    modRevision: 1,
+});
+
+const buildHeadRow = (version: number): StoreRow => buildRow(headKey, { version, changeId: `change-${version}` });
+
+const buildChange = (version: number) =>
+    computeChange(version === 1 ? parseDocument({}).unwrap() : buildDocument(version - 1), buildDocument(version));
+
+const buildRecordRow = (version: number): StoreRow =>
+    buildRow(toChangeKey(version), { version, change: buildChange(version), at: "", operator: "", note: "" });
+
+const buildLoad = (head: StoreRow, snapshot: StoreRow): Event => ({
+    kind: "storeReplied",
+    purpose: { for: "configurationHead", step: "load" },
+    outcome: {
+        sentAt: toMillis(0),
+        result: Ok({ kind: "transaction", succeeded: true, revision: 1, reads: [[head], [snapshot]] }),
+    },
+});
+
+const buildChangesReply = (rows: readonly StoreRow[]): Event => ({
+    kind: "storeReplied",
+    purpose: { for: "configurationChanges", above: toConfigVersion(0) },
+    outcome: { sentAt: toMillis(0), result: Ok({ kind: "rows", revision: 1, rows }) },
+});
+
+const buildPush = (body: unknown): Event => ({
+    kind: "peerAsked",
+    call: toCallId("push"),
+    request: { kind: "pushConfiguration", body: body as ConfigurationUpdate },
+});
+
+const buildPullReply = (body: unknown): Event => ({
+    kind: "peerReplied",
+    purpose: { for: "pull" },
+    address: "127.0.0.1:3001",
+    result: Ok({ kind: "pullConfiguration", body: { update: body as ConfigurationUpdate } }),
+});
+
+const buildWatch = (version: number): Event => ({
+    kind: "watchDelivered",
+    watch: "configuration",
+    revision: version,
+    changes: [{ key: headKey, value: buildHeadRow(version).value, modRevision: version }],
+    heardAt: toMillis(0),
+});
+
+const buildSnapshot = (version: number) => ({ kind: "snapshot", version, document: buildDocument(version) });
+
+const invalid = { accounts: { shop: { rate: -1 } } };
+
+/** Sources from which a version can arrive, late, repeated or damaged. */
+const sources: Readonly<Record<string, (version: number) => Event>> = {
+    load: version => buildLoad(buildHeadRow(version), buildRow(snapshotKey, buildSnapshot(version))),
+    olderSnapshot: version => buildLoad(buildHeadRow(version), buildRow(snapshotKey, buildSnapshot(1))),
+    changes: version =>
+        buildChangesReply(Array.from({ length: version }, (_, index) => buildRecordRow(index + 1)).slice(-3)),
+    watch: buildWatch,
+    pushChange: version => buildPush({ kind: "change", version, change: buildChange(version) }),
+    pushSnapshot: version => buildPush(buildSnapshot(version)),
+    pull: version => buildPullReply(buildSnapshot(version)),
+    invalidPush: version => buildPush({ kind: "snapshot", version: version + 20, document: invalid }),
+    invalidChange: version => buildPush({ kind: "change", version, change: { accounts: { set: 1 } } }),
+    invalidPull: version => buildPullReply({ kind: "snapshot", version: version + 20, document: invalid }),
+    invalidLoad: version => buildLoad(buildRow(headKey, "{"), buildRow(snapshotKey, { version, document: invalid })),
+    invalidRecord: version => buildChangesReply([buildRow(`${changePrefix}x`, `{"version":${version}`)]),
+};
+
+function getVersion(node: VirtualNode): number {
+    const { version, document } = node.world.tables.configuration;
+    if (version > 0) {
+        // The document must be the one of the version, not a mixture.
+        expect(document).toEqual(buildDocument(version));
+    }
+    return version;
+}
+
+describe("configuration in force", () => {
+    it("never reverts and converges when versions arrive in any order from any source", async () => {
+        const arrival = fc.record({
+            source: fc.constantFrom(...Object.keys(sources)),
+            version: fc.integer({ min: 1, max: lastVersion }),
+        });
+        await fc.assert(
+            fc.asyncProperty(fc.array(arrival, { maxLength: 30 }), async arrivals => {
+                const node = await createVirtualNode(systems);
+                let before = 0;
+                for (const { source, version } of arrivals) {
+                    node.run([(sources[source] as (version: number) => Event)(version)], 10);
+                    const after = getVersion(node);
+                    expect(after).toBeGreaterThanOrEqual(before);
+                    before = after;
+                }
+                node.run([buildLoad(buildHeadRow(lastVersion), buildRow(snapshotKey, buildSnapshot(3)))]);
+                node.run([buildChangesReply([4, 5, 6, 7, 8].map(buildRecordRow))]);
+                expect(getVersion(node)).toBe(lastVersion);
+            }),
+            { seed: 20_261_204, numRuns: 100 },
+        );
+    });
+
+    it("keeps a higher version when a restarted process first hears a stale peer", async () => {
+        const node = await createVirtualNode(systems);
+        node.run();
+        node.run([buildPullReply(buildSnapshot(3))]);
+        expect(getVersion(node)).toBe(3);
+        node.run([buildLoad(buildHeadRow(6), buildRow(snapshotKey, buildSnapshot(6)))]);
+        node.run([buildPullReply(buildSnapshot(3)), buildWatch(2)]);
+        expect(getVersion(node)).toBe(6);
+    });
+
+    it("asks the store for what is missing when a pushed change does not follow the version in force", async () => {
+        const node = await createVirtualNode(systems);
+        node.run();
+        node.run([buildPullReply(buildSnapshot(3))]);
+        const effects = node.run([buildPush({ kind: "change", version: 5, change: buildChange(5) })]);
+        expect(effects).toContainEqual(expect.objectContaining({
+            kind: "callStore",
+            purpose: { for: "configurationChanges", above: 3 },
+        }));
+        const answer = effects.find(effect => effect.kind === "answerPeer");
+        expect(answer).toMatchObject({ answer: { kind: "pushConfiguration", body: { version: 3 } } });
+        node.run([buildChangesReply([buildRecordRow(4), buildRecordRow(5)])]);
+        expect(getVersion(node)).toBe(5);
+    });
+
+    it("does not read the store in a loop when changes are missing that no snapshot covers", async () => {
+        const node = await createVirtualNode(systems);
+        node.run();
+        node.run([buildPullReply(buildSnapshot(2))]);
+        const effects = node.run([buildChangesReply([buildRecordRow(7)])]);
+        expect(effects.filter(effect => effect.kind === "callStore")).toHaveLength(0);
+        const later = node.run([], 1000);
+        expect(later).toContainEqual(expect.objectContaining({
+            kind: "callStore",
+            purpose: { for: "configurationHead", step: "load" },
+        }));
+    });
+});
