Answer operators: queries, changes with read-back and majority, history, status

A lost answer is settled by sending the same transaction again: its comparison holds at most once, and its failure branch reads back whose change has the version. confirmChanges pushes the change to every peer and answers `accepted` once a majority has it, `committed` with the counts after 3 s otherwise. Key grants and withdrawals that lose a race are made again on the newer version; a put gets a conflict.

The fleet secret gives access only while there is no configuration, which is checked again after the head was read. A document without operators is refused, since it would lock everybody out.

--- a/src/adapters/callerServer.ts
+++ b/src/adapters/callerServer.ts
@@ -59,7 +59,7 @@
 }
 
 /** Reads a body of bounded length; undefined when it is longer. */
-async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+export async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
     const chunks: Buffer[] = [];
     let length = 0;
     for await (const chunk of request as AsyncIterable<Buffer>) {
--- a/src/adapters/node.ts
+++ b/src/adapters/node.ts
@@ -15,6 +15,7 @@
 import { createLogWriter, type LogWriter } from "./logger";
 import { createMetrics } from "./metrics";
 import { createOpenRequests } from "./openRequests";
+import { createOperatorServer } from "./operatorServer";
 import { createPeerClient } from "./peerClient";
 import { createPeerServer } from "./peerServer";
 import { createStoreClient } from "./storeClient";
@@ -69,6 +70,7 @@
         getMetrics: metrics.format,
     });
     const peers = createPeerServer({ listen: settings.listen.peers, fleetSecret: settings.fleetSecret, post });
+    const operators = createOperatorServer({ settings, post });
     const peerClient = createPeerClient({ fleetSecret: settings.fleetSecret, post });
     const store = createStoreClient({ ...settings.store, clock, post });
     const targets = createTargetClient({ settings, post, openRequests });
@@ -78,6 +80,7 @@
         runner.stop();
         callers.stop();
         peers.stop();
+        operators.stop();
         peerClient.close();
         store.close();
         targets.close();
@@ -115,7 +118,7 @@
         },
         askPeer: peerClient.ask,
         answerPeer: peers.answer,
-        answerOperator: () => undefined,
+        answerOperator: operators.answer,
         writeLog: writeLog ?? createLogWriter(settings),
         addCount: metrics.addCount,
         recordValue: metrics.recordValue,
@@ -128,6 +131,7 @@
     const runner = createRunner({ world, systems, handlers, clock });
     await callers.start();
     await peers.start();
+    await operators.start();
     runner.start();
     return {
         drain: () => {
--- /dev/null
+++ b/src/adapters/operatorServer.ts
@@ -0,0 +1,272 @@
+/** HTTP server for operators: reads commands, posts them as events, writes the answers as JSON. */
+import { createHash, randomBytes, randomUUID, timingSafeEqual } from "node:crypto";
+import * as http from "node:http";
+import { z } from "zod";
+import type { Settings } from "../config/settings";
+import type { EffectOf } from "../effects";
+import type { Event } from "../events";
+import { type CallId, toAccountId, toCallId, toConfigVersion, toKeyHash, toRequestId } from "../ids";
+import type { OperatorAnswer, OperatorCommand } from "../operators";
+import { readBody, sendJson } from "./callerServer";
+import { parseAddress } from "./httpClient";
+
+export interface OperatorServerOptions {
+    readonly settings: Settings;
+    readonly post: (event: Event) => void;
+}
+
+export interface OperatorServer {
+    start(): Promise<void>;
+    answer(effect: EffectOf<"answerOperator">): void;
+    stop(): void;
+}
+
+/** A call that no system answers within this time ends with an unknown outcome; systems answer within 9 s. */
+const answerTimeoutMs = 12_000;
+const maxConnections = 64;
+/** A key has 256 random bits. */
+const keyBytes = 32;
+
+const hashSecret = (secret: string): string => createHash("sha256").update(secret).digest("hex");
+
+const isSameText = (left: string, right: string): boolean =>
+    timingSafeEqual(Buffer.from(hashSecret(left)), Buffer.from(hashSecret(right)));
+
+interface ParsedCall {
+    readonly parts: readonly string[];
+    readonly headers: http.IncomingHttpHeaders;
+    readonly query: URLSearchParams;
+    readonly body: unknown;
+    readonly key: OperatorCommand["key"];
+}
+
+/** A command with what its answer carries besides the answer of the systems. */
+interface OpenedCommand {
+    readonly command: OperatorCommand;
+    /** Shown once when the change was made. */
+    readonly created?: { readonly key: string; };
+    /** Shown whatever the outcome, so that a key whose grant is uncertain can be found and withdrawn. */
+    readonly keyHash?: string;
+}
+
+type BuildResult = OpenedCommand | { readonly fault: string; };
+
+interface OperatorRoute {
+    readonly method: string;
+    readonly path: RegExp;
+    readonly build: (call: ParsedCall) => BuildResult;
+}
+
+const grantSchema = z.strictObject({ account: z.string().min(1), label: z.string().max(100).default("") });
+
+/** Reads `If-Match`, with or without quotes. */
+function parseExpected(header: string | undefined): number | undefined {
+    const found = /^"?(\d{1,15})"?$/.exec(header ?? "");
+    return found ? Number(found[1]) : undefined;
+}
+
+function buildPut({ body, headers, query, key }: ParsedCall): BuildResult {
+    const ifMatch = headers["if-match"];
+    const expected = parseExpected(ifMatch);
+    if (ifMatch !== undefined && expected === undefined) {
+        return { fault: "If-Match: expected a version number" };
+    }
+    const note = (query.get("note") ?? "").slice(0, 500);
+    return {
+        command: {
+            kind: "putConfiguration",
+            key,
+            document: body,
+            note,
+            ...(expected === undefined ? {} : { expected: toConfigVersion(expected) }),
+        },
+    };
+}
+
+function buildGrant({ body, key }: ParsedCall): BuildResult {
+    const parsed = grantSchema.safeParse(body);
+    if (!parsed.success) {
+        return { fault: "expected a body with `account` and optionally `label`" };
+    }
+    const created = `mv-${randomBytes(keyBytes).toString("base64url")}`;
+    const hash = toKeyHash(hashSecret(created));
+    const { account, label } = parsed.data;
+    return {
+        command: { kind: "grantKey", key, hash, account: toAccountId(account), label },
+        created: { key: created },
+        keyHash: hash.slice(0, 8),
+    };
+}
+
+const operatorRoutes: readonly OperatorRoute[] = [
+    {
+        method: "GET",
+        path: /^\/operator\/configuration$/,
+        build: ({ key }) => ({ command: { kind: "getConfiguration", key } }),
+    },
+    { method: "PUT", path: /^\/operator\/configuration$/, build: buildPut },
+    {
+        method: "GET",
+        path: /^\/operator\/history$/,
+        build: ({ key }) => ({ command: { kind: "listHistory", key } }),
+    },
+    { method: "POST", path: /^\/operator\/keys$/, build: buildGrant },
+    {
+        method: "DELETE",
+        path: /^\/operator\/keys\/([^/]{1,200})$/,
+        build: ({ key, parts }) => ({ command: { kind: "withdrawKey", key, name: parts[0] ?? "" } }),
+    },
+    {
+        method: "GET",
+        path: /^\/operator\/status$/,
+        build: ({ key }) => ({ command: { kind: "getStatus", key } }),
+    },
+    {
+        method: "GET",
+        path: /^\/operator\/requests\/([^/]{1,100})$/,
+        build: ({ key, parts }) => ({
+            command: { kind: "explainRequest", key, request: toRequestId(parts[0] ?? "") },
+        }),
+    },
+];
+
+interface HttpAnswer {
+    readonly status: number;
+    readonly body: Readonly<Record<string, unknown>>;
+}
+
+const buildError = (code: string, message: string, rest: object = {}): HttpAnswer["body"] => ({
+    error: { code, message, ...rest },
+});
+
+const answerEncoders: {
+    readonly [Kind in OperatorAnswer["kind"]]: (
+        answer: Extract<OperatorAnswer, { readonly kind: Kind; }>,
+    ) => HttpAnswer;
+} = {
+    configuration: ({ version, document }) => ({ status: 200, body: { version, document } }),
+    changed: ({ state, version, confirmed, members }) => ({
+        status: 200,
+        body: { state, version, confirmed, members },
+    }),
+    conflict: ({ version }) => ({
+        status: 409,
+        body: buildError("conflict", `The configuration is at version ${version}.`, { version }),
+    }),
+    invalid: ({ faults }) => ({ status: 422, body: buildError("invalid", "The change is invalid.", { faults }) }),
+    history: ({ entries }) => ({ status: 200, body: { entries } }),
+    status: ({ status }) => ({ status: 200, body: { ...status } }),
+    explanation: ({ explanation }) => ({ status: 200, body: { ...explanation } }),
+    unauthorized: () => ({
+        status: 401,
+        body: buildError("unauthorized", "Send an operator key in the Authorization header as a bearer token."),
+    }),
+    not_found: ({ message }) => ({ status: 404, body: buildError("not_found", message) }),
+    unavailable: ({ effect, message }) => ({ status: 503, body: buildError("unavailable", message, { effect }) }),
+};
+
+const encodeAnswer = (answer: OperatorAnswer): HttpAnswer =>
+    (answerEncoders[answer.kind] as (answer: OperatorAnswer) => HttpAnswer)(answer);
+
+function readBearer(request: http.IncomingMessage): string | undefined {
+    return /^Bearer +(\S+)$/i.exec(request.headers.authorization ?? "")?.[1];
+}
+
+/** Parses a JSON body; the text is kept out of the error because it may hold a secret. */
+function parseBody(body: Buffer): { readonly value: unknown; } | undefined {
+    try {
+        return { value: body.length === 0 ? undefined : JSON.parse(body.toString("utf8")) as unknown };
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function parsePathPart(part: string): string {
+    try {
+        return decodeURIComponent(part);
+    }
+    catch {
+        return part;
+    }
+}
+
+/** Creates the server for operators. */
+export function createOperatorServer({ settings, post }: OperatorServerOptions): OperatorServer {
+    const waiting = new Map<CallId, (answer: OperatorAnswer) => void>();
+
+    function sendFault(response: http.ServerResponse, status: number, message: string): void {
+        sendJson(response, status, buildError("bad_request", message));
+    }
+
+    function sendCommand(response: http.ServerResponse, opened: OpenedCommand, holdsFleetSecret: boolean): void {
+        const call = toCallId(randomUUID());
+        const close = (answer: OperatorAnswer): void => {
+            clearTimeout(timer);
+            waiting.delete(call);
+            const { status, body } = encodeAnswer(answer);
+            const created = answer.kind === "changed" ? opened.created : undefined;
+            const shown = opened.keyHash === undefined ? {} : { key_hash: opened.keyHash };
+            sendJson(response, status, { ...body, ...created, ...shown }, { "x-request-id": call });
+        };
+        const timer = setTimeout(() => {
+            close({ kind: "unavailable", effect: "unknown", message: "No answer in time." });
+        }, answerTimeoutMs);
+        waiting.set(call, close);
+        post({ kind: "operatorAsked", call, command: opened.command, holdsFleetSecret });
+    }
+
+    async function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const url = new URL(request.url ?? "/", "http://localhost");
+        const route = operatorRoutes.find(entry => entry.method === request.method && entry.path.test(url.pathname));
+        if (!route) {
+            sendJson(response, 404, buildError("not_found", "There is no such path."));
+            return;
+        }
+        const bytes = await readBody(request, settings.limits.bodyBytes);
+        const body = bytes && parseBody(bytes);
+        if (!body) {
+            sendFault(response, bytes ? 400 : 413, bytes ? "expected a JSON body" : "The body is too large.");
+            return;
+        }
+        const bearer = readBearer(request);
+        const parts = (route.path.exec(url.pathname) ?? []).slice(1).map(parsePathPart);
+        const built = route.build({
+            parts,
+            headers: request.headers,
+            query: url.searchParams,
+            body: body.value,
+            key: bearer === undefined ? undefined : toKeyHash(hashSecret(bearer)),
+        });
+        if ("fault" in built) {
+            sendFault(response, 400, built.fault);
+            return;
+        }
+        sendCommand(response, built, bearer !== undefined && isSameText(bearer, settings.fleetSecret));
+    }
+
+    const server = http.createServer(
+        { maxHeaderSize: settings.limits.headerBytes, headersTimeout: 10_000, requestTimeout: 30_000 },
+        (request, response) => {
+            handleRequest(request, response).catch(() => {
+                response.destroy();
+            });
+        },
+    );
+    server.maxConnections = maxConnections;
+
+    return {
+        start: () =>
+            new Promise((resolve, reject) => {
+                server.once("error", reject);
+                server.listen(parseAddress(settings.listen.operators), resolve);
+            }),
+        answer: ({ call, answer }) => {
+            waiting.get(call)?.(answer);
+        },
+        stop: () => {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+}
--- a/src/config/document.ts
+++ b/src/config/document.ts
@@ -148,9 +148,30 @@
     return faults;
 }
 
+/** Sections whose entries are named by the hash of a key. */
+const hashedSections: ReadonlySet<unknown> = new Set<DocumentSection>(["keys", "operators"]);
+
+/**
+ * Formats the path of an issue. Names of keys are cut to the first digits of a hash, and anything else in their
+ * place is left out, because it may be a key that was pasted by mistake.
+ */
+function formatPath(path: readonly PropertyKey[]): string {
+    const [section, name, ...rest] = path;
+    if (!hashedSections.has(section) || name === undefined) {
+        return path.map(String).join(".") || "(document)";
+    }
+    const shown = keyHash.safeParse(name).success ? String(name).slice(0, 8) : "(entry)";
+    return [section, shown, ...rest].map(String).join(".");
+}
+
 /** Turns the issues of a schema check into faults. */
 export function listSchemaFaults(error: z.ZodError): Fault[] {
-    return error.issues.map(issue => ({ path: issue.path.join(".") || "(document)", message: issue.message }));
+    return error.issues.map(issue => ({
+        path: formatPath(issue.path),
+        message: issue.code === "invalid_key"
+            ? `invalid name: ${issue.issues.map(inner => inner.message).join(", ")}`
+            : issue.message,
+    }));
 }
 
 /**
--- /dev/null
+++ b/src/config/edit.ts
@@ -0,0 +1,45 @@
+/** Edits of the configuration document by single keys. */
+import { Err, Ok, type Result } from "ts-results";
+import type { AccountId, KeyHash } from "../ids";
+import { type ConfigurationDocument, type Fault, parseDocument } from "./document";
+
+/** Fewest digits of a hash that name a key. */
+const minHashDigits = 8;
+
+/** Adds a key of a client account. */
+export function addKey(
+    document: ConfigurationDocument,
+    { hash, account, label }: { readonly hash: KeyHash; readonly account: AccountId; readonly label: string; },
+): Result<ConfigurationDocument, readonly Fault[]> {
+    return parseDocument({ ...document, keys: { ...document.keys, [hash]: { account, label } } });
+}
+
+/**
+ * Finds the keys that a name stands for: a label, or at least the first 8 digits of a hash.
+ *
+ * @example
+ * findKeys(document, "till-3"); // [hash of the key labelled "till-3"]
+ */
+export function findKeys(document: ConfigurationDocument, name: string): KeyHash[] {
+    const isHashPart = name.length >= minHashDigits && /^[0-9a-f]+$/.test(name);
+    const entries = Object.entries(document.keys) as [KeyHash, ConfigurationDocument["keys"][KeyHash]][];
+    return entries
+        .filter(([hash, key]) => (isHashPart && hash.startsWith(name)) || (name !== "" && key?.label === name))
+        .map(([hash]) => hash);
+}
+
+/** Removes a key. */
+export function removeKey(document: ConfigurationDocument, hash: KeyHash): ConfigurationDocument {
+    const keys = Object.fromEntries(Object.entries(document.keys).filter(([other]) => other !== hash));
+    return { ...document, keys };
+}
+
+/** Checks a document that an operator puts in place of the one in force. */
+export function checkReplacement(input: unknown): Result<ConfigurationDocument, readonly Fault[]> {
+    const parsed = parseDocument(input);
+    if (parsed.ok && Object.keys(parsed.val.operators).length === 0) {
+        const message = "expected at least one operator; without one no further change could be made";
+        return Err([{ path: "operators", message }]);
+    }
+    return parsed.ok ? Ok(parsed.val) : parsed;
+}
--- a/src/events.ts
+++ b/src/events.ts
@@ -146,7 +146,13 @@
         readonly result: Result<PeerAnswer, { readonly message: string; }>;
     }
     /* operators */
-    | { readonly kind: "operatorAsked"; readonly call: CallId; readonly command: OperatorCommand; }
+    | {
+        readonly kind: "operatorAsked";
+        readonly call: CallId;
+        readonly command: OperatorCommand;
+        /** True when the caller sent the fleet secret in place of an operator key. */
+        readonly holdsFleetSecret: boolean;
+    }
     | { readonly kind: "drainAsked"; };
 
 export type EventKind = Event["kind"];
--- a/src/operators.ts
+++ b/src/operators.ts
@@ -20,10 +20,21 @@
         readonly account: AccountId;
         readonly label: string;
     }
-    | { readonly kind: "withdrawKey"; readonly key: KeyHash | undefined; readonly hash: KeyHash; }
+    | {
+        readonly kind: "withdrawKey";
+        readonly key: KeyHash | undefined;
+        /** Hash of the key, at least its first 8 digits, or the label of the key. */
+        readonly name: string;
+    }
     | { readonly kind: "getStatus"; readonly key: KeyHash | undefined; }
     | { readonly kind: "explainRequest"; readonly key: KeyHash | undefined; readonly request: RequestId; };
 
+type ChangeKind = "putConfiguration" | "grantKey" | "withdrawKey";
+/** Commands that change the configuration. */
+export type ChangeCommand = Extract<OperatorCommand, { readonly kind: ChangeKind; }>;
+/** Commands that only read. */
+export type QueryCommand = Exclude<OperatorCommand, ChangeCommand>;
+
 export interface HistoryEntry {
     readonly version: ConfigVersion;
     readonly at: string;
@@ -37,14 +48,17 @@
     readonly vm: VmId;
     readonly dataCentre: DataCentreId;
     readonly incarnation: Incarnation;
-    readonly state: "starting" | "live" | "draining";
+    readonly state: "starting" | "live" | "draining" | "stopped";
     readonly configVersion: ConfigVersion;
+    /** Age of the last confirmation of the version by the store, to this VM or a peer. */
+    readonly confirmedAgeMs?: number;
     readonly freshness: "fresh" | "store_outage" | "isolated" | "unknown";
     readonly storeReachable: boolean;
     readonly members: readonly {
         readonly vm: VmId;
         readonly state: string;
-        readonly heardAgeMs: number;
+        /** Absent when the member has not been heard. */
+        readonly heardAgeMs?: number;
         readonly configVersion: ConfigVersion;
     }[];
     readonly targets: readonly {
@@ -81,6 +95,9 @@
     readonly state: string;
     readonly reservedTokens: number;
     readonly promptTokens: number;
+    /** Tokens of the request by their source: the floor of this VM or a grant. */
+    readonly reservations: readonly { readonly source: string; readonly open: number; readonly spent: number; }[];
+    readonly retries: number;
     readonly decisions: readonly {
         readonly attempt: number;
         readonly chosen: TargetId;
--- a/src/systems/applyConfiguration.ts
+++ b/src/systems/applyConfiguration.ts
@@ -195,7 +195,7 @@
 }
 
 /**
- * Reads: members. Writes: configuration, targets (rows of the configuration).
+ * Reads: members. Writes: configuration, targets (rows of the configuration), node (last answer of the store).
  * Effects: store reads, the configuration watch, log lines.
  */
 export function applyConfiguration(world: World, tick: Tick): void {
@@ -229,6 +229,9 @@
     if (tick.events.list("watchEnded").some(event => event.watch === "configuration")) {
         scheduleLoad(world, tick);
     }
+    if (tick.events.list("storeReplied").some(event => event.outcome.result.ok)) {
+        world.tables.node.storeAnsweredAt = tick.now;
+    }
     confirmHead(world, tick);
     updateFreshness(world, tick);
 }
--- /dev/null
+++ b/src/systems/confirmChanges.ts
@@ -0,0 +1,83 @@
+/** Spreads committed changes to all members and answers the operator once a majority has them in force. */
+import { addMillis } from "../ids";
+import type { OperatorAnswer } from "../operators";
+import type { ChangeRow, PreparedChange } from "../tables/changes";
+import type { Tick, World } from "../world";
+import { sendAnswer } from "./answerOperators";
+
+/** Time within which members confirm; changes are to be in force everywhere within 3 s. */
+const confirmForMs = 3000;
+
+/** Answers the operator and forgets the change. */
+export function endChange(world: World, row: ChangeRow, answer: OperatorAnswer): void {
+    world.tables.changes.remove(row.call);
+    sendAnswer(world, row.call, answer);
+}
+
+function sendPushes(world: World, prepared: PreparedChange): void {
+    const { version, change } = prepared;
+    for (const member of world.tables.members.list()) {
+        if (member.vm !== world.settings.vm) {
+            world.effects.append({
+                kind: "askPeer",
+                purpose: { for: "push", version },
+                address: member.peerAddress,
+                request: { kind: "pushConfiguration", body: { kind: "change", version, change } },
+            });
+        }
+    }
+}
+
+/** Pushes a committed change to every peer and begins to wait for a majority. */
+export function startConfirmation(world: World, tick: Tick, row: ChangeRow, prepared: PreparedChange): void {
+    row.state = "confirming";
+    sendPushes(world, prepared);
+    world.timers.schedule({ name: "changeConfirmation", at: addMillis(tick.now, confirmForMs), key: row.call });
+}
+
+/** Counts members that have the version, by their answers to the push and by their digests. */
+function checkConfirmations(world: World, row: ChangeRow, prepared: PreparedChange, isOverdue: boolean): void {
+    const members = world.tables.members.list();
+    for (const member of members) {
+        if (member.configVersion >= prepared.version) {
+            row.confirmed.add(member.vm);
+        }
+    }
+    const confirmed = members.filter(member => row.confirmed.has(member.vm)).length;
+    const isMajority = confirmed * 2 > members.length;
+    if (isMajority || isOverdue) {
+        endChange(world, row, {
+            kind: "changed",
+            state: isMajority ? "accepted" : "committed",
+            version: prepared.version,
+            confirmed,
+            members: members.length,
+        });
+    }
+}
+
+function handlePushReplies(world: World, tick: Tick): void {
+    for (const { purpose, address, result } of tick.events.listPeerReplies("push")) {
+        const version = result.ok && result.val.kind === "pushConfiguration" ? result.val.body.version : 0;
+        const member = world.tables.members.list().find(row => row.peerAddress === address);
+        for (const row of world.tables.changes.list("confirming")) {
+            if (member && row.prepared?.version === purpose.version && version >= purpose.version) {
+                row.confirmed.add(member.vm);
+            }
+        }
+    }
+}
+
+/**
+ * Reads: members. Writes: changes.
+ * Effects: answers to operators.
+ */
+export function confirmChanges(world: World, tick: Tick): void {
+    handlePushReplies(world, tick);
+    const overdue = new Set(tick.due.listKeys("changeConfirmation"));
+    for (const row of world.tables.changes.list("confirming")) {
+        if (row.prepared) {
+            checkConfirmations(world, row, row.prepared, overdue.has(row.call));
+        }
+    }
+}
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -2,8 +2,10 @@
 import type { System } from "../world";
 import { admitRequests } from "./admitRequests";
 import { answerEntries } from "./answerEntries";
+import { answerOperators } from "./answerOperators";
 import { applyConfiguration } from "./applyConfiguration";
 import { applyPeerConfiguration } from "./applyPeerConfiguration";
+import { confirmChanges } from "./confirmChanges";
 import { drainNode } from "./drainNode";
 import { exchangeWithPeers } from "./exchangeWithPeers";
 import { expireRequests } from "./expireRequests";
@@ -12,6 +14,7 @@
 import { routeRequests } from "./routeRequests";
 import { updateMembership } from "./updateMembership";
 import { updateTargets } from "./updateTargets";
+import { writeConfiguration } from "./writeConfiguration";
 
 export const systems: readonly System[] = [
     applyPeerConfiguration,
@@ -24,6 +27,9 @@
     reserveTokens,
     routeRequests,
     answerEntries,
+    answerOperators,
+    writeConfiguration,
+    confirmChanges,
     exchangeWithPeers,
     drainNode,
 ];
--- /dev/null
+++ b/src/systems/operatorAccess.ts
@@ -0,0 +1,34 @@
+/** Decides which operator a command comes from. */
+import type { EventOf } from "../events";
+import { canTrustKeys } from "../policy/freshness";
+import type { World } from "../world";
+
+export type OperatorAccess =
+    /** `name` is the operator's label with the first digits of the key's hash. */
+    | { readonly kind: "operator"; readonly name: string; }
+    /** The fleet secret, which counts only while there is no configuration. */
+    | { readonly kind: "bootstrap"; readonly name: string; }
+    | { readonly kind: "none"; };
+
+/** Finds the operator by the configuration in force. */
+export function findOperator(
+    world: World,
+    { command, holdsFleetSecret }: Pick<EventOf<"operatorAsked">, "command" | "holdsFleetSecret">,
+): OperatorAccess {
+    const { version, document } = world.tables.configuration;
+    if (version === 0) {
+        return holdsFleetSecret ? { kind: "bootstrap", name: "bootstrap" } : { kind: "none" };
+    }
+    const { key } = command;
+    if (key === undefined || !Object.hasOwn(document.operators, key)) {
+        return { kind: "none" };
+    }
+    const label = document.operators[key]?.label ?? "";
+    return { kind: "operator", name: `${label === "" ? "operator" : label} (${key.slice(0, 8)})` };
+}
+
+/** True while an operator's key can be relied upon: there is no configuration, or it is certainly in force. */
+export function canTrustOperators(world: World): boolean {
+    const { version, freshness } = world.tables.configuration;
+    return version === 0 || canTrustKeys(freshness);
+}
--- a/src/tables/index.ts
+++ b/src/tables/index.ts
@@ -1,5 +1,6 @@
 /** All tables of one process. */
 import type { Settings } from "../config/settings";
+import { type ChangesTable, createChangesTable } from "./changes";
 import { type ConfigurationTable, createConfigurationTable } from "./configuration";
 import { createFloorsTable, type FloorsTable } from "./floors";
 import { createMembersTable, type MembersTable } from "./members";
@@ -11,6 +12,7 @@
 export interface Tables {
     readonly node: NodeRow;
     readonly configuration: ConfigurationTable;
+    readonly changes: ChangesTable;
     readonly members: MembersTable;
     readonly targets: TargetsTable;
     readonly prefixes: PrefixesTable;
@@ -23,6 +25,7 @@
     return {
         node: createNodeRow(),
         configuration: createConfigurationTable(),
+        changes: createChangesTable(),
         members: createMembersTable(),
         targets: createTargetsTable(),
         prefixes: createPrefixesTable({ maxRows: settings.limits.prefixRows }),
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -2,6 +2,9 @@
 import { addMillis, type Millis } from "./ids";
 
 export type TimerName =
+    | "changeConfirmation"
+    | "changeDeadline"
+    | "changeRetry"
     | "claimSweep"
     | "configurationRetry"
     | "drain"
--- /dev/null
+++ b/test/operators.test.ts
@@ -0,0 +1,264 @@
+/** Operators change the configuration on any VM; it comes into force on all, and every answer says what happened. */
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { startNode } from "../src/adapters/node";
+import { changePrefix, headKey, snapshotKey, toChangeKey } from "../src/config/records";
+import { type Engine, startEngine } from "../standins/engine";
+import { buildSettings, type Fleet, startFleet, waitUntil, waitUntilReady, writeConfiguration } from "./support/fleet";
+import { type Forwarder, startForwarder } from "./support/forwarder";
+import { buildOperatorDocument, fleetSecret, operatorKey, sendCommand, sendCompletion } from "./support/operator";
+
+const shopKey = "sk-shop-of-the-tests";
+
+describe("operator commands", () => {
+    let engine: Engine;
+    let fleet: Fleet;
+    const forwarders: Forwarder[] = [];
+
+    beforeEach(async () => {
+        engine = await startEngine({ model: "copywriter", version: "v1", blockTokens: 256, decodeMs: 1 });
+    });
+
+    afterEach(async () => {
+        await fleet.stop();
+        await engine.stop();
+        await Promise.all(forwarders.splice(0).map(forwarder => forwarder.stop()));
+    });
+
+    async function start(count: number, options: Partial<Parameters<typeof startFleet>[0]> = {}): Promise<void> {
+        fleet = await startFleet({ count, document: buildOperatorDocument(engine, [shopKey]), ...options });
+        await waitUntilReady(fleet);
+        await waitUntil(async () => {
+            const replies = await Promise.all(
+                fleet.nodes.map((_, index) => sendCommand(fleet, index, "GET /operator/status")),
+            );
+            return replies.every(({ body }) => (body["members"] as unknown[]).length === count);
+        });
+    }
+
+    const addForwarder = async (target: string): Promise<string> => {
+        const forwarder = await startForwarder(target);
+        forwarders.push(forwarder);
+        return forwarder.address;
+    };
+
+    const getHead = () => JSON.parse(fleet.platform.store.listRange(headKey, undefined)[0]?.value ?? "{}") as unknown;
+
+    const getVersions = async (): Promise<unknown[]> =>
+        Promise.all(
+            fleet.nodes.map(async (_, index) =>
+                (await sendCommand(fleet, index, "GET /operator/configuration")).body.version
+            ),
+        );
+
+    // Without a first operator nobody could put the first document; afterwards the secret must not open it.
+    it("accepts the fleet secret only for the first document", async () => {
+        fleet = await startFleet({ count: 2 });
+        const document = buildOperatorDocument(engine, [shopKey]);
+        const put = "PUT /operator/configuration";
+        expect((await sendCommand(fleet, 0, put, { body: document })).status).toBe(401);
+        const lockout = await sendCommand(fleet, 0, put, { key: fleetSecret, body: { ...document, operators: {} } });
+        expect(lockout.body.error?.faults?.map(fault => fault.path)).toEqual(["operators"]);
+        const first = await sendCommand(fleet, 0, put, { key: fleetSecret, body: document });
+        expect(first).toMatchObject({ status: 200, body: { version: 1 } });
+        await waitUntilReady(fleet);
+        expect((await sendCommand(fleet, 1, put, { key: fleetSecret, body: document })).status).toBe(401);
+        expect((await sendCompletion(fleet, 1, shopKey)).status).toBe(200);
+    });
+
+    it("grants a key on one VM for all, shows it once, and withdraws it on all", async () => {
+        await start(4);
+        const granted = await sendCommand(fleet, 1, "POST /operator/keys", {
+            body: { account: "shop", label: "till" },
+        });
+        expect(granted).toMatchObject({ status: 200, body: { state: "accepted", version: 2 } });
+        const key = granted.body.key ?? "";
+        await waitUntil(async () => (await getVersions()).every(version => version === 2));
+        for (const index of [0, 1, 2, 3]) {
+            expect((await sendCompletion(fleet, index, key)).status).toBe(200);
+        }
+        const withdrawn = await sendCommand(fleet, 3, "DELETE /operator/keys/till");
+        expect(withdrawn).toMatchObject({ status: 200, body: { state: "accepted", version: 3 } });
+        await waitUntil(async () => (await getVersions()).every(version => version === 3));
+        for (const index of [0, 1, 2, 3]) {
+            expect((await sendCompletion(fleet, index, key)).status).toBe(401);
+        }
+        const history = await sendCommand(fleet, 0, "GET /operator/history");
+        expect(history.body.entries).toMatchObject([
+            { version: 2, changed: [`keys.${granted.body.key_hash}`] },
+            { version: 3, changed: [`-keys.${granted.body.key_hash}`] },
+        ]);
+        const shown = JSON.stringify([
+            fleet.logs,
+            history.body,
+            (await sendCommand(fleet, 0, "GET /operator/status")).body,
+        ]);
+        for (const secret of [key, shopKey, operatorKey, fleetSecret]) {
+            expect(shown).not.toContain(secret);
+        }
+        expect(shown).not.toMatch(/[0-9a-f]{64}/);
+    });
+
+    it("lets one of two racing operators win and tells the other the current version", async () => {
+        await start(3);
+        const document = buildOperatorDocument(engine, [shopKey]);
+        const replies = await Promise.all(
+            [0, 1].map(index =>
+                sendCommand(fleet, index, `PUT /operator/configuration?note=by-${index}`, {
+                    body: { ...document, accounts: { shop: { rate: 100 + index, burst: 1000 } } },
+                    headers: { "if-match": "1" },
+                })
+            ),
+        );
+        const winner = replies.findIndex(reply => reply.status === 200);
+        expect(replies.map(reply => reply.status).sort()).toEqual([200, 409]);
+        expect(replies[1 - winner]?.body.error).toMatchObject({ code: "conflict", version: 2 });
+        const history = await sendCommand(fleet, 2, "GET /operator/history");
+        expect(history.body.entries?.map(entry => entry.note)).toEqual([`by-${winner}`]);
+    });
+
+    it("makes racing key grants on several VMs all succeed, each once", async () => {
+        await start(3);
+        const grants = [0, 1, 2, 0].map((node, index) =>
+            sendCommand(fleet, node, "POST /operator/keys", { body: { account: "shop", label: `till-${index}` } })
+        );
+        const replies = await Promise.all(grants);
+        expect(replies.map(reply => reply.status)).toEqual([200, 200, 200, 200]);
+        expect(replies.map(reply => reply.body.version).sort()).toEqual([2, 3, 4, 5]);
+    });
+
+    it("recognises its own change when the answer of the commit is lost", async () => {
+        await start(3);
+        fleet.platform.faults.loseAnswers = 1;
+        const put = await sendCommand(fleet, 0, "PUT /operator/configuration", {
+            body: buildOperatorDocument(engine, [shopKey, "second"]),
+        });
+        expect(put).toMatchObject({ status: 200, body: { state: "accepted", version: 2 } });
+        expect(getHead()).toMatchObject({ version: 2 });
+        expect((await sendCommand(fleet, 1, "GET /operator/history")).body.entries).toHaveLength(1);
+    });
+
+    it("says that the outcome is unknown when no answer of the commit arrives", async () => {
+        await start(2);
+        fleet.platform.faults.loseAnswers = 1_000;
+        const put = await sendCommand(fleet, 0, "PUT /operator/configuration", {
+            body: buildOperatorDocument(engine, [shopKey, "second"]),
+        });
+        expect(put).toMatchObject({ status: 503, body: { error: { code: "unavailable", effect: "unknown" } } });
+        expect(getHead()).toMatchObject({ version: 2 });
+    });
+
+    it("says that nothing was written while the store is down", async () => {
+        await start(2);
+        fleet.platform.startOutage();
+        const grant = await sendCommand(fleet, 0, "POST /operator/keys", { body: { account: "shop" } });
+        expect(grant).toMatchObject({ status: 503, body: { error: { code: "unavailable", effect: "none" } } });
+        expect(grant.body.key).toBeUndefined();
+        fleet.platform.endOutage();
+        expect(getHead()).toMatchObject({ version: 1 });
+    });
+
+    it("names every fault of an invalid document, repeats no key of it and changes nothing", async () => {
+        await start(2);
+        const put = await sendCommand(fleet, 0, "PUT /operator/configuration", {
+            body: {
+                ...buildOperatorDocument(engine),
+                accounts: { shop: { rate: -1, burst: "many" } },
+                keys: { "sk-pasted-by-mistake": { account: "shop" } },
+            },
+        });
+        expect(put.status).toBe(422);
+        const paths = put.body.error?.faults?.map(fault => fault.path) ?? [];
+        expect(paths).toEqual(expect.arrayContaining(["accounts.shop.rate", "accounts.shop.burst"]));
+        expect(paths).toHaveLength(3);
+        expect(JSON.stringify([put.body, fleet.logs])).not.toContain("sk-pasted");
+        expect(getHead()).toMatchObject({ version: 1 });
+        const unknown = await sendCommand(fleet, 0, "POST /operator/keys", { body: { account: "nobody" } });
+        expect(unknown.status).toBe(422);
+        expect((await sendCommand(fleet, 0, "DELETE /operator/keys/no-such-key")).status).toBe(404);
+        expect(await getVersions()).toEqual([1, 1]);
+    });
+
+    // With 1 of 3 members the change is in the store but a majority may not know it.
+    it("answers committed, not accepted, when only a minority confirmed", async () => {
+        await start(3, { overrides: { membership: { leaseSeconds: 60, exchangeEveryMs: 200, freshForMs: 2000 } } });
+        fleet.nodes[1]?.node.stop();
+        fleet.nodes[2]?.node.stop();
+        const grant = await sendCommand(fleet, 0, "POST /operator/keys", { body: { account: "shop" } });
+        expect(grant.body).toMatchObject({ state: "committed", confirmed: 1, members: 3 });
+    });
+
+    it("ends a running stream of a withdrawn key on a VM that learns of it only from peers", async () => {
+        let storePath = "";
+        await start(3, {
+            storeAddresses: [
+                async platform => (storePath = await addForwarder(platform.address)),
+            ],
+        });
+        expect(storePath).not.toBe("");
+        const response = await sendCompletion(fleet, 0, shopKey, { stream: true, max_tokens: 100_000 });
+        expect(response.status).toBe(200);
+        forwarders[0]?.cut();
+        const withdrawn = await sendCommand(fleet, 1, `DELETE /operator/keys/${shopKey}`);
+        expect(withdrawn.status).toBe(200);
+        const text = await response.text();
+        expect(text).toContain("key_withdrawn");
+        expect(text).not.toContain("[DONE]");
+        expect((await sendCompletion(fleet, 0, shopKey)).status).toBe(401);
+    });
+
+    it("serves keyed requests through a store outage, and refuses them when cut off from store and peers", async () => {
+        await start(3);
+        fleet.platform.startOutage();
+        const getFreshness = async (): Promise<unknown> =>
+            (await sendCommand(fleet, 0, "GET /operator/status")).body["freshness"];
+        await waitUntil(async () => await getFreshness() === "store_outage");
+        expect((await sendCompletion(fleet, 0, shopKey)).status).toBe(200);
+        fleet.nodes[1]?.node.stop();
+        expect((await sendCompletion(fleet, 0, shopKey)).status).toBe(200);
+        fleet.nodes[2]?.node.stop();
+        await waitUntil(async () => await getFreshness() === "isolated");
+        const refused = await sendCompletion(fleet, 0, shopKey);
+        expect(await refused.json()).toMatchObject({ error: { code: "configuration_stale", verdict: "not_run" } });
+        expect((await sendCommand(fleet, 0, "GET /operator/configuration")).status).toBe(503);
+    });
+
+    it("writes a snapshot every 64 versions, drops old change records, and a new VM starts from both", async () => {
+        await start(1);
+        const { store } = fleet.platform;
+        writeConfiguration(fleet.platform, 317, buildOperatorDocument(engine, [shopKey]));
+        store.runTransaction([], [{ kind: "put", key: toChangeKey(62), value: "{}" }], []);
+        for (const label of ["a", "b", "c", "d"]) {
+            const grant = await sendCommand(fleet, 0, "POST /operator/keys", { body: { account: "shop", label } });
+            expect(grant.status).toBe(200);
+        }
+        expect(getHead()).toMatchObject({ version: 321 });
+        expect(JSON.parse(store.listRange(snapshotKey, undefined)[0]?.value ?? "{}")).toMatchObject({ version: 320 });
+        const kept = store.listRange(changePrefix, `${changePrefix}~`).map(row => row.key);
+        expect(kept).toEqual([318, 319, 320, 321].map(toChangeKey));
+        const settings = await buildSettings(1, fleet.platform);
+        const late = await startNode({ settings, writeLog: () => undefined });
+        const readDocument = async () =>
+            (await fetch(`http://${settings.listen.operators}/operator/configuration`, {
+                headers: { authorization: `Bearer ${operatorKey}` },
+            })).json() as Promise<{ version?: number; document?: { keys: object; }; }>;
+        await waitUntil(async () => (await readDocument()).version === 321);
+        expect(Object.keys((await readDocument()).document?.keys ?? {})).toHaveLength(5);
+        late.stop();
+    });
+
+    it("explains why a request went to its target", async () => {
+        await start(1);
+        const response = await sendCompletion(fleet, 0, shopKey);
+        const id = response.headers.get("x-request-id");
+        const explained = await sendCommand(fleet, 0, `GET /operator/requests/${id}`);
+        expect(explained.body).toMatchObject({
+            account: "shop",
+            route: "catalogue",
+            state: "done",
+            retries: 0,
+            decisions: [{ attempt: 1, chosen: "engine-0", candidates: [{ target: "engine-0", hitTokens: 0 }] }],
+            attempts: [{ target: "engine-0", outcome: "finished" }],
+        });
+        expect((await sendCommand(fleet, 0, "GET /operator/requests/none")).status).toBe(404);
+    });
+});
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -63,15 +63,19 @@
 export interface Fleet {
     readonly platform: Platform;
     readonly nodes: readonly FleetNode[];
+    /** Every log line of every process. */
+    readonly logs: readonly string[];
     stop(): Promise<void>;
 }
 
 /** Starts a platform and `count` router processes inside this test process. */
 export async function startFleet(
-    { count, document, overrides }: {
+    { count, document, overrides, storeAddresses = [] }: {
         readonly count: number;
         readonly document?: unknown;
         readonly overrides?: Record<string, unknown>;
+        /** Addresses by which single processes reach the store, such as that of a forwarder. */
+        readonly storeAddresses?: readonly ((platform: Platform) => Promise<string>)[];
     },
 ): Promise<Fleet> {
     const platform = await startPlatform();
@@ -79,15 +83,22 @@
         writeConfiguration(platform, 1, document);
     }
     const nodes: FleetNode[] = [];
+    const logs: string[] = [];
     for (let index = 0; index < count; index += 1) {
-        const settings = await buildSettings(index, platform, overrides);
+        const address = await storeAddresses[index]?.(platform) ?? platform.address;
+        const settings = await buildSettings(index, platform, { store: { address }, ...overrides });
         const exits: number[] = [];
-        const node = await startNode({ settings, onExit: code => exits.push(code), writeLog: () => undefined });
+        const node = await startNode({
+            settings,
+            onExit: code => exits.push(code),
+            writeLog: line => logs.push(JSON.stringify(line)),
+        });
         nodes.push({ settings, node, exits });
     }
     return {
         platform,
         nodes,
+        logs,
         stop: async () => {
             for (const { node } of nodes) {
                 node.stop();
--- /dev/null
+++ b/test/support/forwarder.ts
@@ -0,0 +1,49 @@
+/** TCP forwarder between a process and another address; cutting it breaks every connection. */
+import * as net from "node:net";
+import { parseAddress } from "../../src/adapters/httpClient";
+
+export interface Forwarder {
+    /** IP:PORT. */
+    readonly address: string;
+    cut(): void;
+    stop(): Promise<void>;
+}
+
+/** Starts a forwarder on loopback. */
+export async function startForwarder(target: string): Promise<Forwarder> {
+    const sockets = new Set<net.Socket>();
+    let isCut = false;
+    const addSocket = (socket: net.Socket): void => {
+        sockets.add(socket);
+        socket.on("error", () => socket.destroy());
+        socket.on("close", () => sockets.delete(socket));
+    };
+    const server = net.createServer(inbound => {
+        addSocket(inbound);
+        if (isCut) {
+            inbound.destroy();
+            return;
+        }
+        const outbound = net.connect(parseAddress(target));
+        addSocket(outbound);
+        inbound.pipe(outbound);
+        outbound.pipe(inbound);
+        inbound.on("close", () => outbound.destroy());
+        outbound.on("close", () => inbound.destroy());
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const closeConnections = (): void => {
+        isCut = true;
+        for (const socket of sockets) {
+            socket.destroy();
+        }
+    };
+    return {
+        address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`,
+        cut: closeConnections,
+        stop: () => {
+            closeConnections();
+            return new Promise(resolve => server.close(() => resolve()));
+        },
+    };
+}
