Add the command line: check, config, key, entries, status and explain beside serve

One module for each command and a table of commands; exit codes 0 done, 1 failed, 2 wrong use or invalid input, 3 conflict, 4 unreachable or unknown outcome. The operator key comes from MARJORAMVANE_OPERATOR_KEY or a file, never from an argument. A syntax error in a TOML file is reported by its place only: the parser's own message shows the lines around it, which may hold the fleet secret. A failed start is one line and exit code 1.

--- /dev/null
+++ b/src/cli/commands/key.ts
@@ -0,0 +1,36 @@
+/** `key grant`, `key withdraw`: keys of client accounts. */
+import { z } from "zod";
+import { type Command, getRequiredText, getText, operatorOptions } from "../command";
+import { runExchange } from "../operatorClient";
+import { changedSchema, formatChanged } from "./config";
+
+export const keyGrantCommand: Command = {
+    summary: "Grants a new key to a client account and prints it; it cannot be shown again.",
+    arguments: [],
+    options: {
+        ...operatorOptions,
+        account: { type: "string", value: "NAME", help: "client account" },
+        label: { type: "string", value: "TEXT", help: "label by which the key can be withdrawn" },
+    },
+    run: call =>
+        runExchange(call, {
+            method: "POST",
+            path: "/operator/keys",
+            body: { account: getRequiredText(call.values, "account"), label: getText(call.values, "label") ?? "" },
+            schema: changedSchema.extend({ key: z.string(), key_hash: z.string() }),
+            format: body => `${formatChanged(body)}key ${body.key}\nhash ${body.key_hash}\n`,
+        }),
+};
+
+export const keyWithdrawCommand: Command = {
+    summary: "Withdraws a key of a client account, by its label or the first 8 or more digits of its hash.",
+    arguments: ["NAME"],
+    options: operatorOptions,
+    run: call =>
+        runExchange(call, {
+            method: "DELETE",
+            path: `/operator/keys/${encodeURIComponent(call.positionals[0] ?? "")}`,
+            schema: changedSchema,
+            format: formatChanged,
+        }),
+};
--- /dev/null
+++ b/src/cli/commands/serve.ts
@@ -0,0 +1,30 @@
+/** `serve`: runs one process of the router. */
+import { startNode } from "../../adapters/node";
+import { parseSettingsFile } from "../../config/settings";
+import { type Command, type ExitCode, exitCodes, getRequiredText, printFaults, readTextFile } from "../command";
+
+export const serveCommand: Command = {
+    summary: "Runs one process of the router until SIGTERM or SIGINT.",
+    arguments: [],
+    options: { settings: { type: "string", value: "FILE", help: "settings of this process, in TOML" } },
+    run: async ({ values, io }) => {
+        const file = getRequiredText(values, "settings");
+        const settings = parseSettingsFile(readTextFile(file));
+        if (settings.err) {
+            printFaults(io, file, settings.val);
+            return exitCodes.invalid;
+        }
+        return new Promise<ExitCode>((resolve, reject) => {
+            const handleExit = (code: number): void => {
+                resolve(code === 0 ? exitCodes.done : exitCodes.failed);
+            };
+            startNode({ settings: settings.val, onExit: handleExit }).then(node => {
+                for (const signal of ["SIGTERM", "SIGINT"] as const) {
+                    process.once(signal, () => {
+                        node.drain();
+                    });
+                }
+            }, reject);
+        });
+    },
+};
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -1,9 +1,9 @@
 /** Settings of one process, read from a TOML file. */
-import { parse as parseToml } from "smol-toml";
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
 import type { DataCentreId, VmId } from "../ids";
 import { type Fault, listSchemaFaults } from "./document";
+import { parseTomlText } from "./files";
 
 const ipAndPort = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, "expected IP:PORT");
 const milliseconds = z.number().int().positive();
@@ -100,10 +100,6 @@
  * if (result.err) { result.val.map(fault => fault.path); }
  */
 export function parseSettingsFile(text: string): Result<Settings, readonly Fault[]> {
-    try {
-        return parseSettings(parseToml(text));
-    }
-    catch (error) {
-        return Err([{ path: "(file)", message: error instanceof Error ? error.message : "expected TOML" }]);
-    }
+    const parsed = parseTomlText(text);
+    return parsed.ok ? parseSettings(parsed.val) : parsed;
 }
