--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -2,9 +2,11 @@
 import type { System } from "../world";
 import { admitRequests } from "./admitRequests";
 import { answerEntries } from "./answerEntries";
+import { answerOperators } from "./answerOperators";
 import { applyConfiguration } from "./applyConfiguration";
 import { applyPeerConfiguration } from "./applyPeerConfiguration";
 import { claimRequests } from "./claimRequests";
+import { confirmChanges } from "./confirmChanges";
 import { drainNode } from "./drainNode";
 import { exchangeWithPeers } from "./exchangeWithPeers";
 import { expireClaims } from "./expireClaims";
@@ -15,6 +17,7 @@
 import { routeRequests } from "./routeRequests";
 import { updateMembership } from "./updateMembership";
 import { updateTargets } from "./updateTargets";
+import { writeConfiguration } from "./writeConfiguration";
 
 export const systems: readonly System[] = [
     applyPeerConfiguration,
@@ -30,6 +33,9 @@
     routeRequests,
     placeModels,
     answerEntries,
+    answerOperators,
+    writeConfiguration,
+    confirmChanges,
     exchangeWithPeers,
     drainNode,
 ];
--- a/src/tables/index.ts
+++ b/src/tables/index.ts
@@ -1,5 +1,6 @@
 /** All tables of one process. */
 import type { Settings } from "../config/settings";
+import { type ChangesTable, createChangesTable } from "./changes";
 import { type ClaimsTable, createClaimsTable } from "./claims";
 import { type ConfigurationTable, createConfigurationTable } from "./configuration";
 import { createFloorsTable, type FloorsTable } from "./floors";
@@ -13,6 +14,7 @@
 export interface Tables {
     readonly node: NodeRow;
     readonly configuration: ConfigurationTable;
+    readonly changes: ChangesTable;
     readonly members: MembersTable;
     readonly targets: TargetsTable;
     readonly prefixes: PrefixesTable;
@@ -27,6 +29,7 @@
     return {
         node: createNodeRow(),
         configuration: createConfigurationTable(),
+        changes: createChangesTable(),
         members: createMembersTable(),
         targets: createTargetsTable(),
         prefixes: createPrefixesTable({ maxRows: settings.limits.prefixRows }),
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -3,6 +3,9 @@
 
 export type TimerName =
     | "claimRetry"
+    | "changeConfirmation"
+    | "changeDeadline"
+    | "changeRetry"
     | "claimSweep"
     | "configurationRetry"
     | "drain"
--- a/standins/processes.ts
+++ b/standins/processes.ts
@@ -2,22 +2,44 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import * as http from "node:http";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { stringify } from "smol-toml";
 
 const program = "build/marjoramvane.cjs";
 
-/** Finds free ports on loopback. */
+/**
+ * Ports below the range that outgoing connections use. A port from that range could be taken by a connection of
+ * another process between its choice and the start of the router.
+ */
+const firstPort = 10_000;
+const portCount = 20_000;
+/** Processes that run at the same time start at different places of the range. */
+let nextPort = (process.pid * 97) % portCount;
+
+function checkPort(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const server = http.createServer();
+        server.once("error", () => {
+            resolve(false);
+        });
+        server.listen(port, "127.0.0.1", () =>
+            server.close(() => {
+                resolve(true);
+            }));
+    });
+}
+
+/** Finds free ports on loopback. No port is given out twice by the same process. */
 export async function findPorts(count: number): Promise<number[]> {
-    const servers = Array.from({ length: count }, () => http.createServer());
     const ports: number[] = [];
-    for (const server of servers) {
-        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-        ports.push((server.address() as AddressInfo).port);
+    while (ports.length < count) {
+        const port = firstPort + nextPort;
+        nextPort = (nextPort + 1) % portCount;
+        if (await checkPort(port)) {
+            ports.push(port);
+        }
     }
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
     return ports;
 }
 
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -1,6 +1,5 @@
 /** Real router processes under kill, freeze, store outage, herd restart and graceful shutdown. */
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { emptyDocument } from "../src/config/document";
 import { blockTokens, bytesPerToken } from "../standins/deployments";
 import { type Engine, startEngine } from "../standins/engine";
 import { createDatedId } from "../standins/load";
@@ -123,7 +122,7 @@
         frozen.process.kill("SIGSTOP");
         const answer = sendPrompt(frozen);
         const document = buildDocument(engines, services);
-        writeConfiguration(platform, 2, { ...document, keys: {} }, { ...emptyDocument, ...document });
+        writeConfiguration(platform, 2, { ...document, keys: {} }, document);
         await waitUntil(async () => (await sendPrompt(getEntry(0))).kind === "refused");
         await new Promise(resolve => setTimeout(resolve, freshForMs + 500));
         frozen.process.kill("SIGCONT");
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -35,16 +35,17 @@
     return parsed.val;
 }
 
-/** Writes a configuration into the store with the change from `previous`, as an operator's `config put` does. */
+/** Writes a whole configuration into the store, with the change from `previous` when one is given. */
 export function writeConfiguration(platform: Platform, version: number, document: unknown, previous?: unknown): void {
     const changeId = `test-${version}`;
-    const change = computeChange(
-        (previous ?? emptyDocument) as ConfigurationDocument,
-        { ...emptyDocument, ...(document as ConfigurationDocument) },
-    );
+    const buildRecord = (): string => {
+        const before = { ...emptyDocument, ...(previous as ConfigurationDocument) };
+        const change = computeChange(before, { ...emptyDocument, ...(document as ConfigurationDocument) });
+        return JSON.stringify({ version, changeId, change });
+    };
     platform.store.runTransaction([], [
         { kind: "put", key: snapshotKey, value: JSON.stringify({ version, document }) },
-        { kind: "put", key: toChangeKey(version), value: JSON.stringify({ version, changeId, change }) },
+        ...(previous === undefined ? [] : [{ kind: "put" as const, key: toChangeKey(version), value: buildRecord() }]),
         { kind: "put", key: headKey, value: JSON.stringify({ version, changeId }) },
     ], []);
 }
@@ -58,15 +59,19 @@
 export interface Fleet {
     readonly platform: Platform;
     readonly nodes: readonly FleetNode[];
+    /** Every log line of every process. */
+    readonly logs: readonly string[];
     stop(): Promise<void>;
 }
 
 /** Starts a platform and `count` router processes inside this test process. */
 export async function startFleet(
-    { count, document, overrides }: {
+    { count, document, overrides, storeAddresses = [] }: {
         readonly count: number;
         readonly document?: unknown;
         readonly overrides?: Record<string, unknown>;
+        /** Addresses by which single processes reach the store, such as that of a forwarder. */
+        readonly storeAddresses?: readonly ((platform: Platform) => Promise<string>)[];
     },
 ): Promise<Fleet> {
     const platform = await startPlatform();
@@ -74,15 +79,22 @@
         writeConfiguration(platform, 1, document);
     }
     const nodes: FleetNode[] = [];
+    const logs: string[] = [];
     for (let index = 0; index < count; index += 1) {
-        const settings = await buildSettings(index, platform, overrides);
+        const address = await storeAddresses[index]?.(platform) ?? platform.address;
+        const settings = await buildSettings(index, platform, { store: { address }, ...overrides });
         const exits: number[] = [];
-        const node = await startNode({ settings, onExit: code => exits.push(code), writeLog: () => undefined });
+        const node = await startNode({
+            settings,
+            onExit: code => exits.push(code),
+            writeLog: line => logs.push(JSON.stringify(line)),
+        });
         nodes.push({ settings, node, exits });
     }
     return {
         platform,
         nodes,
+        logs,
         stop: async () => {
             for (const { node } of nodes) {
                 node.stop();
