--- a/standins/deployments.ts
+++ b/standins/deployments.ts
@@ -79,6 +79,9 @@
     },
 ];
 
+/** Operator's key of stand-in configurations. */
+export const operatorKey = "op-stand-in-0123456789";
+
 export const hashKey = (key: string): string => createHash("sha256").update(key).digest("hex");
 
 const modelVersion = "v1";
@@ -144,7 +147,9 @@
 
 /** Merges the entries of several deployments into one document. */
 export function mergeEntries(parts: readonly Record<string, Record<string, unknown>>[]): Record<string, unknown> {
-    const document: Record<string, Record<string, unknown>> = {};
+    const document: Record<string, Record<string, unknown>> = {
+        operators: { [hashKey(operatorKey)]: { label: "stand-in operator" } },
+    };
     for (const part of parts) {
         for (const [section, entries] of Object.entries(part)) {
             document[section] = { ...document[section], ...entries };
