Refuse waiting requests while their keys cannot be confirmed

A request admitted before the process became isolated could be sent although its key had been withdrawn meanwhile. The new case in test/freshness.test.ts failed before ('refuseRequest' missing from the effects) and passes now. Requests that were already sent go on.

--- a/src/systems/expireRequests.ts
+++ b/src/systems/expireRequests.ts
@@ -1,5 +1,6 @@
-/** Ends requests whose deadline passed, whose caller went away or whose key was withdrawn. */
+/** Ends requests whose deadline passed, whose caller went away or whose key was withdrawn or cannot be confirmed. */
 import type { RequestId } from "../ids";
+import { canTrustKeys } from "../policy/freshness";
 import type { Tick, World } from "../world";
 import { refuseRequest } from "./requestEnd";
 
@@ -25,6 +26,19 @@
     }
 }
 
+/** Refuses requests that wait while their keys cannot be confirmed. Running ones have been sent and go on. */
+function expireUnconfirmed(world: World): void {
+    const { configuration, requests } = world.tables;
+    if (canTrustKeys(configuration.freshness)) {
+        return;
+    }
+    for (const row of [...requests.list("reserving"), ...requests.list("queued")]) {
+        if (row.account !== undefined) {
+            refuseRequest(world, row, "configuration_stale", { retryAfterSeconds: 1 });
+        }
+    }
+}
+
 /**
  * Reads: configuration. Writes: requests, targets, floors.
  * Effects: refusals, interruptions, cancelled attempts.
@@ -38,4 +52,5 @@
         }
     }
     expireWithdrawn(world);
+    expireUnconfirmed(world);
 }
--- a/test/freshness.test.ts
+++ b/test/freshness.test.ts
@@ -2,11 +2,23 @@
 import { Err, Ok } from "ts-results";
 import { beforeEach, describe, expect, it } from "vitest";
 import type { Event } from "../src/events";
-import { toCallId, toConfigVersion, toDataCentreId, toIncarnation, toMillis, toVmId, type VmId } from "../src/ids";
+import {
+    toCallId,
+    toConfigVersion,
+    toDataCentreId,
+    toIncarnation,
+    toKeyHash,
+    toMillis,
+    toRequestId,
+    toVmId,
+    type VmId,
+} from "../src/ids";
 import type { Exchange, MemberDigest } from "../src/peers";
+import type { RequestArrival } from "../src/requests";
 import { systems } from "../src/systems";
 import { createVirtualNode, type VirtualNode } from "./support/world";
 
+const keyHash = "a".repeat(64);
 const never = Number.MAX_SAFE_INTEGER;
 
 function buildDigest(index: number, changes: Partial<MemberDigest> = {}): MemberDigest {
@@ -60,7 +72,12 @@
         node = await createVirtualNode(systems);
         node.run();
         const sentAt = toMillis(node.getNow());
-        const snapshot = { version: 1, document: { accounts: { shop: { rate: 1, burst: 1 } } } };
+        const document = {
+            accounts: { shop: { rate: 1000, burst: 1000 } },
+            keys: { [keyHash]: { account: "shop" } },
+            routes: { orders: { kind: "service", service: "orders" } },
+        };
+        const snapshot = { version: 1, document };
         const buildRow = (key: string, value: unknown) => ({
             key,
             value: JSON.stringify(value),
@@ -210,4 +227,35 @@
         node.run();
         expect(getFreshness()).toBe("isolated");
     });
+
+    // Its key may have been withdrawn since it was admitted.
+    it("refuses a waiting request, not run, when the process becomes isolated", () => {
+        const request = toRequestId("r1");
+        const arrival: RequestArrival = {
+            request,
+            keyHash: toKeyHash(keyHash),
+            endpoint: "service",
+            routeName: "orders",
+            method: "GET",
+            path: "/",
+            stream: false,
+            prompt: new Uint8Array(),
+            maxTokens: undefined,
+            priority: undefined,
+            bodyBytes: 0,
+            bodyHash: "",
+            idempotencyKey: undefined,
+            timeoutMs: undefined,
+            arrivedAt: toMillis(node.getNow()),
+        };
+        node.run([], 1000);
+        node.run([{ kind: "requestArrived", arrival }]);
+        expect(node.world.tables.requests.get(request)?.state).toBe("queued");
+        const effects = node.run([buildStoreFailure()], 10_000);
+        expect(effects).toContainEqual({
+            kind: "refuseRequest",
+            request,
+            refusal: { code: "configuration_stale", verdict: "not_run", retryAfterSeconds: 1 },
+        });
+    });
 });
