Bound retries by a budget and open circuits for failing targets

Cause: settings.retries.budgetFraction was read nowhere, a status of 500 or 503 did not back a target off, and a good state report ended the back-off of an engine that still failed requests. A request never returned to a target that had failed it, and one for a model without any target waited for its deadline (120 s).

A refusal before running, 429 or 503 opens the circuit at once, other 5xx answers open it at the third in a row. After the back-off one trial request is sent; a report closes the circuit only when reading reports was all that failed, or when it names a new incarnation. A target that failed a request gets it again when no other can take it. no_target is answered after 2 s when no target serves the model or should serve it. Targets get the time left in x-request-timeout-ms.

--- a/src/adapters/targetHeaders.ts
+++ b/src/adapters/targetHeaders.ts
@@ -43,7 +43,10 @@
     request: RequestId,
     call: TargetCall,
 ): http.OutgoingHttpHeaders {
-    const result: http.OutgoingHttpHeaders = { "x-request-id": request };
+    const result: http.OutgoingHttpHeaders = {
+        "x-request-id": request,
+        "x-request-timeout-ms": String(call.timeoutMs),
+    };
     if (call.engine) {
         result["content-type"] = "application/json";
         if (call.engine.blocks.length > 0) {
--- /dev/null
+++ b/src/policy/retryBudget.ts
@@ -0,0 +1,24 @@
+/** Retry budget: retries are paid from a share of the requests sent, so that they cannot multiply a failure. */
+
+export interface RetryBudget {
+    /** Retries that may be sent now. */
+    level: number;
+}
+
+/** Retries that a quiet process may send at once. */
+const burst = 10;
+
+/** Creates a full budget. */
+export const createRetryBudget = (): RetryBudget => ({ level: burst });
+
+/** Counts a request that is sent for the first time. */
+export function recordFirstSend(budget: RetryBudget, fraction: number): void {
+    budget.level = Math.min(burst, budget.level + fraction);
+}
+
+export const hasRetry = (budget: RetryBudget): boolean => budget.level >= 1;
+
+/** Takes one retry; the caller checks with `hasRetry` first. */
+export function reserveRetry(budget: RetryBudget): void {
+    budget.level = Math.max(0, budget.level - 1);
+}
--- a/src/requests.ts
+++ b/src/requests.ts
@@ -61,6 +61,8 @@
     readonly path: string;
     readonly endpoint: Endpoint;
     readonly stream: boolean;
+    /** Time left until the deadline of the request. */
+    readonly timeoutMs: number;
     /** Values that replace those of the caller's body; absent for services. */
     readonly engine?: {
         readonly model: string;
--- a/src/systems/expireRequests.ts
+++ b/src/systems/expireRequests.ts
@@ -1,5 +1,6 @@
-/** Ends requests whose deadline passed, whose caller went away or whose key was withdrawn. */
+/** Ends requests whose deadline passed, whose caller went away, whose key was withdrawn or that no target serves. */
 import type { RequestId } from "../ids";
+import type { RequestRow } from "../tables/requests";
 import type { Tick, World } from "../world";
 import { refuseRequest } from "./requestEnd";
 
@@ -25,8 +26,48 @@
     }
 }
 
+/** Time in which a changed configuration or a report can still name a target. */
+const noTargetWaitMs = 2000;
+
+/** Names of the models and services that some target serves, or should serve by the configuration. */
+function listServed(world: World): Set<string> {
+    const served = new Set<string>();
+    for (const { configuration, report, isLeaving } of world.tables.targets.list()) {
+        if (isLeaving) {
+            continue;
+        }
+        if (configuration.kind === "service") {
+            served.add(`service ${configuration.service}`);
+            continue;
+        }
+        served.add(`model ${configuration.model}@${configuration.version}`);
+        if (report) {
+            served.add(`model ${report.model}@${report.version}`);
+        }
+    }
+    return served;
+}
+
+function formatNeed({ route }: RequestRow): string {
+    return route.kind === "service" ? `service ${route.service}` : `model ${route.model}@${route.version}`;
+}
+
+/** Refuses queued requests for which no target exists, instead of keeping them until their deadline. */
+function expireUnservable(world: World, tick: Tick): void {
+    const overdue = world.tables.requests.list("queued").filter(row =>
+        row.queuedAt !== undefined && tick.now - row.queuedAt >= noTargetWaitMs
+    );
+    if (overdue.length === 0) {
+        return;
+    }
+    const served = listServed(world);
+    for (const row of overdue.filter(entry => !served.has(formatNeed(entry)))) {
+        refuseRequest(world, row, "no_target", { retryAfterSeconds: 5 });
+    }
+}
+
 /**
- * Reads: configuration. Writes: requests, targets, floors.
+ * Reads: configuration, targets. Writes: requests, targets, floors.
  * Effects: refusals, interruptions, cancelled attempts.
  */
 export function expireRequests(world: World, tick: Tick): void {
@@ -38,4 +79,8 @@
         }
     }
     expireWithdrawn(world);
+    // The timer of the reports runs often enough; the check needs no timer for each request.
+    if (tick.due.has("targetReports")) {
+        expireUnservable(world, tick);
+    }
 }
--- a/src/systems/followAttempts.ts
+++ b/src/systems/followAttempts.ts
@@ -2,6 +2,7 @@
 import { logInfo } from "../effects";
 import type { EventOf } from "../events";
 import { addMillis } from "../ids";
+import { hasRetry, reserveRetry } from "../policy/retryBudget";
 import type { Usage } from "../requests";
 import { type Attempt, findAttempt, type RequestRow } from "../tables/requests";
 import { computeVerdict } from "../verdict";
@@ -12,6 +13,9 @@
 
 const maxResumes = 3;
 const retryDelayMs = 25;
+/** A single request that an engine cannot handle must not close every engine in turn. */
+const toleratedServerErrors = 2;
+const overloadedStatuses: ReadonlySet<number> = new Set([429, 503]);
 
 type AttemptEventKind =
     | "attemptBytesHanded"
@@ -62,10 +66,6 @@
 function endAttempt(world: World, tick: Tick, row: RequestRow, attempt: Attempt, usage: Usage | undefined): void {
     attempt.state = "finished";
     attempt.outcome = "finished";
-    const target = world.tables.targets.get(attempt.target);
-    if (target) {
-        recordTargetSuccess(target);
-    }
     if (usage) {
         recordUsage(world, row, usage);
     }
@@ -88,6 +88,7 @@
     return !row.isRelaying
         && (row.repeatable || verdict === "not_run")
         && row.attempts.length < world.settings.retries.attempts
+        && hasRetry(world.tables.retryBudget)
         && tick.now < row.deadline;
 }
 
@@ -99,6 +100,7 @@
         refuseRequest(world, row, row.isRelaying ? "stream_interrupted" : "target_failed");
         return;
     }
+    reserveRetry(world.tables.retryBudget);
     row.notBefore = addMillis(tick.now, retryDelayMs * (0.5 + world.random()));
     world.tables.requests.updateState(row, "queued");
     world.timers.schedule({ name: "requestRetry", at: row.notBefore, key: row.id });
@@ -106,6 +108,31 @@
     logInfo(world.effects, "stream:", "Request is retried.", { request: row.id, target: attempt.target, outcome });
 }
 
+/** Opens or closes the circuit of the target by the status of its answer. */
+function recordAnswer(world: World, tick: Tick, attempt: Attempt, event: EventOf<"attemptAnswered">): void {
+    const target = world.tables.targets.get(attempt.target);
+    if (!target) {
+        return;
+    }
+    if (event.refusedBeforeRun || overloadedStatuses.has(event.status)) {
+        recordTargetFailure(world, tick, target);
+    }
+    else if (event.status >= 500) {
+        recordTargetFailure(world, tick, target, { tolerated: toleratedServerErrors });
+    }
+    else if (event.whole) {
+        recordTargetSuccess(target);
+    }
+}
+
+/** A stream counts as a success from its first token; headers alone do not show that the target works. */
+function recordStreamSuccess(world: World, attempt: Attempt): void {
+    const target = world.tables.targets.get(attempt.target);
+    if (target) {
+        recordTargetSuccess(target);
+    }
+}
+
 function handleAnswer(
     world: World,
     tick: Tick,
@@ -115,6 +142,7 @@
 ): void {
     attempt.evidence = { bytesHanded: true, answer: event.refusedBeforeRun ? "refused" : "answered" };
     const isServerError = event.status >= 500;
+    recordAnswer(world, tick, attempt, event);
     if (event.refusedBeforeRun || (isServerError && row.repeatable && canRetry(world, tick, row))) {
         world.effects.append({ kind: "cancelAttempt", request: row.id, attempt: attempt.number });
         retryOrRefuse(world, tick, row, attempt, `status ${event.status}`);
@@ -137,6 +165,7 @@
     event: EventOf<"attemptFirstToken">,
 ): void {
     attempt.firstTokenAt ??= tick.now;
+    recordStreamSuccess(world, attempt);
     const work = world.tables.targets.get(attempt.target)?.inFlight.get(row.id);
     if (work) {
         work.prefillTokens = 0;
@@ -195,6 +224,7 @@
         settleReservations(world, row, { spent: event.tokens });
     },
     attemptFinished: (world, tick, row, attempt, event) => {
+        recordStreamSuccess(world, attempt);
         endAttempt(world, tick, row, attempt, event.usage);
     },
     attemptFailed: handleFailure,
--- a/src/systems/placeModels.ts
+++ b/src/systems/placeModels.ts
@@ -2,7 +2,7 @@
 import { type ModelReference, toModelReference } from "../config/document";
 import { logInfo, logWarning } from "../effects";
 import type { EventOf } from "../events";
-import { addMillis, type TargetId, toOrderId } from "../ids";
+import { addMillis, type Millis, type TargetId, toOrderId } from "../ids";
 import { canTrustKeys } from "../policy/freshness";
 import { type EngineView, formatReference, listPlacementDecisions, type PlacementDecision } from "../policy/placement";
 import type { OrderRow } from "../tables/orders";
@@ -37,7 +37,14 @@
     return world.tables.targets.list().filter(isEngine);
 }
 
-function buildView(world: World, target: TargetRow): EngineView {
+/** An engine that failed counts as serving again after this time, within which traffic would show a new failure. */
+const recoveryMs = 30_000;
+
+function hasRecovered(target: TargetRow, now: Millis): boolean {
+    return target.failures === 0 || now >= target.backOffUntil + recoveryMs;
+}
+
+function buildView(world: World, tick: Tick, target: TargetRow): EngineView {
     const { report } = target;
     const isOrdered = world.tables.orders.get(target.id) !== undefined;
     const isReady = report?.state === "ready" && !target.isLeaving && !isOrdered;
@@ -46,7 +53,7 @@
         wanted: toModelReference(target.configuration as unknown as ModelReference),
         reported: report && toModelReference(report),
         canBeOrdered: isReady,
-        isServing: isReady && target.failures === 0,
+        isServing: isReady && hasRecovered(target, tick.now),
         isLoading: isOrdered || report?.state === "loading",
     };
 }
@@ -180,7 +187,7 @@
 function placeEngines(world: World, tick: Tick): void {
     const { orders: { role } } = world.tables;
     const engines = listEngines(world);
-    const decisions = listPlacementDecisions(engines.map(target => buildView(world, target)), {
+    const decisions = listPlacementDecisions(engines.map(target => buildView(world, tick, target)), {
         inUse: listVersionsInUse(world),
         maxLoads: maxLoads - computeForeignOrders(world),
     });
--- a/src/systems/routeRequests.ts
+++ b/src/systems/routeRequests.ts
@@ -4,10 +4,11 @@
 import type { CandidateScore } from "../operators";
 import { computeScopeSeed, formatPrefixId } from "../policy/prefix";
 import { listByRendezvous } from "../policy/rendezvous";
+import { recordFirstSend } from "../policy/retryBudget";
 import { computeScore } from "../policy/score";
 import type { TargetCall } from "../requests";
 import type { RequestRow } from "../tables/requests";
-import type { TargetRow } from "../tables/targets";
+import { canPassCircuit, type TargetRow } from "../tables/targets";
 import type { Tick, World } from "../world";
 
 /** Requests that this process sends to one engine beyond its slots; more wait in the queue of this process. */
@@ -33,13 +34,21 @@
 }
 
 function canTake(target: TargetRow, row: RequestRow, tick: Tick): boolean {
-    if (target.isLeaving || tick.now < target.backOffUntil) {
+    if (target.isLeaving || !canPassCircuit(target, tick.now)) {
         return false;
     }
-    const isServed = row.route.kind === "model"
+    return row.route.kind === "model"
         ? hasModel(target, row)
         : target.configuration.kind === "service" && target.configuration.service === row.route.service;
-    return isServed && !row.attempts.some(attempt => attempt.target === target.id && attempt.state === "failed");
+}
+
+/** Targets that can take the request. One that failed it before is listed only when there is no other. */
+function listAbleTargets(world: World, tick: Tick, row: RequestRow): TargetRow[] {
+    const able = world.tables.targets.list().filter(target => canTake(target, row, tick));
+    const untried = able.filter(target =>
+        !row.attempts.some(attempt => attempt.target === target.id && attempt.state === "failed")
+    );
+    return untried.length > 0 ? untried : able;
 }
 
 const hasRoom = (target: TargetRow): boolean => target.inFlight.size < target.configuration.slots * slotOvercommit;
@@ -103,8 +112,7 @@
 
 function listCandidates(world: World, tick: Tick, row: RequestRow): Candidate[] {
     const model = row.model && world.tables.configuration.document.models[row.model.model];
-    return world.tables.targets.list()
-        .filter(target => canTake(target, row, tick))
+    return listAbleTargets(world, tick, row)
         .map(target => ({
             target,
             score: model ? computeEngineScore(world, tick, target, row, model) : computeServiceScore(world, target),
@@ -137,7 +145,7 @@
     return world.hasher.hashText(scope.toString(16), seed).toString(16);
 }
 
-function buildCall(world: World, row: RequestRow, target: TargetRow): TargetCall {
+function buildCall(world: World, tick: Tick, row: RequestRow, target: TargetRow): TargetCall {
     const { arrival } = row;
     const base = {
         address: target.configuration.address,
@@ -146,6 +154,7 @@
         stream: arrival.stream,
         freshConnection: !row.repeatable,
         path: arrival.path,
+        timeoutMs: Math.max(1, Math.floor(row.deadline - tick.now)),
     };
     if (!row.model) {
         return arrival.idempotencyKey === undefined ? base : { ...base, idempotencyKey: arrival.idempotencyKey };
@@ -189,13 +198,19 @@
         chosen: target.id,
         candidates: candidates.map(candidate => candidate.score),
     });
+    if (number === 1) {
+        recordFirstSend(world.tables.retryBudget, world.settings.retries.budgetFraction);
+    }
+    if (target.backOffUntil > 0) {
+        target.trial = row.id;
+    }
     target.inFlight.set(row.id, { prefillTokens: score.missedTokens, sentAt: tick.now });
     world.tables.requests.updateState(row, "running");
     const send: EffectOf<"sendRequest"> = {
         kind: "sendRequest",
         request: row.id,
         attempt: number,
-        call: buildCall(world, row, target),
+        call: buildCall(world, tick, row, target),
     };
     world.effects.append(send);
     world.effects.append({ kind: "recordValue", name: "queue_ms", value: tick.now - (row.queuedAt ?? tick.now) });
--- a/src/systems/updateTargets.ts
+++ b/src/systems/updateTargets.ts
@@ -12,11 +12,34 @@
 const backOffMs = 500;
 const maxBackOffMs = 10_000;
 
-/** Takes a target out of routing for a while; the wait doubles with each failure in a row. */
-export function recordTargetFailure(world: World, tick: Tick, target: TargetRow): void {
+export interface TargetFailureOptions {
+    readonly failedBy?: "request" | "report";
+    /** Failures in a row that do not yet open a closed circuit. */
+    readonly tolerated?: number;
+}
+
+/**
+ * Takes a target out of routing for a while; the wait doubles with each failure in a row. After the wait one
+ * request is sent as a trial. Failures of work that was sent before the circuit opened count only once.
+ */
+export function recordTargetFailure(
+    world: World,
+    tick: Tick,
+    target: TargetRow,
+    { failedBy = "request", tolerated = 0 }: TargetFailureOptions = {},
+): void {
+    if (tick.now < target.backOffUntil) {
+        return;
+    }
+    target.trial = undefined;
     target.failures += 1;
+    target.failedBy = failedBy;
+    if (target.failures <= tolerated && target.backOffUntil === 0) {
+        return;
+    }
     const wait = Math.min(maxBackOffMs, backOffMs * 2 ** (target.failures - 1));
     target.backOffUntil = addMillis(tick.now, wait * (0.75 + 0.5 * world.random()));
+    world.timers.schedule({ name: "requestRetry", at: target.backOffUntil, key: target.id });
     logInfo(world.effects, "target:", "Target failed and is backed off.", {
         target: target.id,
         failures: target.failures,
@@ -25,7 +48,9 @@
 
 export function recordTargetSuccess(target: TargetRow): void {
     target.failures = 0;
+    target.failedBy = undefined;
     target.backOffUntil = 0 as Millis;
+    target.trial = undefined;
 }
 
 function updateIncarnation(world: World, tick: Tick, target: TargetRow, report: TargetReport): void {
@@ -37,6 +62,7 @@
         incarnation: report.incarnation,
     });
     target.incarnation = report.incarnation;
+    recordTargetSuccess(target);
     target.cacheValidFrom = tick.now;
     target.cacheSeq = 0;
     if (target.isFollowingCache) {
@@ -48,7 +74,8 @@
 function handleReport(world: World, tick: Tick, target: TargetRow, report: TargetReport): void {
     updateIncarnation(world, tick, target, report);
     world.tables.targets.applyReport(target, report, tick.now);
-    if (target.failures > 0 && tick.now >= target.backOffUntil) {
+    // A report does not show that the target answers requests, so only a trial closes the circuit after one failed.
+    if (target.failedBy === "report") {
         recordTargetSuccess(target);
     }
 }
@@ -160,7 +187,7 @@
         if (target) {
             target.reportedAt = tick.now;
             target.report = undefined;
-            recordTargetFailure(world, tick, target);
+            recordTargetFailure(world, tick, target, { failedBy: target.failedBy ?? "report" });
         }
     }
     handleVmList(world, tick);
--- a/src/tables/index.ts
+++ b/src/tables/index.ts
@@ -1,5 +1,6 @@
 /** All tables of one process. */
 import type { Settings } from "../config/settings";
+import { createRetryBudget, type RetryBudget } from "../policy/retryBudget";
 import { type ConfigurationTable, createConfigurationTable } from "./configuration";
 import { createFloorsTable, type FloorsTable } from "./floors";
 import { createMembersTable, type MembersTable } from "./members";
@@ -18,6 +19,7 @@
     readonly requests: RequestsTable;
     readonly floors: FloorsTable;
     readonly orders: OrdersTable;
+    readonly retryBudget: RetryBudget;
 }
 
 /** Creates empty tables. */
@@ -31,5 +33,6 @@
         requests: createRequestsTable(),
         floors: createFloorsTable(),
         orders: createOrdersTable(),
+        retryBudget: createRetryBudget(),
     };
 }
--- a/src/tables/targets.ts
+++ b/src/tables/targets.ts
@@ -24,9 +24,14 @@
     /** True when the last report of the target said that it leaves. */
     isReportedLeaving: boolean;
     readonly inFlight: Map<RequestId, InFlight>;
+    /** Failures in a row. */
     failures: number;
-    /** Gets no request before this time. */
+    /** What failed last: a request, or only the reading of a report. */
+    failedBy: "request" | "report" | undefined;
+    /** Gets no request before this time; 0 while the circuit is closed. */
     backOffUntil: Millis;
+    /** The one request that is sent after a back-off, to see whether the target has recovered. */
+    trial: RequestId | undefined;
     /** Sequence number of the last cache event. */
     cacheSeq: number;
     /** Prefix rows seen before this time are not relied upon. */
@@ -60,7 +65,9 @@
         isReportedLeaving: false,
         inFlight: new Map(),
         failures: 0,
+        failedBy: undefined,
         backOffUntil: 0 as Millis,
+        trial: undefined,
         cacheSeq: 0,
         cacheValidFrom: 0 as Millis,
         isFollowingCache: false,
@@ -128,4 +135,13 @@
     };
 }
 
+/** True when the circuit of the target lets one more request through. */
+export function canPassCircuit(row: TargetRow, now: Millis): boolean {
+    if (row.backOffUntil === 0) {
+        return true;
+    }
+    const isTrialRunning = row.trial !== undefined && row.inFlight.has(row.trial);
+    return now >= row.backOffUntil && !isTrialRunning;
+}
+
 export const isEngine = (row: TargetRow): boolean => row.configuration.kind === "engine";
--- /dev/null
+++ b/test/retries.test.ts
@@ -0,0 +1,167 @@
+/** Retries, circuits and refusals for lack of a target; counts what engines saw. */
+import { describe, expect, it } from "vitest";
+import { startEngine } from "../standins/engine";
+import { buildOpenDocument, postArrival } from "./support/arrivals";
+import { startFleet, waitUntilReady } from "./support/fleet";
+import { addSimulatedEngine, type SimulatedEngine } from "./support/simulatedEngine";
+import { createSimulation, type SimulatedNode, type Simulation, startSimulatedNode } from "./support/simulation";
+
+interface Traffic {
+    readonly simulation: Simulation;
+    readonly engines: readonly SimulatedEngine[];
+    readonly nodes: readonly SimulatedNode[];
+    readonly sent: () => number;
+    /** Sends 20 requests a second to each process. */
+    runTraffic(durationMs: number): void;
+}
+
+async function startTraffic({ engineCount, nodeCount }: { engineCount: number; nodeCount: number; }): Promise<Traffic> {
+    const simulation = createSimulation();
+    const engines = Array.from(
+        { length: engineCount },
+        (_, index) =>
+            addSimulatedEngine(simulation, { address: `10.1.0.${index + 1}:80`, version: "v1", decodeMs: 20 }),
+    );
+    simulation.writeConfiguration(1, buildOpenDocument(engines));
+    const nodes: SimulatedNode[] = [];
+    for (let index = 0; index < nodeCount; index += 1) {
+        nodes.push(await startSimulatedNode(simulation, { vm: `entry-${index}`, seed: index + 11 }));
+    }
+    simulation.runFor(1000);
+    let sent = 0;
+    return {
+        simulation,
+        engines,
+        nodes,
+        sent: () => sent,
+        runTraffic: durationMs => {
+            for (let elapsed = 0; elapsed < durationMs; elapsed += 50) {
+                for (const node of nodes) {
+                    postArrival(simulation, node, { timeoutMs: 3000 });
+                    sent += 1;
+                }
+                simulation.runFor(50);
+            }
+        },
+    };
+}
+
+const listAttempts = (engines: readonly SimulatedEngine[]): number =>
+    engines.reduce((sum, engine) => sum + engine.attempts.length, 0);
+
+describe("circuits", () => {
+    // Guards against a fleet that sends its whole traffic, and retries on top, to an engine that fails.
+    it.each([["down", 0], ["failing", 500], ["overloaded", 503]])(
+        "four processes send few requests to their only engine while it is %s",
+        async (_name, failWith) => {
+            const { simulation, engines, runTraffic, sent } = await startTraffic({ engineCount: 1, nodeCount: 4 });
+            const [engine] = engines;
+            if (engine) {
+                engine.faults.isDown = failWith === 0;
+                engine.faults.failWith = failWith;
+            }
+            runTraffic(60_000);
+            expect(sent()).toBe(4800);
+            // Ten trials in a minute for each process, and what is on its way when the engine begins to fail.
+            expect(listAttempts(engines)).toBeLessThanOrEqual(4 * 20);
+            if (engine) {
+                engine.faults.isDown = false;
+                engine.faults.failWith = 0;
+            }
+            simulation.runFor(15_000);
+            const before = listAttempts(engines);
+            runTraffic(5000);
+            expect(listAttempts(engines) - before).toBe(400);
+        },
+    );
+
+    it("lets one trial through after the back-off, although the engine's reports are good", async () => {
+        const { engines, runTraffic } = await startTraffic({ engineCount: 1, nodeCount: 1 });
+        const [engine] = engines;
+        if (engine) {
+            engine.faults.failWith = 503;
+        }
+        runTraffic(30_000);
+        const times = engine?.attempts.map(attempt => attempt.at) ?? [];
+        const gaps = times.slice(1).map((at, index) => at - (times[index] ?? 0));
+        expect(Math.min(...gaps)).toBeGreaterThan(300);
+    });
+});
+
+describe("retries", () => {
+    // Guards against retries that multiply the load of a fleet whose engines all fail.
+    it("stay within the budget over all processes", async () => {
+        const { engines, runTraffic, nodes } = await startTraffic({ engineCount: 12, nodeCount: 4 });
+        engines.forEach(engine => {
+            engine.faults.failWith = 500;
+        });
+        runTraffic(30_000);
+        const first = new Set(engines.flatMap(engine => engine.attempts.map(attempt => attempt.request))).size;
+        const burst = 10 * nodes.length;
+        expect(first).toBeGreaterThan(burst);
+        expect(listAttempts(engines)).toBeLessThanOrEqual(first * 1.1 + burst);
+    });
+
+    it("return to the engine that failed when no other serves the model", async () => {
+        const { simulation, engines, nodes } = await startTraffic({ engineCount: 1, nodeCount: 1 });
+        const [engine] = engines;
+        const [node] = nodes;
+        if (!engine || !node) {
+            return;
+        }
+        engine.faults.failWith = 503;
+        const request = postArrival(simulation, node);
+        simulation.runFor(100);
+        engine.faults.failWith = 0;
+        simulation.runFor(5000);
+        expect(engine.attempts.map(attempt => attempt.request)).toEqual([request, request]);
+        expect(node.refusals).toEqual([]);
+    });
+});
+
+describe("a request without a target", () => {
+    it("is refused, not run, after a short wait, and one whose target is loading is not", async () => {
+        const { simulation, engines, nodes } = await startTraffic({ engineCount: 2, nodeCount: 1 });
+        const [node] = nodes;
+        const document = buildOpenDocument(engines);
+        const routes = {
+            missing: { kind: "model", model: "copywriter", version: "v9", open: true },
+            coming: { kind: "model", model: "copywriter", version: "v2", open: true },
+        };
+        const targets = document["targets"] as Record<string, object>;
+        simulation.writeConfiguration(2, {
+            ...document,
+            routes,
+            targets: { ...targets, "engine-1": { ...targets["engine-1"], version: "v2" } },
+        });
+        simulation.runFor(500);
+        if (node) {
+            postArrival(simulation, node, { routeName: "missing" });
+            postArrival(simulation, node, { routeName: "coming" });
+        }
+        const sentAt = simulation.getNow();
+        simulation.runUntil(() => node?.refusals.length === 1);
+        expect(simulation.getNow() - sentAt).toBeLessThanOrEqual(2500);
+        expect(node?.refusals[0]?.refusal).toMatchObject({ code: "no_target", verdict: "not_run" });
+        simulation.runFor(20_000);
+        expect(node?.refusals).toHaveLength(1);
+        expect(engines[1]?.attempts).toHaveLength(1);
+    });
+});
+
+it("passes the time left until the deadline to the engine", async () => {
+    const engine = await startEngine({ model: "copywriter", version: "v1", decodeMs: 1 });
+    const fleet = await startFleet({ count: 1, document: buildOpenDocument([engine]) });
+    await waitUntilReady(fleet);
+    const response = await fetch(`http://${fleet.nodes[0]?.settings.listen.callers}/v1/completions`, {
+        method: "POST",
+        headers: { "content-type": "application/json", "x-request-timeout-ms": "7000" },
+        body: JSON.stringify({ model: "catalogue", prompt: "x", max_tokens: 1 }),
+    });
+    await response.text();
+    const left = Number(engine.runs[0]?.headers["x-request-timeout-ms"]);
+    expect(left).toBeGreaterThan(0);
+    expect(left).toBeLessThanOrEqual(7000);
+    await fleet.stop();
+    await engine.stop();
+});
