Queue requests by deficit round robin and shed load before it is sent

Cause: listFairly took one request of each account in turn, whatever its size, and started anew in each tick. An account at several times its rate filled the slots and the queues of all engines, so that the others waited behind it there. Nothing bounded the queue of all accounts together.

Change: policy/fairQueue.ts orders the requests of each priority and model version by deficit round robin over tokens; tables/queues.ts keeps the deficits between ticks. An account that has to wait keeps its turn and gains the turns it missed. Accounts that already run on a target share its slots and leave one in eight free while several accounts are active; places in the target's own queue are only for accounts that run nothing there. refuseOverload bounds the queue by account and priority and the sum over accounts (limits.queuedTotal, 2048), and refuses the newest requests of the account that waits most with overloaded, not_run and Retry-After.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -37,6 +37,8 @@
             connections: z.number().int().positive().default(10_000),
             /** Requests of one account waiting for a target. */
             queuedRequests: z.number().int().positive().default(256),
+            /** Requests of one priority waiting for a target, over all accounts. */
+            queuedTotal: z.number().int().positive().default(2048),
             prefixRows: z.number().int().positive().default(200_000),
         })
         .prefault({}),
--- a/src/refusals.ts
+++ b/src/refusals.ts
@@ -22,7 +22,7 @@
     draining: { status: 503, message: "This server is shutting down. Use another entry address." },
     rate_limited: { status: 429, message: "The client account has used up its token rate." },
     too_large_for_burst: { status: 413, message: "The request needs more tokens than the client account's burst." },
-    overloaded: { status: 503, message: "The queue of this client account is full." },
+    overloaded: { status: 503, message: "Too many requests are waiting." },
     no_target: { status: 503, message: "No target can take this request now." },
     deadline_exceeded: { status: 504, message: "The deadline of the request passed." },
     target_failed: { status: 502, message: "The target failed before it gave a full answer." },
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -8,6 +8,7 @@
 import { expireRequests } from "./expireRequests";
 import { followAttempts } from "./followAttempts";
 import { placeModels } from "./placeModels";
+import { refuseOverload } from "./refuseOverload";
 import { reserveTokens } from "./reserveTokens";
 import { routeRequests } from "./routeRequests";
 import { updateMembership } from "./updateMembership";
@@ -21,6 +22,7 @@
     expireRequests,
     admitRequests,
     reserveTokens,
+    refuseOverload,
     routeRequests,
     placeModels,
     answerEntries,
--- /dev/null
+++ b/src/systems/refuseOverload.ts
@@ -0,0 +1,26 @@
+/** Sheds load before work is started: refuses requests beyond the bounds of the queues. */
+import { listShed } from "../policy/fairQueue";
+import type { Tick, World } from "../world";
+import { refuseRequest } from "./requestEnd";
+
+const retryAfterSeconds = 2;
+
+/**
+ * Reads: requests. Writes: requests, floors.
+ * Effects: refusals, log lines. A request that was sent once is not shed, so that its work is not lost.
+ */
+export function refuseOverload(world: World, _tick: Tick): void {
+    const { requests } = world.tables;
+    const { queuedRequests, queuedTotal } = world.settings.limits;
+    if (requests.count("queued") <= Math.min(queuedRequests, queuedTotal)) {
+        return;
+    }
+    const waiting = requests.list("queued").filter(row => row.attempts.length === 0);
+    for (const priority of new Set(waiting.map(row => row.priority))) {
+        const rows = waiting.filter(row => row.priority === priority);
+        const limits = { perAccount: queuedRequests, total: queuedTotal };
+        for (const row of listShed(rows, entry => entry.account ?? "", limits)) {
+            refuseRequest(world, row, "overloaded", { retryAfterSeconds });
+        }
+    }
+}
--- a/src/systems/routeRequests.ts
+++ b/src/systems/routeRequests.ts
@@ -2,6 +2,7 @@
 import type { Model } from "../config/document";
 import { type EffectOf, logInfo } from "../effects";
 import type { CandidateScore } from "../operators";
+import { runFairQueue, type SendOutcome } from "../policy/fairQueue";
 import { computeScopeSeed, formatPrefixId } from "../policy/prefix";
 import { listByRendezvous } from "../policy/rendezvous";
 import { recordFirstSend } from "../policy/retryBudget";
@@ -53,6 +54,24 @@
 
 const hasRoom = (target: TargetRow): boolean => target.inFlight.size < target.configuration.slots * slotOvercommit;
 
+/** One slot of this many is kept free for accounts that run nothing on the target. */
+const slotsForEachReserved = 8;
+
+/**
+ * True when the account of the request may use one more place. An account that runs nothing on the target may use
+ * any place, also in the target's own queue. Others share the slots, and leave some free while several accounts
+ * are active, so that a flood of one account does not make the next request of another wait.
+ */
+function hasRoomFor(target: TargetRow, row: RequestRow): boolean {
+    const { slots } = target.configuration;
+    const accounts = new Set([...target.inFlight.values()].map(work => work.account));
+    if (!accounts.has(row.account)) {
+        return hasRoom(target);
+    }
+    const reserved = accounts.size > 1 ? Math.ceil(slots / slotsForEachReserved) : 0;
+    return target.inFlight.size < Math.max(1, slots - reserved);
+}
+
 /** Tokens of the prompt that the target is expected to have cached for its present incarnation. */
 export function computeHitTokens(world: World, target: TargetRow, row: RequestRow): number {
     let hits = 0;
@@ -204,7 +223,7 @@
     if (target.backOffUntil > 0) {
         target.trial = row.id;
     }
-    target.inFlight.set(row.id, { prefillTokens: score.missedTokens, sentAt: tick.now });
+    target.inFlight.set(row.id, { prefillTokens: score.missedTokens, sentAt: tick.now, account: row.account });
     world.tables.requests.updateState(row, "running");
     const send: EffectOf<"sendRequest"> = {
         kind: "sendRequest",
@@ -227,32 +246,49 @@
     });
 }
 
-/** Orders queued requests by priority, then takes one of each account in turn. */
-function listFairly(rows: readonly RequestRow[]): RequestRow[] {
-    const turns = new Map<string, number>();
-    return rows
-        .map(row => {
-            const turn = turns.get(row.account ?? "") ?? 0;
-            turns.set(row.account ?? "", turn + 1);
-            return { row, turn };
-        })
-        .sort((left, right) => right.row.priority - left.row.priority || left.turn - right.turn)
-        .map(({ row }) => row);
+/** Requests that compete for the same targets with the same priority share a fair queue. */
+function getQueueName({ priority, route }: RequestRow): string {
+    const need = route.kind === "model" ? `${route.model}@${route.version}` : route.service;
+    return `${priority} ${route.kind} ${need}`;
+}
+
+/** Sends a request if a target has room for it and its account. */
+function routeRequest(world: World, tick: Tick, row: RequestRow): SendOutcome {
+    const candidates = listCandidates(world, tick, row);
+    const withRoom = candidates.filter(({ target }) => hasRoom(target));
+    const chosen = chooseCandidate(world, row, withRoom.filter(({ target }) => hasRoomFor(target, row)));
+    if (chosen) {
+        sendToTarget(world, tick, row, chosen, candidates);
+        return "sent";
+    }
+    // A request that failed on some targets waits for the others; that says nothing about the next request.
+    if (row.attempts.length > 0) {
+        return "item_waits";
+    }
+    return withRoom.length > 0 ? "account_waits" : "all_wait";
 }
 
 /**
- * Reads: configuration, prefixes. Writes: requests, targets (work in flight).
+ * Reads: configuration, prefixes. Writes: requests, targets (work in flight), queues, retry budget.
  * Effects: requests to targets, log lines.
  */
 export function routeRequests(world: World, tick: Tick): void {
-    for (const row of listFairly(world.tables.requests.list("queued"))) {
-        if (tick.now < row.notBefore) {
-            continue;
-        }
-        const candidates = listCandidates(world, tick, row);
-        const chosen = chooseCandidate(world, row, candidates.filter(candidate => hasRoom(candidate.target)));
-        if (chosen) {
-            sendToTarget(world, tick, row, chosen, candidates);
-        }
+    const { queues, requests } = world.tables;
+    const ready = requests.list("queued").filter(row => tick.now >= row.notBefore);
+    const byQueue = new Map<string, RequestRow[]>();
+    // Retried requests come before those of their account that arrived later.
+    for (const row of ready.sort((left, right) => Math.sign(right.attempts.length) - Math.sign(left.attempts.length))) {
+        const name = getQueueName(row);
+        byQueue.set(name, byQueue.get(name) ?? []);
+        byQueue.get(name)?.push(row);
+    }
+    queues.removeExcept(new Set(byQueue.keys()));
+    const ordered = [...byQueue].sort(([, left], [, right]) => (right[0]?.priority ?? 0) - (left[0]?.priority ?? 0));
+    for (const [name, rows] of ordered) {
+        runFairQueue(queues.get(name), rows, {
+            getAccount: row => row.account ?? "",
+            getTokens: row => Math.max(1, row.promptTokens + row.maxTokens),
+            send: row => routeRequest(world, tick, row),
+        });
     }
 }
--- a/src/tables/index.ts
+++ b/src/tables/index.ts
@@ -7,6 +7,7 @@
 import { createNodeRow, type NodeRow } from "./node";
 import { createOrdersTable, type OrdersTable } from "./orders";
 import { createPrefixesTable, type PrefixesTable } from "./prefixes";
+import { createQueuesTable, type QueuesTable } from "./queues";
 import { createRequestsTable, type RequestsTable } from "./requests";
 import { createTargetsTable, type TargetsTable } from "./targets";
 
@@ -20,6 +21,7 @@
     readonly floors: FloorsTable;
     readonly orders: OrdersTable;
     readonly retryBudget: RetryBudget;
+    readonly queues: QueuesTable;
 }
 
 /** Creates empty tables. */
@@ -34,5 +36,6 @@
         floors: createFloorsTable(),
         orders: createOrdersTable(),
         retryBudget: createRetryBudget(),
+        queues: createQueuesTable(),
     };
 }
--- a/src/tables/targets.ts
+++ b/src/tables/targets.ts
@@ -1,6 +1,6 @@
 /** Targets of the configuration with what is known of their state. */
 import type { TargetConfiguration } from "../config/document";
-import type { Incarnation, Millis, RequestId, TargetId } from "../ids";
+import type { AccountId, Incarnation, Millis, RequestId, TargetId } from "../ids";
 import type { TargetReport } from "../targets";
 
 /** Work that this process sent to a target and that has not ended. */
@@ -8,6 +8,7 @@
     /** Prompt tokens expected to be computed, until the first token. */
     prefillTokens: number;
     readonly sentAt: Millis;
+    readonly account: AccountId | undefined;
 }
 
 export interface TargetRow {
--- a/test/support/simulatedEngine.ts
+++ b/test/support/simulatedEngine.ts
@@ -26,6 +26,8 @@
         readonly request: RequestId;
         readonly call: EffectOf<"sendRequest">["call"];
     }[];
+    /** Requests as they got a slot. */
+    readonly started: { readonly at: number; readonly request: RequestId; }[];
     readonly faults: {
         isDown: boolean;
         /** Coming orders that never arrive. */
@@ -70,6 +72,7 @@
     const cancelled = new Set<RequestId>();
     const orders: SimulatedEngine["orders"] = [];
     const attempts: SimulatedEngine["attempts"] = [];
+    const started: SimulatedEngine["started"] = [];
     const faults = { isDown: false, loseOrders: 0, loseOrderAnswers: 0, orderDelayMs: 1, failWith: 0 };
     let report = buildReport();
 
@@ -142,6 +145,7 @@
         const born = incarnation;
         const isGone = (): boolean => cancelled.has(request) || born !== incarnation;
         running += 1;
+        started.push({ at: simulation.getNow(), request });
         const tokens = Number(call.engine?.blocks.length ?? 0) * 1000;
         const start = Math.max(simulation.getNow(), prefillFreeAt);
         prefillFreeAt = start + (tokens / prefillTokensPerSecond) * 1000;
@@ -187,6 +191,7 @@
         address,
         orders,
         attempts,
+        started,
         faults,
         getState: () => ({ state, version }),
         getReport: () => (faults.isDown ? undefined : report),
