--- a/src/systems/followAttempts.ts
+++ b/src/systems/followAttempts.ts
@@ -2,6 +2,7 @@
 import { logInfo } from "../effects";
 import type { EventOf } from "../events";
 import { addMillis } from "../ids";
+import { hasRetry, reserveRetry } from "../policy/retryBudget";
 import type { Usage } from "../requests";
 import { type Attempt, findAttempt, type RequestRow } from "../tables/requests";
 import type { Tick, World } from "../world";
@@ -11,6 +12,9 @@
 
 const maxResumes = 3;
 const retryDelayMs = 25;
+/** A single request that an engine cannot handle must not close every engine in turn. */
+const toleratedServerErrors = 2;
+const overloadedStatuses: ReadonlySet<number> = new Set([429, 503]);
 
 type AttemptEventKind =
     | "attemptBytesHanded"
@@ -61,10 +65,6 @@
 function endAttempt(world: World, tick: Tick, row: RequestRow, attempt: Attempt, usage: Usage | undefined): void {
     attempt.state = "finished";
     attempt.outcome = "finished";
-    const target = world.tables.targets.get(attempt.target);
-    if (target) {
-        recordTargetSuccess(target);
-    }
     if (usage) {
         recordUsage(world, row, usage);
     }
@@ -88,6 +88,7 @@
     return !row.isRelaying
         && (row.repeatable || row.attempts.every(attempt => !attempt.evidence.bytesHanded))
         && row.attempts.length < world.settings.retries.attempts
+        && hasRetry(world.tables.retryBudget)
         && tick.now < row.deadline;
 }
 
@@ -100,6 +101,7 @@
         refuseRequest(world, row, row.isRelaying ? "stream_interrupted" : "target_failed");
         return;
     }
+    reserveRetry(world.tables.retryBudget);
     row.notBefore = addMillis(tick.now, retryDelayMs * (0.5 + world.random()));
     world.tables.requests.updateState(row, "queued");
     world.timers.schedule({ name: "requestRetry", at: row.notBefore, key: row.id });
@@ -107,6 +109,31 @@
     logInfo(world.effects, "stream:", "Request is retried.", { request: row.id, target: attempt.target, outcome });
 }
 
+/** Opens or closes the circuit of the target by the status of its answer. */
+function recordAnswer(world: World, tick: Tick, attempt: Attempt, event: EventOf<"attemptAnswered">): void {
+    const target = world.tables.targets.get(attempt.target);
+    if (!target) {
+        return;
+    }
+    if (event.refusedBeforeRun || overloadedStatuses.has(event.status)) {
+        recordTargetFailure(world, tick, target);
+    }
+    else if (event.status >= 500) {
+        recordTargetFailure(world, tick, target, { tolerated: toleratedServerErrors });
+    }
+    else if (event.whole) {
+        recordTargetSuccess(target);
+    }
+}
+
+/** A stream counts as a success from its first token; headers alone do not show that the target works. */
+function recordStreamSuccess(world: World, attempt: Attempt): void {
+    const target = world.tables.targets.get(attempt.target);
+    if (target) {
+        recordTargetSuccess(target);
+    }
+}
+
 function handleAnswer(
     world: World,
     tick: Tick,
@@ -117,6 +144,7 @@
     attempt.evidence = { bytesHanded: true, answer: event.refusedBeforeRun ? "refused" : "answered" };
     // A service's error is an answer of its own; an engine's error is not, and another engine can take the request.
     const isEngineError = event.status >= 500 && row.model !== undefined;
+    recordAnswer(world, tick, attempt, event);
     if (event.refusedBeforeRun || (isEngineError && row.repeatable && canRetry(world, tick, row))) {
         world.effects.append({ kind: "cancelAttempt", request: row.id, attempt: attempt.number });
         retryOrRefuse(world, tick, row, attempt, `status ${event.status}`);
@@ -140,6 +168,7 @@
     event: EventOf<"attemptFirstToken">,
 ): void {
     attempt.firstTokenAt ??= tick.now;
+    recordStreamSuccess(world, attempt);
     const work = world.tables.targets.get(attempt.target)?.inFlight.get(row.id);
     if (work) {
         work.prefillTokens = 0;
@@ -198,6 +227,7 @@
         settleReservations(world, row, { spent: event.tokens });
     },
     attemptFinished: (world, tick, row, attempt, event) => {
+        recordStreamSuccess(world, attempt);
         endAttempt(world, tick, row, attempt, event.usage);
     },
     attemptFailed: handleFailure,
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -13,6 +13,7 @@
 import { expireRequests } from "./expireRequests";
 import { followAttempts } from "./followAttempts";
 import { placeModels } from "./placeModels";
+import { refuseOverload } from "./refuseOverload";
 import { reserveTokens } from "./reserveTokens";
 import { routeRequests } from "./routeRequests";
 import { updateMembership } from "./updateMembership";
@@ -28,6 +29,7 @@
     expireRequests,
     admitRequests,
     reserveTokens,
+    refuseOverload,
     claimRequests,
     expireClaims,
     routeRequests,
--- a/src/tables/index.ts
+++ b/src/tables/index.ts
@@ -1,5 +1,6 @@
 /** All tables of one process. */
 import type { Settings } from "../config/settings";
+import { createRetryBudget, type RetryBudget } from "../policy/retryBudget";
 import { type ChangesTable, createChangesTable } from "./changes";
 import { type ClaimsTable, createClaimsTable } from "./claims";
 import { type ConfigurationTable, createConfigurationTable } from "./configuration";
@@ -8,6 +9,7 @@
 import { createNodeRow, type NodeRow } from "./node";
 import { createOrdersTable, type OrdersTable } from "./orders";
 import { createPrefixesTable, type PrefixesTable } from "./prefixes";
+import { createQueuesTable, type QueuesTable } from "./queues";
 import { createRequestsTable, type RequestsTable } from "./requests";
 import { createTargetsTable, type TargetsTable } from "./targets";
 
@@ -22,6 +24,8 @@
     readonly floors: FloorsTable;
     readonly claims: ClaimsTable;
     readonly orders: OrdersTable;
+    readonly retryBudget: RetryBudget;
+    readonly queues: QueuesTable;
 }
 
 /** Creates empty tables. */
@@ -37,5 +41,7 @@
         floors: createFloorsTable(),
         claims: createClaimsTable(),
         orders: createOrdersTable(),
+        retryBudget: createRetryBudget(),
+        queues: createQueuesTable(),
     };
 }
--- a/test/streams.test.ts
+++ b/test/streams.test.ts
@@ -78,6 +78,8 @@
     });
 
     it("never relays an answer that names another request", async () => {
+        updateFaults({ crossAnswers: 1 });
+        expect(await sendPrompt("crossed", false)).toMatchObject({ kind: "complete" });
         updateFaults({ crossAnswers: 1000 });
         const streamed = await sendPrompt("crossed stream");
         expect(streamed.kind).not.toBe("wrong");
