Wait for delivery and lease revocation before a draining process exits

Cause: exitProcess followed revokeLease in the same tick and closed the store's connections, so the revocation was lost and the registration stayed until the lease expired. The process also exited when no request was open, although a slow caller had not yet read an answer that the target had finished, and cut it.

Change: the requests table counts undelivered answers; the process stops when there are none, at the latest requestMs after the notice, revokes its leases and exits when the store has answered or its timeout has passed. The listener stays open and refuses with draining. A renewal that ends after the revocation does not register the process again. A request whose caller left in the tick of its arrival is not admitted; it ran for nobody and would have held up the exit.

--- a/src/systems/admitRequests.ts
+++ b/src/systems/admitRequests.ts
@@ -49,7 +49,7 @@
 
 function checkAdmission(world: World, arrival: RequestArrival): Decision {
     const { configuration, node, requests } = world.tables;
-    if (node.state === "draining" && !node.isListening) {
+    if (!node.isAdmitting) {
         return refuse("draining", { retryAfterSeconds: 1 });
     }
     if (configuration.version === 0) {
@@ -169,7 +169,13 @@
  * Effects: refusals, deadline timers, answers to `/v1/models`, log lines.
  */
 export function admitRequests(world: World, tick: Tick): void {
+    const gone = new Set(tick.events.list("callerGone").map(event => event.request));
     for (const { arrival } of tick.events.list("requestArrived")) {
+        // A caller that left in the tick of its arrival is not reported again.
+        if (gone.has(arrival.request)) {
+            world.effects.append({ kind: "forgetRequest", request: arrival.request });
+            continue;
+        }
         const decision = checkAdmission(world, arrival);
         if (decision.kind === "refuse") {
             refuseArrival(world, arrival, decision.code, decision.options ?? {});
--- a/src/systems/expireRequests.ts
+++ b/src/systems/expireRequests.ts
@@ -72,7 +72,11 @@
  */
 export function expireRequests(world: World, tick: Tick): void {
     expireOverdue(world, tick);
+    for (const { request } of tick.events.list("answerDelivered")) {
+        world.tables.requests.recordDelivery(request);
+    }
     for (const { request } of tick.events.list("callerGone")) {
+        world.tables.requests.recordDelivery(request);
         const row = world.tables.requests.get(request);
         if (row && row.state !== "done") {
             refuseRequest(world, row, "caller_gone");
--- a/src/systems/updateMembership.ts
+++ b/src/systems/updateMembership.ts
@@ -102,7 +102,11 @@
 }
 
 function handleLease(world: World, tick: Tick, outcome: StoreOutcome): void {
-    const { memberLease } = world.tables.node;
+    const { memberLease, state } = world.tables.node;
+    // A renewal that ends after the lease was revoked must not register the process again.
+    if (state === "stopped") {
+        return;
+    }
     memberLease.isPending = false;
     if (outcome.result.err || outcome.result.val.kind !== "lease") {
         world.timers.schedule({ name: "memberRetry", at: addMillis(tick.now, computeJitter(world, retryMs)) });
--- a/src/tables/node.ts
+++ b/src/tables/node.ts
@@ -13,7 +13,9 @@
     state: "starting" | "live" | "draining" | "stopped";
     startedAt: Millis | undefined;
     drainingSince: Millis | undefined;
-    isListening: boolean;
+    /** False once a draining process refuses new requests. */
+    isAdmitting: boolean;
+    hasExited: boolean;
     readonly memberLease: NodeLease;
     readonly slotLease: NodeLease;
     /** Floor slot that this process holds. */
@@ -30,7 +32,8 @@
         state: "starting",
         startedAt: undefined,
         drainingSince: undefined,
-        isListening: true,
+        isAdmitting: true,
+        hasExited: false,
         memberLease: createLease(),
         slotLease: createLease(),
         slot: undefined,
--- a/src/tables/requests.ts
+++ b/src/tables/requests.ts
@@ -85,6 +85,10 @@
     count(state: RequestState): number;
     /** Requests that have not ended. */
     listOpen(): readonly RequestRow[];
+    /** Number of requests, ended ones included, whose caller has neither the whole answer nor gone away. */
+    getUndelivered(): number;
+    /** Records that the caller has its whole answer or has gone away. */
+    recordDelivery(id: RequestId): void;
 }
 
 /** Finished requests kept for `explain`. */
@@ -103,6 +107,8 @@
         done: new Set(),
     };
 
+    const undelivered = new Set<RequestId>();
+
     function removeOldest(): void {
         for (const row of byState.done) {
             if (byState.done.size <= keptRequests) {
@@ -120,6 +126,7 @@
         get: id => rows.get(id),
         add: row => {
             rows.set(row.id, row);
+            undelivered.add(row.id);
             byState[row.state].add(row);
         },
         updateState: (row, state) => {
@@ -132,6 +139,10 @@
         },
         list: state => [...byState[state]],
         count: state => byState[state].size,
+        getUndelivered: () => undelivered.size,
+        recordDelivery: id => {
+            undelivered.delete(id);
+        },
         listOpen: () => openStates.flatMap(state => [...byState[state]]),
     };
 }
--- a/test/retries.test.ts
+++ b/test/retries.test.ts
@@ -88,6 +88,20 @@
     });
 });
 
+// Guards against a request that runs, and holds up a shutdown, for a caller that left as it arrived.
+it("does not run a request whose caller left in the tick of its arrival", async () => {
+    const { simulation, engines, nodes } = await startTraffic({ engineCount: 1, nodeCount: 1 });
+    const [node] = nodes;
+    if (node) {
+        const request = postArrival(simulation, node);
+        node.post({ kind: "callerGone", request });
+        node.post({ kind: "drainAsked" });
+    }
+    simulation.runFor(10_000);
+    expect(listAttempts(engines)).toBe(0);
+    expect(node?.exits).toEqual([0]);
+});
+
 describe("retries", () => {
     // Guards against retries that multiply the load of a fleet whose engines all fail.
     it("stay within the budget over all processes", async () => {
