--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -16,17 +16,22 @@
     run(events?: readonly Event[], afterMs?: number): readonly Effect[];
 }
 
-export const virtualSettings = {
-    vm: "entry-0",
+const buildVirtualSettings = (index: number) => ({
+    vm: `entry-${index}`,
     dataCentre: "dc-0",
     fleetSecret: "a-secret-of-the-test-fleet",
-    listen: { callers: "127.0.0.1:1001", operators: "127.0.0.1:1002", peers: "127.0.0.1:1003" },
-    store: { address: "127.0.0.1:1004" },
-};
+    listen: {
+        callers: `127.0.0.1:${1000 + index}`,
+        operators: `127.0.0.1:${2000 + index}`,
+        peers: `127.0.0.1:${3000 + index}`,
+    },
+    store: { address: "127.0.0.1:1" },
+    peers: ["127.0.0.1:3000", "127.0.0.1:3001", "127.0.0.1:3002"],
+});
 
-/** Creates a world over which the given systems run. */
-export async function createVirtualNode(systems: readonly System[], seed = 1): Promise<VirtualNode> {
-    const settings = parseSettings(virtualSettings).unwrap();
+/** Creates a world over which the given systems run, as process `entry-{index}` of a fleet of three. */
+export async function createVirtualNode(systems: readonly System[], seed = 1, index = 0): Promise<VirtualNode> {
+    const settings = parseSettings(buildVirtualSettings(index)).unwrap();
     const generator = xoroshiro128plus(seed);
     const world: World = {
         settings,
