Ignore damaged registrations of members

A row of members/ that is not a registration threw inside updateMembership and would have ended the process. The new case 'survives damaged rows of members' failed with a SyntaxError before and passes now.

--- a/src/systems/updateMembership.ts
+++ b/src/systems/updateMembership.ts
@@ -1,6 +1,7 @@
 /** Registers this process in the store and keeps the table of members. */
+import { z } from "zod";
 import { logInfo, logWarning } from "../effects";
-import { addMillis, type Millis, toConfigVersion, toLeaseId, type VmId } from "../ids";
+import { addMillis, type Millis, toConfigVersion, toLeaseId, toVmId, type VmId } from "../ids";
 import { listAnswerRows, type StoreOutcome } from "../store";
 import type { MemberRow } from "../tables/members";
 import { isLeaseValid } from "../tables/node";
@@ -8,13 +9,25 @@
 
 export const memberPrefix = "members/";
 
+const recordSchema = z.looseObject({
+    vm: z.string().min(1).transform(toVmId),
+    incarnation: z.string(),
+    dataCentre: z.string(),
+    callerAddress: z.string(),
+    peerAddress: z.string(),
+});
+
 /** What a process writes about itself in the store. */
-export interface MemberRecord {
-    readonly vm: VmId;
-    readonly incarnation: string;
-    readonly dataCentre: string;
-    readonly callerAddress: string;
-    readonly peerAddress: string;
+export type MemberRecord = Readonly<z.output<typeof recordSchema>>;
+
+/** Reads a registration; undefined when the text is not one. */
+function parseMember(text: string): MemberRecord | undefined {
+    try {
+        return recordSchema.safeParse(JSON.parse(text)).data;
+    }
+    catch {
+        return undefined;
+    }
 }
 
 const retryMs = 500;
@@ -173,7 +186,9 @@
         });
         return;
     }
-    const records = listAnswerRows(outcome.result.val).map(row => JSON.parse(row.value) as MemberRecord);
+    const records = listAnswerRows(outcome.result.val)
+        .map(row => parseMember(row.value))
+        .filter(record => record !== undefined);
     const registered = new Set(records.map(record => record.vm));
     for (const record of records) {
         applyRecord(world, record);
@@ -202,7 +217,10 @@
                 removeRegistration(world, tick, change.key.slice(memberPrefix.length) as VmId);
             }
             else {
-                applyRecord(world, JSON.parse(change.value) as MemberRecord);
+                const record = parseMember(change.value);
+                if (record) {
+                    applyRecord(world, record);
+                }
             }
         }
     }
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -152,6 +152,16 @@
         );
     });
 
+    // An exception in a system would end the process.
+    it("survives damaged rows of members", async () => {
+        const node = await createVirtualNode(systems);
+        node.run();
+        const changes = ["{", "{}", "1"].map((value, index) => ({ key: `members/${index}`, value, modRevision: 2 }));
+        const heardAt = toMillis(node.getNow());
+        node.run([{ kind: "watchDelivered", watch: "members", revision: 2, changes, heardAt }]);
+        expect(node.world.tables.members.list().map(row => row.vm)).toEqual(["entry-0"]);
+    });
+
     it("keeps a higher version when a restarted process first hears a stale peer", async () => {
         const node = await createVirtualNode(systems);
         node.run();
