Answer open changes before the process stops

A process that drained closed the connections of operators whose changes were under way, so that they could not know the outcome. The new case 'answers a change before it stops for a shutdown' failed with a closed socket before and passes now.

--- a/src/adapters/operatorServer.ts
+++ b/src/adapters/operatorServer.ts
@@ -212,6 +212,7 @@
         const timer = setTimeout(() => {
             close({ kind: "unavailable", effect: "unknown", message: "No answer in time." });
         }, answerTimeoutMs);
+        timer.unref();
         waiting.set(call, close);
         post({ kind: "operatorAsked", call, command: opened.command, holdsFleetSecret });
     }
--- a/src/systems/drainNode.ts
+++ b/src/systems/drainNode.ts
@@ -23,12 +23,13 @@
 }
 
 function checkDrain(world: World, tick: Tick): void {
-    const { node, requests } = world.tables;
+    const { node, requests, changes } = world.tables;
     if (node.isListening) {
         node.isListening = false;
         world.effects.append({ kind: "closeListeners" });
     }
-    if (requests.listOpen().length > 0) {
+    // Changes of operators end within seconds, and an operator who gets no answer cannot know the outcome.
+    if (requests.listOpen().length > 0 || changes.size > 0) {
         world.timers.schedule({ name: "drain", at: addMillis(tick.now, drainCheckMs) });
         return;
     }
@@ -45,7 +46,7 @@
 }
 
 /**
- * Reads: requests, configuration. Writes: node, members (own state).
+ * Reads: requests, changes, configuration. Writes: node, members (own state).
  * Effects: closing of listeners, lease revocation, exit, log lines.
  */
 export function drainNode(world: World, tick: Tick): void {
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -224,6 +224,16 @@
         expect(grant.body).toMatchObject({ state: "committed", confirmed: 1, members: 3 });
     });
 
+    it("answers a change before it stops for a shutdown", async () => {
+        await start(3, { overrides: { timeouts: { drainNoticeMs: 1 } } });
+        fleet.platform.faults.loseAnswers = 2;
+        const grant = sendCommand(fleet, 0, "POST /operator/keys", { body: { account: "shop" } });
+        await waitUntil(() => fleet.platform.faults.loseAnswers < 2);
+        fleet.nodes[0]?.node.drain();
+        expect((await grant).status).toBe(200);
+        await waitUntil(() => fleet.nodes[0]?.exits.length === 1);
+    });
+
     it("ends a running stream of a withdrawn key on a VM that learns of it only from peers", async () => {
         let storePath = "";
         await start(3, {
@@ -249,6 +259,7 @@
         const getFreshness = async (): Promise<unknown> =>
             (await sendCommand(fleet, 0, "GET /operator/status")).body["freshness"];
         await waitUntil(async () => await getFreshness() === "store_outage");
+        expect((await sendCommand(fleet, 0, "GET /operator/status")).body["storeReachable"]).toBe(false);
         expect((await sendCompletion(fleet, 0, shopKey)).status).toBe(200);
         fleet.nodes[1]?.node.stop();
         expect((await sendCompletion(fleet, 0, shopKey)).status).toBe(200);
