--- a/src/config/records.ts
+++ b/src/config/records.ts
@@ -75,11 +75,15 @@
 export const formatEntryId = (section: string, id: string): string =>
     section === "keys" || section === "operators" ? id.slice(0, 8) : id;
 
-/** Names the entries that a change sets or removes. */
+/** Names in one list of changed entries; the first document of a large fleet sets thousands. */
+const maxNames = 20;
+
+/** Names the entries that a change sets or removes, the first ones of many. */
 export function listChangedEntries(change: ConfigurationChange): string[] {
-    return documentSections.flatMap(section => {
+    const names = documentSections.flatMap(section => {
         const { set = {}, removed = [] } = change[section] ?? {};
         const format = (id: string): string => `${section}.${formatEntryId(section, id)}`;
         return [...Object.keys(set).map(format), ...removed.map(id => `-${format(id)}`)];
     });
+    return names.length <= maxNames ? names : [...names.slice(0, maxNames), `and ${names.length - maxNames} more`];
 }
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -210,6 +210,10 @@
         const put = await sendCommand(fleet, 0, "PUT /operator/configuration", { body });
         expect(put).toMatchObject({ status: 200, body: { version: 2 } });
         await waitUntil(async () => (await getVersions()).every(version => version === 2));
+        // The history and the log name some entries and the number of the others.
+        const { entries } = (await sendCommand(fleet, 1, "GET /operator/history")).body;
+        expect(entries?.[0]?.changed).toHaveLength(21);
+        expect(entries?.[0]?.changed.at(-1)).toBe("and 7981 more");
         const late = await startLateNode();
         await waitUntil(async () => (await late.readDocument()).version === 2);
         late.node.stop();
