--- a/src/systems/drainNode.ts
+++ b/src/systems/drainNode.ts
@@ -71,10 +71,11 @@
 }
 
 function checkDrain(world: World, tick: Tick): void {
-    const { node, requests } = world.tables;
+    const { node, requests, changes } = world.tables;
     const isOverdue = tick.due.listKeys("drain").includes("limit");
     const isAnswering = requests.listOpen().length > 0 || (requests.getUndelivered() > 0 && !isOverdue);
-    if (isAnswering || isSettlingClaims(world, tick)) {
+    // Changes of operators end within seconds, and an operator who gets no answer cannot know the outcome.
+    if (isAnswering || changes.size > 0 || isSettlingClaims(world, tick)) {
         return;
     }
     if (requests.getUndelivered() > 0) {
@@ -112,7 +113,7 @@
 }
 
 /**
- * Reads: requests, claims, configuration. Writes: node, members (own state).
+ * Reads: requests, claims, changes, configuration. Writes: node, members (own state).
  * Effects: closing of listeners, lease revocation, exit, log lines.
  */
 export function drainNode(world: World, tick: Tick): void {
--- a/src/systems/exchangeWithPeers.ts
+++ b/src/systems/exchangeWithPeers.ts
@@ -132,9 +132,14 @@
  */
 function applyRequest(world: World, tick: Tick, exchange: Exchange): void {
     for (const digest of [exchange.digest, ...exchange.heard.map(entry => entry.digest)]) {
-        if (!world.tables.members.get(digest.vm)) {
+        const known = world.tables.members.get(digest.vm);
+        if (!known) {
             addMember(world, digest);
         }
+        else if (known.incarnation === digest.incarnation && digest.state === "draining") {
+            // A process that drains never goes back, so that this holds whenever it was said.
+            known.state = "draining";
+        }
     }
     applyPrefixUpdates(world, tick.now, exchange.prefixes);
     requestNewer(world, exchange.digest);
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -117,17 +117,24 @@
         await waitUntil(async () => !(await listEntries(getEntry(0))).includes(getEntry(1).callers));
     });
 
-    it("refuses a withdrawn key on a process that was frozen while the key was withdrawn", async () => {
+    it("refuses a withdrawn key on a process that was frozen and wakes up cut off", async () => {
         const frozen = getEntry(2);
+        const others = entries.filter(entry => entry !== frozen);
         frozen.process.kill("SIGSTOP");
         const answer = sendPrompt(frozen);
         const document = buildDocument(engines, services);
         writeConfiguration(platform, 2, { ...document, keys: {} }, document);
         await waitUntil(async () => (await sendPrompt(getEntry(0))).kind === "refused");
         await new Promise(resolve => setTimeout(resolve, freshForMs + 500));
+        // Neither the store nor a peer can tell the process about the withdrawal when it wakes up.
+        platform.startOutage();
+        others.forEach(entry => entry.process.kill("SIGSTOP"));
         frozen.process.kill("SIGCONT");
         expect((await answer).kind).toBe("refused");
         expect((await sendPrompt(frozen)).kind).toBe("refused");
+        others.forEach(entry => entry.process.kill("SIGCONT"));
+        platform.endOutage();
+        await waitUntil(async () => (await sendPrompt(frozen)).kind === "refused");
     });
 
     it("goes on serving through a store outage, and a process that restarts in it serves too", async () => {
