--- a/src/adapters/peerProtocol.ts
+++ b/src/adapters/peerProtocol.ts
@@ -30,6 +30,14 @@
     headConfirmedAgeMs: age,
 });
 const count = z.number().min(0);
+const reports = z.array(z.object({
+    grant: z.string(),
+    sequence: count,
+    spent: count,
+    returned: count,
+    reserved: count,
+    reservedForMs: z.number(),
+})).max(64);
 
 /** Shape of each request; the branded types are those of `PeerProtocol`. */
 const requestSchemas = {
@@ -43,10 +51,11 @@
         incarnation: z.string(),
         account: z.string(),
         tokens: count,
+        needed: count,
         atLeast: count,
-        spent: count,
+        reports,
     }),
-    returnGrant: z.object({ vm: z.string(), account: z.string(), grant: z.string(), spent: count, unused: count }),
+    returnGrant: z.object({ vm: z.string(), account: z.string(), reports }),
     pullConfiguration: z.object({ above: z.number().int().min(0) }),
     pushConfiguration: z.discriminatedUnion("kind", [
         z.object({ kind: z.literal("snapshot"), version: z.number().int(), document: z.unknown() }),
--- a/src/events.ts
+++ b/src/events.ts
@@ -4,6 +4,7 @@
     AccountId,
     CallId,
     ConfigVersion,
+    GrantId,
     Incarnation,
     KeyHash,
     Millis,
@@ -38,11 +39,14 @@
 
 export type WatchName = "configuration" | "members";
 
+/** Sequence numbers of the reports that travelled with a call, by grant. */
+export type SentReports = readonly { readonly grant: GrantId; readonly sequence: number; }[];
+
 /** Says which decision a call to a peer belongs to. */
 export type PeerPurpose =
     | { readonly for: "exchange"; }
-    | { readonly for: "grant"; readonly account: AccountId; readonly askedAt: Millis; }
-    | { readonly for: "grantReturn"; readonly account: AccountId; }
+    | { readonly for: "grant"; readonly account: AccountId; readonly askedAt: Millis; readonly reports: SentReports; }
+    | { readonly for: "grantReturn"; readonly account: AccountId; readonly reports: SentReports; }
     | { readonly for: "pull"; }
     | { readonly for: "push"; readonly version: ConfigVersion; };
 
--- a/src/ids.ts
+++ b/src/ids.ts
@@ -31,6 +31,8 @@
 export type FencingNumber = Branded<number, "FencingNumber">;
 /** One order to an engine. */
 export type OrderId = Branded<string, "OrderId">;
+/** Tokens that a bucket owner gave out, or its own use of them; unique over all owners. */
+export type GrantId = Branded<string, "GrantId">;
 /** One call that a peer or operator waits for. */
 export type CallId = Branded<string, "CallId">;
 /** Lease id of the platform's store. */
@@ -53,6 +55,7 @@
 export const toConfigVersion = (value: number): ConfigVersion => value as ConfigVersion;
 export const toFencingNumber = (value: number): FencingNumber => value as FencingNumber;
 export const toOrderId = (value: string): OrderId => value as OrderId;
+export const toGrantId = (value: string): GrantId => value as GrantId;
 export const toCallId = (value: string): CallId => value as CallId;
 export const toLeaseId = (value: string): LeaseId => value as LeaseId;
 export const toMillis = (value: number): Millis => value as Millis;
--- a/src/peers.ts
+++ b/src/peers.ts
@@ -1,7 +1,16 @@
 /** Messages between the processes of the fleet, independent of their encoding. */
 import type { ConfigurationChange } from "./config/change";
 import type { ConfigurationDocument } from "./config/document";
-import type { AccountId, ConfigVersion, DataCentreId, FencingNumber, Incarnation, TargetId, VmId } from "./ids";
+import type {
+    AccountId,
+    ConfigVersion,
+    DataCentreId,
+    FencingNumber,
+    GrantId,
+    Incarnation,
+    TargetId,
+    VmId,
+} from "./ids";
 
 /** What a process says of itself in each exchange. */
 export interface MemberDigest {
@@ -37,30 +46,52 @@
     readonly incarnation: Incarnation;
     readonly account: AccountId;
     readonly tokens: number;
+    /** Part of `tokens` that requests are waiting for; the rest is taken in advance. */
+    readonly needed: number;
     /** Least number of tokens that is of use to the asking process. */
     readonly atLeast: number;
-    /** Tokens of earlier grants of this owner that the holder has spent or settled since its last report. */
+    readonly reports: readonly GrantReport[];
+}
+
+/**
+ * What became of the tokens of one grant. All counts are totals since the grant was given, so that a report may
+ * be lost, repeated or late without counting anything twice.
+ */
+export interface GrantReport {
+    readonly grant: GrantId;
+    /** Counts up with each change at the holder; an owner ignores a report older than one it has seen. */
+    readonly sequence: number;
     readonly spent: number;
+    /** Tokens that the holder gave back and will not use. */
+    readonly returned: number;
+    /** Tokens reserved by requests that still run. */
+    readonly reserved: number;
+    /** Time until the last of these requests reaches its deadline. */
+    readonly reservedForMs: number;
 }
 
 export type GrantAnswer =
     | {
         readonly kind: "granted";
-        readonly grant: string;
+        readonly grant: GrantId;
         readonly tokens: number;
         readonly fencing: FencingNumber;
         readonly ttlMs: number;
     }
     | { readonly kind: "empty"; readonly retryAfterMs: number; }
-    | { readonly kind: "not_owner"; readonly owner?: VmId; };
+    | { readonly kind: "not_owner"; readonly owner?: OwnerAddress; };
+
+/** A VM that owns a bucket. The address tells processes with the same VM name apart. */
+export interface OwnerAddress {
+    readonly vm: VmId;
+    readonly address: string;
+}
 
-/** Reports that tokens of a grant were spent (`spent`) or will not be used (`unused`). */
+/** Reports on grants without a request for tokens. */
 export interface GrantReturn {
     readonly vm: VmId;
     readonly account: AccountId;
-    readonly grant: string;
-    readonly spent: number;
-    readonly unused: number;
+    readonly reports: readonly GrantReport[];
 }
 
 /** Configuration of one version, whole or as the change from the version before. */
--- a/src/policy/bucket.ts
+++ b/src/policy/bucket.ts
@@ -49,8 +49,9 @@
     bucket: Bucket,
     { spent = 0, unused = 0 }: { readonly spent?: number; readonly unused?: number; },
 ): void {
+    const credit = Math.min(unused, Math.max(0, bucket.outstanding - spent));
     bucket.outstanding = Math.max(0, bucket.outstanding - spent - unused);
-    bucket.level = Math.min(bucket.level + unused, Math.max(0, bucket.burst - bucket.outstanding));
+    bucket.level = Math.min(bucket.level + credit, Math.max(0, bucket.burst - bucket.outstanding));
 }
 
 /** Milliseconds until the bucket could hold `tokens`, or undefined when it never can. */
@@ -67,3 +68,9 @@
     bucket.burst = limits.burst;
     bucket.level = Math.min(bucket.level, Math.max(0, limits.burst - bucket.outstanding));
 }
+
+/** Counts tokens as outstanding that were not taken from this bucket, such as those of an earlier owner. */
+export function addOutstanding(bucket: Bucket, tokens: number): void {
+    bucket.outstanding += tokens;
+    bucket.level = Math.min(bucket.level, Math.max(0, bucket.burst - bucket.outstanding));
+}
--- a/src/store.ts
+++ b/src/store.ts
@@ -81,3 +81,7 @@
 
 /** The rows of an answer to a range call; empty for any other answer. */
 export const listAnswerRows = (answer: StoreAnswer): readonly StoreRow[] => (answer.kind === "rows" ? answer.rows : []);
+
+/** The rows that the taken branch of a transaction read, over all its range operations. */
+export const listAnswerReads = (answer: StoreAnswer): readonly StoreRow[] =>
+    answer.kind === "transaction" ? answer.reads.flat() : [];
--- a/src/systems/followAttempts.ts
+++ b/src/systems/followAttempts.ts
@@ -51,10 +51,12 @@
 
 /** Settles what the request used in the end and returns the rest. */
 function settleUsage(world: World, row: RequestRow, usage: Usage | undefined): void {
-    const used = usage ? usage.promptTokens + usage.completionTokens : row.promptTokens;
+    const generatedTokens = row.attempts.at(-1)?.generatedTokens ?? 0;
+    const used = usage ? usage.promptTokens + usage.completionTokens : row.promptTokens + generatedTokens;
     const rest = Math.max(0, used - computeSpentTokens(row));
     const beyond = settleReservations(world, row, { spent: rest, isFinal: true });
-    if (beyond > 0) {
+    if (beyond > 0 && row.account !== undefined) {
+        world.tables.grants.get(row.account).debt += beyond;
         logInfo(world.effects, "rate:", "Request used more tokens than reserved.", { request: row.id, tokens: beyond });
     }
 }
@@ -215,7 +217,7 @@
 }
 
 /**
- * Reads: configuration. Writes: requests, targets, prefixes, floors.
+ * Reads: configuration. Writes: requests, targets, prefixes, floors, buckets, grants.
  * Effects: relay, resume, cancel, refusals, counts, log lines.
  */
 export function followAttempts(world: World, tick: Tick): void {
--- /dev/null
+++ b/src/systems/grantTokens.ts
@@ -0,0 +1,155 @@
+/** Owner role of rates: acquires buckets, answers grant requests of peers and settles their reports. */
+import { logInfo } from "../effects";
+import type { EventOf } from "../events";
+import { type AccountId, addMillis, type CallId, type Millis, type VmId } from "../ids";
+import type { GrantAnswer, GrantReport, GrantRequest, GrantReturn, OwnerAddress } from "../peers";
+import { computeRefillWait, reserveFromBucket } from "../policy/bucket";
+import { computeGrantSize } from "../policy/demand";
+import { settleReport } from "../policy/settlement";
+import type { BucketRow, GivenGrant } from "../tables/buckets";
+import { clockSpeedMargin } from "../tables/node";
+import type { Tick, World } from "../world";
+import {
+    chooseOwner,
+    endOwnership,
+    findOwnedBucket,
+    handleAcquisition,
+    isOwnAddress,
+    requestOwnership,
+    sendAcquisitions,
+} from "./ownership";
+
+/** Answer to a request that can never be served, and bound of any other advice to wait. */
+const longestRetryMs = 60_000;
+
+function createGivenGrant(row: BucketRow, options: Pick<GivenGrant, "id" | "holder" | "expiresAt">): GivenGrant {
+    const grant: GivenGrant = {
+        ...options,
+        outstanding: 0,
+        sequence: 0,
+        spent: 0,
+        returned: 0,
+        reserved: 0,
+        reservedUntil: options.expiresAt,
+        isCreditable: true,
+    };
+    row.grants.set(grant.id, grant);
+    return grant;
+}
+
+/**
+ * Settles reports of a holder. A grant that this owner does not know was given by an earlier one: what its holder
+ * still has reserved counts as outstanding here too.
+ */
+export function settleReports(row: BucketRow, holder: VmId, reports: readonly GrantReport[], now: Millis): void {
+    for (const report of reports) {
+        const known = row.grants.get(report.grant);
+        if (known) {
+            settleReport(row.bucket, known, report, now);
+        }
+        else if (report.reserved > 0 && report.reservedForMs > 0) {
+            settleReport(row.bucket, createGivenGrant(row, { id: report.grant, holder, expiresAt: now }), report, now);
+        }
+    }
+}
+
+function recordGrant(world: World, outcome: GrantAnswer["kind"]): void {
+    world.effects.append({ kind: "addCount", name: "grants_total", value: 1, labels: { outcome } });
+}
+
+function grantFromBucket(world: World, tick: Tick, row: BucketRow, body: GrantRequest): GrantAnswer {
+    const { bucket, fencing } = row;
+    const ttlMs = world.settings.rates.grantTtlMs;
+    const tokens = computeGrantSize({ ...body, level: bucket.level });
+    if (tokens <= 0 || !reserveFromBucket(bucket, tokens)) {
+        const waitMs = computeRefillWait(bucket, Math.max(1, body.atLeast)) ?? longestRetryMs;
+        const heldMs = row.held > 0 ? Math.max(0, row.heldUntil - tick.now) : 0;
+        return { kind: "empty", retryAfterMs: Math.min(longestRetryMs, Math.ceil(waitMs + heldMs)) };
+    }
+    const grant = createGivenGrant(row, {
+        id: world.tables.buckets.createGrantId(fencing),
+        holder: body.vm,
+        expiresAt: addMillis(tick.now, ttlMs * clockSpeedMargin),
+    });
+    grant.outstanding = tokens;
+    return { kind: "granted", grant: grant.id, tokens, fencing, ttlMs };
+}
+
+function findOwner(world: World, tick: Tick, account: AccountId): OwnerAddress | undefined {
+    const known = world.tables.buckets.getOwnership(account).owner;
+    const chosen = chooseOwner(world, account, tick.now);
+    const owner = chosen && isOwnAddress(world, chosen) ? known : chosen;
+    return owner && isOwnAddress(world, owner) ? undefined : owner;
+}
+
+function answerRequest(world: World, tick: Tick, call: CallId, body: GrantRequest): void {
+    const row = findOwnedBucket(world, body.account, tick.now);
+    let answer: GrantAnswer;
+    if (row) {
+        settleReports(row, body.vm, body.reports, tick.now);
+        answer = grantFromBucket(world, tick, row, body);
+    }
+    else {
+        requestOwnership(world, body.account, tick.now);
+        const owner = findOwner(world, tick, body.account);
+        answer = owner ? { kind: "not_owner", owner } : { kind: "not_owner" };
+    }
+    recordGrant(world, answer.kind);
+    logInfo(world.effects, "rate:", "Grant request answered.", {
+        account: body.account,
+        vm: body.vm,
+        outcome: answer.kind,
+        wanted: body.tokens,
+        tokens: answer.kind === "granted" ? answer.tokens : 0,
+    });
+    world.effects.append({ kind: "answerPeer", call, answer: { kind: "requestGrant", body: answer } });
+}
+
+function answerReturn(world: World, tick: Tick, call: CallId, body: GrantReturn): void {
+    const row = findOwnedBucket(world, body.account, tick.now);
+    if (row) {
+        settleReports(row, body.vm, body.reports, tick.now);
+    }
+    const answer = { accepted: row !== undefined };
+    world.effects.append({ kind: "answerPeer", call, answer: { kind: "returnGrant", body: answer } });
+}
+
+function answerPeer(world: World, tick: Tick, { call, request }: EventOf<"peerAsked">): void {
+    if (
+        request.kind === "requestGrant"
+        && Object.hasOwn(world.tables.configuration.document.accounts, request.body.account)
+    ) {
+        answerRequest(world, tick, call, request.body);
+    }
+    else if (request.kind === "requestGrant") {
+        world.effects.append({
+            kind: "answerPeer",
+            call,
+            answer: { kind: "requestGrant", body: { kind: "not_owner" } },
+        });
+    }
+    if (request.kind === "returnGrant") {
+        answerReturn(world, tick, call, request.body);
+    }
+}
+
+/**
+ * Reads: configuration, members, node, requests. Writes: buckets, grants (own use of a bucket that was lost).
+ * Effects: answers to peers, store calls for ownership, counts, log lines.
+ */
+export function grantTokens(world: World, tick: Tick): void {
+    for (const row of world.tables.buckets.list()) {
+        if (!findOwnedBucket(world, row.account, tick.now)) {
+            endOwnership(world, row, tick.now);
+        }
+    }
+    for (const { purpose, outcome } of tick.events.listStoreReplies("owner")) {
+        if (purpose.step === "acquire") {
+            handleAcquisition(world, tick, purpose.account, outcome);
+        }
+    }
+    for (const event of tick.events.list("peerAsked")) {
+        answerPeer(world, tick, event);
+    }
+    sendAcquisitions(world, tick);
+}
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -7,19 +7,23 @@
 import { exchangeWithPeers } from "./exchangeWithPeers";
 import { expireRequests } from "./expireRequests";
 import { followAttempts } from "./followAttempts";
+import { grantTokens } from "./grantTokens";
 import { reserveTokens } from "./reserveTokens";
 import { routeRequests } from "./routeRequests";
+import { updateBuckets } from "./updateBuckets";
 import { updateMembership } from "./updateMembership";
 import { updateTargets } from "./updateTargets";
 
 export const systems: readonly System[] = [
     applyConfiguration,
     updateMembership,
+    updateBuckets,
     updateTargets,
     followAttempts,
     expireRequests,
     admitRequests,
     reserveTokens,
+    grantTokens,
     routeRequests,
     answerEntries,
     exchangeWithPeers,
--- /dev/null
+++ b/src/systems/ownership.ts
@@ -0,0 +1,170 @@
+/** Ownership of buckets: who tries, how the store decides, what an owner keeps when it ends. */
+import { logInfo, logWarning } from "../effects";
+import { type AccountId, addMillis, type LeaseId, type Millis, toFencingNumber } from "../ids";
+import type { OwnerAddress } from "../peers";
+import { createBucket } from "../policy/bucket";
+import { listByRendezvous } from "../policy/rendezvous";
+import { listAnswerReads, type StoreOutcome, type StoreRow } from "../store";
+import type { BucketRow, OwnershipRow } from "../tables/buckets";
+import { clockSpeedMargin, isLeaseSafe } from "../tables/node";
+import type { Tick, World } from "../world";
+import { listLiveMembers } from "./updateMembership";
+
+export const ratePrefix = "rate/";
+
+/** The store is asked for the owner of an account at most this often. */
+const recheckMs = 500;
+
+/** What an owner writes into the store. Incarnation and lease tell processes with the same VM name apart. */
+export interface OwnerRecord extends OwnerAddress {
+    readonly incarnation: string;
+    readonly lease: LeaseId;
+}
+
+/** The bucket of the account, if this VM may grant from it now. */
+export function findOwnedBucket(world: World, account: AccountId, now: Millis): BucketRow | undefined {
+    const { buckets, node } = world.tables;
+    const row = buckets.get(account);
+    const leaseMs = world.settings.membership.leaseSeconds * 1000;
+    const isOwned = row !== undefined && row.lease === node.memberLease.id
+        && isLeaseSafe(node.memberLease, now, leaseMs);
+    return isOwned ? row : undefined;
+}
+
+/** The member that tries to own the bucket, as far as this VM knows the members. */
+export function chooseOwner(world: World, account: AccountId, now: Millis): OwnerAddress | undefined {
+    const { members } = world.tables;
+    const live = listLiveMembers(world, now).map(row => row.vm);
+    const row = members.get(listByRendezvous(world.hasher, `${ratePrefix}${account}`, live)[0] ?? world.settings.vm);
+    return row && { vm: row.vm, address: row.peerAddress };
+}
+
+export const isOwnAddress = (world: World, owner: OwnerAddress): boolean =>
+    owner.address === world.settings.listen.peers;
+
+/** Asks for ownership if this VM is the one that tries; `grantTokens` sends the call. */
+export function requestOwnership(world: World, account: AccountId, now: Millis): void {
+    const ownership = world.tables.buckets.getOwnership(account);
+    const owner = chooseOwner(world, account, now);
+    if (owner && isOwnAddress(world, owner) && world.tables.node.state !== "stopped") {
+        ownership.isWanted = true;
+    }
+}
+
+/** Sends the acquisitions that are wanted. */
+export function sendAcquisitions(world: World, tick: Tick): void {
+    const { buckets, node } = world.tables;
+    const { vm, membership, listen } = world.settings;
+    const lease = node.memberLease.id;
+    for (const row of buckets.listWanted()) {
+        row.isWanted = false;
+        const isRecent = row.checkedAt !== undefined && tick.now - row.checkedAt < recheckMs;
+        const canTry = lease !== undefined && isLeaseSafe(node.memberLease, tick.now, membership.leaseSeconds * 1000);
+        if (!canTry || isRecent || row.acquiring !== undefined || findOwnedBucket(world, row.account, tick.now)) {
+            continue;
+        }
+        row.acquiring = lease;
+        row.checkedAt = tick.now;
+        const key = `${ratePrefix}${row.account}`;
+        const record: OwnerRecord = { vm, address: listen.peers, incarnation: world.incarnation, lease };
+        world.effects.append({
+            kind: "callStore",
+            purpose: { for: "owner", account: row.account, step: "acquire" },
+            call: {
+                kind: "transaction",
+                compare: [{ key, createRevision: 0 }],
+                success: [{ kind: "put", key, value: JSON.stringify(record), lease }],
+                failure: [{ kind: "range", range: { key } }],
+            },
+        });
+    }
+}
+
+function startOwnership(world: World, tick: Tick, ownership: OwnershipRow, lease: LeaseId, revision: number): void {
+    const { buckets, configuration } = world.tables;
+    const limits = configuration.document.accounts[ownership.account];
+    if (!limits || buckets.get(ownership.account)) {
+        return;
+    }
+    const { floorFraction, grantTtlMs } = world.settings.rates;
+    const [rate, burst] = [limits.rate * (1 - floorFraction), limits.burst * (1 - floorFraction)];
+    const fencing = toFencingNumber(revision);
+    buckets.add({
+        account: ownership.account,
+        fencing,
+        lease,
+        bucket: createBucket({ rate, burst, now: tick.now, outstanding: burst }),
+        ownUse: buckets.createGrantId(fencing),
+        ownReserved: 0,
+        held: burst,
+        heldUntil: addMillis(tick.now, grantTtlMs * clockSpeedMargin),
+        grants: new Map(),
+    });
+    ownership.owner = undefined;
+    logInfo(world.effects, "rate:", "This VM owns the bucket.", { account: ownership.account, fencing });
+}
+
+function handleOtherOwner(world: World, tick: Tick, ownership: OwnershipRow, lease: LeaseId, found: StoreRow): void {
+    const record = JSON.parse(found.value) as OwnerRecord;
+    // The answer to an earlier acquisition was lost, or ownership ended on this side only.
+    if (record.incarnation === world.incarnation && record.lease === lease) {
+        startOwnership(world, tick, ownership, lease, found.modRevision);
+        return;
+    }
+    ownership.owner = { vm: record.vm, address: record.address };
+}
+
+/** Handles the answer to an acquisition. */
+export function handleAcquisition(world: World, tick: Tick, account: AccountId, outcome: StoreOutcome): void {
+    const ownership = world.tables.buckets.getOwnership(account);
+    const lease = ownership.acquiring;
+    ownership.acquiring = undefined;
+    if (outcome.result.err) {
+        logWarning(world.effects, "rate:", "Ownership could not be acquired.", {
+            account,
+            reason: outcome.result.val.message,
+        });
+        return;
+    }
+    // A key on an earlier lease of this process ends with that lease.
+    if (
+        lease === undefined || lease !== world.tables.node.memberLease.id || outcome.result.val.kind !== "transaction"
+    ) {
+        return;
+    }
+    const answer = outcome.result.val;
+    const found = listAnswerReads(answer)[0];
+    if (answer.succeeded) {
+        startOwnership(world, tick, ownership, lease, answer.revision);
+    }
+    else if (found) {
+        handleOtherOwner(world, tick, ownership, lease, found);
+    }
+}
+
+/** Ends ownership on this side. Tokens of running requests are reported to the next owner from then on. */
+export function endOwnership(world: World, row: BucketRow, now: Millis): void {
+    const { buckets, grants, requests } = world.tables;
+    buckets.remove(row.account);
+    if (row.ownReserved > 0) {
+        const deadlines = requests.list("running").concat(requests.list("queued"), requests.list("claiming"))
+            .filter(request => request.account === row.account)
+            .map(request => request.deadline);
+        grants.get(row.account).grants.set(row.ownUse, {
+            id: row.ownUse,
+            available: 0,
+            reserved: row.ownReserved,
+            spent: 0,
+            returned: 0,
+            reservedUntil: deadlines.reduce((latest, at) => (at > latest ? at : latest), now),
+            returnAt: now,
+            expiresAt: now,
+            sequence: 1,
+            reported: 0,
+        });
+    }
+    logInfo(world.effects, "rate:", "This VM no longer owns the bucket.", {
+        account: row.account,
+        fencing: row.fencing,
+    });
+}
--- a/src/systems/requestEnd.ts
+++ b/src/systems/requestEnd.ts
@@ -4,7 +4,7 @@
 import type { RequestRow } from "../tables/requests";
 import { computeVerdict } from "../verdict";
 import type { Tick, World } from "../world";
-import { settleReservations } from "./tokenSources";
+import { computeSpentTokens, settleReservations } from "./tokenSources";
 
 /** Removes the request from its target's work in flight. */
 export function removeInFlight(world: World, row: RequestRow): void {
@@ -14,10 +14,12 @@
     }
 }
 
-/** Ends a request: returns unused tokens and drops its body. */
+/** Ends a request: returns unused tokens and drops its body. A prompt that may have been computed counts as spent. */
 export function closeRequest(world: World, row: RequestRow): void {
     removeInFlight(world, row);
-    settleReservations(world, row, { spent: 0, isFinal: true });
+    const verdict = computeVerdict(row.attempts.map(attempt => attempt.evidence));
+    const spent = verdict === "not_run" ? 0 : Math.max(0, row.promptTokens - computeSpentTokens(row));
+    settleReservations(world, row, { spent, isFinal: true });
     world.tables.requests.updateState(row, "done");
     world.effects.append({ kind: "forgetRequest", request: row.id });
 }
--- a/src/systems/reserveTokens.ts
+++ b/src/systems/reserveTokens.ts
@@ -1,76 +1,242 @@
-/** Reserves tokens for admitted requests from the floor of this VM. */
+/** Reserves tokens for admitted requests: from grants, from the bucket this VM owns, from its floor. */
 import { logInfo } from "../effects";
 import { type AccountId, addMillis } from "../ids";
-import { applyBucketLimits, computeRefillWait, createBucket, reserveFromBucket, updateBucket } from "../policy/bucket";
+import { reserveFromBucket, settleBucket } from "../policy/bucket";
+import { recordDemand } from "../policy/demand";
+import { computeAvailable, type HolderRow } from "../tables/grants";
 import type { RequestRow } from "../tables/requests";
 import type { Tick, World } from "../world";
+import { expireHeldGrants, handleOwnerAnswers, requestAdvance, requestGrant, scheduleHolder } from "./holderGrants";
+import { findOwnedBucket } from "./ownership";
 import { refuseRequest } from "./requestEnd";
+import { canUseFloors } from "./updateBuckets";
 
 /** Longest time a request waits for tokens before it is refused. */
 const maxTokenWaitMs = 250;
+const longestRetrySeconds = 60;
 
-function updateFloors(world: World, tick: Tick): void {
-    const { configuration, floors } = world.tables;
-    const { floorFraction, floorSlots } = world.settings.rates;
-    const share = floorFraction / floorSlots;
-    const { accounts } = configuration.document;
-    for (const [id, account] of Object.entries(accounts) as [AccountId, (typeof accounts)[AccountId]][]) {
-        const limits = { rate: account.rate * share, burst: account.burst * share };
-        const bucket = floors.get(id);
-        if (!bucket) {
-            floors.add(id, createBucket({ ...limits, now: tick.now }));
-        }
-        else if (bucket.rate !== limits.rate || bucket.burst !== limits.burst) {
-            applyBucketLimits(bucket, limits);
-        }
+/** Whole tokens that this VM can reserve for an account now, by source. */
+interface Supply {
+    readonly grants: number;
+    readonly bucket: number;
+    readonly floor: number;
+}
+
+function computeSupply(world: World, tick: Tick, holder: HolderRow): Supply {
+    const floor = canUseFloors(world, tick.now) ? world.tables.floors.get(holder.account) : undefined;
+    return {
+        grants: computeAvailable(holder),
+        bucket: Math.floor(findOwnedBucket(world, holder.account, tick.now)?.bucket.level ?? 0),
+        floor: Math.floor(floor?.bucket.level ?? 0),
+    };
+}
+
+/** Splits an amount over the sources, or returns undefined when they do not reach. Floors are spared for outages. */
+function choosePlan({ grants, bucket, floor }: Supply, tokens: number): Supply | undefined {
+    if (grants + bucket + floor < tokens) {
+        return undefined;
     }
-    for (const [id] of floors.list()) {
-        if (!Object.hasOwn(accounts, id)) {
-            floors.remove(id);
+    if (grants + bucket < tokens && floor >= tokens) {
+        return { grants: 0, bucket: 0, floor: tokens };
+    }
+    const fromGrants = Math.min(grants, tokens);
+    const fromBucket = Math.min(bucket, tokens - fromGrants);
+    return { grants: fromGrants, bucket: fromBucket, floor: tokens - fromGrants - fromBucket };
+}
+
+function reserveFromGrants(holder: HolderRow, row: RequestRow, tokens: number): void {
+    let rest = tokens;
+    for (const grant of holder.grants.values()) {
+        const taken = Math.min(rest, grant.available);
+        if (taken > 0) {
+            rest -= taken;
+            grant.available -= taken;
+            grant.reserved += taken;
+            grant.sequence += 1;
+            grant.reservedUntil = row.deadline > grant.reservedUntil ? row.deadline : grant.reservedUntil;
+            row.reservations.push({ source: { kind: "grant", grant: grant.id }, open: taken, spent: 0 });
         }
     }
 }
 
-function reserveFromFloor(world: World, tick: Tick, account: AccountId, row: RequestRow): void {
-    const bucket = world.tables.floors.get(account);
-    const tokens = row.promptTokens + row.maxTokens;
-    if (!bucket) {
-        refuseRequest(world, row, "rate_limited", { retryAfterSeconds: 1 });
-        return;
+function reserveFromSources(world: World, holder: HolderRow, row: RequestRow, plan: Supply): void {
+    const bucket = world.tables.buckets.get(holder.account);
+    const floor = world.tables.floors.get(holder.account);
+    reserveFromGrants(holder, row, plan.grants);
+    if (plan.bucket > 0 && bucket && reserveFromBucket(bucket.bucket, plan.bucket)) {
+        bucket.ownReserved += plan.bucket;
+        row.reservations.push({ source: { kind: "bucket", ownUse: bucket.ownUse }, open: plan.bucket, spent: 0 });
+    }
+    if (plan.floor > 0 && floor && reserveFromBucket(floor.bucket, plan.floor)) {
+        row.reservations.push({ source: { kind: "floor", serial: floor.serial }, open: plan.floor, spent: 0 });
     }
-    updateBucket(bucket, tick.now);
-    if (reserveFromBucket(bucket, tokens)) {
-        row.reservations.push({ source: { kind: "floor" }, open: tokens, spent: 0 });
-        world.tables.requests.updateState(row, "queued");
-        row.queuedAt = tick.now;
+}
+
+/** Charges what earlier requests used beyond their reservations. */
+function settleDebt(world: World, tick: Tick, holder: HolderRow): void {
+    const supply = computeSupply(world, tick, holder);
+    const plan = choosePlan(supply, Math.min(holder.debt, supply.grants + supply.bucket + supply.floor));
+    if (!plan) {
         return;
     }
-    const wait = computeRefillWait(bucket, tokens);
-    if (wait === undefined) {
+    let rest = plan.grants;
+    for (const grant of holder.grants.values()) {
+        const taken = Math.min(rest, grant.available);
+        rest -= taken;
+        grant.available -= taken;
+        grant.spent += taken;
+        grant.sequence += 1;
+    }
+    const buckets = [
+        [world.tables.buckets.get(holder.account)?.bucket, plan.bucket],
+        [world.tables.floors.get(holder.account)?.bucket, plan.floor],
+    ] as const;
+    for (const [bucket, tokens] of buckets) {
+        if (bucket && tokens > 0 && reserveFromBucket(bucket, tokens)) {
+            settleBucket(bucket, { spent: tokens });
+        }
+    }
+    holder.debt -= plan.grants + plan.bucket + plan.floor;
+}
+
+function admitToQueue(world: World, tick: Tick, row: RequestRow): void {
+    world.tables.requests.updateState(row, "queued");
+    row.queuedAt = tick.now;
+}
+
+const computeTokens = (row: RequestRow): number => row.promptTokens + row.maxTokens;
+
+/** Tokens that a request could get at most, with every bucket full. */
+function computeLargest(world: World, tick: Tick, account: AccountId): number {
+    const { floorFraction, floorSlots } = world.settings.rates;
+    const burst = world.tables.configuration.document.accounts[account]?.burst ?? 0;
+    const floorPart = canUseFloors(world, tick.now) ? floorFraction / floorSlots : 0;
+    return burst * (1 - floorFraction + floorPart);
+}
+
+/** Time until the buckets of this VM alone have enough, at the rate at which they fill. */
+function computeLocalWait(world: World, tick: Tick, holder: HolderRow, tokens: number): number {
+    const owned = findOwnedBucket(world, holder.account, tick.now);
+    const floor = world.tables.floors.get(holder.account);
+    const { grants, bucket, floor: level } = computeSupply(world, tick, holder);
+    const rate = (owned?.bucket.rate ?? 0) + (floor?.bucket.rate ?? 0);
+    const reach = grants + (owned?.bucket.burst ?? 0) + (floor?.bucket.burst ?? 0);
+    if (rate <= 0 || reach < tokens) {
+        return Number.POSITIVE_INFINITY;
+    }
+    const heldMs = owned && owned.held > 0 ? Math.max(0, owned.heldUntil - tick.now) : 0;
+    return heldMs + ((tokens - grants - bucket - level) / rate) * 1000;
+}
+
+function refuseOverRate(world: World, tick: Tick, holder: HolderRow, row: RequestRow, localWait: number): void {
+    const ownerWait = holder.emptyUntil > tick.now ? holder.emptyUntil - tick.now : Number.POSITIVE_INFINITY;
+    const seconds = Math.ceil(Math.min(localWait, ownerWait) / 1000);
+    logInfo(world.effects, "rate:", "Account is over its rate, or its bucket owner cannot be reached.", {
+        account: holder.account,
+        request: row.id,
+        tokens: computeTokens(row),
+    });
+    refuseRequest(world, row, "rate_limited", {
+        retryAfterSeconds: Number.isFinite(seconds) ? Math.min(longestRetrySeconds, Math.max(1, seconds)) : 1,
+    });
+}
+
+/** Keeps a request waiting while tokens can come in time; refuses it otherwise. */
+function waitForTokens(world: World, tick: Tick, holder: HolderRow, row: RequestRow): boolean {
+    const tokens = computeTokens(row) + holder.debt;
+    const limit = addMillis(row.arrival.arrivedAt, maxTokenWaitMs);
+    const localWait = computeLocalWait(world, tick, holder, tokens);
+    const isLocalInTime = tick.now + localWait <= limit;
+    const isOwner = findOwnedBucket(world, holder.account, tick.now) !== undefined;
+    const isOwnerInTime = !isOwner && holder.emptyUntil <= limit;
+    if (tick.now >= limit || (!isLocalInTime && !isOwnerInTime)) {
+        refuseOverRate(world, tick, holder, row, localWait);
+        return false;
+    }
+    const localAt = isLocalInTime ? addMillis(tick.now, Math.max(1, Math.ceil(localWait))) : limit;
+    const askAt = !isOwner && holder.askAfter > tick.now ? holder.askAfter : limit;
+    scheduleHolder(world, tick, holder, [localAt, askAt, limit].reduce((first, at) => (at < first ? at : first)));
+    return true;
+}
+
+function reserveForRow(
+    world: World,
+    tick: Tick,
+    holder: HolderRow,
+    row: RequestRow,
+): "reserved" | "waiting" | "refused" {
+    const tokens = computeTokens(row);
+    const plan = holder.debt > 0 ? undefined : choosePlan(computeSupply(world, tick, holder), tokens);
+    if (plan) {
+        reserveFromSources(world, holder, row, plan);
+        recordDemand(holder.demand, tokens, tick.now, world.settings.rates.grantTtlMs);
+        admitToQueue(world, tick, row);
+        return "reserved";
+    }
+    if (tokens > computeLargest(world, tick, holder.account)) {
         refuseRequest(world, row, "too_large_for_burst");
+        return "refused";
+    }
+    return waitForTokens(world, tick, holder, row) ? "waiting" : "refused";
+}
+
+/** Asks for what the waiting requests of an account lack. */
+function requestForWaiting(world: World, tick: Tick, holder: HolderRow, waiting: readonly number[]): void {
+    if (findOwnedBucket(world, holder.account, tick.now)) {
         return;
     }
-    if (tick.now - row.arrival.arrivedAt + wait > maxTokenWaitMs) {
-        logInfo(world.effects, "rate:", "Account is over its rate.", { account, request: row.id, tokens });
-        refuseRequest(world, row, "rate_limited", { retryAfterSeconds: Math.ceil(wait / 1000) });
+    const { grants, floor } = computeSupply(world, tick, holder);
+    const smallest = Math.min(...waiting) + holder.debt;
+    const total = waiting.reduce((sum, tokens) => sum + tokens, holder.debt);
+    const atLeast = Math.max(1, Math.ceil(smallest - grants - floor));
+    requestGrant(world, tick, holder, { needed: Math.max(atLeast, Math.ceil(total - grants)), atLeast });
+}
+
+function reserveForAccount(world: World, tick: Tick, account: AccountId, rows: readonly RequestRow[]): void {
+    const holder = world.tables.grants.get(account);
+    if (holder.debt > 0) {
+        settleDebt(world, tick, holder);
+    }
+    const waiting = rows.filter(row => reserveForRow(world, tick, holder, row) === "waiting");
+    if (waiting.length > 0) {
+        requestForWaiting(world, tick, holder, waiting.map(computeTokens));
         return;
     }
-    world.timers.schedule({ name: "tokenWait", at: addMillis(tick.now, Math.max(1, wait)), key: row.id });
+    requestAdvance(world, tick, holder);
 }
 
-/**
- * Reads: configuration. Writes: floors, requests.
- * Effects: refusals, log lines.
- */
-export function reserveTokens(world: World, tick: Tick): void {
-    updateFloors(world, tick);
+function listByAccount(world: World, tick: Tick): Map<AccountId, RequestRow[]> {
+    const byAccount = new Map<AccountId, RequestRow[]>();
     for (const row of world.tables.requests.list("reserving")) {
         if (row.account === undefined) {
-            world.tables.requests.updateState(row, "queued");
-            row.queuedAt = tick.now;
+            admitToQueue(world, tick, row);
+            continue;
         }
-        else {
-            reserveFromFloor(world, tick, row.account, row);
+        const rows = byAccount.get(row.account) ?? [];
+        rows.push(row);
+        byAccount.set(row.account, rows);
+    }
+    return byAccount;
+}
+
+function expireHolders(world: World, tick: Tick): void {
+    const { configuration, grants } = world.tables;
+    for (const holder of grants.list()) {
+        expireHeldGrants(world, tick, holder);
+        if (!Object.hasOwn(configuration.document.accounts, holder.account) && holder.grants.size === 0) {
+            grants.remove(holder.account);
         }
     }
 }
+
+/**
+ * Reads: configuration, members, node. Writes: grants, buckets, floors, requests.
+ * Effects: requests and reports to bucket owners, refusals, log lines.
+ */
+export function reserveTokens(world: World, tick: Tick): void {
+    handleOwnerAnswers(world, tick);
+    expireHolders(world, tick);
+    for (const [account, rows] of listByAccount(world, tick)) {
+        reserveForAccount(world, tick, account, rows);
+    }
+}
--- a/src/systems/tokenSources.ts
+++ b/src/systems/tokenSources.ts
@@ -1,5 +1,5 @@
 /** Settlement of reserved tokens with the source they were reserved from. */
-import type { AccountId } from "../ids";
+import type { AccountId, GrantId } from "../ids";
 import { settleBucket } from "../policy/bucket";
 import type { RequestRow, TokenReservation, TokenSource } from "../tables/requests";
 import type { World } from "../world";
@@ -19,15 +19,38 @@
 };
 
 const sourceHandlers: SourceHandlers = {
-    floor: (world, account, _source, settlement) => {
-        const bucket = world.tables.floors.get(account);
-        if (bucket) {
-            settleBucket(bucket, settlement);
+    floor: (world, account, { serial }, settlement) => {
+        const floor = world.tables.floors.get(account);
+        if (floor?.serial === serial) {
+            settleBucket(floor.bucket, settlement);
         }
     },
-    grant: () => undefined,
+    grant: (world, account, { grant }, settlement) => {
+        settleGrant(world, account, grant, settlement);
+    },
+    bucket: (world, account, { ownUse }, settlement) => {
+        const row = world.tables.buckets.get(account);
+        if (row?.ownUse === ownUse) {
+            settleBucket(row.bucket, settlement);
+            row.ownReserved -= settlement.spent + settlement.unused;
+            return;
+        }
+        // Ownership ended while the request ran; the reservation is reported like one of an expired grant.
+        settleGrant(world, account, ownUse, settlement);
+    },
 };
 
+function settleGrant(world: World, account: AccountId, id: GrantId, { spent, unused }: Settlement): void {
+    const grant = world.tables.grants.find(account)?.grants.get(id);
+    if (!grant) {
+        return;
+    }
+    grant.reserved -= spent + unused;
+    grant.spent += spent;
+    grant.available += unused;
+    grant.sequence += 1;
+}
+
 function settleWithSource(world: World, account: AccountId, source: TokenSource, settlement: Settlement): void {
     (sourceHandlers[source.kind] as (
         world: World,
--- /dev/null
+++ b/src/systems/updateBuckets.ts
@@ -0,0 +1,96 @@
+/** Keeps the buckets of this VM up to date: limits of the configuration, refill, expiry of given grants. */
+import type { Account } from "../config/document";
+import { logInfo } from "../effects";
+import type { AccountId, Millis } from "../ids";
+import { applyBucketLimits, type Bucket, createBucket, settleBucket, updateBucket } from "../policy/bucket";
+import type { BucketRow, GivenGrant } from "../tables/buckets";
+import type { Tick, World } from "../world";
+import { endOwnership } from "./ownership";
+
+interface Limits {
+    readonly rate: number;
+    readonly burst: number;
+}
+
+function updateLimits(bucket: Bucket, now: Millis, limits: Limits): void {
+    updateBucket(bucket, now);
+    if (bucket.rate !== limits.rate || bucket.burst !== limits.burst) {
+        applyBucketLimits(bucket, limits);
+    }
+}
+
+/** True while this process may use floors; every process has one until floors are bound to slots. */
+export const canUseFloors = (world: World, _now: Millis): boolean => world.settings.rates.floorFraction > 0;
+
+function updateFloors(world: World, now: Millis, accounts: Readonly<Record<AccountId, Account>>): void {
+    const { floors } = world.tables;
+    const isUsed = canUseFloors(world, now);
+    for (const [id] of floors.list()) {
+        if (!isUsed || !Object.hasOwn(accounts, id)) {
+            floors.remove(id);
+        }
+    }
+    if (!isUsed) {
+        return;
+    }
+    const share = world.settings.rates.floorFraction / world.settings.rates.floorSlots;
+    for (const [id, account] of Object.entries(accounts) as [AccountId, Account][]) {
+        const limits = { rate: account.rate * share, burst: account.burst * share };
+        const floor = floors.get(id);
+        if (floor) {
+            updateLimits(floor.bucket, now, limits);
+        }
+        else {
+            floors.add(id, createBucket({ ...limits, now }));
+        }
+    }
+}
+
+/** After its expiry only the tokens of running requests stay outstanding; the others count as spent. */
+function expireGrant(row: BucketRow, grant: GivenGrant, now: Millis, keepMs: number): void {
+    if (now < grant.expiresAt) {
+        return;
+    }
+    const kept = now < grant.reservedUntil ? Math.min(grant.outstanding, grant.reserved) : 0;
+    if (kept < grant.outstanding) {
+        settleBucket(row.bucket, { spent: grant.outstanding - kept });
+        grant.outstanding = kept;
+    }
+    // An ended grant is kept for a while, so that a late report is not taken for one of an earlier owner.
+    if (grant.outstanding === 0 && now >= Math.max(grant.expiresAt, grant.reservedUntil) + keepMs) {
+        row.grants.delete(grant.id);
+    }
+}
+
+function updateBucketRow(world: World, row: BucketRow, now: Millis): void {
+    const account = world.tables.configuration.document.accounts[row.account];
+    if (!account) {
+        endOwnership(world, row, now);
+        return;
+    }
+    const share = 1 - world.settings.rates.floorFraction;
+    updateLimits(row.bucket, now, { rate: account.rate * share, burst: account.burst * share });
+    if (row.held > 0 && now >= row.heldUntil) {
+        settleBucket(row.bucket, { spent: row.held });
+        row.held = 0;
+        logInfo(world.effects, "rate:", "Grants of the owner before have expired.", { account: row.account });
+    }
+    for (const grant of row.grants.values()) {
+        expireGrant(row, grant, now, world.settings.rates.grantTtlMs);
+    }
+}
+
+/**
+ * Runs before every system that settles tokens, because a bucket must be refilled before its outstanding tokens
+ * change: the time before the change does not count for the room that the change makes.
+ *
+ * Reads: configuration, node. Writes: floors, buckets, grants.
+ * Effects: log lines.
+ */
+export function updateBuckets(world: World, tick: Tick): void {
+    const { buckets, configuration } = world.tables;
+    updateFloors(world, tick.now, configuration.document.accounts);
+    for (const row of buckets.list()) {
+        updateBucketRow(world, row, tick.now);
+    }
+}
--- a/src/tables/floors.ts
+++ b/src/tables/floors.ts
@@ -2,21 +2,29 @@
 import type { AccountId } from "../ids";
 import type { Bucket } from "../policy/bucket";
 
+export interface FloorRow {
+    readonly bucket: Bucket;
+    /** Tells a floor from an earlier one of the same account, whose reservations must not be settled with it. */
+    readonly serial: number;
+}
+
 export interface FloorsTable {
-    get(account: AccountId): Bucket | undefined;
-    list(): readonly (readonly [AccountId, Bucket])[];
+    get(account: AccountId): FloorRow | undefined;
+    list(): readonly (readonly [AccountId, FloorRow])[];
     add(account: AccountId, bucket: Bucket): void;
     remove(account: AccountId): void;
 }
 
 /** Creates an empty table. */
 export function createFloorsTable(): FloorsTable {
-    const rows = new Map<AccountId, Bucket>();
+    const rows = new Map<AccountId, FloorRow>();
+    let serial = 0;
     return {
         get: account => rows.get(account),
         list: () => [...rows.entries()],
         add: (account, bucket) => {
-            rows.set(account, bucket);
+            serial += 1;
+            rows.set(account, { bucket, serial });
         },
         remove: account => {
             rows.delete(account);
--- a/src/tables/index.ts
+++ b/src/tables/index.ts
@@ -1,7 +1,9 @@
 /** All tables of one process. */
 import type { Settings } from "../config/settings";
+import { type BucketsTable, createBucketsTable } from "./buckets";
 import { type ConfigurationTable, createConfigurationTable } from "./configuration";
 import { createFloorsTable, type FloorsTable } from "./floors";
+import { createGrantsTable, type GrantsTable } from "./grants";
 import { createMembersTable, type MembersTable } from "./members";
 import { createNodeRow, type NodeRow } from "./node";
 import { createPrefixesTable, type PrefixesTable } from "./prefixes";
@@ -16,6 +18,8 @@
     readonly prefixes: PrefixesTable;
     readonly requests: RequestsTable;
     readonly floors: FloorsTable;
+    readonly buckets: BucketsTable;
+    readonly grants: GrantsTable;
 }
 
 /** Creates empty tables. */
@@ -28,5 +32,7 @@
         prefixes: createPrefixesTable({ maxRows: settings.limits.prefixRows }),
         requests: createRequestsTable(),
         floors: createFloorsTable(),
+        buckets: createBucketsTable(),
+        grants: createGrantsTable(),
     };
 }
--- a/src/tables/node.ts
+++ b/src/tables/node.ts
@@ -1,5 +1,5 @@
 /** State of this process: its life cycle and its leases in the store. One row. */
-import type { LeaseId, Millis } from "../ids";
+import { addMillis, type LeaseId, type Millis } from "../ids";
 
 export interface NodeLease {
     id: LeaseId | undefined;
@@ -41,3 +41,10 @@
 /** True while the lease is certainly valid. */
 export const isLeaseValid = (lease: NodeLease, now: Millis): boolean =>
     lease.id !== undefined && now < lease.validUntil;
+
+/** Largest difference in speed that is assumed between the clocks of two machines. */
+export const clockSpeedMargin = 1.02;
+
+/** True while the lease is valid on the store's clock too, which may run faster than this process's. */
+export const isLeaseSafe = (lease: NodeLease, now: Millis, leaseMs: number): boolean =>
+    isLeaseValid(lease, addMillis(now, leaseMs * (1 - 1 / clockSpeedMargin)));
--- a/src/tables/requests.ts
+++ b/src/tables/requests.ts
@@ -1,6 +1,6 @@
 /** Requests of this VM, from arrival until some time after their end. */
 import type { ModelReference, Route } from "../config/document";
-import type { AccountId, ClaimId, Incarnation, Millis, PrefixId, RequestId, RouteId, TargetId } from "../ids";
+import type { AccountId, ClaimId, GrantId, Incarnation, Millis, PrefixId, RequestId, RouteId, TargetId } from "../ids";
 import type { CandidateScore } from "../operators";
 import type { Refusal } from "../refusals";
 import type { RequestArrival } from "../requests";
@@ -25,8 +25,11 @@
     outcome: string;
 }
 
-/** Where tokens are reserved: the floor of this VM, or a grant of the account's bucket owner. */
-export type TokenSource = { readonly kind: "floor"; } | { readonly kind: "grant"; readonly grant: string; };
+/** Where tokens are reserved: the floor of this VM, a grant of the bucket owner, or the bucket that this VM owns. */
+export type TokenSource =
+    | { readonly kind: "floor"; readonly serial: number; }
+    | { readonly kind: "grant"; readonly grant: GrantId; }
+    | { readonly kind: "bucket"; readonly ownUse: GrantId; };
 
 export interface TokenReservation {
     readonly source: TokenSource;
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -17,7 +17,6 @@
     | "requestRetry"
     | "slotRenewal"
     | "targetReports"
-    | "tokenWait"
     | "vmList"
     | "watchRetry";
 
--- a/standins/keyValueStore.ts
+++ b/standins/keyValueStore.ts
@@ -153,6 +153,11 @@
         listRange,
         runTransaction: (compare, success, failure) => {
             const succeeded = compare.every(checkCompare);
+            // A key on a lease that is gone would never end, so the platform refuses it.
+            const puts = (succeeded ? success : failure).filter(operation => operation.kind === "put");
+            if (puts.some(put => put.lease !== undefined && !leases.has(put.lease))) {
+                throw new Error("The lease does not exist.");
+            }
             const reads = runOperations(succeeded ? success : failure);
             return { succeeded, revision, reads };
         },
--- /dev/null
+++ b/test/rates.test.ts
@@ -0,0 +1,97 @@
+/** Rates: tokens reach the VM that needs them, through the bucket owner or through floors. */
+import { beforeAll, describe, expect, it } from "vitest";
+import { loadHasher } from "../src/adapters/hasher";
+import type { Hasher } from "../src/policy/prefix";
+import { createRateFleet, type RateFleet, type RateProcess } from "./support/rateFleet";
+
+const account = { rate: 1000, burst: 3000 };
+let hasher: Hasher;
+
+beforeAll(async () => {
+    hasher = await loadHasher();
+});
+
+function findOwner(fleet: RateFleet): RateProcess | undefined {
+    const value = fleet.store.listRange("rate/shop", undefined)[0]?.value ?? "{}";
+    return fleet.processes.find(process => process.address === (JSON.parse(value) as { address?: string; }).address);
+}
+
+/** Starts a fleet whose bucket has an owner and is full. */
+function createReadyFleet(rates: Record<string, unknown> = {}) {
+    const fleet = createRateFleet({ hasher, seed: 7, size: 3, account, rates });
+    fleet.run(1500);
+    fleet.listAlive().forEach(process => fleet.sendRequest(process, 1, 1));
+    fleet.run(8000);
+    fleet.refusals.length = 0;
+    fleet.admissions.length = 0;
+    const owner = findOwner(fleet);
+    const other = fleet.processes.find(process => process !== owner) as RateProcess;
+    return { fleet, owner: owner as RateProcess, other };
+}
+
+describe("grants", () => {
+    it("serves a burst within rate on a VM that does not own the bucket", () => {
+        const { fleet, owner, other } = createReadyFleet();
+        expect(owner).toBeDefined();
+        for (let index = 0; index < 30; index += 1) {
+            fleet.sendRequest(other, 20, 30);
+        }
+        fleet.run(9000);
+        expect(fleet.refusals).toEqual([]);
+        expect(fleet.admissions).toHaveLength(30);
+    });
+
+    it("serves the owner's own VM without a call to a peer", () => {
+        const { fleet, owner } = createReadyFleet();
+        const before = fleet.calls.peer;
+        for (let index = 0; index < 30; index += 1) {
+            fleet.sendRequest(owner, 20, 30);
+        }
+        fleet.run(9000);
+        expect(fleet.admissions).toHaveLength(30);
+        expect(fleet.calls.peer).toBe(before);
+    });
+
+    it("needs one call for many requests", () => {
+        const { fleet, other } = createReadyFleet();
+        const before = fleet.calls.peer;
+        for (let at = 8000; at < 13_000; at += 10) {
+            fleet.schedule(at, () => fleet.sendRequest(other, 2, 3));
+        }
+        fleet.run(14_000);
+        expect(fleet.admissions).toHaveLength(500);
+        expect(fleet.calls.peer - before).toBeLessThan(50);
+    });
+
+    it("charges what a request used beyond its reservation to the next tokens of the account", () => {
+        const { fleet, owner } = createReadyFleet({ floorFraction: 0 });
+        fleet.sendRequest(owner, 50, 50);
+        fleet.run(8001);
+        const request = owner.world.tables.requests.list("running")[0]?.id;
+        const usage = { promptTokens: 50, completionTokens: 2900, cachedTokens: 0 };
+        owner.runner.post({ kind: "attemptFinished", request: request as never, attempt: 1, usage });
+        fleet.run(8010);
+        fleet.sendRequest(owner, 1, 999);
+        fleet.run(8500);
+        expect(fleet.refusals).toMatchObject([{ code: "rate_limited", verdict: "not_run", retryAfterSeconds: 1 }]);
+        fleet.run(10_000);
+        fleet.sendRequest(owner, 1, 999);
+        fleet.run(10_500);
+        expect(fleet.admissions).toHaveLength(2);
+    });
+
+    it("moves the bucket to another VM after its owner crashed", () => {
+        const { fleet, owner, other } = createReadyFleet();
+        owner.isDead = true;
+        for (let at = 8000; at < 20_000; at += 100) {
+            fleet.schedule(at, () => fleet.sendRequest(other, 2, 3));
+        }
+        fleet.run(20_000);
+        expect(findOwner(fleet)).toBeDefined();
+        expect(findOwner(fleet)).not.toBe(owner);
+        fleet.refusals.length = 0;
+        fleet.sendRequest(other, 500, 500);
+        fleet.run(21_000);
+        expect(fleet.refusals).toEqual([]);
+    });
+});
--- /dev/null
+++ b/test/support/rateFleet.ts
@@ -0,0 +1,289 @@
+/** Fleet on a virtual clock: the real systems of each process, with peers, store, callers and engine in memory. */
+import { Err, Ok } from "ts-results";
+import { parseDocument } from "../../src/config/document";
+import { parseSettings } from "../../src/config/settings";
+import { createEffectQueue, type EffectHandlers, type EffectKind, type EffectOf } from "../../src/effects";
+import type { Event, EventOf } from "../../src/events";
+import { toCallId, toConfigVersion, toIncarnation, toKeyHash, toMillis, toRequestId } from "../../src/ids";
+import type { PeerAnswer } from "../../src/peers";
+import type { Hasher } from "../../src/policy/prefix";
+import type { RequestArrival } from "../../src/requests";
+import { createRunner, type Runner } from "../../src/runner";
+import { systems } from "../../src/systems";
+import { applyConfiguration } from "../../src/systems/applyConfiguration";
+import { routeRequests } from "../../src/systems/routeRequests";
+import { createTables } from "../../src/tables";
+import type { RequestRow } from "../../src/tables/requests";
+import { createTimerService } from "../../src/timers";
+import type { World } from "../../src/world";
+import { createKeyValueStore } from "../../standins/keyValueStore";
+import { runStoreCall } from "./storeCalls";
+
+/** One admission: tokens reserved at a time, and those that the engine really computed. */
+export interface Admission {
+    readonly at: number;
+    readonly reserved: number;
+    used: number;
+}
+
+export interface RateProcess {
+    readonly vm: string;
+    readonly address: string;
+    readonly world: World;
+    readonly runner: Runner;
+    pausedUntil: number;
+    isDead: boolean;
+}
+
+export interface RateFleetOptions {
+    readonly hasher: Hasher;
+    readonly seed: number;
+    readonly size: number;
+    readonly account: { readonly rate: number; readonly burst: number; };
+    readonly rates?: Record<string, unknown>;
+}
+
+const keyHash = toKeyHash("a".repeat(64));
+const timeoutMs = 1000;
+const longestDelayMs = 4000;
+
+/** Deterministic random numbers in [0, 1) (mulberry32). */
+function createRandom(seed: number): () => number {
+    let state = seed | 0;
+    return () => {
+        state = (state + 0x6d2b79f5) | 0;
+        const mixed = Math.imul(state ^ (state >>> 15), 1 | state);
+        const next = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
+        return ((next ^ (next >>> 14)) >>> 0) / 4_294_967_296;
+    };
+}
+
+export type RateFleet = ReturnType<typeof createRateFleet>;
+
+/** Creates a fleet. Probabilities in `faults` are for each way of a message between peers. */
+export function createRateFleet({ hasher, seed, size, account, rates = {} }: RateFleetOptions) {
+    const random = createRandom(seed);
+    const queue: { readonly at: number; readonly run: () => void; }[] = [];
+    let now = 0;
+    let count = 0;
+    const faults = { lost: 0, repeated: 0, late: 0, storeDown: false, storeLosesAnswers: false };
+    const store = createKeyValueStore({ getNow: () => now });
+    const processes: RateProcess[] = [];
+    const admissions: Admission[] = [];
+    const refusals: EffectOf<"refuseRequest">["refusal"][] = [];
+    const calls = { peer: 0, store: 0 };
+    const answers = new Map<string, (answer: PeerAnswer) => void>();
+    const document = parseDocument({
+        accounts: { shop: account },
+        keys: { [keyHash]: { account: "shop" } },
+        models: { model: {} },
+        routes: { route: { kind: "model", model: "model", version: "v1" } },
+    }).unwrap();
+
+    function schedule(at: number, run: () => void): void {
+        let [low, high] = [0, queue.length];
+        while (low < high) {
+            const middle = (low + high) >> 1;
+            [low, high] = (queue[middle]?.at ?? 0) <= at ? [middle + 1, high] : [low, middle];
+        }
+        queue.splice(low, 0, { at, run });
+    }
+
+    /** Runs something inside a process, once it is no longer paused. */
+    function scheduleIn(process: RateProcess, at: number, run: () => void): void {
+        schedule(at, () => {
+            if (process.pausedUntil > now) {
+                scheduleIn(process, process.pausedUntil, run);
+            }
+            else if (!process.isDead) {
+                run();
+            }
+        });
+    }
+
+    /** Each process counts time from another start. */
+    const toOwnTime = (process: RateProcess, at: number) => toMillis(at + 1000 * (1 + processes.indexOf(process)));
+    const post = (process: RateProcess, at: number, event: Event): void =>
+        scheduleIn(process, at, () => process.runner.post(event));
+
+    /** Times at which a message arrives: none when it is lost, two when it is repeated. */
+    function listArrivals(): number[] {
+        const copies = random() < faults.lost ? 0 : random() < faults.repeated ? 2 : 1;
+        const computeDelay = (): number => random() < faults.late ? random() * longestDelayMs : 1 + random();
+        return Array.from({ length: copies }, () => now + computeDelay());
+    }
+
+    function sendToPeer(from: RateProcess, { purpose, address, request }: EffectOf<"askPeer">): void {
+        let isAnswered = false;
+        calls.peer += request.kind === "exchange" ? 0 : 1;
+        const answerCall = (result: EventOf<"peerReplied">["result"]): void => {
+            isAnswered = true;
+            post(from, now, { kind: "peerReplied", purpose, address, result });
+        };
+        schedule(now + timeoutMs, () => isAnswered || answerCall(Err({ message: "No answer in time." })));
+        const to = processes.find(process => process.address === address && !process.isDead);
+        for (const at of to ? listArrivals() : []) {
+            const call = toCallId(`call-${count += 1}`);
+            answers.set(
+                call,
+                answer => listArrivals().forEach(replyAt => schedule(replyAt, () => answerCall(Ok(answer)))),
+            );
+            post(to as RateProcess, at, { kind: "peerAsked", call, request });
+        }
+    }
+
+    function sendToStore(process: RateProcess, { purpose, call }: EffectOf<"callStore">): void {
+        const sentAt = toOwnTime(process, now);
+        calls.store += 1;
+        schedule(now + 1 + random() * 3, () => {
+            const isLost = faults.storeDown || faults.storeLosesAnswers;
+            const answer = faults.storeDown ? undefined : runStoreCall(store, call);
+            const result = isLost || !answer ? Err({ effect: "unknown", message: "No answer." } as const) : answer;
+            post(process, now + (isLost ? timeoutMs : 1), {
+                kind: "storeReplied",
+                purpose,
+                outcome: { result, sentAt },
+            });
+        });
+    }
+
+    /** An engine that computes the prompt at once and then part of the tokens that were reserved. */
+    function runEngine(process: RateProcess, row: RequestRow): void {
+        const admission = { at: now, reserved: row.promptTokens + row.maxTokens, used: row.promptTokens };
+        admissions.push(admission);
+        const base = { request: row.id, attempt: 1 };
+        const total = Math.floor(row.maxTokens * random());
+        const usage = { promptTokens: row.promptTokens, completionTokens: total, cachedTokens: 0 };
+        const lengthMs = 5 + random() * random() * 4000;
+        const scheduleTokens = (at: number, tokens: number, event: Event): void =>
+            schedule(at, () => {
+                if (row.state === "running" && !process.isDead) {
+                    admission.used += tokens;
+                    post(process, now, event);
+                }
+            });
+        scheduleTokens(now + lengthMs / 4, 0, { kind: "attemptFirstToken", ...base, usage });
+        scheduleTokens(now + lengthMs / 2, total >> 1, { kind: "attemptProgressed", ...base, tokens: total >> 1 });
+        scheduleTokens(now + lengthMs, total - (total >> 1), { kind: "attemptFinished", ...base, usage });
+    }
+
+    function sendQueued(process: RateProcess): void {
+        for (const row of process.world.tables.requests.list("queued")) {
+            const attempt = { number: 1, evidence: { bytesHanded: true, answer: "answered" }, state: "relaying" };
+            row.attempts.push({ ...attempt, generatedTokens: 0, outcome: "" } as RequestRow["attempts"][number]);
+            row.isRelaying = true;
+            process.world.tables.requests.updateState(row, "running");
+            runEngine(process, row);
+        }
+    }
+
+    function createHandlers(process: RateProcess): EffectHandlers {
+        const handlers: Partial<EffectHandlers> = {
+            refuseRequest: ({ refusal }) => {
+                refusals.push(refusal);
+            },
+            callStore: effect => sendToStore(process, effect),
+            askPeer: effect => sendToPeer(process, effect),
+            answerPeer: ({ call, answer }) => answers.get(call)?.(answer),
+            exitProcess: () => {
+                process.isDead = true;
+            },
+        };
+        return new Proxy(handlers as Required<typeof handlers>, {
+            get: (known, kind: EffectKind) => known[kind] ?? (() => undefined),
+        });
+    }
+
+    function startProcess(vm: string, address: string): RateProcess {
+        const settings = parseSettings({
+            vm,
+            dataCentre: "dc",
+            fleetSecret: "a-secret-of-the-test-fleet",
+            listen: { callers: address, operators: address, peers: address },
+            store: { address: "127.0.0.1:1" },
+            timeouts: { requestMs: 6000, drainNoticeMs: 500 },
+            membership: { leaseSeconds: 3, exchangeEveryMs: 500, freshForMs: 2500 },
+            rates: { grantTtlMs: 1000, floorSlots: 3, floorLeaseSeconds: 12, ...rates },
+        }).unwrap();
+        const incarnation = toIncarnation(`run-${count += 1}`);
+        const [tables, effects, timers] = [createTables(settings), createEffectQueue(), createTimerService()];
+        const world: World = { settings, hasher, random, incarnation, tables, effects, timers };
+        tables.configuration.apply(toConfigVersion(1), document);
+        tables.configuration.freshness = "fresh";
+        const process = { vm, address, world, pausedUntil: 0, isDead: false } as RateProcess;
+        processes.push(process);
+        let wakes = 0;
+        const clock = {
+            getNow: () => toOwnTime(process, now),
+            getWallNow: () => now,
+            scheduleWake: (at: number, wake: () => void) => {
+                const number = wakes += 1;
+                // Slightly late: a wake that rounding puts before its time would be set again at the same time.
+                const wakeAt = now + Math.max(0, at - toOwnTime(process, now)) + 0.01;
+                scheduleIn(process, wakeAt, () => number === wakes && wake());
+            },
+            scheduleSoon: (wake: () => void) => scheduleIn(process, now, wake),
+            cancelWake: () => undefined,
+        };
+        const order = systems.filter(system => system !== applyConfiguration)
+            .map(system => (system === routeRequests ? () => sendQueued(process) : system));
+        const runner = createRunner({ world, systems: order, handlers: createHandlers(process), clock });
+        Object.assign(process, { runner });
+        runner.start();
+        return process;
+    }
+
+    for (let index = 0; index < size; index += 1) {
+        startProcess(`entry-${index}`, `127.0.0.1:${1000 + index}`);
+    }
+    return {
+        faults,
+        processes,
+        admissions,
+        refusals,
+        calls,
+        store,
+        random,
+        schedule,
+        startProcess,
+        getNow: () => now,
+        listAlive: () => processes.filter(process => !process.isDead),
+        sendRequest: (process: RateProcess, promptTokens: number, maxTokens: number): void => {
+            const arrival = {
+                request: toRequestId(`request-${count += 1}`),
+                keyHash,
+                endpoint: "completions",
+                routeName: "route",
+                prompt: new Uint8Array(promptTokens),
+                maxTokens,
+                arrivedAt: toOwnTime(process, now),
+            };
+            post(process, now, { kind: "requestArrived", arrival: arrival as unknown as RequestArrival });
+        },
+        run: (until: number): void => {
+            for (let next = queue[0]; next && next.at <= until; next = queue[0]) {
+                queue.shift();
+                now = Math.max(now, next.at);
+                next.run();
+            }
+            now = until;
+        },
+    };
+}
+
+/** Largest excess over burst + rate * w over all windows; at most 0 when the bound holds. */
+export function computeExcess(
+    admissions: readonly Admission[],
+    { rate, burst }: { readonly rate: number; readonly burst: number; },
+): number {
+    let worst = Number.NEGATIVE_INFINITY;
+    let sum = 0;
+    let last = 0;
+    for (const { at, used } of admissions) {
+        // The window that ends here with the largest excess starts here or extends the best one that ended before.
+        sum = Math.max(0, sum - ((at - last) / 1000) * rate) + used;
+        last = at;
+        worst = Math.max(worst, sum - burst);
+    }
+    return worst;
+}
