Bind floors to slots on a long lease and release them on a clean shutdown

Cause: every process had a floor, so a restarted or second process of a VM doubled it, and more processes than floorSlots got more than floorFraction.

Change: system claimSlot finds a free key slots/{n}, takes it with create-if-absent on a lease of its own and renews it. Without a slot, or when the lease was not renewed for its whole length, a process has no floor. A slot counts as taken back only by incarnation and lease, never by VM name. The shutdown revokes both leases and waits up to a second for the answers; before, the process exited in the tick that sent the revocation, which closed the connection under the call. A late renewal no longer revives a lease that is being revoked.

--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -3,6 +3,7 @@
 import { admitRequests } from "./admitRequests";
 import { answerEntries } from "./answerEntries";
 import { applyConfiguration } from "./applyConfiguration";
+import { claimSlot } from "./claimSlot";
 import { drainNode } from "./drainNode";
 import { exchangeWithPeers } from "./exchangeWithPeers";
 import { expireRequests } from "./expireRequests";
@@ -17,6 +18,7 @@
 export const systems: readonly System[] = [
     applyConfiguration,
     updateMembership,
+    claimSlot,
     updateBuckets,
     updateTargets,
     followAttempts,
--- a/src/systems/updateBuckets.ts
+++ b/src/systems/updateBuckets.ts
@@ -4,6 +4,7 @@
 import type { AccountId, Millis } from "../ids";
 import { applyBucketLimits, type Bucket, createBucket, settleBucket, updateBucket } from "../policy/bucket";
 import type { BucketRow, GivenGrant } from "../tables/buckets";
+import { isLeaseSafe } from "../tables/node";
 import type { Tick, World } from "../world";
 import { endOwnership } from "./ownership";
 
@@ -19,8 +20,11 @@
     }
 }
 
-/** True while this process may use floors; every process has one until floors are bound to slots. */
-export const canUseFloors = (world: World, _now: Millis): boolean => world.settings.rates.floorFraction > 0;
+/** True while this process may use floors: it holds a slot and its long lease is valid on every clock. */
+export function canUseFloors(world: World, now: Millis): boolean {
+    const { slot, slotLease } = world.tables.node;
+    return slot !== undefined && isLeaseSafe(slotLease, now, world.settings.rates.floorLeaseSeconds * 1000);
+}
 
 function updateFloors(world: World, now: Millis, accounts: Readonly<Record<AccountId, Account>>): void {
     const { floors } = world.tables;
--- a/src/systems/updateMembership.ts
+++ b/src/systems/updateMembership.ts
@@ -102,8 +102,12 @@
 }
 
 function handleLease(world: World, tick: Tick, outcome: StoreOutcome): void {
-    const { memberLease } = world.tables.node;
+    const { memberLease, pendingReleases } = world.tables.node;
     memberLease.isPending = false;
+    if (pendingReleases !== undefined) {
+        // The lease is being revoked; a late renewal must not make it valid again.
+        return;
+    }
     if (outcome.result.err || outcome.result.val.kind !== "lease") {
         world.timers.schedule({ name: "memberRetry", at: addMillis(tick.now, computeJitter(world, retryMs)) });
         return;
@@ -260,7 +264,7 @@
     if (tick.due.has("vmList")) {
         world.effects.append({ kind: "readVmList" });
     }
-    const isLeaseWanted = node.state !== "stopped";
+    const isLeaseWanted = node.state !== "stopped" && node.pendingReleases === undefined;
     if (isLeaseWanted && (tick.due.has("leaseRenewal") || tick.due.has("memberRetry"))) {
         requestLease(world);
     }
--- a/src/tables/node.ts
+++ b/src/tables/node.ts
@@ -18,6 +18,11 @@
     readonly slotLease: NodeLease;
     /** Floor slot that this process holds. */
     slot: number | undefined;
+    /** Time at which the present slot lease became known; answers to earlier calls belong to another lease. */
+    slotLeaseSince: Millis;
+    /** Calls that release leases and are not answered yet; undefined until the process gives them back. */
+    pendingReleases: number | undefined;
+    releasedAt: Millis | undefined;
     /** Last time at which the store answered any call. */
     storeAnsweredAt: Millis | undefined;
 }
@@ -34,6 +39,9 @@
         memberLease: createLease(),
         slotLease: createLease(),
         slot: undefined,
+        slotLeaseSince: 0 as Millis,
+        pendingReleases: undefined,
+        releasedAt: undefined,
         storeAnsweredAt: undefined,
     };
 }
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -16,6 +16,7 @@
     | "requestDeadline"
     | "requestRetry"
     | "slotRenewal"
+    | "slotSearch"
     | "targetReports"
     | "vmList"
     | "watchRetry";
--- a/test/rates.test.ts
+++ b/test/rates.test.ts
@@ -11,6 +11,9 @@
     hasher = await loadHasher();
 });
 
+const listKeys = (fleet: RateFleet, prefix: string): string[] =>
+    fleet.store.listRange(`${prefix}/`, `${prefix}0`).map(row => row.key);
+
 function findOwner(fleet: RateFleet): RateProcess | undefined {
     const value = fleet.store.listRange("rate/shop", undefined)[0]?.value ?? "{}";
     return fleet.processes.find(process => process.address === (JSON.parse(value) as { address?: string; }).address);
@@ -95,3 +98,57 @@
         expect(fleet.refusals).toEqual([]);
     });
 });
+
+describe("floors", () => {
+    it("serves from floors while the store is down and the owner is gone, until the long lease ends", () => {
+        const { fleet, owner, other } = createReadyFleet();
+        fleet.faults.storeDown = true;
+        owner.isDead = true;
+        fleet.run(12_000);
+        fleet.sendRequest(other, 50, 50);
+        fleet.run(13_000);
+        expect(fleet.admissions).toHaveLength(1);
+        fleet.run(30_000);
+        fleet.sendRequest(other, 50, 50);
+        fleet.run(31_000);
+        expect(fleet.admissions).toHaveLength(1);
+        expect(fleet.refusals).toMatchObject([{ verdict: "not_run" }]);
+    });
+
+    it("gives a second process of the same VM no part of the floor of the first", () => {
+        const { fleet, other } = createReadyFleet({ floorSlots: 4 });
+        const before = other.world.tables.node.slot;
+        const second = fleet.startProcess(other.vm, "127.0.0.1:2000");
+        const third = fleet.startProcess(other.vm, "127.0.0.1:2001");
+        fleet.run(10_000);
+        expect(other.world.tables.node.slot).toBe(before);
+        const slots = [second, third].map(process => process.world.tables.node.slot);
+        expect(slots.filter(slot => slot !== undefined)).toHaveLength(1);
+        expect(slots).not.toContain(before);
+        expect(listKeys(fleet, "slots")).toHaveLength(4);
+    });
+
+    it("releases the slot and the buckets of a process that drained", () => {
+        const { fleet, owner } = createReadyFleet();
+        owner.runner.post({ kind: "drainAsked" });
+        fleet.run(12_000);
+        expect(owner.isDead).toBe(true);
+        expect(listKeys(fleet, "slots")).toHaveLength(2);
+        expect(listKeys(fleet, "rate")).toHaveLength(0);
+    });
+
+    it("uses the slot that it acquired with a call whose answer was lost", () => {
+        const fleet = createRateFleet({ hasher, seed: 3, size: 1, account });
+        const { runTransaction } = fleet.store;
+        fleet.store.runTransaction = (compare, ...rest) => {
+            fleet.faults.storeLosesAnswers = compare[0]?.key.startsWith("slots/") ?? false;
+            return runTransaction(compare, ...rest);
+        };
+        fleet.run(900);
+        const node = fleet.processes[0]?.world.tables.node;
+        expect([node?.slot, ...listKeys(fleet, "slots")]).toEqual([undefined, expect.any(String)]);
+        fleet.faults.storeLosesAnswers = false;
+        fleet.run(40_000);
+        expect([`slots/${node?.slot}`]).toEqual(listKeys(fleet, "slots"));
+    });
+});
--- a/test/support/rateFleet.ts
+++ b/test/support/rateFleet.ts
@@ -136,8 +136,8 @@
         const sentAt = toOwnTime(process, now);
         calls.store += 1;
         schedule(now + 1 + random() * 3, () => {
-            const isLost = faults.storeDown || faults.storeLosesAnswers;
             const answer = faults.storeDown ? undefined : runStoreCall(store, call);
+            const isLost = faults.storeDown || faults.storeLosesAnswers;
             const result = isLost || !answer ? Err({ effect: "unknown", message: "No answer." } as const) : answer;
             post(process, now + (isLost ? timeoutMs : 1), {
                 kind: "storeReplied",
