Merge the rates: bucket owners, grants, floors by slot

Resolved: one drain that waits for answers, claims, changes and grants, then releases the slot and the member lease and exits when the store has answered.

--- a/src/systems/answerOperators.ts
+++ b/src/systems/answerOperators.ts
@@ -1,7 +1,7 @@
 /** Answers the queries of operators: configuration, history, status and explanations of requests. */
 import { changePrefix, listChangedEntries, parseChangeRecord } from "../config/records";
 import { logWarning } from "../effects";
-import type { CallId } from "../ids";
+import type { AccountId, CallId } from "../ids";
 import type { HistoryEntry, NodeStatus, OperatorAnswer, QueryCommand, RequestExplanation } from "../operators";
 import { updateBucket } from "../policy/bucket";
 import { listAnswerRows, type StoreOutcome } from "../store";
@@ -9,6 +9,7 @@
 import type { Tick, World } from "../world";
 import { getConfirmedAt } from "./applyConfiguration";
 import { canTrustOperators, findOperator } from "./operatorAccess";
+import { findOwnedBucket } from "./ownership";
 
 type QueryKind = QueryCommand["kind"];
 type QueryOf<Kind extends QueryKind> = Extract<QueryCommand, { readonly kind: Kind; }>;
@@ -26,14 +27,28 @@
     world.effects.append({ kind: "answerOperator", call, answer });
 }
 
+const computeSum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
+
+/** Tokens that this VM can reserve now and has reserved, over its floor, its grants and the bucket it owns. */
 function listRates(world: World, tick: Tick): NodeStatus["rates"] {
-    return world.tables.floors.list().map(([account, bucket]) => {
-        updateBucket(bucket, tick.now);
+    const { configuration, floors, buckets, grants } = world.tables;
+    const accounts = Object.keys(configuration.document.accounts) as AccountId[];
+    return accounts.map(account => {
+        const owned = findOwnedBucket(world, account, tick.now);
+        const parts = [floors.get(account)?.bucket, owned?.bucket].filter(bucket => bucket !== undefined);
+        parts.forEach(bucket => {
+            updateBucket(bucket, tick.now);
+        });
+        const held = [...grants.find(account)?.grants.values() ?? []];
         return {
             account,
-            owner: false,
-            available: Math.floor(bucket.level),
-            reserved: Math.ceil(bucket.outstanding),
+            owner: buckets.get(account) !== undefined && owned !== undefined,
+            available: Math.floor(
+                computeSum([...parts.map(bucket => bucket.level), ...held.map(grant => grant.available)]),
+            ),
+            reserved: Math.ceil(
+                computeSum([...parts.map(bucket => bucket.outstanding), ...held.map(grant => grant.reserved)]),
+            ),
         };
     });
 }
--- a/src/systems/drainNode.ts
+++ b/src/systems/drainNode.ts
@@ -1,8 +1,8 @@
 /** Life cycle of this process: start, graceful shutdown. */
 import { logInfo, logWarning } from "../effects";
 import { addMillis } from "../ids";
-import type { NodeLease } from "../tables/node";
 import type { Tick, World } from "../world";
+import { releaseSlot } from "./claimSlot";
 
 /** Time given to the store to confirm the ends of claims. A claim that is left open is never run again. */
 const maxClaimWaitMs = 5000;
@@ -38,27 +38,26 @@
     world.timers.schedule({ name: "drain", at: addMillis(tick.now, maxClaimWaitMs), key: "claims" });
 }
 
-function revokeLease(world: World, lease: "member" | "slot", row: NodeLease): void {
-    if (row.id === undefined) {
-        return;
-    }
-    world.effects.append({
-        kind: "callStore",
-        purpose: { for: "lease", lease, step: "revoke" },
-        call: { kind: "revokeLease", lease: row.id },
-    });
-    row.isPending = true;
-}
-
-/** Revokes the leases. The process exits when the store has answered, or soon after without an answer. */
+/**
+ * Gives back the floor slot and the member lease, which carries the bucket ownerships. The process exits when the
+ * store and the bucket owners have answered, or soon after without an answer.
+ */
 function stopNode(world: World, tick: Tick): void {
     const { node } = world.tables;
     node.state = "stopped";
+    node.pendingReleases = 0;
     world.effects.append({ kind: "closeListeners" });
-    node.memberLease.isPending = false;
-    node.slotLease.isPending = false;
-    revokeLease(world, "member", node.memberLease);
-    revokeLease(world, "slot", node.slotLease);
+    releaseSlot(world);
+    if (node.memberLease.id !== undefined) {
+        world.effects.append({
+            kind: "callStore",
+            purpose: { for: "lease", lease: "member", step: "revoke" },
+            call: { kind: "revokeLease", lease: node.memberLease.id },
+        });
+        // Without the lease this process grants nothing any more, whenever the call takes effect.
+        node.memberLease.id = undefined;
+        node.pendingReleases += 1;
+    }
     logInfo(world.effects, "drain:", "All answers are delivered; leases are revoked.", {});
     const at = addMillis(tick.now, world.settings.store.timeoutMs + revokeMarginMs);
     world.timers.schedule({ name: "drain", at, key: "exit" });
@@ -71,7 +70,7 @@
 }
 
 function checkDrain(world: World, tick: Tick): void {
-    const { node, requests, changes } = world.tables;
+    const { requests, changes } = world.tables;
     const isOverdue = tick.due.listKeys("drain").includes("limit");
     const isAnswering = requests.listOpen().length > 0 || (requests.getUndelivered() > 0 && !isOverdue);
     // Changes of operators end within seconds, and an operator who gets no answer cannot know the outcome.
@@ -84,10 +83,7 @@
         });
     }
     stopNode(world, tick);
-    // Nothing to wait for without a lease.
-    if (!node.memberLease.isPending && !node.slotLease.isPending) {
-        endProcess(world);
-    }
+    checkReleases(world, tick);
 }
 
 function endProcess(world: World): void {
@@ -100,25 +96,27 @@
     world.effects.append({ kind: "exitProcess", code: 0 });
 }
 
-function handleRevocations(world: World, tick: Tick): void {
-    const { node } = world.tables;
-    const answered = tick.events.listStoreReplies("lease").filter(({ purpose }) => purpose.step === "revoke");
-    for (const { purpose } of answered) {
-        (purpose.lease === "member" ? node.memberLease : node.slotLease).isPending = false;
-    }
-    const areRevoked = answered.length > 0 && !node.memberLease.isPending && !node.slotLease.isPending;
-    if (areRevoked || tick.due.listKeys("drain").includes("exit")) {
+/** Exits when the store has answered each release and the owners have the grants back, or after the time limit. */
+function checkReleases(world: World, tick: Tick): void {
+    const { node, grants } = world.tables;
+    const isAnswered = node.pendingReleases === 0 && !grants.list().some(holder => holder.isPending);
+    if (isAnswered || tick.due.listKeys("drain").includes("exit")) {
         endProcess(world);
     }
 }
 
 /**
- * Reads: requests, claims, changes, configuration. Writes: node, members (own state).
+ * Reads: requests, claims, changes, grants, configuration. Writes: node, members (own state).
  * Effects: closing of listeners, lease revocation, exit, log lines.
  */
 export function drainNode(world: World, tick: Tick): void {
     const { node, configuration } = world.tables;
     node.startedAt ??= tick.now;
+    for (const { purpose } of tick.events.listStoreReplies("lease")) {
+        if (purpose.step === "revoke" && node.pendingReleases !== undefined) {
+            node.pendingReleases -= 1;
+        }
+    }
     if (node.state === "starting" && configuration.version > 0) {
         node.state = "live";
     }
@@ -132,6 +130,6 @@
         checkDrain(world, tick);
     }
     else if (node.state === "stopped") {
-        handleRevocations(world, tick);
+        checkReleases(world, tick);
     }
 }
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -6,16 +6,19 @@
 import { applyConfiguration } from "./applyConfiguration";
 import { applyPeerConfiguration } from "./applyPeerConfiguration";
 import { claimRequests } from "./claimRequests";
+import { claimSlot } from "./claimSlot";
 import { confirmChanges } from "./confirmChanges";
 import { drainNode } from "./drainNode";
 import { exchangeWithPeers } from "./exchangeWithPeers";
 import { expireClaims } from "./expireClaims";
 import { expireRequests } from "./expireRequests";
 import { followAttempts } from "./followAttempts";
+import { grantTokens } from "./grantTokens";
 import { placeModels } from "./placeModels";
 import { refuseOverload } from "./refuseOverload";
 import { reserveTokens } from "./reserveTokens";
 import { routeRequests } from "./routeRequests";
+import { updateBuckets } from "./updateBuckets";
 import { updateMembership } from "./updateMembership";
 import { updateTargets } from "./updateTargets";
 import { writeConfiguration } from "./writeConfiguration";
@@ -24,11 +27,14 @@
     applyPeerConfiguration,
     applyConfiguration,
     updateMembership,
+    claimSlot,
+    updateBuckets,
     updateTargets,
     followAttempts,
     expireRequests,
     admitRequests,
     reserveTokens,
+    grantTokens,
     refuseOverload,
     claimRequests,
     expireClaims,
--- a/src/tables/index.ts
+++ b/src/tables/index.ts
@@ -1,10 +1,12 @@
 /** All tables of one process. */
 import type { Settings } from "../config/settings";
 import { createRetryBudget, type RetryBudget } from "../policy/retryBudget";
+import { type BucketsTable, createBucketsTable } from "./buckets";
 import { type ChangesTable, createChangesTable } from "./changes";
 import { type ClaimsTable, createClaimsTable } from "./claims";
 import { type ConfigurationTable, createConfigurationTable } from "./configuration";
 import { createFloorsTable, type FloorsTable } from "./floors";
+import { createGrantsTable, type GrantsTable } from "./grants";
 import { createMembersTable, type MembersTable } from "./members";
 import { createNodeRow, type NodeRow } from "./node";
 import { createOrdersTable, type OrdersTable } from "./orders";
@@ -26,6 +28,8 @@
     readonly orders: OrdersTable;
     readonly retryBudget: RetryBudget;
     readonly queues: QueuesTable;
+    readonly buckets: BucketsTable;
+    readonly grants: GrantsTable;
 }
 
 /** Creates empty tables. */
@@ -43,5 +47,7 @@
         orders: createOrdersTable(),
         retryBudget: createRetryBudget(),
         queues: createQueuesTable(),
+        buckets: createBucketsTable(),
+        grants: createGrantsTable(),
     };
 }
--- a/src/tables/requests.ts
+++ b/src/tables/requests.ts
@@ -4,6 +4,7 @@
     type AccountId,
     type ClaimId,
     type ConfigVersion,
+    type GrantId,
     type Incarnation,
     type Millis,
     type PrefixId,
@@ -36,8 +37,11 @@
     outcome: string;
 }
 
-/** Where tokens are reserved: the floor of this VM, or a grant of the account's bucket owner. */
-export type TokenSource = { readonly kind: "floor"; } | { readonly kind: "grant"; readonly grant: string; };
+/** Where tokens are reserved: the floor of this VM, a grant of the bucket owner, or the bucket that this VM owns. */
+export type TokenSource =
+    | { readonly kind: "floor"; readonly serial: number; }
+    | { readonly kind: "grant"; readonly grant: GrantId; }
+    | { readonly kind: "bucket"; readonly ownUse: GrantId; };
 
 export interface TokenReservation {
     readonly source: TokenSource;
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -20,8 +20,8 @@
     | "requestDeadline"
     | "requestRetry"
     | "slotRenewal"
+    | "slotSearch"
     | "targetReports"
-    | "tokenWait"
     | "vmList"
     | "watchRetry";
 
--- /dev/null
+++ b/test/rates.test.ts
@@ -0,0 +1,154 @@
+/** Rates: tokens reach the VM that needs them, through the bucket owner or through floors. */
+import { beforeAll, describe, expect, it } from "vitest";
+import { loadHasher } from "../src/adapters/hasher";
+import type { Hasher } from "../src/policy/prefix";
+import { createRateFleet, type RateFleet, type RateProcess } from "./support/rateFleet";
+
+const account = { rate: 1000, burst: 3000 };
+let hasher: Hasher;
+
+beforeAll(async () => {
+    hasher = await loadHasher();
+});
+
+const listKeys = (fleet: RateFleet, prefix: string): string[] =>
+    fleet.store.listRange(`${prefix}/`, `${prefix}0`).map(row => row.key);
+
+function findOwner(fleet: RateFleet): RateProcess | undefined {
+    const value = fleet.store.listRange("rate/shop", undefined)[0]?.value ?? "{}";
+    return fleet.processes.find(process => process.address === (JSON.parse(value) as { address?: string; }).address);
+}
+
+/** Starts a fleet whose bucket has an owner and is full. */
+function createReadyFleet(rates: Record<string, unknown> = {}) {
+    const fleet = createRateFleet({ hasher, seed: 7, size: 3, account, rates });
+    fleet.run(1500);
+    fleet.listAlive().forEach(process => fleet.sendRequest(process, 1, 1));
+    fleet.run(8000);
+    fleet.refusals.length = 0;
+    fleet.admissions.length = 0;
+    const owner = findOwner(fleet);
+    const other = fleet.processes.find(process => process !== owner) as RateProcess;
+    return { fleet, owner: owner as RateProcess, other };
+}
+
+describe("grants", () => {
+    it("serves a burst within rate on a VM that does not own the bucket", () => {
+        const { fleet, owner, other } = createReadyFleet();
+        expect(owner).toBeDefined();
+        for (let index = 0; index < 30; index += 1) {
+            fleet.sendRequest(other, 20, 30);
+        }
+        fleet.run(9000);
+        expect(fleet.refusals).toEqual([]);
+        expect(fleet.admissions).toHaveLength(30);
+    });
+
+    it("serves the owner's own VM without a call to a peer", () => {
+        const { fleet, owner } = createReadyFleet();
+        const before = fleet.calls.peer;
+        for (let index = 0; index < 30; index += 1) {
+            fleet.sendRequest(owner, 20, 30);
+        }
+        fleet.run(9000);
+        expect(fleet.admissions).toHaveLength(30);
+        expect(fleet.calls.peer).toBe(before);
+    });
+
+    it("needs one call for many requests", () => {
+        const { fleet, other } = createReadyFleet();
+        const before = fleet.calls.peer;
+        for (let at = 8000; at < 13_000; at += 10) {
+            fleet.schedule(at, () => fleet.sendRequest(other, 2, 3));
+        }
+        fleet.run(14_000);
+        expect(fleet.admissions).toHaveLength(500);
+        expect(fleet.calls.peer - before).toBeLessThan(50);
+    });
+
+    it("charges what a request used beyond its reservation to the next tokens of the account", () => {
+        const { fleet, owner } = createReadyFleet({ floorFraction: 0 });
+        fleet.sendRequest(owner, 50, 50);
+        fleet.run(8001);
+        const request = owner.world.tables.requests.list("running")[0]?.id;
+        const usage = { promptTokens: 50, completionTokens: 2900, cachedTokens: 0 };
+        owner.runner.post({ kind: "attemptFinished", request: request as never, attempt: 1, usage });
+        fleet.run(8010);
+        fleet.sendRequest(owner, 1, 999);
+        fleet.run(8500);
+        expect(fleet.refusals).toMatchObject([{ code: "rate_limited", verdict: "not_run", retryAfterSeconds: 1 }]);
+        fleet.run(10_000);
+        fleet.sendRequest(owner, 1, 999);
+        fleet.run(10_500);
+        expect(fleet.admissions).toHaveLength(2);
+    });
+
+    it("moves the bucket to another VM after its owner crashed", () => {
+        const { fleet, owner, other } = createReadyFleet();
+        owner.isDead = true;
+        for (let at = 8000; at < 20_000; at += 100) {
+            fleet.schedule(at, () => fleet.sendRequest(other, 2, 3));
+        }
+        fleet.run(20_000);
+        expect(findOwner(fleet)).toBeDefined();
+        expect(findOwner(fleet)).not.toBe(owner);
+        fleet.refusals.length = 0;
+        fleet.sendRequest(other, 500, 500);
+        fleet.run(21_000);
+        expect(fleet.refusals).toEqual([]);
+    });
+});
+
+describe("floors", () => {
+    it("serves from floors while the store is down and the owner is gone, until the long lease ends", () => {
+        const { fleet, owner, other } = createReadyFleet();
+        fleet.faults.storeDown = true;
+        owner.isDead = true;
+        fleet.run(12_000);
+        fleet.sendRequest(other, 50, 50);
+        fleet.run(13_000);
+        expect(fleet.admissions).toHaveLength(1);
+        fleet.run(30_000);
+        fleet.sendRequest(other, 50, 50);
+        fleet.run(31_000);
+        expect(fleet.admissions).toHaveLength(1);
+        expect(fleet.refusals).toMatchObject([{ verdict: "not_run" }]);
+    });
+
+    it("gives a second process of the same VM no part of the floor of the first", () => {
+        const { fleet, other } = createReadyFleet({ floorSlots: 4 });
+        const before = other.world.tables.node.slot;
+        const second = fleet.startProcess(other.vm, "127.0.0.1:2000");
+        const third = fleet.startProcess(other.vm, "127.0.0.1:2001");
+        fleet.run(10_000);
+        expect(other.world.tables.node.slot).toBe(before);
+        const slots = [second, third].map(process => process.world.tables.node.slot);
+        expect(slots.filter(slot => slot !== undefined)).toHaveLength(1);
+        expect(slots).not.toContain(before);
+        expect(listKeys(fleet, "slots")).toHaveLength(4);
+    });
+
+    it("releases the slot and the buckets of a process that drained", () => {
+        const { fleet, owner } = createReadyFleet();
+        owner.runner.post({ kind: "drainAsked" });
+        fleet.run(12_000);
+        expect(owner.isDead).toBe(true);
+        expect(listKeys(fleet, "slots")).toHaveLength(2);
+        expect(listKeys(fleet, "rate")).toHaveLength(0);
+    });
+
+    it("uses the slot that it acquired with a call whose answer was lost", () => {
+        const fleet = createRateFleet({ hasher, seed: 3, size: 1, account });
+        const { runTransaction } = fleet.store;
+        fleet.store.runTransaction = (compare, ...rest) => {
+            fleet.faults.storeLosesAnswers = compare[0]?.key.startsWith("slots/") ?? false;
+            return runTransaction(compare, ...rest);
+        };
+        fleet.run(900);
+        const node = fleet.processes[0]?.world.tables.node;
+        expect([node?.slot, ...listKeys(fleet, "slots")]).toEqual([undefined, expect.any(String)]);
+        fleet.faults.storeLosesAnswers = false;
+        fleet.run(40_000);
+        expect([`slots/${node?.slot}`]).toEqual(listKeys(fleet, "slots"));
+    });
+});
