Recognise a store outage in a large fleet

With digests of single members alone a process hears at most some 170 members in freshFor, so in a fleet of 710 none would hear a majority and all would refuse keyed requests during a store outage. While the store is not known to confirm the configuration, answers to exchanges now carry one byte for each member: how long ago the member is known to have had at most the sender's version. A majority of these within freshFor proves that nothing newer was accepted before. Exchanges run four times as often during that time, and only in fleets of more than 8.

Freshness is decided when its timer is due and when the store or a peer replied, not in every tick, since it looks through all members.

--- a/src/adapters/peerProtocol.ts
+++ b/src/adapters/peerProtocol.ts
@@ -37,6 +37,7 @@
         digest,
         heard: z.array(z.object({ digest, ageMs: age })).max(64),
         prefixes: z.array(z.object({ target: z.string(), incarnation: z.string(), prefix: z.string() })).max(1024),
+        reach: z.object({ roster: z.string(), ages: z.string().max(16_384) }).optional(),
     }),
     requestGrant: z.object({
         vm: z.string(),
--- a/src/peers.ts
+++ b/src/peers.ts
@@ -30,6 +30,16 @@
     /** Digest ages of other members as this process heard them, in milliseconds. */
     readonly heard: readonly { readonly digest: MemberDigest; readonly ageMs: number; }[];
     readonly prefixes: readonly PrefixUpdate[];
+    /** Evidence about the whole fleet, sent while the store is not known to confirm the configuration. */
+    readonly reach?: FleetReach;
+}
+
+/** For every member, how long ago it is known to have had at most the sender's version. */
+export interface FleetReach {
+    /** Hash of the sorted ids of the members; the ages are in their order. */
+    readonly roster: string;
+    /** Ages as `policy/reach.ts` formats them. */
+    readonly ages: string;
 }
 
 export interface GrantRequest {
--- a/src/policy/freshness.ts
+++ b/src/policy/freshness.ts
@@ -9,7 +9,7 @@
     readonly confirmedAgeMs: number;
     /** Members of the fleet, this process included. */
     readonly members: number;
-    /** Members heard within `freshForMs`, this process included. */
+    /** Members known to have had at most this version within `freshForMs`, this process included. */
     readonly heard: number;
     /** Heard members that reached the store within `freshForMs`. */
     readonly reachingStore: number;
--- a/src/systems/applyConfiguration.ts
+++ b/src/systems/applyConfiguration.ts
@@ -162,7 +162,8 @@
     return confirmedAt > peerConfirmedAt ? confirmedAt : peerConfirmedAt;
 }
 
-function updateFreshness(world: World, tick: Tick): void {
+/** Decides how fresh the configuration is by what is known now. */
+export function updateFreshness(world: World, tick: Tick): void {
     const { configuration, members } = world.tables;
     const { freshForMs } = world.settings.membership;
     const confirmedAt = getConfirmedAt(world);
@@ -171,11 +172,12 @@
     const roster = members.list();
     const isSelf = (vm: string): boolean => vm === world.settings.vm;
     const heard = roster.filter(member => isSelf(member.vm) || isRecent(member.heardAt));
+    const proven = roster.filter(member => isSelf(member.vm) || isRecent(member.versionSeenAt));
     const freshness = computeFreshness({
         version: configuration.version,
         confirmedAgeMs: confirmedAt === undefined ? Number.POSITIVE_INFINITY : tick.now - confirmedAt,
         members: Math.max(1, roster.length),
-        heard: Math.max(1, heard.length),
+        heard: Math.max(1, proven.length),
         reachingStore: heard.filter(member => !isSelf(member.vm) && isRecent(member.storeConfirmedAt)).length,
         isBehind: heard.some(member => member.configVersion > configuration.version),
         freshForMs,
@@ -238,5 +240,8 @@
         world.tables.node.storeAnsweredAt = tick.now;
     }
     confirmHead(world, tick);
-    updateFreshness(world, tick);
+    // The members are looked through only when something may have changed; replies of peers come later in the tick.
+    if (tick.due.has("freshness") || tick.events.list("storeReplied").length > 0) {
+        updateFreshness(world, tick);
+    }
 }
--- a/src/systems/exchangeWithPeers.ts
+++ b/src/systems/exchangeWithPeers.ts
@@ -1,16 +1,19 @@
 /** Exchanges digests with peers: liveness, configuration version, age of the last confirmation. */
 import { logInfo } from "../effects";
-import { type Millis, toMillis } from "../ids";
-import type { Exchange, MemberDigest } from "../peers";
-import type { MemberRow } from "../tables/members";
+import { addMillis, type Millis, toMillis } from "../ids";
+import type { Exchange, FleetReach, MemberDigest } from "../peers";
+import { formatAges, parseAges } from "../policy/reach";
+import type { MemberRoster, MemberRow } from "../tables/members";
 import type { Tick, World } from "../world";
-import { getConfirmedAt } from "./applyConfiguration";
+import { getConfirmedAt, updateFreshness } from "./applyConfiguration";
 
 /** A fleet up to this size exchanges with every peer each time; a larger one with random peers. */
 const fullExchangeMembers = 8;
 const randomPeers = 2;
 /** Members whose digests travel in one exchange. */
 const digestsPerExchange = 16;
+/** Exchanges in the usual period during a possible outage. */
+const outageExchanges = 4;
 
 const computeAge = (now: Millis, at: Millis | undefined): number =>
     at === undefined ? Number.MAX_SAFE_INTEGER : Math.max(0, now - at);
@@ -42,6 +45,25 @@
     return chosen;
 }
 
+const hashRoster = (world: World, roster: MemberRoster): string => world.hasher.hashText(roster.text, 0n).toString(16);
+
+/** True when a store outage may have begun in a fleet in which not every member asks every other. */
+function isReachWanted(world: World, tick: Tick): boolean {
+    const age = computeAge(tick.now, getConfirmedAt(world));
+    return world.tables.members.size > fullExchangeMembers && age > world.settings.membership.freshForMs / 2;
+}
+
+function createReach(world: World, tick: Tick): FleetReach {
+    const roster = world.tables.members.getRoster();
+    const ages = roster.rows.map(row => (row.versionSeenAt === undefined ? undefined : tick.now - row.versionSeenAt));
+    return { roster: hashRoster(world, roster), ages: formatAges(ages) };
+}
+
+function createAnswer(world: World, tick: Tick): Exchange {
+    const exchange = createExchange(world, tick);
+    return isReachWanted(world, tick) ? { ...exchange, reach: createReach(world, tick) } : exchange;
+}
+
 function createExchange(world: World, tick: Tick): Exchange {
     const { members } = world.tables;
     const own = members.get(world.settings.vm) as MemberRow;
@@ -66,6 +88,7 @@
         state: digest.state,
         configVersion: digest.configVersion,
         heardAt: undefined,
+        versionSeenAt: undefined,
         storeConfirmedAt: undefined,
         isRegistered: false,
         isLeaving: false,
@@ -86,6 +109,12 @@
     }
 }
 
+function recordVersionSeen(row: MemberRow, seenAt: Millis): void {
+    if (row.versionSeenAt === undefined || row.versionSeenAt < seenAt) {
+        row.versionSeenAt = seenAt;
+    }
+}
+
 function applyDigest(world: World, heardAt: Millis, digest: MemberDigest): void {
     const { members } = world.tables;
     if (digest.vm === world.settings.vm) {
@@ -102,6 +131,9 @@
     row.peerAddress = digest.peerAddress;
     row.heardAt = heardAt;
     row.storeConfirmedAt = toMillis(heardAt - digest.storeConfirmedAgeMs);
+    if (digest.configVersion <= world.tables.configuration.version) {
+        recordVersionSeen(row, heardAt);
+    }
     recordConfirmation(world, heardAt, digest);
 }
 
@@ -116,12 +148,29 @@
     }
 }
 
+/** Takes over what a peer knows of all members, if both know the same members. */
+function applyReach(world: World, askedAt: Millis, reach: FleetReach): void {
+    const roster = world.tables.members.getRoster();
+    if (hashRoster(world, roster) !== reach.roster) {
+        return;
+    }
+    for (const [index, age] of parseAges(reach.ages).entries()) {
+        const row = roster.rows[index];
+        if (row && age !== undefined) {
+            recordVersionSeen(row, toMillis(askedAt - age));
+        }
+    }
+}
+
 /** Applies a reply. Its ages count from the time of asking, the only bound on when they were measured. */
 function applyReply(world: World, exchange: Exchange, askedAt: Millis): void {
     applyDigest(world, askedAt, exchange.digest);
     for (const { digest, ageMs } of exchange.heard) {
         applyDigest(world, toMillis(askedAt - ageMs), digest);
     }
+    if (exchange.reach && exchange.digest.configVersion <= world.tables.configuration.version) {
+        applyReach(world, askedAt, exchange.reach);
+    }
     requestNewer(world, exchange.digest);
 }
 
@@ -161,7 +210,7 @@
             world.effects.append({
                 kind: "answerPeer",
                 call,
-                answer: { kind: "exchange", body: createExchange(world, tick) },
+                answer: { kind: "exchange", body: createAnswer(world, tick) },
             });
         }
     }
@@ -173,6 +222,17 @@
             applyReply(world, result.val.body, purpose.askedAt);
         }
     }
+    if (tick.events.listPeerReplies("exchange").length > 0) {
+        updateFreshness(world, tick);
+    }
+}
+
+/** Exchanges more often in a possible outage, so that evidence passes through a large fleet while it is fresh. */
+function scheduleOutageExchanges(world: World, tick: Tick): void {
+    const everyMs = world.settings.membership.exchangeEveryMs / outageExchanges;
+    for (let index = 1; index < outageExchanges; index += 1) {
+        world.timers.schedule({ name: "outageExchange", at: addMillis(tick.now, everyMs * index) });
+    }
 }
 
 /**
@@ -186,7 +246,11 @@
     }
     answerPeers(world, tick);
     handleReplies(world, tick);
-    if (tick.due.has("exchange")) {
+    const isOutageLikely = isReachWanted(world, tick);
+    if (tick.due.has("exchange") || (tick.due.has("outageExchange") && isOutageLikely)) {
         sendExchanges(world, tick);
     }
+    if (tick.due.has("exchange") && isOutageLikely) {
+        scheduleOutageExchanges(world, tick);
+    }
 }
--- a/src/systems/updateMembership.ts
+++ b/src/systems/updateMembership.ts
@@ -45,6 +45,7 @@
         state: "live",
         configVersion: toConfigVersion(0),
         heardAt: tick.now,
+        versionSeenAt: tick.now,
         storeConfirmedAt: undefined,
         isRegistered: false,
         isLeaving: false,
@@ -56,6 +57,7 @@
     const row = members.get(world.settings.vm);
     if (row) {
         row.heardAt = tick.now;
+        row.versionSeenAt = tick.now;
         row.storeConfirmedAt = configuration.confirmedAt;
         row.configVersion = configuration.version;
         row.state = node.state === "draining" ? "draining" : "live";
@@ -156,6 +158,7 @@
         state: "live",
         configVersion: toConfigVersion(0),
         heardAt: undefined,
+        versionSeenAt: undefined,
         storeConfirmedAt: undefined,
         isRegistered: true,
         isLeaving: false,
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -13,6 +13,7 @@
     | "grantExpiry"
     | "leaseRenewal"
     | "memberRetry"
+    | "outageExchange"
     | "ownership"
     | "placement"
     | "prefixExpiry"
