Let only processes whose version was confirmed vouch for it in a store outage

The majority rule relies on members remembering what they acknowledged, but a process that restarted has forgotten it. In an outage, restarted members that learned an old version from a stale peer could have made a majority that serves a withdrawn key. A process now vouches for its version only after a confirmation in its present run; a restarted one still serves when a majority of others vouches. The two new cases of test/freshness.test.ts failed before and pass now.

--- a/src/adapters/peerProtocol.ts
+++ b/src/adapters/peerProtocol.ts
@@ -26,6 +26,7 @@
     peerAddress: z.string(),
     state: z.enum(["live", "draining"]),
     configVersion: z.number().int().min(0),
+    vouches: z.boolean(),
     storeConfirmedAgeMs: age,
     headConfirmedAgeMs: age,
 });
--- a/src/peers.ts
+++ b/src/peers.ts
@@ -12,6 +12,8 @@
     readonly peerAddress: string;
     readonly state: "live" | "draining";
     readonly configVersion: ConfigVersion;
+    /** True once the version was confirmed in this run: a process that restarted may have forgotten a newer one. */
+    readonly vouches: boolean;
     /** Age in milliseconds of the last confirmation of the configuration head by the store, this process's own. */
     readonly storeConfirmedAgeMs: number;
     /** Age in milliseconds of the freshest confirmation this process knows of, its own or a peer's. */
--- a/src/policy/freshness.ts
+++ b/src/policy/freshness.ts
@@ -9,8 +9,8 @@
     readonly confirmedAgeMs: number;
     /** Members of the fleet, this process included. */
     readonly members: number;
-    /** Members known to have had at most this version within `freshForMs`, this process included. */
-    readonly heard: number;
+    /** Members that vouched for at most this version within `freshForMs`, this process included if it does. */
+    readonly vouching: number;
     /** Heard members that reached the store within `freshForMs`. */
     readonly reachingStore: number;
     /** True when a heard member has a higher version. */
@@ -21,8 +21,9 @@
 /**
  * Decides how fresh the configuration is.
  *
- * A change counts as accepted only when a majority of members acknowledged it. So a process that hears a
- * majority, none of which reaches the store or has a higher version, knows that nothing was accepted without it.
+ * A change counts as accepted only when a majority of members acknowledged it. So when a majority vouched for at
+ * most this version, nothing newer was accepted before. A process that restarted vouches only after its version was
+ * confirmed again, because it may have forgotten what it acknowledged.
  */
 export function computeFreshness(facts: FreshnessFacts): Freshness {
     if (facts.version === 0) {
@@ -31,8 +32,8 @@
     if (facts.confirmedAgeMs <= facts.freshForMs) {
         return "fresh";
     }
-    const hearsMajority = facts.heard * 2 > facts.members;
-    return hearsMajority && facts.reachingStore === 0 && !facts.isBehind ? "store_outage" : "isolated";
+    const hasMajority = facts.vouching * 2 > facts.members;
+    return hasMajority && facts.reachingStore === 0 && !facts.isBehind ? "store_outage" : "isolated";
 }
 
 /** True when keyed requests may be admitted. */
--- a/src/systems/applyConfiguration.ts
+++ b/src/systems/applyConfiguration.ts
@@ -172,16 +172,19 @@
     const roster = members.list();
     const isSelf = (vm: string): boolean => vm === world.settings.vm;
     const heard = roster.filter(member => isSelf(member.vm) || isRecent(member.heardAt));
-    const proven = roster.filter(member => isSelf(member.vm) || isRecent(member.versionSeenAt));
+    const vouching = roster.filter(member =>
+        isSelf(member.vm) ? configuration.hasBeenFresh : isRecent(member.versionSeenAt)
+    );
     const freshness = computeFreshness({
         version: configuration.version,
         confirmedAgeMs: confirmedAt === undefined ? Number.POSITIVE_INFINITY : tick.now - confirmedAt,
         members: Math.max(1, roster.length),
-        heard: Math.max(1, proven.length),
+        vouching: vouching.length,
         reachingStore: heard.filter(member => !isSelf(member.vm) && isRecent(member.storeConfirmedAt)).length,
         isBehind: heard.some(member => member.configVersion > configuration.version),
         freshForMs,
     });
+    configuration.hasBeenFresh ||= freshness === "fresh";
     if (freshness !== configuration.freshness) {
         logInfo(world.effects, "config:", "Freshness changed.", { from: configuration.freshness, to: freshness });
         configuration.freshness = freshness;
--- a/src/systems/exchangeWithPeers.ts
+++ b/src/systems/exchangeWithPeers.ts
@@ -27,6 +27,7 @@
         peerAddress: row.peerAddress,
         state: row.state,
         configVersion: row.configVersion,
+        vouches: row.vouches,
         // The receiver counts from the time at which the member was heard.
         storeConfirmedAgeMs: computeAge(row.heardAt ?? tick.now, row.storeConfirmedAt),
         headConfirmedAgeMs: row.vm === world.settings.vm
@@ -87,6 +88,7 @@
         peerAddress: digest.peerAddress,
         state: digest.state,
         configVersion: digest.configVersion,
+        vouches: digest.vouches,
         heardAt: undefined,
         versionSeenAt: undefined,
         storeConfirmedAt: undefined,
@@ -127,11 +129,12 @@
     row.incarnation = digest.incarnation;
     row.state = digest.state;
     row.configVersion = digest.configVersion;
+    row.vouches = digest.vouches;
     row.callerAddress = digest.callerAddress;
     row.peerAddress = digest.peerAddress;
     row.heardAt = heardAt;
     row.storeConfirmedAt = toMillis(heardAt - digest.storeConfirmedAgeMs);
-    if (digest.configVersion <= world.tables.configuration.version) {
+    if (digest.vouches && digest.configVersion <= world.tables.configuration.version) {
         recordVersionSeen(row, heardAt);
     }
     recordConfirmation(world, heardAt, digest);
--- a/src/systems/updateMembership.ts
+++ b/src/systems/updateMembership.ts
@@ -44,8 +44,9 @@
         peerAddress: settings.listen.peers,
         state: "live",
         configVersion: toConfigVersion(0),
+        vouches: false,
         heardAt: tick.now,
-        versionSeenAt: tick.now,
+        versionSeenAt: undefined,
         storeConfirmedAt: undefined,
         isRegistered: false,
         isLeaving: false,
@@ -57,7 +58,8 @@
     const row = members.get(world.settings.vm);
     if (row) {
         row.heardAt = tick.now;
-        row.versionSeenAt = tick.now;
+        row.vouches = configuration.hasBeenFresh;
+        row.versionSeenAt = row.vouches ? tick.now : undefined;
         row.storeConfirmedAt = configuration.confirmedAt;
         row.configVersion = configuration.version;
         row.state = node.state === "draining" ? "draining" : "live";
@@ -157,6 +159,7 @@
         peerAddress: record.peerAddress,
         state: "live",
         configVersion: toConfigVersion(0),
+        vouches: false,
         heardAt: undefined,
         versionSeenAt: undefined,
         storeConfirmedAt: undefined,
--- a/src/tables/configuration.ts
+++ b/src/tables/configuration.ts
@@ -12,6 +12,8 @@
     /** Freshest confirmation that a peer reported, in this process's time. */
     peerConfirmedAt: Millis | undefined;
     freshness: Freshness;
+    /** True once the configuration was confirmed in this run of the process. */
+    hasBeenFresh: boolean;
     /** Takes a document of a higher version; returns false and changes nothing for any other. */
     apply(version: ConfigVersion, document: ConfigurationDocument): boolean;
 }
@@ -30,6 +32,7 @@
         confirmedAt: undefined,
         peerConfirmedAt: undefined,
         freshness: "unknown",
+        hasBeenFresh: false,
         apply: (newVersion, newDocument) => {
             if (newVersion <= version) {
                 return false;
--- a/src/tables/members.ts
+++ b/src/tables/members.ts
@@ -9,9 +9,11 @@
     peerAddress: string;
     state: "live" | "draining";
     configVersion: ConfigVersion;
+    /** True once the member's version was confirmed in its present run. */
+    vouches: boolean;
     /** Last time at which the member spoke, directly or as a peer reported it. */
     heardAt: Millis | undefined;
-    /** Last time at which the member is known to have had at most the version in force, by whatever report. */
+    /** Last time at which the member is known to have vouched for at most the version in force, by any report. */
     versionSeenAt: Millis | undefined;
     /** Last time at which the member confirmed the configuration head with the store itself. */
     storeConfirmedAt: Millis | undefined;
--- a/test/freshness.test.ts
+++ b/test/freshness.test.ts
@@ -30,6 +30,7 @@
         peerAddress: `127.0.0.1:${3000 + index}`,
         state: "live",
         configVersion: toConfigVersion(1),
+        vouches: true,
         storeConfirmedAgeMs: never,
         headConfirmedAgeMs: never,
         ...changes,
@@ -215,6 +216,27 @@
         expect(getFreshness()).toBe("isolated");
     });
 
+    // A process that restarted may have forgotten an accepted version, and have learned an old one from a stale peer.
+    it("does not count members that restarted and whose version was not confirmed since", () => {
+        node.run([buildStoreFailure()], 10_000);
+        runReplies(...[1, 2, 3].map(index => buildExchange(buildDigest(index, { vouches: false }))));
+        node.run();
+        expect(getFreshness()).toBe("isolated");
+    });
+
+    it("does not vouch for its version before it was confirmed", async () => {
+        const restarted = await createVirtualNode(systems);
+        restarted.run();
+        const digests = [1, 2].map(index => buildDigest(index));
+        restarted.run(digests.map(digest => buildReply(buildExchange(digest))));
+        const sent = restarted.run([], 1000).find(effect => effect.kind === "askPeer");
+        const body = sent?.kind === "askPeer" ? sent.request.body as Exchange : undefined;
+        expect(body?.digest.vouches).toBe(false);
+        const confirmed = node.run([], 1000).find(effect => effect.kind === "askPeer");
+        const other = confirmed?.kind === "askPeer" ? confirmed.request.body as Exchange : undefined;
+        expect(other?.digest.vouches).toBe(true);
+    });
+
     // The VM list says nothing about members that joined meanwhile, so it must not shrink the majority.
     it("counts leaving members in the majority", () => {
         const vms = [1, 2, 3].map(index => ({
