Keep members that may return in the majority for accepted changes

When three of four VMs were cut off together, their leases expired and the fourth accepted changes as a majority of itself, while the three served on as a majority of the members that they knew. A member whose registration ended now counts until it said that it stops or the platform's list no longer names its VM. The new case in test/freshness.test.ts failed before (only entry-0 was left) and passes now.

--- a/src/systems/exchangeWithPeers.ts
+++ b/src/systems/exchangeWithPeers.ts
@@ -93,6 +93,7 @@
         versionSeenAt: undefined,
         storeConfirmedAt: undefined,
         isRegistered: false,
+        isListed: false,
         isLeaving: false,
     };
     world.tables.members.add(row);
--- a/src/systems/updateMembership.ts
+++ b/src/systems/updateMembership.ts
@@ -49,6 +49,7 @@
         versionSeenAt: undefined,
         storeConfirmedAt: undefined,
         isRegistered: false,
+        isListed: false,
         isLeaving: false,
     };
 }
@@ -164,12 +165,17 @@
         versionSeenAt: undefined,
         storeConfirmedAt: undefined,
         isRegistered: true,
+        isListed: false,
         isLeaving: false,
     });
     logInfo(world.effects, "member:", "Member registered.", { vm: record.vm, address: record.peerAddress });
 }
 
-/** Removes a member whose registration ended, unless it still speaks to us. */
+/**
+ * Removes a member whose registration ended, unless it still speaks to us or may return: it said nothing of a
+ * shutdown and its VM is still listed. Such members may be cut off together and still serve as a majority of the
+ * members that they know, so that they have to count when a change is accepted.
+ */
 function removeRegistration(world: World, tick: Tick, vm: VmId): void {
     const row = world.tables.members.get(vm);
     if (!row || vm === world.settings.vm) {
@@ -177,7 +183,8 @@
     }
     row.isRegistered = false;
     const isSilent = row.heardAt === undefined || tick.now - row.heardAt > world.settings.membership.freshForMs;
-    if (isSilent) {
+    const canReturn = row.isListed && row.state !== "draining";
+    if (isSilent && !canReturn) {
         world.tables.members.remove(vm);
         logInfo(world.effects, "member:", "Member removed.", { vm });
     }
@@ -246,8 +253,9 @@
     }
     const states = new Map(list.vms.map(vm => [vm.id, vm.state]));
     for (const row of world.tables.members.list()) {
+        row.isListed = states.has(row.vm);
         row.isLeaving = states.get(row.vm) === "leaving";
-        const isGone = !states.has(row.vm) && !row.isRegistered && row.vm !== world.settings.vm;
+        const isGone = !row.isListed && !row.isRegistered && row.vm !== world.settings.vm;
         if (isGone && (row.heardAt === undefined || tick.now - row.heardAt > world.settings.membership.freshForMs)) {
             world.tables.members.remove(row.vm);
         }
--- a/src/tables/members.ts
+++ b/src/tables/members.ts
@@ -19,6 +19,8 @@
     storeConfirmedAt: Millis | undefined;
     /** True while the store holds a registration of the member on a valid lease. */
     isRegistered: boolean;
+    /** True while the platform's list of VMs names the VM. */
+    isListed: boolean;
     /** True when the platform's list says that the VM is leaving. */
     isLeaving: boolean;
 }
--- a/test/freshness.test.ts
+++ b/test/freshness.test.ts
@@ -239,15 +239,36 @@
 
     // The VM list says nothing about members that joined meanwhile, so it must not shrink the majority.
     it("counts leaving members in the majority", () => {
-        const vms = [1, 2, 3].map(index => ({
+        node.run([buildStoreFailure(), buildVmList([1, 2, 3], "leaving")], 10_000);
+        node.run();
+        expect(getFreshness()).toBe("isolated");
+    });
+
+    const buildVmList = (indexes: readonly number[], state: "live" | "leaving" = "live"): Event => ({
+        kind: "vmListRead",
+        vms: indexes.map(index => ({
             id: toVmId(`entry-${index}`),
             address: "127.0.0.1:1",
             dataCentre: "dc-0",
-            state: "leaving" as const,
-        }));
-        node.run([buildStoreFailure(), { kind: "vmListRead", vms }], 10_000);
-        node.run();
-        expect(getFreshness()).toBe("isolated");
+            state,
+        })),
+    });
+
+    const runDeregistration = (...indexes: readonly number[]): void => {
+        const changes = indexes.map(index => ({ key: `members/entry-${index}`, value: undefined, modRevision: 9 }));
+        const heardAt = toMillis(node.getNow());
+        node.run([{ kind: "watchDelivered", watch: "members", revision: 9, changes, heardAt }]);
+    };
+
+    // Three of four may be cut off together and serve on as a majority; then the fourth must not be one as well.
+    it("keeps members whose lease expired in the majority until their VM is gone or they said that they stop", () => {
+        runReplies(buildExchange(buildDigest(3, { state: "draining" })));
+        node.run([buildVmList([0, 1, 2, 3])], 10_000);
+        runDeregistration(1, 2, 3);
+        const listVms = () => node.world.tables.members.list().map(row => row.vm);
+        expect(listVms()).toEqual(["entry-0", "entry-1", "entry-2"]);
+        node.run([buildVmList([0, 2])], 10_000);
+        expect(listVms()).toEqual(["entry-0", "entry-2"]);
     });
 
     // Its key may have been withdrawn since it was admitted.
