--- a/src/adapters/peerProtocol.ts
+++ b/src/adapters/peerProtocol.ts
@@ -26,6 +26,7 @@
     peerAddress: z.string(),
     state: z.enum(["live", "draining"]),
     configVersion: z.number().int().min(0),
+    vouches: z.boolean(),
     storeConfirmedAgeMs: age,
     headConfirmedAgeMs: age,
 });
@@ -45,6 +46,7 @@
         digest,
         heard: z.array(z.object({ digest, ageMs: age })).max(64),
         prefixes: z.array(z.object({ target: z.string(), incarnation: z.string(), prefix: z.string() })).max(1024),
+        reach: z.object({ roster: z.string(), ages: z.string().max(16_384) }).optional(),
     }),
     requestGrant: z.object({
         vm: z.string(),
--- a/src/peers.ts
+++ b/src/peers.ts
@@ -21,6 +21,8 @@
     readonly peerAddress: string;
     readonly state: "live" | "draining";
     readonly configVersion: ConfigVersion;
+    /** True once the version was confirmed in this run: a process that restarted may have forgotten a newer one. */
+    readonly vouches: boolean;
     /** Age in milliseconds of the last confirmation of the configuration head by the store, this process's own. */
     readonly storeConfirmedAgeMs: number;
     /** Age in milliseconds of the freshest confirmation this process knows of, its own or a peer's. */
@@ -39,6 +41,16 @@
     /** Digest ages of other members as this process heard them, in milliseconds. */
     readonly heard: readonly { readonly digest: MemberDigest; readonly ageMs: number; }[];
     readonly prefixes: readonly PrefixUpdate[];
+    /** Evidence about the whole fleet, sent while the store is not known to confirm the configuration. */
+    readonly reach?: FleetReach;
+}
+
+/** For every member, how long ago it is known to have had at most the sender's version. */
+export interface FleetReach {
+    /** Hash of the sorted ids of the members; the ages are in their order. */
+    readonly roster: string;
+    /** Ages as `policy/reach.ts` formats them. */
+    readonly ages: string;
 }
 
 export interface GrantRequest {
--- a/src/systems/exchangeWithPeers.ts
+++ b/src/systems/exchangeWithPeers.ts
@@ -1,10 +1,11 @@
 /** Exchanges digests with peers: liveness, configuration version, age of the last confirmation. */
 import { logInfo } from "../effects";
-import { type Millis, toMillis } from "../ids";
-import type { Exchange, MemberDigest } from "../peers";
-import type { MemberRow } from "../tables/members";
+import { addMillis, type Millis, toMillis } from "../ids";
+import type { Exchange, FleetReach, MemberDigest } from "../peers";
+import { formatAges, parseAges } from "../policy/reach";
+import type { MemberRoster, MemberRow } from "../tables/members";
 import type { Tick, World } from "../world";
-import { getConfirmedAt } from "./applyConfiguration";
+import { getConfirmedAt, updateFreshness } from "./applyConfiguration";
 import { applyPrefixUpdates, listPrefixUpdates } from "./prefixUpdates";
 
 /** A fleet up to this size exchanges with every peer each time; a larger one with random peers. */
@@ -12,6 +13,8 @@
 const randomPeers = 2;
 /** Members whose digests travel in one exchange. */
 const digestsPerExchange = 16;
+/** Exchanges in the usual period during a possible outage. */
+const outageExchanges = 4;
 
 const computeAge = (now: Millis, at: Millis | undefined): number =>
     at === undefined ? Number.MAX_SAFE_INTEGER : Math.max(0, now - at);
@@ -25,6 +28,7 @@
         peerAddress: row.peerAddress,
         state: row.state,
         configVersion: row.configVersion,
+        vouches: row.vouches,
         // The receiver counts from the time at which the member was heard.
         storeConfirmedAgeMs: computeAge(row.heardAt ?? tick.now, row.storeConfirmedAt),
         headConfirmedAgeMs: row.vm === world.settings.vm
@@ -43,6 +47,25 @@
     return chosen;
 }
 
+const hashRoster = (world: World, roster: MemberRoster): string => world.hasher.hashText(roster.text, 0n).toString(16);
+
+/** True when a store outage may have begun in a fleet in which not every member asks every other. */
+function isReachWanted(world: World, tick: Tick): boolean {
+    const age = computeAge(tick.now, getConfirmedAt(world));
+    return world.tables.members.size > fullExchangeMembers && age > world.settings.membership.freshForMs / 2;
+}
+
+function createReach(world: World, tick: Tick): FleetReach {
+    const roster = world.tables.members.getRoster();
+    const ages = roster.rows.map(row => (row.versionSeenAt === undefined ? undefined : tick.now - row.versionSeenAt));
+    return { roster: hashRoster(world, roster), ages: formatAges(ages) };
+}
+
+function createAnswer(world: World, tick: Tick): Exchange {
+    const exchange = createExchange(world, tick, []);
+    return isReachWanted(world, tick) ? { ...exchange, reach: createReach(world, tick) } : exchange;
+}
+
 function createExchange(world: World, tick: Tick, prefixes: Exchange["prefixes"]): Exchange {
     const { members } = world.tables;
     const own = members.get(world.settings.vm) as MemberRow;
@@ -66,9 +89,12 @@
         peerAddress: digest.peerAddress,
         state: digest.state,
         configVersion: digest.configVersion,
+        vouches: digest.vouches,
         heardAt: undefined,
+        versionSeenAt: undefined,
         storeConfirmedAt: undefined,
         isRegistered: false,
+        isListed: false,
         isLeaving: false,
     };
     world.tables.members.add(row);
@@ -87,6 +113,12 @@
     }
 }
 
+function recordVersionSeen(row: MemberRow, seenAt: Millis): void {
+    if (row.versionSeenAt === undefined || row.versionSeenAt < seenAt) {
+        row.versionSeenAt = seenAt;
+    }
+}
+
 function applyDigest(world: World, heardAt: Millis, digest: MemberDigest): void {
     const { members } = world.tables;
     if (digest.vm === world.settings.vm) {
@@ -99,10 +131,14 @@
     row.incarnation = digest.incarnation;
     row.state = digest.state;
     row.configVersion = digest.configVersion;
+    row.vouches = digest.vouches;
     row.callerAddress = digest.callerAddress;
     row.peerAddress = digest.peerAddress;
     row.heardAt = heardAt;
     row.storeConfirmedAt = toMillis(heardAt - digest.storeConfirmedAgeMs);
+    if (digest.vouches && digest.configVersion <= world.tables.configuration.version) {
+        recordVersionSeen(row, heardAt);
+    }
     recordConfirmation(world, heardAt, digest);
 }
 
@@ -117,12 +153,29 @@
     }
 }
 
+/** Takes over what a peer knows of all members, if both know the same members. */
+function applyReach(world: World, askedAt: Millis, reach: FleetReach): void {
+    const roster = world.tables.members.getRoster();
+    if (hashRoster(world, roster) !== reach.roster) {
+        return;
+    }
+    for (const [index, age] of parseAges(reach.ages).entries()) {
+        const row = roster.rows[index];
+        if (row && age !== undefined) {
+            recordVersionSeen(row, toMillis(askedAt - age));
+        }
+    }
+}
+
 /** Applies a reply. Its ages count from the time of asking, the only bound on when they were measured. */
 function applyReply(world: World, exchange: Exchange, askedAt: Millis): void {
     applyDigest(world, askedAt, exchange.digest);
     for (const { digest, ageMs } of exchange.heard) {
         applyDigest(world, toMillis(askedAt - ageMs), digest);
     }
+    if (exchange.reach && exchange.digest.configVersion <= world.tables.configuration.version) {
+        applyReach(world, askedAt, exchange.reach);
+    }
     requestNewer(world, exchange.digest);
 }
 
@@ -169,7 +222,7 @@
             world.effects.append({
                 kind: "answerPeer",
                 call,
-                answer: { kind: "exchange", body: createExchange(world, tick, []) },
+                answer: { kind: "exchange", body: createAnswer(world, tick) },
             });
         }
     }
@@ -181,6 +234,17 @@
             applyReply(world, result.val.body, purpose.askedAt);
         }
     }
+    if (tick.events.listPeerReplies("exchange").length > 0) {
+        updateFreshness(world, tick);
+    }
+}
+
+/** Exchanges more often in a possible outage, so that evidence passes through a large fleet while it is fresh. */
+function scheduleOutageExchanges(world: World, tick: Tick): void {
+    const everyMs = world.settings.membership.exchangeEveryMs / outageExchanges;
+    for (let index = 1; index < outageExchanges; index += 1) {
+        world.timers.schedule({ name: "outageExchange", at: addMillis(tick.now, everyMs * index) });
+    }
 }
 
 /**
@@ -194,7 +258,11 @@
     }
     answerPeers(world, tick);
     handleReplies(world, tick);
-    if (tick.due.has("exchange")) {
+    const isOutageLikely = isReachWanted(world, tick);
+    if (tick.due.has("exchange") || (tick.due.has("outageExchange") && isOutageLikely)) {
         sendExchanges(world, tick);
     }
+    if (tick.due.has("exchange") && isOutageLikely) {
+        scheduleOutageExchanges(world, tick);
+    }
 }
--- a/src/systems/updateMembership.ts
+++ b/src/systems/updateMembership.ts
@@ -44,9 +44,12 @@
         peerAddress: settings.listen.peers,
         state: "live",
         configVersion: toConfigVersion(0),
+        vouches: false,
         heardAt: tick.now,
+        versionSeenAt: undefined,
         storeConfirmedAt: undefined,
         isRegistered: false,
+        isListed: false,
         isLeaving: false,
     };
 }
@@ -56,6 +59,8 @@
     const row = members.get(world.settings.vm);
     if (row) {
         row.heardAt = tick.now;
+        row.vouches = configuration.hasBeenFresh;
+        row.versionSeenAt = row.vouches ? tick.now : undefined;
         row.storeConfirmedAt = configuration.confirmedAt;
         row.configVersion = configuration.version;
         row.state = node.state === "draining" ? "draining" : "live";
@@ -159,15 +164,22 @@
         peerAddress: record.peerAddress,
         state: "live",
         configVersion: toConfigVersion(0),
+        vouches: false,
         heardAt: undefined,
+        versionSeenAt: undefined,
         storeConfirmedAt: undefined,
         isRegistered: true,
+        isListed: false,
         isLeaving: false,
     });
     logInfo(world.effects, "member:", "Member registered.", { vm: record.vm, address: record.peerAddress });
 }
 
-/** Removes a member whose registration ended, unless it still speaks to us. */
+/**
+ * Removes a member whose registration ended, unless it still speaks to us or may return: it said nothing of a
+ * shutdown and its VM is still listed. Such members may be cut off together and still serve as a majority of the
+ * members that they know, so that they have to count when a change is accepted.
+ */
 function removeRegistration(world: World, tick: Tick, vm: VmId): void {
     const row = world.tables.members.get(vm);
     if (!row || vm === world.settings.vm) {
@@ -175,7 +187,8 @@
     }
     row.isRegistered = false;
     const isSilent = row.heardAt === undefined || tick.now - row.heardAt > world.settings.membership.freshForMs;
-    if (isSilent) {
+    const canReturn = row.isListed && row.state !== "draining";
+    if (isSilent && !canReturn) {
         world.tables.members.remove(vm);
         logInfo(world.effects, "member:", "Member removed.", { vm });
     }
@@ -244,8 +257,9 @@
     }
     const states = new Map(list.vms.map(vm => [vm.id, vm.state]));
     for (const row of world.tables.members.list()) {
+        row.isListed = states.has(row.vm);
         row.isLeaving = states.get(row.vm) === "leaving";
-        const isGone = !states.has(row.vm) && !row.isRegistered && row.vm !== world.settings.vm;
+        const isGone = !row.isListed && !row.isRegistered && row.vm !== world.settings.vm;
         if (isGone && (row.heardAt === undefined || tick.now - row.heardAt > world.settings.membership.freshForMs)) {
             world.tables.members.remove(row.vm);
         }
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -14,6 +14,7 @@
     | "grantExpiry"
     | "leaseRenewal"
     | "memberRetry"
+    | "outageExchange"
     | "ownership"
     | "placement"
     | "prefixExpiry"
