Check claims over generated histories of crashes, pauses and lost answers

Cause: the HTTP tests cannot place a stop between claim and send, a store call that takes effect late, or a week of retention.

Change: test/support/simulation.ts runs worlds with the real admission, claim, attempt and routing systems against one store and one service in memory under a virtual clock. Histories (fast-check, fixed seed, 300 runs) mix calls, crashes, pauses, outages and lost answers.

--- /dev/null
+++ b/test/claimHistory.test.ts
@@ -0,0 +1,196 @@
+/** Claims under crashes, pauses, lost answers and retries: an id runs at most once, and "not run" is true. */
+import fc from "fast-check";
+import { beforeAll, describe, expect, it } from "vitest";
+import { loadHasher } from "../src/adapters/hasher";
+import type { Hasher } from "../src/policy/prefix";
+import { createSimulation, type StoreFault, type TargetFault } from "./support/simulation";
+
+const hour = 3_600_000;
+let hasher: Hasher;
+
+beforeAll(async () => {
+    hasher = await loadHasher();
+});
+
+const call = { vm: "one", account: "shop", id: "job-1", body: "a" };
+
+function startPair(): ReturnType<typeof createSimulation> {
+    const simulation = createSimulation({ seed: 1, hasher });
+    simulation.startNode("one");
+    simulation.startNode("two");
+    return simulation;
+}
+
+const hasClaim = (simulation: ReturnType<typeof createSimulation>): boolean =>
+    simulation.store.listRange("claims/", "claims0").length > 0;
+
+describe("a holder that stops between claim and send", () => {
+    it("leaves a claim that no VM takes over", () => {
+        const simulation = startPair();
+        simulation.sendCall(call);
+        simulation.runUntil(1000, () => hasClaim(simulation));
+        simulation.stopNode("one");
+        const other = simulation.sendCall({ ...call, vm: "two" });
+        simulation.startNode("one");
+        const again = simulation.sendCall(call);
+        simulation.runUntil(100_000);
+        for (const request of [other, again]) {
+            expect(simulation.outcomes.get(request)).toMatchObject({
+                refusal: { code: "idempotency_in_progress", verdict: "may_have_run" },
+            });
+        }
+        expect(simulation.runs).toEqual([]);
+    });
+
+    it("releases the claim when it comes back after the deadline, and the call can run once", () => {
+        const simulation = startPair();
+        const first = simulation.sendCall(call);
+        simulation.runUntil(1000, () => hasClaim(simulation));
+        simulation.pauseNode("one", hour);
+        simulation.runUntil(2 * hour);
+        expect(simulation.outcomes.get(first)).toMatchObject({
+            refusal: { code: "deadline_exceeded", verdict: "not_run" },
+        });
+        expect(hasClaim(simulation)).toBe(false);
+        const second = simulation.sendCall({ ...call, vm: "two" });
+        simulation.runUntil(3 * hour);
+        expect(simulation.runs).toEqual([{ key: "shop/job-1", request: second }]);
+    });
+});
+
+describe("claims of lost creations", () => {
+    it("releases a claim whose creation takes effect after the call was refused", () => {
+        const simulation = startPair();
+        simulation.faults.chooseStore = () => "late";
+        const first = simulation.sendCall(call);
+        simulation.runUntil(2500, () => simulation.outcomes.has(first));
+        expect(simulation.outcomes.get(first)).toMatchObject({
+            refusal: { code: "store_unavailable", verdict: "not_run" },
+        });
+        simulation.faults.chooseStore = () => "none";
+        simulation.runUntil(60_000, () => hasClaim(simulation));
+        expect(hasClaim(simulation)).toBe(true);
+        simulation.runUntil(60_000);
+        expect(hasClaim(simulation)).toBe(false);
+        simulation.sendCall({ ...call, vm: "two" });
+        simulation.runUntil(70_000);
+        expect(simulation.runs).toHaveLength(1);
+    });
+});
+
+describe("claims of dated keys", () => {
+    it("are deleted after the retention, in bounded steps, and those of other keys are kept", () => {
+        const simulation = startPair();
+        const time = simulation.faults.wallOffsetMs.toString(16).padStart(12, "0");
+        for (let index = 0; index < 120; index += 1) {
+            const suffix = String(index).padStart(12, "0");
+            const id = `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${suffix}`;
+            simulation.sendCall({ ...call, id });
+        }
+        simulation.sendCall(call);
+        simulation.runUntil(10_000);
+        expect(simulation.runs).toHaveLength(121);
+        simulation.faults.wallOffsetMs += 167 * hour;
+        simulation.runUntil(200_000);
+        expect(simulation.store.listRange("claim", "claim~")).toHaveLength(241);
+        simulation.faults.wallOffsetMs += 2 * hour;
+        simulation.runUntil(400_000);
+        expect(simulation.store.listRange("claim", "claim~").map(row => row.key)).toEqual([
+            expect.stringMatching(/^claims\/shop\//),
+        ]);
+    });
+});
+
+const storeFaults: readonly StoreFault[] = ["requestLost", "answerLost", "answerLost", "late", "refused"];
+const targetFaults: readonly TargetFault[] = [
+    "refused",
+    "refused",
+    "lostBefore",
+    "lostAfter",
+    "failed",
+    "notRun",
+    "hangs",
+];
+const vms = ["one", "two", "three"] as const;
+const at = fc.integer({ min: 0, max: 12_000 });
+const step = fc.oneof(
+    {
+        weight: 8,
+        arbitrary: fc.record({
+            kind: fc.constant("call" as const),
+            at,
+            vm: fc.constantFrom(...vms),
+            account: fc.constantFrom("shop", "other"),
+            id: fc.constantFrom("job-1", "job-2"),
+            body: fc.constantFrom("a", "a", "a", "b"),
+            timeoutMs: fc.integer({ min: 20, max: 6000 }),
+        }),
+    },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("crash" as const), at, vm: fc.constantFrom(...vms) }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("pause" as const), at, vm: fc.constantFrom(...vms) }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("outage" as const), at }) },
+);
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
+
+function runHistory(seed: number, steps: readonly Step[]): ReturnType<typeof createSimulation> {
+    const simulation = createSimulation({ seed, hasher });
+    const { faults, random } = simulation;
+    const choose = <Value>(values: readonly Value[]): Value => values[Math.floor(random() * values.length)] as Value;
+    faults.chooseStore = () => (random() < 0.7 ? "none" : choose(storeFaults));
+    faults.chooseTarget = () => (random() < 0.5 ? "none" : choose(targetFaults));
+    const worlds = new Map(vms.map(vm => [vm, simulation.startNode(vm)]));
+    const handlers: { readonly [Kind in Step["kind"]]: (entry: Extract<Step, { readonly kind: Kind; }>) => void; } = {
+        call: simulation.sendCall,
+        crash: entry => {
+            worlds.set(entry.vm, simulation.startNode(entry.vm));
+        },
+        pause: entry => {
+            simulation.pauseNode(entry.vm, 3000);
+        },
+        outage: () => {
+            faults.isStoreDown = true;
+            simulation.schedule(1500, () => {
+                faults.isStoreDown = false;
+            });
+        },
+    };
+    for (const entry of steps) {
+        simulation.schedule(entry.at, () => {
+            (handlers[entry.kind] as (entry: Step) => void)(entry);
+        });
+    }
+    simulation.runUntil(20_000);
+    faults.chooseStore = () => "none";
+    simulation.runUntil(90_000);
+    // Every claim is settled once the store is well again.
+    expect([...worlds.values()].map(world => world.tables.claims.size)).toEqual([0, 0, 0]);
+    return simulation;
+}
+
+describe("generated histories", () => {
+    it("run each id at most once, and nothing that was refused as not run", () => {
+        const seen = { answered: 0, replayed: 0, not_run: 0, may_have_run: 0, ran: 0 };
+        fc.assert(
+            fc.property(fc.integer(), fc.array(step, { minLength: 10, maxLength: 40 }), (seed, steps) => {
+                const { runs, outcomes, keys } = runHistory(seed, steps);
+                expect(new Set(runs.map(run => run.key)).size).toBe(runs.length);
+                for (const [request, outcome] of outcomes) {
+                    const run = runs.find(candidate => candidate.key === keys.get(request));
+                    seen[outcome.kind === "refused" ? outcome.refusal.verdict : outcome.kind] += 1;
+                    if (outcome.kind === "refused" && outcome.refusal.verdict === "not_run") {
+                        expect(run?.request).not.toBe(request);
+                    }
+                    if (outcome.kind === "replayed") {
+                        expect(outcome.text).toContain(`run of ${run?.request} `);
+                    }
+                    if (outcome.kind === "refused" && outcome.refusal.verdict === "ran") {
+                        expect(run).toBeDefined();
+                    }
+                }
+            }),
+            { seed: 20_261_204, numRuns: 300 },
+        );
+        // A history in which nothing happens would prove nothing.
+        expect(Math.min(seen.answered, seen.replayed, seen.not_run, seen.may_have_run)).toBeGreaterThan(100);
+    });
+});
--- /dev/null
+++ b/test/support/simulation.ts
@@ -0,0 +1,383 @@
+/** Runs worlds with the real systems against one store and one service in memory, under a virtual clock. */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Err, Ok, type Result } from "ts-results";
+import { parseDocument } from "../../src/config/document";
+import { parseSettings } from "../../src/config/settings";
+import { createEffectQueue, type EffectHandlers, type EffectOf } from "../../src/effects";
+import { type ConfigVersion, type RequestId, toIncarnation, toMillis, toRequestId, toVmId } from "../../src/ids";
+import type { Hasher } from "../../src/policy/prefix";
+import type { Refusal } from "../../src/refusals";
+import type { AnswerRecord } from "../../src/requests";
+import { type Clock, createRunner, type Runner } from "../../src/runner";
+import { computePrefixEnd, type StoreAnswer, type StoreCall, type StoreFailure } from "../../src/store";
+import { admitRequests } from "../../src/systems/admitRequests";
+import { claimRequests } from "../../src/systems/claimRequests";
+import { expireClaims } from "../../src/systems/expireClaims";
+import { expireRequests } from "../../src/systems/expireRequests";
+import { followAttempts } from "../../src/systems/followAttempts";
+import { routeRequests } from "../../src/systems/routeRequests";
+import { createTables } from "../../src/tables";
+import { getStateWithTokens } from "../../src/tables/requests";
+import { createTimerService } from "../../src/timers";
+import type { System, World } from "../../src/world";
+import { createKeyValueStore, type Operation } from "../../standins/keyValueStore";
+import { hashKey } from "./fleet";
+
+export type StoreFault = "none" | "requestLost" | "answerLost" | "late" | "refused";
+export type TargetFault = "none" | "refused" | "lostBefore" | "lostAfter" | "failed" | "notRun" | "hangs";
+
+export interface SimulatedRun {
+    readonly key: string;
+    readonly request: RequestId;
+}
+
+/** What the caller of a request saw. */
+export type Outcome =
+    | { readonly kind: "refused"; readonly refusal: Refusal; }
+    | { readonly kind: "replayed" | "answered"; readonly text: string; };
+
+export interface SimulatedCall {
+    readonly vm: string;
+    readonly account: string;
+    readonly id: string;
+    readonly body: string;
+    readonly timeoutMs?: number;
+}
+
+interface Node {
+    readonly runner: Runner;
+    readonly attempts: Map<RequestId, { isCancelled: boolean; }>;
+    pausedUntil: number;
+    isStopped: boolean;
+}
+
+const storeTimeoutMs = 1000;
+/** Stands in for a rate that never runs out, so that histories depend on claims only. */
+const reserveNothing: System = (world, tick) => {
+    for (const row of world.tables.requests.list("reserving")) {
+        row.queuedAt = tick.now;
+        world.tables.requests.updateState(row, getStateWithTokens(row));
+    }
+};
+const systems = [
+    followAttempts,
+    expireRequests,
+    admitRequests,
+    reserveNothing,
+    claimRequests,
+    expireClaims,
+    routeRequests,
+];
+
+const account = { rate: 1000, burst: 1000 };
+const target = { kind: "service", service: "ledger", dataCentre: "dc-0" };
+const document = parseDocument({
+    accounts: { shop: account, other: account },
+    keys: { [hashKey("shop")]: { account: "shop" }, [hashKey("other")]: { account: "other" } },
+    routes: { orders: { kind: "service", service: "ledger" } },
+    targets: { a: { ...target, address: "127.0.0.1:1" }, b: { ...target, address: "127.0.0.1:2" } },
+}).unwrap();
+
+/** Creates a simulation; equal seeds and calls give equal histories. */
+export function createSimulation({ seed, hasher }: { readonly seed: number; readonly hasher: Hasher; }) {
+    const generator = xoroshiro128plus(seed);
+    const getRandom = (): number => uniformFloat64(generator);
+    const queue: { readonly at: number; readonly order: number; readonly run: () => void; }[] = [];
+    const nodes = new Map<string, Node>();
+    const runs: SimulatedRun[] = [];
+    const outcomes = new Map<RequestId, Outcome>();
+    const keys = new Map<RequestId, string>();
+    let now = 0;
+    let order = 0;
+    const store = createKeyValueStore({ getNow: () => now });
+    const faults = {
+        chooseStore: (): StoreFault => "none",
+        chooseTarget: (): TargetFault => "none",
+        isStoreDown: false,
+        wallOffsetMs: 1_800_000_000_000,
+    };
+
+    function schedule(delay: number, run: () => void): void {
+        order += 1;
+        queue.push({ at: now + delay, order, run });
+    }
+
+    /** Runs until nothing is left before the time, or until the check holds. */
+    function runUntil(end: number, check: () => boolean = () => false): void {
+        while (!check()) {
+            queue.sort((left, right) => left.at - right.at || left.order - right.order);
+            if (queue[0] === undefined || queue[0].at > end) {
+                now = Math.max(now, end);
+                return;
+            }
+            const next = queue.shift();
+            now = next?.at ?? now;
+            next?.run();
+        }
+    }
+
+    function createClock(getNode: () => Node): Clock {
+        let wake = 0;
+        return {
+            getNow: () => toMillis(now),
+            getWallNow: () => faults.wallOffsetMs + now,
+            scheduleWake: (at, run) => {
+                wake += 1;
+                const mine = wake;
+                schedule(Math.max(0, at - now), () => (mine === wake ? run() : undefined));
+            },
+            scheduleSoon: run => {
+                schedule(Math.max(0, getNode().pausedUntil - now), run);
+            },
+            cancelWake: () => {
+                wake += 1;
+            },
+        };
+    }
+
+    function applyCall(call: StoreCall): StoreAnswer {
+        if (call.kind === "range") {
+            const { key, end, prefix } = call.range;
+            const rows = store.listRange(key, end ?? (prefix ? computePrefixEnd(key) : undefined));
+            return { kind: "rows", revision: store.getRevision(), rows: rows.slice(0, call.limit) };
+        }
+        if (call.kind !== "transaction") {
+            throw new Error(`The simulation has no ${call.kind}.`);
+        }
+        const toOperations = (operations: typeof call.success): Operation[] =>
+            operations.map(
+                operation => (operation.kind === "range" ? { ...operation.range, kind: "range" } : operation),
+            );
+        const compare = call.compare.map(entry => {
+            if ("value" in entry) {
+                return { key: entry.key, target: "VALUE" as const, expected: entry.value };
+            }
+            return "createRevision" in entry
+                ? { key: entry.key, target: "CREATE" as const, expected: entry.createRevision }
+                : { key: entry.key, target: "MOD" as const, expected: entry.modRevision };
+        });
+        const result = store.runTransaction(compare, toOperations(call.success), toOperations(call.failure ?? []));
+        return { kind: "transaction", ...result };
+    }
+
+    function runStoreCall(node: Node, { purpose, call }: EffectOf<"callStore">): void {
+        const sentAt = toMillis(now);
+        const postReply = (delay: number, result: Result<StoreAnswer, StoreFailure>): void => {
+            schedule(delay, () => {
+                node.runner.post({ kind: "storeReplied", purpose, outcome: { result, sentAt } });
+            });
+        };
+        const postFailure = (delay: number, effect: StoreFailure["effect"]): void => {
+            postReply(delay, Err({ effect, message: "Simulated." }));
+        };
+        const handlers: { readonly [Fault in StoreFault]: () => void; } = {
+            none: () => {
+                schedule(1 + 9 * getRandom(), () => {
+                    postReply(1 + 9 * getRandom(), Ok(applyCall(call)));
+                });
+            },
+            requestLost: () => {
+                postFailure(storeTimeoutMs, "unknown");
+            },
+            answerLost: () => {
+                schedule(5, () => applyCall(call));
+                postFailure(5 + 50 * getRandom(), "unknown");
+            },
+            late: () => {
+                schedule(storeTimeoutMs * (0.5 + 2 * getRandom()), () => applyCall(call));
+                postFailure(storeTimeoutMs, "unknown");
+            },
+            refused: () => {
+                postFailure(1, "none");
+            },
+        };
+        handlers[faults.isStoreDown ? "refused" : faults.chooseStore()]();
+    }
+
+    function sendRequest(node: Node, { request, attempt, call }: EffectOf<"sendRequest">): void {
+        const state = { isCancelled: false };
+        node.attempts.set(request, state);
+        const base = { request, attempt };
+        const postFailure = (failure: "connect" | "closed"): void => {
+            node.runner.post({ kind: "attemptFailed", ...base, failure, lastEventId: 0 });
+        };
+        const run = (): AnswerRecord => {
+            runs.push({ key: keys.get(request) ?? "", request });
+            return { status: 200, contentType: "text/plain", body: `run of ${request} ${call.path}` };
+        };
+        const answer = (record: AnswerRecord, refusedBeforeRun = false): void => {
+            const { status } = record;
+            node.runner.post({ kind: "attemptAnswered", ...base, status, refusedBeforeRun, whole: { record } });
+        };
+        const refusal = { status: 503, contentType: "text/plain", body: "busy" };
+        // Each handler runs after the bytes were handed over; what it does happens whether or not the VM still lives.
+        const handlers: { readonly [Fault in Exclude<TargetFault, "refused">]: () => void; } = {
+            none: () => {
+                answer(run());
+            },
+            lostBefore: () => {
+                postFailure("closed");
+            },
+            lostAfter: () => {
+                run();
+                postFailure("closed");
+            },
+            failed: () => {
+                answer({ ...run(), status: 503 });
+            },
+            notRun: () => {
+                answer(refusal, true);
+            },
+            hangs: run,
+        };
+        const fault = faults.chooseTarget();
+        schedule(1 + 20 * getRandom(), () => {
+            if (state.isCancelled || node.isStopped) {
+                return;
+            }
+            if (fault === "refused") {
+                postFailure("connect");
+                return;
+            }
+            node.runner.post({ kind: "attemptBytesHanded", ...base });
+            schedule(1 + 200 * getRandom(), handlers[fault]);
+        });
+    }
+
+    function createWorld(vm: string, incarnation: number): World {
+        const settings = parseSettings({
+            vm,
+            dataCentre: "dc-0",
+            fleetSecret: "a-secret-of-the-simulation",
+            listen: { callers: "127.0.0.1:1", operators: "127.0.0.1:2", peers: "127.0.0.1:3" },
+            store: { address: "127.0.0.1:4" },
+        }).unwrap();
+        const tables = createTables(settings);
+        tables.configuration.apply(1 as ConfigVersion, document);
+        tables.configuration.freshness = "fresh";
+        tables.targets.applyConfiguration(document.targets);
+        tables.node.state = "live";
+        const own = { vm: toVmId(vm), state: "live", isLeaving: false } as Parameters<typeof tables.members.add>[0];
+        tables.members.add(own);
+        return {
+            settings,
+            incarnation: toIncarnation(`${vm}-${incarnation}`),
+            hasher,
+            random: getRandom,
+            tables,
+            effects: createEffectQueue(),
+            timers: createTimerService(),
+        };
+    }
+
+    /** Starts a VM, in place of one of the same name that is stopped at once. */
+    function startNode(vm: string): World {
+        const before = nodes.get(vm);
+        before?.runner.stop();
+        if (before) {
+            before.isStopped = true;
+        }
+        const world = createWorld(vm, nodes.size);
+        const attempts: Node["attempts"] = new Map();
+        const record = (request: RequestId, outcome: Outcome): void => {
+            outcomes.set(request, outcome);
+        };
+        const handlers: Partial<EffectHandlers> = {
+            refuseRequest: ({ request, refusal }) => {
+                record(request, { kind: "refused", refusal });
+            },
+            interruptAnswer: ({ request, refusal }) => {
+                record(request, { kind: "refused", refusal });
+            },
+            replayAnswer: ({ request, answer }) => {
+                record(request, { kind: "replayed", text: answer.body });
+            },
+            relayAnswer: ({ request }) => {
+                record(request, { kind: "answered", text: "" });
+            },
+            callStore: effect => {
+                runStoreCall(node, effect);
+            },
+            sendRequest: effect => {
+                sendRequest(node, effect);
+            },
+            cancelAttempt: ({ request }) => {
+                const attempt = attempts.get(request);
+                if (attempt) {
+                    attempt.isCancelled = true;
+                }
+            },
+        };
+        const handleNothing = (): void => undefined;
+        const allHandlers = new Proxy(handlers, {
+            get: (known, kind) => known[kind as keyof EffectHandlers] ?? handleNothing,
+        }) as EffectHandlers;
+        const clock = createClock(() => node);
+        const node: Node = {
+            runner: createRunner({ world, systems, handlers: allHandlers, clock }),
+            attempts,
+            pausedUntil: 0,
+            isStopped: false,
+        };
+        nodes.set(vm, node);
+        node.runner.start();
+        return world;
+    }
+
+    /** Sends a call to a VM and returns the id under which its outcome is found. */
+    function sendCall({ vm, account: name, id, body, timeoutMs = 4000 }: SimulatedCall): RequestId {
+        const request = toRequestId(`r${keys.size + 1}`);
+        keys.set(request, `${name}/${id}`);
+        nodes.get(vm)?.runner.post({
+            kind: "requestArrived",
+            arrival: {
+                request,
+                keyHash: hashKey(name) as never,
+                endpoint: "service",
+                routeName: "orders",
+                method: "POST",
+                path: "/jobs",
+                stream: false,
+                prompt: new Uint8Array(),
+                maxTokens: undefined,
+                priority: undefined,
+                bodyBytes: body.length,
+                bodyHash: hashKey(body),
+                idempotencyKey: id,
+                timeoutMs,
+                arrivedAt: toMillis(now),
+            },
+        });
+        return request;
+    }
+
+    return {
+        store,
+        faults,
+        runs,
+        outcomes,
+        keys,
+        random: getRandom,
+        schedule,
+        runUntil,
+        startNode,
+        sendCall,
+        getNow: () => now,
+        /** Stops a VM at once, with all that it has not handed to a socket. */
+        stopNode: (vm: string) => {
+            const node = nodes.get(vm);
+            node?.runner.stop();
+            if (node) {
+                node.isStopped = true;
+            }
+        },
+        /** Holds back every tick of a VM for some time. */
+        pauseNode: (vm: string, milliseconds: number) => {
+            const node = nodes.get(vm);
+            if (node) {
+                node.pausedUntil = now + milliseconds;
+            }
+        },
+    };
+}
