--- a/src/adapters/callerServer.ts
+++ b/src/adapters/callerServer.ts
@@ -10,6 +10,7 @@
 import { formatRefusal, type Refusal, refusalKinds } from "../refusals";
 import type { Endpoint } from "../requests";
 import type { Clock } from "../runner";
+import { subscribeToClientErrors } from "./clientErrors";
 import { parseAddress } from "./httpClient";
 import { hasKey } from "./keyCheck";
 import type { OpenRequests } from "./openRequests";
@@ -302,6 +303,7 @@
         },
     );
     server.maxConnections = settings.limits.connections;
+    subscribeToClientErrors(server);
 
     return {
         server,
--- a/src/refusals.ts
+++ b/src/refusals.ts
@@ -11,6 +11,7 @@
 export const refusalKinds = {
     bad_request: { status: 400, message: "The request could not be understood." },
     body_too_large: { status: 413, message: "The request body is larger than this server accepts." },
+    headers_too_large: { status: 431, message: "The request headers are larger than this server accepts." },
     key_missing: { status: 401, message: "Send your key in the Authorization header as a bearer token." },
     key_unknown: { status: 401, message: "This key is not known or has been withdrawn." },
     route_unknown: { status: 404, message: "There is no such route for this client account." },
--- a/test/claimHistory.test.ts
+++ b/test/claimHistory.test.ts
@@ -58,6 +58,25 @@
     });
 });
 
+describe("a store that goes down between claim and end", () => {
+    it("does not hold back the answer, and replays it when the end has been recorded", () => {
+        const simulation = startPair();
+        const first = simulation.sendCall(call);
+        simulation.runUntil(1000, () => hasClaim(simulation));
+        simulation.runUntil(simulation.getNow() + 10);
+        simulation.faults.isStoreDown = true;
+        simulation.runUntil(1000);
+        expect(simulation.outcomes.get(first)).toMatchObject({ kind: "answered" });
+        expect(simulation.store.listRange("claims/", "claims0")[0]?.value).not.toContain("\"end\"");
+        simulation.faults.isStoreDown = false;
+        simulation.runUntil(30_000);
+        const second = simulation.sendCall({ ...call, vm: "two" });
+        simulation.runUntil(31_000);
+        expect(simulation.outcomes.get(second)).toEqual({ kind: "replayed", text: `run of ${first} /jobs` });
+        expect(simulation.runs).toHaveLength(1);
+    });
+});
+
 describe("claims of lost creations", () => {
     it("releases a claim whose creation takes effect after the call was refused", () => {
         const simulation = startPair();
@@ -79,6 +98,20 @@
 });
 
 describe("claims of dated keys", () => {
+    it("do not let a call run when the key expired while the claim was written", () => {
+        const simulation = startPair();
+        const time = simulation.faults.wallOffsetMs.toString(16).padStart(12, "0");
+        const id = `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-000000000001`;
+        const request = simulation.sendCall({ ...call, id });
+        simulation.runUntil(1000, () => hasClaim(simulation));
+        simulation.faults.wallOffsetMs += 168 * hour;
+        simulation.runUntil(10_000);
+        expect(simulation.outcomes.get(request)).toMatchObject({
+            refusal: { code: "idempotency_key_expired", verdict: "not_run" },
+        });
+        expect(simulation.runs).toEqual([]);
+    });
+
     it("are deleted after the retention, in bounded steps, and those of other keys are kept", () => {
         const simulation = startPair();
         const time = simulation.faults.wallOffsetMs.toString(16).padStart(12, "0");
--- a/test/claims.test.ts
+++ b/test/claims.test.ts
@@ -13,7 +13,7 @@
     let system: ServiceFleet;
 
     beforeEach(async () => {
-        system = await startServiceFleet({ nodes: 2 });
+        system = await startServiceFleet({ nodes: 2, overrides: { timeouts: { drainNoticeMs: 100 } } });
     });
 
     afterEach(async () => {
@@ -95,7 +95,22 @@
         expect(getTotalRuns()).toBe(1);
     });
 
-    it("answers and records the end later when the store fails after the claim", async () => {
+    it("records the ends of its claims before a VM that drains exits", async () => {
+        const [entry] = system.fleet.nodes;
+        const { platform } = system.fleet;
+        Object.assign(system.services[0]?.faults ?? {}, { hangs: 1 });
+        const call = sendCall(system, { id: "job-7", headers: { "x-request-timeout-ms": "300" } });
+        await waitUntil(() => getTotalRuns() === 1);
+        platform.startOutage();
+        expect(await call).toMatchObject({ error: { verdict: "may_have_run" } });
+        entry?.node.drain();
+        await waitUntil(() => sendCall(system, { id: "job-8" }).then(() => false, () => true));
+        platform.endOutage();
+        await waitUntil(() => entry?.exits.length === 1);
+        expect(listClaims().join()).toContain("\"end\"");
+    });
+
+    it("records the end later when the store fails after the claim", async () => {
         const { platform } = system.fleet;
         Object.assign(system.services[0]?.faults ?? {}, { hangs: 1 });
         const controller = new AbortController();
--- a/test/serviceHygiene.test.ts
+++ b/test/serviceHygiene.test.ts
@@ -25,7 +25,10 @@
     const getAddress = (): string => system.fleet.nodes[0]?.settings.listen.callers ?? "";
 
     /** Sends headers that `fetch` does not let through, and a body in chunks. */
-    function sendRaw(headers: http.OutgoingHttpHeaders, chunks: readonly string[] = []): Promise<http.IncomingMessage> {
+    function sendRaw(
+        headers: http.OutgoingHttpHeaders,
+        chunks: readonly string[] = [],
+    ): Promise<http.IncomingMessage & { text?: string; }> {
         return new Promise((resolve, reject) => {
             const request = http.request({
                 ...parseAddress(getAddress()),
@@ -35,8 +38,13 @@
                 agent: false,
             });
             request.on("response", response => {
-                response.resume();
-                resolve(response);
+                let text = "";
+                response.on("data", (chunk: Buffer) => {
+                    text += chunk.toString("utf8");
+                });
+                response.on("end", () => {
+                    resolve(Object.assign(response, { text }));
+                });
             });
             request.on("error", reject);
             void (async () => {
@@ -116,6 +124,7 @@
         async ({ headers }) => {
             const response = await sendRaw(headers, Array.from({ length: 5 }, () => "x".repeat(1000)));
             expect(response.statusCode).toBe(413);
+            expect(JSON.parse(response.text ?? "")).toMatchObject({ error: { verdict: "not_run" } });
             expect(service.calls).toEqual([]);
         },
     );
@@ -123,6 +132,9 @@
     it("refuses headers that are too large", async () => {
         const response = await sendRaw({ "x-filler": "x".repeat(10_000) });
         expect(response.statusCode).toBe(431);
+        expect(JSON.parse(response.text ?? "")).toMatchObject({
+            error: { code: "headers_too_large", verdict: "not_run" },
+        });
         expect(service.calls).toEqual([]);
     });
 
