--- a/test/fairQueue.test.ts
+++ b/test/fairQueue.test.ts
@@ -5,7 +5,7 @@
 import { buildOpenDocument, postArrival } from "./support/arrivals";
 import { hashKey } from "./support/fleet";
 import { addSimulatedEngine, type SimulatedEngine } from "./support/simulatedEngine";
-import { createSimulation, type SimulatedNode, type Simulation, startSimulatedNode } from "./support/simulation";
+import { createSimulation, type SimulatedNode, type Simulation, startSimulatedNode } from "./support/virtualFleet";
 
 const quietAccounts = ["quiet-0", "quiet-1", "quiet-2", "quiet-3"];
 
--- a/test/leavingTargets.test.ts
+++ b/test/leavingTargets.test.ts
@@ -5,7 +5,7 @@
 import { buildOpenDocument, postArrival } from "./support/arrivals";
 import { startFleet, waitUntil, waitUntilReady } from "./support/fleet";
 import { addSimulatedEngine, type SimulatedEngine } from "./support/simulatedEngine";
-import { createSimulation, type SimulatedNode, type Simulation, startSimulatedNode } from "./support/simulation";
+import { createSimulation, type SimulatedNode, type Simulation, startSimulatedNode } from "./support/virtualFleet";
 
 const addresses = ["10.1.0.1:80", "10.1.0.2:80"];
 
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from "vitest";
 import { placementKey } from "../src/systems/placementRole";
 import { addSimulatedEngine, type SimulatedEngine, type SimulatedEngineOptions } from "./support/simulatedEngine";
-import { createSimulation, type Simulation, startSimulatedNode } from "./support/simulation";
+import { createSimulation, type Simulation, startSimulatedNode } from "./support/virtualFleet";
 
 interface Rolling {
     readonly simulation: Simulation;
--- a/test/retries.test.ts
+++ b/test/retries.test.ts
@@ -4,7 +4,7 @@
 import { buildOpenDocument, postArrival } from "./support/arrivals";
 import { startFleet, waitUntilReady } from "./support/fleet";
 import { addSimulatedEngine, type SimulatedEngine } from "./support/simulatedEngine";
-import { createSimulation, type SimulatedNode, type Simulation, startSimulatedNode } from "./support/simulation";
+import { createSimulation, type SimulatedNode, type Simulation, startSimulatedNode } from "./support/virtualFleet";
 
 interface Traffic {
     readonly simulation: Simulation;
--- a/test/support/arrivals.ts
+++ b/test/support/arrivals.ts
@@ -1,7 +1,7 @@
 /** Requests as a caller's server would post them, for simulations. */
 import { type RequestId, toKeyHash, toRequestId } from "../../src/ids";
 import type { RequestArrival } from "../../src/requests";
-import type { SimulatedNode, Simulation } from "./simulation";
+import type { SimulatedNode, Simulation } from "./virtualFleet";
 
 export interface ArrivalOptions {
     readonly keyHash?: string;
--- a/test/support/simulatedEngine.ts
+++ b/test/support/simulatedEngine.ts
@@ -3,7 +3,7 @@
 import type { Event } from "../../src/events";
 import { type RequestId, toIncarnation, toModelId, toModelVersion } from "../../src/ids";
 import type { OrderOutcome, TargetReport } from "../../src/targets";
-import type { Simulation } from "./simulation";
+import type { Simulation } from "./virtualFleet";
 
 type Post = (event: Event) => void;
 
--- a/test/support/storeCalls.ts
+++ b/test/support/storeCalls.ts
@@ -33,10 +33,10 @@
 }
 
 const runners: { readonly [Kind in StoreCall["kind"]]: (store: KeyValueStore, call: Calls[Kind]) => StoreAnswer; } = {
-    range: (store, { range }) => ({
+    range: (store, { range, limit }) => ({
         kind: "rows",
         revision: store.getRevision(),
-        rows: store.listRange(range.key, computeEnd(range)),
+        rows: store.listRange(range.key, computeEnd(range)).slice(0, limit),
     }),
     transaction: (store, { compare, success, failure = [] }) => ({
         kind: "transaction",
--- a/test/support/simulation.ts
+++ b/test/support/virtualFleet.ts
@@ -1,5 +1,5 @@
 /** Runs the real systems of several processes on a virtual clock, with a store and engines in memory. */
-import { Ok } from "ts-results";
+import { Err } from "ts-results";
 import { loadHasher } from "../../src/adapters/hasher";
 import { computeChange } from "../../src/config/change";
 import { emptyDocument, parseDocument } from "../../src/config/document";
@@ -7,21 +7,16 @@
 import { parseSettings, type Settings } from "../../src/config/settings";
 import { createEffectQueue, type EffectHandlers, type EffectOf } from "../../src/effects";
 import type { Event } from "../../src/events";
-import { type Millis, toIncarnation, toLeaseId, toMillis } from "../../src/ids";
+import { type Millis, toIncarnation, toMillis } from "../../src/ids";
 import { type Clock, createRunner } from "../../src/runner";
-import {
-    computePrefixEnd,
-    type StoreAnswer,
-    type StoreCall,
-    type StoreCompare,
-    type StoreRange,
-} from "../../src/store";
+import { computePrefixEnd } from "../../src/store";
 import { systems } from "../../src/systems";
 import { createTables } from "../../src/tables";
 import { createTimerService } from "../../src/timers";
 import type { World } from "../../src/world";
 import { createKeyValueStore, type KeyValueStore, type Watcher } from "../../standins/keyValueStore";
 import type { SimulatedEngine } from "./simulatedEngine";
+import { runStoreCall } from "./storeCalls";
 
 /** Milliseconds that a message takes. */
 const messageMs = 1;
@@ -109,54 +104,6 @@
     };
 }
 
-const toEnd = (range: StoreRange): string | undefined =>
-    range.end ?? (range.prefix ? computePrefixEnd(range.key) : undefined);
-
-function toStandinRange(range: StoreRange): { kind: "range"; key: string; end?: string; } {
-    const end = toEnd(range);
-    return { kind: "range", key: range.key, ...(end === undefined ? {} : { end }) };
-}
-
-function toStandinCompare(compare: StoreCompare): Parameters<KeyValueStore["runTransaction"]>[0][number] {
-    if ("createRevision" in compare) {
-        return { key: compare.key, target: "CREATE", expected: compare.createRevision };
-    }
-    return "modRevision" in compare
-        ? { key: compare.key, target: "MOD", expected: compare.modRevision }
-        : { key: compare.key, target: "VALUE", expected: compare.value };
-}
-
-function runStoreCall(store: KeyValueStore, call: StoreCall): StoreAnswer {
-    switch (call.kind) {
-        case "range":
-            return {
-                kind: "rows",
-                revision: store.getRevision(),
-                rows: store.listRange(call.range.key, toEnd(call.range)),
-            };
-        case "transaction": {
-            const [success, failure] = [call.success, call.failure ?? []].map(operations =>
-                operations.map(operation => (operation.kind === "range" ? toStandinRange(operation.range) : operation))
-            );
-            return {
-                kind: "transaction",
-                ...store.runTransaction(call.compare.map(toStandinCompare), success ?? [], failure ?? []),
-            };
-        }
-        case "grantLease":
-            return {
-                kind: "lease",
-                lease: toLeaseId(store.grantLease(call.ttlSeconds)),
-                ttlSeconds: call.ttlSeconds,
-            };
-        case "renewLease":
-            return { kind: "lease", lease: call.lease, ttlSeconds: store.renewLease(call.lease) };
-        case "revokeLease":
-            store.revokeLease(call.lease);
-            return { kind: "revoked" };
-    }
-}
-
 export interface SimulatedNode {
     readonly world: World;
     readonly settings: Settings;
@@ -251,12 +198,10 @@
         const sentAt = simulation.getNow();
         simulation.schedule(messageMs, () => {
             const answer = simulation.faults.isStoreDown ? undefined : runStoreCall(simulation.store, call);
-            const isLost = answer?.kind === "transaction" && faults.loseStoreAnswers > 0;
+            const isLost = answer !== undefined && call.kind === "transaction" && faults.loseStoreAnswers > 0;
             faults.loseStoreAnswers -= isLost ? 1 : 0;
-            const result = answer && !isLost
-                ? Ok(answer)
-                : { ok: false, err: true, val: { effect: "unknown", message: "No answer." } };
-            post({ kind: "storeReplied", purpose, outcome: { result: result as never, sentAt } });
+            const result = answer && !isLost ? answer : Err({ effect: "unknown" as const, message: "No answer." });
+            post({ kind: "storeReplied", purpose, outcome: { result, sentAt } });
         });
     }
 
