Let an engine that ignored an order wait before the next one

Cause: an order without effect was repeated at once. Two engines that never load took both places of the load limit again and again, so that no other engine was ordered: with two such engines of six, the other four had not loaded after 20 s.

Change: an engine waits 2 s after its first order without effect, twice as long after each further one, at most a minute. The retry budget's burst is 20, since 10 did not cover the 16 requests that one process can have on an engine when it crashes.

Checked: the new test in test/placement.test.ts failed before and passes now (four engines loaded within 20 s, all six after the two recover). A test with the real adapter and stand-in shows that an order is not sent after the end of the lease.

--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -9,7 +9,7 @@
     readonly wanted: ModelReference;
     /** Model version that the engine reports; absent while it cannot be reached. */
     readonly reported: ModelReference | undefined;
-    /** True when the engine is ready, is not leaving and has no order under way. */
+    /** True when the engine is ready, is not leaving, has no order under way and did not just ignore one. */
     readonly canBeOrdered: boolean;
     /** True when requests can rely on the engine for the version that it reports. */
     readonly isServing: boolean;
--- a/src/policy/retryBudget.ts
+++ b/src/policy/retryBudget.ts
@@ -5,8 +5,8 @@
     level: number;
 }
 
-/** Retries that a quiet process may send at once. */
-const burst = 10;
+/** Retries that a quiet process may send at once: as many as it has on one engine of 8 slots that crashes. */
+const burst = 20;
 
 /** Creates a full budget. */
 export const createRetryBudget = (): RetryBudget => ({ level: burst });
--- a/src/systems/placeModels.ts
+++ b/src/systems/placeModels.ts
@@ -52,7 +52,7 @@
         target: target.id,
         wanted: toModelReference(target.configuration as unknown as ModelReference),
         reported: report && toModelReference(report),
-        canBeOrdered: isReady,
+        canBeOrdered: isReady && tick.now >= world.tables.orders.getFailures(target.id).notBefore,
         isServing: isReady && hasRecovered(target, tick.now),
         isLoading: isOrdered || report?.state === "loading",
     };
@@ -80,9 +80,17 @@
     return inUse;
 }
 
-function removeOrder(world: World, row: OrderRow, message: string): void {
-    world.tables.orders.remove(row.target);
-    logInfo(world.effects, "place:", message, { target: row.target, order: row.id });
+/** An engine waits for its next order after one without effect, so that the load limit is free for the others. */
+const failedOrderMs = 2000;
+const maxFailedOrderMs = 60_000;
+
+function removeFailedOrder(world: World, tick: Tick, row: OrderRow, message: string): void {
+    const { orders } = world.tables;
+    const count = orders.getFailures(row.target).count + 1;
+    const wait = Math.min(maxFailedOrderMs, failedOrderMs * 2 ** (count - 1));
+    orders.recordFailures(row.target, { count, notBefore: addMillis(tick.now, wait) });
+    orders.remove(row.target);
+    logWarning(world.effects, "place:", message, { target: row.target, order: row.id, failures: count });
 }
 
 /** Settles an order by what the engine reports. Only a report that must show its effect can disprove it. */
@@ -91,7 +99,7 @@
     const report = target?.report;
     if (!target || !report) {
         if (tick.now - row.sentAt >= unreachableOrderMs) {
-            removeOrder(world, row, "Order given up; the engine cannot be reached.");
+            removeFailedOrder(world, tick, row, "Order given up; the engine cannot be reached.");
         }
         return;
     }
@@ -99,10 +107,12 @@
         return;
     }
     if (formatReference(toModelReference(report)) === formatReference(row)) {
-        removeOrder(world, row, "Order took effect.");
+        world.tables.orders.remove(row.target);
+        world.tables.orders.removeFailures(row.target);
+        logInfo(world.effects, "place:", "Order took effect.", { target: row.target, order: row.id });
     }
     else if ((target.reportedAt ?? 0) >= row.visibleAt) {
-        removeOrder(world, row, "Order did not take effect.");
+        removeFailedOrder(world, tick, row, "Order did not take effect.");
     }
 }
 
--- a/src/tables/orders.ts
+++ b/src/tables/orders.ts
@@ -29,6 +29,13 @@
     needsReports: boolean;
 }
 
+export interface OrderFailures {
+    readonly count: number;
+    readonly notBefore: Millis;
+}
+
+const noFailures: OrderFailures = { count: 0, notBefore: 0 as Millis };
+
 export interface OrdersTable {
     readonly role: PlacementRole;
     readonly size: number;
@@ -37,6 +44,10 @@
     /** Adds an order; an engine has at most one. */
     add(row: OrderRow): void;
     remove(target: TargetId): void;
+    /** Failed orders in a row of an engine, and the time before which it gets no other. */
+    getFailures(target: TargetId): OrderFailures;
+    recordFailures(target: TargetId, failures: OrderFailures): void;
+    removeFailures(target: TargetId): void;
     /** Records why an engine keeps its model; returns false when the reason is the recorded one. */
     recordHold(target: TargetId, reason: HoldReason): boolean;
     /** Forgets the holds of all other engines. */
@@ -47,6 +58,7 @@
 export function createOrdersTable(): OrdersTable {
     const rows = new Map<TargetId, OrderRow>();
     const holds = new Map<TargetId, HoldReason>();
+    const failures = new Map<TargetId, OrderFailures>();
     return {
         role: {
             state: "standby",
@@ -69,6 +81,13 @@
         remove: target => {
             rows.delete(target);
         },
+        getFailures: target => failures.get(target) ?? noFailures,
+        recordFailures: (target, entry) => {
+            failures.set(target, entry);
+        },
+        removeFailures: target => {
+            failures.delete(target);
+        },
         recordHold: (target, reason) => {
             const isNew = holds.get(target) !== reason;
             holds.set(target, reason);
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -1,6 +1,11 @@
 /** Placement: rolling changes of model versions, and the owner role under faults. */
 import { describe, expect, it } from "vitest";
+import { createProcessClock } from "../src/adapters/clock";
+import { createTargetReader } from "../src/adapters/targetReader";
+import { toFencingNumber, toMillis, toModelId, toModelVersion, toOrderId, toTargetId } from "../src/ids";
 import { placementKey } from "../src/systems/placementRole";
+import { startEngine } from "../standins/engine";
+import { waitUntil } from "./support/fleet";
 import { addSimulatedEngine, type SimulatedEngine, type SimulatedEngineOptions } from "./support/simulatedEngine";
 import { createSimulation, type Simulation, startSimulatedNode } from "./support/simulation";
 
@@ -51,6 +56,41 @@
 const measureVersion = ({ engines }: Rolling, version: string): number =>
     engines.filter(engine => engine.getState().state === "ready" && engine.getState().version === version).length;
 
+// Guards against an order that waited in the process until its lease was over.
+it("does not send an order after the lease of its owner", async () => {
+    const engine = await startEngine({ model: "copywriter", version: "v1" });
+    const outcomes: string[] = [];
+    const reader = createTargetReader({
+        post: event => {
+            if (event.kind === "orderAnswered") {
+                outcomes.push(event.outcome);
+            }
+        },
+        clock: createProcessClock(),
+    });
+    const order = {
+        order: toOrderId("o1"),
+        fencing: toFencingNumber(7),
+        model: toModelId("copywriter"),
+        version: toModelVersion("v2"),
+    };
+    const base = {
+        kind: "sendOrder",
+        target: toTargetId("e"),
+        address: engine.address,
+        order,
+        timeoutMs: 1000,
+    } as const;
+    reader.sendOrder({ ...base, notAfter: toMillis(performance.now() - 1) });
+    await waitUntil(() => outcomes.length === 1);
+    expect([outcomes, engine.orders.length]).toEqual([["not_sent"], 0]);
+    reader.sendOrder({ ...base, notAfter: toMillis(performance.now() + 60_000) });
+    await waitUntil(() => outcomes.length === 2);
+    expect([outcomes[1], engine.orders.length]).toEqual(["accepted", 1]);
+    reader.close();
+    await engine.stop();
+});
+
 describe("placement", () => {
     it("loads at most two engines at once and keeps the last one of a version that a route names", async () => {
         const rolling = createRolling(5);
@@ -82,6 +122,23 @@
         expect(rolling.seen.maxLoading).toBe(2);
     });
 
+    // Guards against two broken engines that use up the load limit for ever.
+    it("does not let engines that never load keep the others from loading", async () => {
+        const rolling = createRolling(6);
+        await startSimulatedNode(rolling.simulation, { vm: "entry-1" });
+        rolling.simulation.runFor(10_000);
+        rolling.engines.slice(0, 2).forEach(engine => {
+            engine.faults.loseOrders = Infinity;
+        });
+        rolling.writeVersions(2, "v2", "v2");
+        rolling.simulation.runUntil(() => measureVersion(rolling, "v2") === 4, 20_000);
+        rolling.engines.slice(0, 2).forEach(engine => {
+            engine.faults.loseOrders = 0;
+        });
+        rolling.simulation.runUntil(() => measureVersion(rolling, "v2") === 6);
+        expect(rolling.seen.maxLoading).toBe(2);
+    });
+
     it("orders again after an engine crashed during its load", async () => {
         const rolling = createRolling(3, { loadMs: 1500 });
         const [first] = rolling.engines;
