Test that the crash of one engine costs no waiting request

Guards the retry budget and the circuits together: sixteen streams wait for their first token on two engines, one crashes, all sixteen are answered whole.

--- a/test/retries.test.ts
+++ b/test/retries.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from "vitest";
 import { startEngine } from "../standins/engine";
 import { buildOpenDocument, postArrival } from "./support/arrivals";
-import { startFleet, waitUntilReady } from "./support/fleet";
+import { startFleet, waitUntil, waitUntilReady } from "./support/fleet";
 import { addSimulatedEngine, type SimulatedEngine } from "./support/simulatedEngine";
 import { createSimulation, type SimulatedNode, type Simulation, startSimulatedNode } from "./support/simulation";
 
@@ -163,6 +163,30 @@
     });
 });
 
+// Guards against a budget or a circuit that turns the crash of one engine into refused requests.
+it("answers every request that waits for its first token on an engine that crashes", async () => {
+    const options = { model: "copywriter", version: "v1", decodeMs: 1 };
+    const engines = [await startEngine(options), await startEngine(options)];
+    const fleet = await startFleet({ count: 1, document: buildOpenDocument(engines) });
+    await waitUntilReady(fleet);
+    engines.forEach(engine => {
+        engine.faults.delayMs = 500;
+    });
+    const answers = Array.from({ length: 16 }, async (_, index) => {
+        const response = await fetch(`http://${fleet.nodes[0]?.settings.listen.callers}/v1/completions`, {
+            method: "POST",
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify({ model: "catalogue", prompt: `${index}`, stream: true, max_tokens: 2 }),
+        });
+        return (await response.text()).includes("data: [DONE]");
+    });
+    await waitUntil(() => engines.reduce((sum, engine) => sum + engine.runs.length, 0) === 16);
+    engines[0]?.crash();
+    expect(await Promise.all(answers)).toEqual(Array(16).fill(true));
+    await fleet.stop();
+    await Promise.all(engines.map(engine => engine.stop()));
+});
+
 it("passes the time left until the deadline to the engine", async () => {
     const engine = await startEngine({ model: "copywriter", version: "v1", decodeMs: 1 });
     const fleet = await startFleet({ count: 1, document: buildOpenDocument([engine]) });
