--- a/test/support/arrivals.ts
+++ b/test/support/arrivals.ts
@@ -1,6 +1,7 @@
 /** Requests as a caller's server would post them, for simulations. */
 import { type RequestId, toKeyHash, toRequestId } from "../../src/ids";
 import type { RequestArrival } from "../../src/requests";
+import type { Fleet } from "./fleet";
 import type { SimulatedNode, Simulation } from "./simulation";
 
 export interface ArrivalOptions {
@@ -39,6 +40,19 @@
     return request;
 }
 
+/** Sends a completion over HTTP to a process of the fleet, on the route of `buildOpenDocument`. */
+export function sendCompletion(
+    fleet: Fleet,
+    body: { readonly max_tokens: number; readonly prompt?: string; readonly stream?: boolean; },
+    headers: Readonly<Record<string, string>> = {},
+): Promise<Response> {
+    return fetch(`http://${fleet.nodes[0]?.settings.listen.callers}/v1/completions`, {
+        method: "POST",
+        headers: { "content-type": "application/json", ...headers },
+        body: JSON.stringify({ model: "catalogue", prompt: "x", stream: true, ...body }),
+    });
+}
+
 export interface EngineEntry {
     readonly address: string;
     readonly leaving?: boolean;
