--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -8,6 +8,7 @@
     type Fleet,
     hashKey,
     startFleet,
+    waitForTokens,
     waitUntil,
     waitUntilReady,
     writeConfiguration,
@@ -41,6 +42,7 @@
             );
             return replies.every(({ body }) => (body["members"] as unknown[]).length === count);
         });
+        await Promise.all(fleet.nodes.map(node => waitForTokens(node.settings.listen.callers, shopKey)));
     }
 
     const addForwarder = async (target: string): Promise<string> => {
@@ -83,6 +85,7 @@
         const first = await sendCommand(fleet, 0, put, { key: fleetSecret, body: document });
         expect(first).toMatchObject({ status: 200, body: { version: 1 } });
         await waitUntilReady(fleet);
+        await waitForTokens(fleet.nodes[1]?.settings.listen.callers ?? "", shopKey);
         expect((await sendCommand(fleet, 1, put, { key: fleetSecret, body: document })).status).toBe(401);
         expect((await sendCompletion(fleet, 1, shopKey)).status).toBe(200);
     });
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -120,3 +120,18 @@
         await waitUntil(async () => (await fetch(`http://${settings.listen.callers}/readyz`)).status === 200);
     }
 }
+
+/** A route without a target, by which `waitForTokens` asks for tokens without running anything. */
+export const probeRoute = { probe: { kind: "service", service: "none", repeatable: true } };
+
+/** Waits until the process has tokens for the account of the key: buckets and floors start empty. Needs `probeRoute`. */
+export async function waitForTokens(address: string, key: string): Promise<void> {
+    await waitUntil(async () => {
+        // The route has no target, so that the call ends at its deadline once it has tokens.
+        const response = await fetch(`http://${address}/services/probe/`, {
+            headers: { authorization: `Bearer ${key}`, "x-request-timeout-ms": "20" },
+        });
+        await response.arrayBuffer();
+        return response.status !== 429;
+    });
+}
--- a/test/support/services.ts
+++ b/test/support/services.ts
@@ -1,6 +1,6 @@
 /** A fleet in front of plain services, and the calls that tests send through it. */
 import { type Service, startService } from "../../standins/service";
-import { type Fleet, hashKey, startFleet, waitUntilReady } from "./fleet";
+import { type Fleet, hashKey, probeRoute, startFleet, waitForTokens, waitUntilReady } from "./fleet";
 
 export const shopKey = "sk-test-shop-one";
 export const otherKey = "sk-test-shop-two";
@@ -30,6 +30,7 @@
         routes: {
             orders: { kind: "service", service: "ledger" },
             lookup: { kind: "service", service: "ledger", repeatable: true },
+            ...probeRoute,
         },
         targets: Object.fromEntries(targets.map((address, index) => [
             `ledger-${index}`,
@@ -38,6 +39,9 @@
     };
     const fleet = await startFleet({ count: nodes, document, overrides });
     await waitUntilReady(fleet);
+    await Promise.all(
+        fleet.nodes.flatMap(node => [shopKey, otherKey].map(key => waitForTokens(node.settings.listen.callers, key))),
+    );
     return {
         fleet,
         services,
