Check the rate bound over generated histories of a whole fleet

Change: test/support/rateFleet.ts runs the real systems of two to four processes on a virtual clock, with lost, repeated and late messages, pauses, crashes, herd restarts, drains, second processes of a VM, store outages and lost store answers.

--- a/src/systems/claimSlot.ts
+++ b/src/systems/claimSlot.ts
@@ -112,6 +112,11 @@
         startSlot(world, slot);
         return;
     }
+    if (answer?.kind === "transaction") {
+        // Another process was faster; a slot that is free now is taken at once.
+        listSlots(world);
+        return;
+    }
     scheduleSearch(world, tick);
 }
 
--- /dev/null
+++ b/test/rateHistories.test.ts
@@ -0,0 +1,168 @@
+/** Generated histories of rates: whatever fails, the admitted tokens of the whole fleet keep to burst + rate * w. */
+import fc from "fast-check";
+import { expect, it } from "vitest";
+import { loadHasher } from "../src/adapters/hasher";
+import type { Hasher } from "../src/policy/prefix";
+import { computeCharged, computeExcess, createRateFleet, type RateFleet, type RateProcess } from "./support/rateFleet";
+
+const account = { rate: 1000, burst: 3000 };
+const floorFraction = 0.25;
+const historyMs = 20_000;
+const numRuns = 60;
+
+type Incident = (fleet: RateFleet, process: RateProcess, lengthMs: number) => void;
+
+function scheduleRestart(fleet: RateFleet, process: RateProcess, lengthMs: number): void {
+    process.isDead = true;
+    fleet.schedule(fleet.getNow() + lengthMs, () => fleet.startProcess(process.vm, process.address));
+}
+
+function addFault(fleet: RateFleet, fault: Partial<RateFleet["faults"]>, lengthMs: number): void {
+    Object.assign(fleet.faults, fault);
+    const none = Object.fromEntries(Object.entries(fault).map(([name, value]) => [name, value === true ? false : 0]));
+    fleet.schedule(fleet.getNow() + lengthMs, () => Object.assign(fleet.faults, none));
+}
+
+const incidents = {
+    pause: (fleet, process, lengthMs) => {
+        process.pausedUntil = fleet.getNow() + lengthMs;
+    },
+    crash: scheduleRestart,
+    herdRestart: (fleet, _process, lengthMs) =>
+        fleet.processes.forEach(other => other.isDead || scheduleRestart(fleet, other, lengthMs)),
+    drain: (fleet, process, lengthMs) => {
+        process.runner.post({ kind: "drainAsked" });
+        fleet.schedule(fleet.getNow() + 8000 + lengthMs, () => fleet.startProcess(process.vm, process.address));
+    },
+    sameName: (fleet, process, lengthMs) => {
+        fleet.startProcess(process.vm, `127.0.0.1:${3000 + Math.floor(lengthMs)}`);
+    },
+    lostMessages: (fleet, _process, lengthMs) => addFault(fleet, { lost: 0.5 }, lengthMs),
+    repeatedMessages: (fleet, _process, lengthMs) => addFault(fleet, { repeated: 0.5 }, lengthMs),
+    lateMessages: (fleet, _process, lengthMs) => addFault(fleet, { late: 0.5, repeated: 0.3 }, lengthMs),
+    storeOutage: (fleet, _process, lengthMs) => addFault(fleet, { storeDown: true }, lengthMs),
+    storeAnswersLost: (fleet, _process, lengthMs) => addFault(fleet, { storeLosesAnswers: true }, lengthMs),
+} as const satisfies Record<string, Incident>;
+
+const incidentKinds = Object.keys(incidents) as (keyof typeof incidents)[];
+const process = fc.nat();
+const at = fc.integer({ min: 1000, max: historyMs });
+
+const history = fc.record({
+    seed: fc.integer(),
+    size: fc.integer({ min: 2, max: 4 }),
+    grantTtlMs: fc.constantFrom(1000, 4000),
+    sendEveryMs: fc.integer({ min: 40, max: 400 }),
+    floorSlots: fc.constantFrom(1, 3),
+    // Tokens are reserved and mostly left unused, something fails, then every VM uses what it can.
+    scenes: fc.array(
+        fc.record({
+            at,
+            process,
+            kind: fc.constantFrom(...incidentKinds),
+            lengthMs: fc.integer({ min: 50, max: 9000 }),
+            usedPart: fc.constantFrom(0, 0.5, 1),
+            failAfterMs: fc.integer({ min: 0, max: 1500 }),
+            useAfterMs: fc.integer({ min: 0, max: 6000 }),
+        }),
+        { minLength: 1, maxLength: 3 },
+    ),
+    incidents: fc.array(
+        fc.record({
+            at,
+            process,
+            kind: fc.constantFrom(...incidentKinds),
+            lengthMs: fc.integer({ min: 50, max: 9000 }),
+        }),
+        { maxLength: 5 },
+    ),
+});
+
+/** More than the whole burst, in requests small enough to use up every source. */
+function sendBurst(fleet: RateFleet, process: RateProcess): void {
+    for (let index = 0; index < 70; index += 1) {
+        fleet.sendRequest(process, 1, 50);
+    }
+}
+
+type History = typeof history extends fc.Arbitrary<infer Value> ? Value : never;
+
+function runHistory(
+    hasher: Hasher,
+    { seed, size, floorSlots, grantTtlMs, sendEveryMs, scenes, incidents: planned }: History,
+): RateFleet {
+    const fleet = createRateFleet({
+        hasher,
+        seed,
+        size,
+        account,
+        rates: { grantTtlMs, floorFraction, floorSlots, floorLeaseSeconds: 4 },
+    });
+    const chooseAlive = (number: number): RateProcess | undefined => {
+        const alive = fleet.listAlive();
+        return alive[number % Math.max(1, alive.length)];
+    };
+    const scheduleFor = (time: number, number: number, run: (process: RateProcess) => void): void =>
+        fleet.schedule(time, () => {
+            const chosen = chooseAlive(number);
+            if (chosen) {
+                run(chosen);
+            }
+        });
+    for (const incident of planned) {
+        scheduleFor(
+            incident.at,
+            incident.process,
+            chosen => incidents[incident.kind](fleet, chosen, incident.lengthMs),
+        );
+    }
+    for (const scene of scenes) {
+        scheduleFor(scene.at, scene.process, chosen => {
+            Object.assign(fleet.engine, { usedPart: scene.usedPart, longestMs: 100 });
+            sendBurst(fleet, chosen);
+        });
+        scheduleFor(scene.at + scene.failAfterMs, scene.process + 1, chosen => {
+            Object.assign(fleet.engine, { usedPart: 1, longestMs: 4000 });
+            incidents[scene.kind](fleet, chosen, scene.lengthMs);
+        });
+        for (const afterMs of [0, 300]) {
+            scheduleFor(scene.at + scene.failAfterMs + scene.useAfterMs + afterMs, 0, () => {
+                fleet.listAlive().forEach(chosen => sendBurst(fleet, chosen));
+            });
+        }
+    }
+    for (let time = 0; time < historyMs; time += sendEveryMs) {
+        scheduleFor(time, time, chosen => fleet.sendRequest(chosen, 1 + Math.floor(fleet.random() * 60), 60));
+    }
+    fleet.run(historyMs + 10_000);
+    return fleet;
+}
+
+it("admits at most burst + rate * w tokens in every window of every history", async () => {
+    const hasher = await loadHasher();
+    let admitted = 0;
+    fc.assert(
+        fc.property(history, planned => {
+            const { admissions } = runHistory(hasher, planned);
+            admitted += admissions.length;
+            const used = admissions.map(admission => ({ at: admission.at, tokens: admission.used }));
+            expect(computeExcess(used, account)).toBeLessThanOrEqual(1e-6);
+            // Each part of the rate keeps to its own bound, which is tighter than the bound of the sum.
+            for (const [source, share] of [["owner", 1 - floorFraction], ["floor", floorFraction]] as const) {
+                const charged = admissions.map(admission => ({
+                    at: admission.at,
+                    tokens: computeCharged(admission, source),
+                }));
+                const limits = { rate: account.rate * share, burst: account.burst * share };
+                expect(computeExcess(charged, limits)).toBeLessThanOrEqual(1e-6);
+            }
+            for (const admission of admissions) {
+                const charged = computeCharged(admission, "owner") + computeCharged(admission, "floor");
+                expect(admission.used).toBeLessThanOrEqual(charged);
+            }
+        }),
+        { seed: 20261204, numRuns, endOnFailure: true },
+    );
+    // A fleet that admits nothing keeps every bound.
+    expect(admitted).toBeGreaterThan(100 * numRuns);
+}, 120_000);
--- a/test/rates.test.ts
+++ b/test/rates.test.ts
@@ -151,4 +151,29 @@
         fleet.run(40_000);
         expect([`slots/${node?.slot}`]).toEqual(listKeys(fleet, "slots"));
     });
+
+    it("stops using the floor of a paused process before another takes its slot, which starts empty", () => {
+        const fleet = createRateFleet({
+            hasher,
+            seed: 5,
+            size: 2,
+            account,
+            rates: { floorFraction: 1, floorSlots: 1, floorLeaseSeconds: 4 },
+        });
+        fleet.run(10_000);
+        const holder = fleet.processes.find(process => process.world.tables.node.slot === 0) as RateProcess;
+        const next = fleet.processes.find(process => process !== holder) as RateProcess;
+        holder.pausedUntil = 60_000;
+        while (next.world.tables.node.slot === undefined) {
+            fleet.run(fleet.getNow() + 10);
+        }
+        fleet.sendRequest(next, 500, 500);
+        fleet.run(59_999);
+        expect(fleet.admissions).toEqual([]);
+        fleet.sendRequest(holder, 5, 5);
+        fleet.sendRequest(next, 500, 500);
+        fleet.run(61_000);
+        expect(fleet.admissions).toHaveLength(1);
+        expect(fleet.refusals).toMatchObject([{ code: "rate_limited" }, { code: "too_large_for_burst" }]);
+    });
 });
--- a/test/support/rateFleet.ts
+++ b/test/support/rateFleet.ts
@@ -22,8 +22,8 @@
 /** One admission: tokens reserved at a time, and those that the engine really computed. */
 export interface Admission {
     readonly at: number;
-    readonly reserved: number;
     used: number;
+    readonly reservations: RequestRow["reservations"];
 }
 
 export interface RateProcess {
@@ -67,6 +67,7 @@
     let now = 0;
     let count = 0;
     const faults = { lost: 0, repeated: 0, late: 0, storeDown: false, storeLosesAnswers: false };
+    const engine = { usedPart: 0.7, longestMs: 4000 };
     const store = createKeyValueStore({ getNow: () => now });
     const processes: RateProcess[] = [];
     const admissions: Admission[] = [];
@@ -149,12 +150,12 @@
 
     /** An engine that computes the prompt at once and then part of the tokens that were reserved. */
     function runEngine(process: RateProcess, row: RequestRow): void {
-        const admission = { at: now, reserved: row.promptTokens + row.maxTokens, used: row.promptTokens };
+        const admission = { at: now, used: row.promptTokens, reservations: row.reservations };
         admissions.push(admission);
         const base = { request: row.id, attempt: 1 };
-        const total = Math.floor(row.maxTokens * random());
+        const total = Math.floor(row.maxTokens * engine.usedPart);
         const usage = { promptTokens: row.promptTokens, completionTokens: total, cachedTokens: 0 };
-        const lengthMs = 5 + random() * random() * 4000;
+        const lengthMs = 5 + random() * random() * engine.longestMs;
         const scheduleTokens = (at: number, tokens: number, event: Event): void =>
             schedule(at, () => {
                 if (row.state === "running" && !process.isDead) {
@@ -202,7 +203,7 @@
             listen: { callers: address, operators: address, peers: address },
             store: { address: "127.0.0.1:1" },
             timeouts: { requestMs: 6000, drainNoticeMs: 500 },
-            membership: { leaseSeconds: 3, exchangeEveryMs: 500, freshForMs: 2500 },
+            membership: { leaseSeconds: 2, exchangeEveryMs: 500, freshForMs: 2500 },
             rates: { grantTtlMs: 1000, floorSlots: 3, floorLeaseSeconds: 12, ...rates },
         }).unwrap();
         const incarnation = toIncarnation(`run-${count += 1}`);
@@ -238,6 +239,7 @@
     }
     return {
         faults,
+        engine,
         processes,
         admissions,
         refusals,
@@ -271,17 +273,22 @@
     };
 }
 
+/** Tokens of an admission that were charged, or may be used yet, from floors or from bucket owners. */
+export const computeCharged = ({ reservations }: Admission, source: "floor" | "owner"): number =>
+    reservations.filter(reservation => (reservation.source.kind === "floor") === (source === "floor"))
+        .reduce((sum, { spent, open }) => sum + spent + open, 0);
+
 /** Largest excess over burst + rate * w over all windows; at most 0 when the bound holds. */
 export function computeExcess(
-    admissions: readonly Admission[],
+    admissions: readonly { readonly at: number; readonly tokens: number; }[],
     { rate, burst }: { readonly rate: number; readonly burst: number; },
 ): number {
     let worst = Number.NEGATIVE_INFINITY;
     let sum = 0;
     let last = 0;
-    for (const { at, used } of admissions) {
+    for (const { at, tokens } of admissions) {
         // The window that ends here with the largest excess starts here or extends the best one that ended before.
-        sum = Math.max(0, sum - ((at - last) / 1000) * rate) + used;
+        sum = Math.max(0, sum - ((at - last) / 1000) * rate) + tokens;
         last = at;
         worst = Math.max(worst, sum - burst);
     }
