Return reserved tokens only when the usage of a request is known

Cause: a request that ended without usage (deadline, caller gone, lost target) got back what had not been seen as generated, although the engine may have computed it, for example while this process was paused.

A pause of at least 25 ms follows an answer of an owner without tokens.

--- a/src/systems/followAttempts.ts
+++ b/src/systems/followAttempts.ts
@@ -51,8 +51,7 @@
 
 /** Settles what the request used in the end and returns the rest. */
 function settleUsage(world: World, row: RequestRow, usage: Usage | undefined): void {
-    const generatedTokens = row.attempts.at(-1)?.generatedTokens ?? 0;
-    const used = usage ? usage.promptTokens + usage.completionTokens : row.promptTokens + generatedTokens;
+    const used = usage ? usage.promptTokens + usage.completionTokens : row.promptTokens + row.maxTokens;
     const rest = Math.max(0, used - computeSpentTokens(row));
     const beyond = settleReservations(world, row, { spent: rest, isFinal: true });
     if (beyond > 0 && row.account !== undefined) {
--- a/src/systems/holderGrants.ts
+++ b/src/systems/holderGrants.ts
@@ -15,7 +15,8 @@
 /** Tokens are asked for in advance when less than this part of the recent use is left. */
 const advancePart = 0.25;
 const advancePauseMs = 100;
-const emptyPauseMs = 100;
+/** Shortest and longest pause after an owner had no tokens; without the shortest, each refill step costs a call. */
+const emptyPauseMs = { shortest: 25, longest: 100 };
 const failurePauseMs = 100;
 /** Bounds the calls while members disagree about the owner. */
 const redirectPauseMs = 10;
@@ -139,7 +140,8 @@
         }
     },
     empty: (_world, tick, holder, { retryAfterMs }) => {
-        holder.askAfter = addMillis(tick.now, Math.min(emptyPauseMs, Math.max(1, retryAfterMs)));
+        const pauseMs = Math.min(emptyPauseMs.longest, Math.max(emptyPauseMs.shortest, retryAfterMs));
+        holder.askAfter = addMillis(tick.now, pauseMs);
         holder.emptyUntil = addMillis(tick.now, retryAfterMs);
     },
     not_owner: (_world, tick, holder, { owner }) => {
--- a/src/systems/requestEnd.ts
+++ b/src/systems/requestEnd.ts
@@ -4,7 +4,7 @@
 import type { RequestRow } from "../tables/requests";
 import { computeVerdict } from "../verdict";
 import type { Tick, World } from "../world";
-import { computeSpentTokens, settleReservations } from "./tokenSources";
+import { settleReservations } from "./tokenSources";
 
 /** Removes the request from its target's work in flight. */
 export function removeInFlight(world: World, row: RequestRow): void {
@@ -14,11 +14,14 @@
     }
 }
 
-/** Ends a request: returns unused tokens and drops its body. A prompt that may have been computed counts as spent. */
+/**
+ * Ends a request and drops its body. Unused tokens were returned when the usage became known; without it the target
+ * may have computed all that was reserved, so only a request that did not run gets its tokens back.
+ */
 export function closeRequest(world: World, row: RequestRow): void {
     removeInFlight(world, row);
     const verdict = computeVerdict(row.attempts.map(attempt => attempt.evidence));
-    const spent = verdict === "not_run" ? 0 : Math.max(0, row.promptTokens - computeSpentTokens(row));
+    const spent = verdict === "not_run" ? 0 : row.promptTokens + row.maxTokens;
     settleReservations(world, row, { spent, isFinal: true });
     world.tables.requests.updateState(row, "done");
     world.effects.append({ kind: "forgetRequest", request: row.id });
--- a/test/rates.test.ts
+++ b/test/rates.test.ts
@@ -83,6 +83,18 @@
         expect(fleet.admissions).toHaveLength(2);
     });
 
+    it("returns no tokens of a request that ended while it ran, because the engine may have computed them", () => {
+        const { fleet, owner } = createReadyFleet({ floorFraction: 0 });
+        fleet.sendRequest(owner, 1, 2990);
+        fleet.run(8001);
+        const request = owner.world.tables.requests.list("running")[0]?.id;
+        owner.runner.post({ kind: "callerGone", request: request as never });
+        fleet.run(8010);
+        fleet.sendRequest(owner, 1, 999);
+        fleet.run(8500);
+        expect(fleet.refusals).toMatchObject([{ code: "rate_limited", verdict: "not_run" }]);
+    });
+
     it("moves the bucket to another VM after its owner crashed", () => {
         const { fleet, owner, other } = createReadyFleet();
         owner.isDead = true;
