--- a/test/rates.test.ts
+++ b/test/rates.test.ts
@@ -83,6 +83,18 @@
         expect(fleet.admissions).toHaveLength(2);
     });
 
+    it("returns no tokens of a request that ended while it ran, because the engine may have computed them", () => {
+        const { fleet, owner } = createReadyFleet({ floorFraction: 0 });
+        fleet.sendRequest(owner, 1, 2990);
+        fleet.run(8001);
+        const request = owner.world.tables.requests.list("running")[0]?.id;
+        owner.runner.post({ kind: "callerGone", request: request as never });
+        fleet.run(8010);
+        fleet.sendRequest(owner, 1, 999);
+        fleet.run(8500);
+        expect(fleet.refusals).toMatchObject([{ code: "rate_limited", verdict: "not_run" }]);
+    });
+
     it("moves the bucket to another VM after its owner crashed", () => {
         const { fleet, owner, other } = createReadyFleet();
         owner.isDead = true;
@@ -151,4 +163,29 @@
         fleet.run(40_000);
         expect([`slots/${node?.slot}`]).toEqual(listKeys(fleet, "slots"));
     });
+
+    it("stops using the floor of a paused process before another takes its slot, which starts empty", () => {
+        const fleet = createRateFleet({
+            hasher,
+            seed: 5,
+            size: 2,
+            account,
+            rates: { floorFraction: 1, floorSlots: 1, floorLeaseSeconds: 4 },
+        });
+        fleet.run(10_000);
+        const holder = fleet.processes.find(process => process.world.tables.node.slot === 0) as RateProcess;
+        const next = fleet.processes.find(process => process !== holder) as RateProcess;
+        holder.pausedUntil = 60_000;
+        while (next.world.tables.node.slot === undefined) {
+            fleet.run(fleet.getNow() + 10);
+        }
+        fleet.sendRequest(next, 500, 500);
+        fleet.run(59_999);
+        expect(fleet.admissions).toEqual([]);
+        fleet.sendRequest(holder, 5, 5);
+        fleet.sendRequest(next, 500, 500);
+        fleet.run(61_000);
+        expect(fleet.admissions).toHaveLength(1);
+        expect(fleet.refusals).toMatchObject([{ code: "rate_limited" }, { code: "too_large_for_burst" }]);
+    });
 });
