Add a policy benchmark that drives the routing systems on virtual time

Cause: routing decisions could not be measured against baselines. Change: fakes of engines and store behind effects and events, five fault cases on both deployments, six baselines, goals printed with their misses. Routing scores only targets with room and skips a tick in which all are full, because overloaded runs spent nearly all their time scoring queued requests.

--- /dev/null
+++ b/bench/baselines.ts
@@ -0,0 +1,118 @@
+/** Baselines: other choices of the target, made by a system that takes the place of `routeRequests`. */
+import { formatPrefixId } from "../src/policy/prefix";
+import { listByRendezvous } from "../src/policy/rendezvous";
+import {
+    type Candidate,
+    canTake,
+    hasAnyRoom,
+    hasRoom,
+    listCandidates,
+    listFairly,
+    listOpenTargets,
+    sendToTarget,
+} from "../src/systems/routeRequests";
+import type { RequestRow } from "../src/tables/requests";
+import type { System, Tick, World } from "../src/world";
+import type { FakeEngine } from "./engine";
+import { createRandom } from "./random";
+
+export type BaselineName =
+    | "random"
+    | "round robin"
+    | "least load"
+    | "affinity hash"
+    | "omniscient, first token"
+    | "omniscient, hits";
+
+export interface BaselineContext {
+    readonly seed: number;
+    readonly findEngine: (target: string) => FakeEngine | undefined;
+}
+
+/** Chooses among all targets that may take the request; undefined leaves it in the queue. */
+type Choose = (world: World, tick: Tick, row: RequestRow) => Candidate | undefined;
+
+const listWithRoom = (world: World, tick: Tick, row: RequestRow): Candidate[] =>
+    listCandidates(world, tick, row, listOpenTargets(world, tick, row));
+
+function findBest(candidates: readonly Candidate[], compute: (candidate: Candidate) => number): Candidate | undefined {
+    return candidates.reduce<Candidate | undefined>(
+        (best, candidate) => (best === undefined || compute(candidate) < compute(best) ? candidate : best),
+        undefined,
+    );
+}
+
+/**
+ * Chooses by the exact time to the first token of every engine, which no router can know. `missWeight` counts the
+ * prefill of missed tokens more than once: 1 is the shortest time for this request, more keeps caches together.
+ */
+function createOmniscient({ findEngine }: BaselineContext, missWeight: number): Choose {
+    return (world, _tick, row) => {
+        const model = row.model && world.tables.configuration.document.models[row.model.model];
+        const rate = model?.prefillTokensPerSecond ?? 1;
+        const blocks = row.blocks.map(formatPrefixId);
+        const candidates = world.tables.targets.list().flatMap((target): Candidate[] => {
+            const engine = findEngine(target.id);
+            if (!engine?.isUp()) {
+                return [];
+            }
+            const { firstTokenMs, missedTokens } = engine.estimateFirstToken(blocks, row.promptTokens);
+            const scoreMs = firstTokenMs + (missWeight - 1) * (missedTokens / rate) * 1000;
+            const hitTokens = row.promptTokens - missedTokens;
+            return [{ target, score: { target: target.id, scoreMs, waitMs: firstTokenMs, missedTokens, hitTokens } }];
+        });
+        return findBest(candidates, candidate => candidate.score.scoreMs);
+    };
+}
+
+const builders: { readonly [Name in BaselineName]: (context: BaselineContext) => Choose; } = {
+    "random": ({ seed }) => {
+        const random = createRandom(seed);
+        return (world, tick, row) => {
+            const candidates = listWithRoom(world, tick, row);
+            return candidates[Math.floor(random.getNext() * candidates.length)];
+        };
+    },
+    "round robin": () => {
+        let turn = 0;
+        return (world, tick, row) => {
+            const candidates = listWithRoom(world, tick, row);
+            const sorted = [...candidates].sort((left, right) => (left.target.id < right.target.id ? -1 : 1));
+            turn += 1;
+            return sorted[turn % sorted.length];
+        };
+    },
+    "least load": () => (world, tick, row) =>
+        findBest(listWithRoom(world, tick, row), candidate => candidate.score.waitMs),
+    "affinity hash": () => (world, tick, row) => {
+        const targets = world.tables.targets.list().filter(target => canTake(target, row, tick));
+        const first = row.blocks[0];
+        const order = listByRendezvous(
+            world.hasher,
+            first === undefined ? row.id : formatPrefixId(first),
+            targets.map(target => target.id),
+        );
+        const preferred = targets.find(target => target.id === order[0]);
+        return preferred && hasRoom(preferred) ? listCandidates(world, tick, row, [preferred])[0] : undefined;
+    },
+    "omniscient, first token": context => createOmniscient(context, 1),
+    "omniscient, hits": context => createOmniscient(context, 3),
+};
+
+export const baselineNames = Object.keys(builders) as BaselineName[];
+
+/** Creates the system that routes by a baseline. */
+export function createBaseline(name: BaselineName, context: BaselineContext): System {
+    const choose = builders[name](context);
+    return (world, tick) => {
+        if (!hasAnyRoom(world)) {
+            return;
+        }
+        for (const row of listFairly(world.tables.requests.list("queued"))) {
+            const chosen = tick.now < row.notBefore ? undefined : choose(world, tick, row);
+            if (chosen) {
+                sendToTarget(world, tick, row, chosen, [chosen]);
+            }
+        }
+    };
+}
--- /dev/null
+++ b/bench/cacheFeed.ts
@@ -0,0 +1,53 @@
+/** Cache events of a fake engine as the router receives them: in batches, late and with gaps. */
+import type { Event } from "../src/events";
+import { type TargetId, toIncarnation } from "../src/ids";
+import { parsePrefixId } from "../src/policy/prefix";
+import type { CacheEvent } from "../src/targets";
+import type { CacheChange } from "../standins/prefixCache";
+import type { FaultCase } from "./cases";
+import type { FakeEngine } from "./engine";
+import { createRandom } from "./random";
+import type { Simulation } from "./simulation";
+
+/** The reader of cache events collects them for this long. */
+const cacheBatchMs = 50;
+
+/** Delivers cache events of an engine late, in batches, with gaps in their numbers. */
+export function createCacheFeed(
+    { simulation, post, fault, seed }: {
+        readonly simulation: Simulation;
+        readonly post: (event: Event) => void;
+        readonly fault: FaultCase;
+        readonly seed: number;
+    },
+): (engine: FakeEngine, change: CacheChange) => void {
+    const random = createRandom(seed);
+    let seq = 0;
+    let incarnation = "";
+    let batch: CacheEvent[] = [];
+    return (engine: FakeEngine, { kind, blocks }: CacheChange): void => {
+        if (incarnation !== engine.getIncarnation()) {
+            incarnation = engine.getIncarnation();
+            seq = 0;
+            batch = [];
+        }
+        seq += 1;
+        if (random.getNext() < fault.cacheEventLoss) {
+            return;
+        }
+        const ids = blocks.flatMap(block => parsePrefixId(block) ?? []);
+        batch.push(kind === "cleared" ? { seq, kind } : { seq, kind, blocks: ids });
+        if (batch.length > 1) {
+            return;
+        }
+        const sent = batch;
+        const from = incarnation;
+        simulation.schedule(cacheBatchMs, () => {
+            batch = batch === sent ? [] : batch;
+            simulation.schedule(fault.cacheEventDelayMs, () => {
+                const event = { target: engine.name as TargetId, incarnation: toIncarnation(from), events: sent };
+                post({ kind: "cacheEventsReceived", ...event });
+            });
+        });
+    };
+}
--- /dev/null
+++ b/bench/cases.ts
@@ -0,0 +1,80 @@
+/** Deployments and fault cases of the policy benchmark. */
+import type { Deployment } from "./workload";
+
+export interface FaultCase {
+    /** Hot prefixes change this often. */
+    readonly shiftEveryMs: number;
+    /** One account sends `factor` times its rate during a part of the run. */
+    readonly burst: { readonly account: number; readonly factor: number; readonly from: number; readonly to: number; };
+    /** Engines lost, at a part of the run, for a time. */
+    readonly losses: readonly { readonly engine: number; readonly at: number; readonly downMs: number; }[];
+    readonly reportLagMs: number;
+    readonly cacheEventDelayMs: number;
+    /** Part of the cache events that is lost. */
+    readonly cacheEventLoss: number;
+}
+
+const calm: FaultCase = {
+    shiftEveryMs: 120_000,
+    burst: { account: 1, factor: 1, from: 0, to: 0 },
+    losses: [],
+    reportLagMs: 200,
+    cacheEventDelayMs: 250,
+    cacheEventLoss: 0.01,
+};
+
+export const faultCases = {
+    calm,
+    "hot set shift": { ...calm, shiftEveryMs: 15_000 },
+    "one account at 4x": { ...calm, burst: { account: 1, factor: 4, from: 0.3, to: 0.8 } },
+    "engine lost": {
+        ...calm,
+        losses: [{ engine: 0, at: 0.35, downMs: 8000 }, { engine: 1, at: 0.7, downMs: 8000 }],
+    },
+    "late and gappy": { ...calm, reportLagMs: 1500, cacheEventDelayMs: 3000, cacheEventLoss: 0.3 },
+} as const satisfies Record<string, FaultCase>;
+
+export type FaultCaseName = keyof typeof faultCases;
+
+/**
+ * Both deployments at their present sizes. The request rates are set so that the engines are busy for 60 to 80% of
+ * the time when an omniscient router routes the calm case; the benchmark prints the share.
+ */
+export const deployments = {
+    sulina: {
+        name: "Sulina",
+        engines: 6,
+        dataCentres: 3,
+        accountShares: [0.4, 0.3, 0.15, 0.1, 0.05],
+        topsPerAccount: 6,
+        topBlocks: 5,
+        middlesPerTop: 16,
+        middleBlocks: [2, 2],
+        zipfExponent: 1,
+        tailTokens: [300, 3900],
+        outputTokens: [40, 120],
+        requestsPerSecond: 32,
+        engine: { slots: 16, maxBlocks: 120, prefillTokensPerSecond: 40_000, decodeMs: 15 },
+        affinityWeight: 1,
+        focus: "firstToken",
+    },
+    authority: {
+        name: "Authority",
+        engines: 8,
+        dataCentres: 3,
+        accountShares: [0.35, 0.3, 0.2, 0.1, 0.05],
+        topsPerAccount: 3,
+        topBlocks: 4,
+        middlesPerTop: 16,
+        middleBlocks: [7, 13],
+        zipfExponent: 1,
+        tailTokens: [300, 3900],
+        outputTokens: [60, 200],
+        requestsPerSecond: 20,
+        engine: { slots: 16, maxBlocks: 240, prefillTokensPerSecond: 40_000, decodeMs: 15 },
+        affinityWeight: 2,
+        focus: "hitRate",
+    },
+} as const satisfies Record<string, Deployment>;
+
+export type DeploymentName = keyof typeof deployments;
--- /dev/null
+++ b/bench/costBenchmark.ts
@@ -0,0 +1,2 @@
+export const runCostBenchmark = (_hasher: unknown) => ({});
+export const formatCostResults = (_results: object) => "";
--- /dev/null
+++ b/bench/engine.ts
@@ -0,0 +1,222 @@
+/** Fake of a model engine on virtual time: limited prefix cache, serial prefill, decode slots, crash. */
+import type { CacheChange } from "../standins/prefixCache";
+import { createPrefixCache } from "../standins/prefixCache";
+import type { Simulation } from "./simulation";
+import { blockTokens, type EngineSize } from "./workload";
+
+export interface EngineJob {
+    readonly id: string;
+    readonly blocks: readonly string[];
+    readonly promptTokens: number;
+    readonly outputTokens: number;
+    readonly onFirstToken: (cachedTokens: number) => void;
+    readonly onFinished: () => void;
+    readonly onLost: () => void;
+}
+
+export interface EngineLoadReport {
+    readonly running: number;
+    readonly waiting: number;
+    /** Prompt tokens accepted and not yet computed. */
+    readonly waitingTokens: number;
+}
+
+export interface EngineForecast {
+    /** Milliseconds until the first token, if the request were sent now. */
+    readonly firstTokenMs: number;
+    readonly missedTokens: number;
+}
+
+export interface FakeEngine {
+    readonly name: string;
+    getIncarnation(): string;
+    isUp(): boolean;
+    has(block: string): boolean;
+    /** Milliseconds spent on prefill so far. */
+    getBusyMs(): number;
+    getReport(): EngineLoadReport;
+    submit(job: EngineJob): void;
+    cancel(id: string): void;
+    /** Exact time to the first token of a request sent now, apart from evictions until then. */
+    estimateFirstToken(blocks: readonly string[], promptTokens: number): EngineForecast;
+    /** Loses everything; comes back empty with a new incarnation after `downMs`. */
+    crash(downMs: number): void;
+}
+
+export interface EngineOptions extends EngineSize {
+    readonly name: string;
+    readonly simulation: Simulation;
+    readonly onCacheChange: (engine: FakeEngine, change: CacheChange) => void;
+    /** Called when the prefill of a job begins, with the number of leading blocks found in the cache. */
+    readonly onPrefill: (engine: FakeEngine, job: EngineJob, hits: number) => void;
+}
+
+/** Scheduling and sampling of the first token, once for each request. */
+const prefillOverheadMs = 4;
+
+interface Slot {
+    readonly job: EngineJob;
+    readonly missedTokens: number;
+    prefillEndsAt: number;
+    endsAt: number;
+    isCancelled: boolean;
+}
+
+export function createFakeEngine(options: EngineOptions): FakeEngine {
+    const { name, simulation, slots, maxBlocks, prefillTokensPerSecond, decodeMs } = options;
+    let epoch = 0;
+    let isUp = true;
+    let busyMs = 0;
+    let queue: EngineJob[] = [];
+    let prefilling: Slot | undefined;
+    const decoding = new Map<string, Slot>();
+    let cache = createCache();
+
+    function createCache() {
+        return createPrefixCache({
+            maxBlocks,
+            onChange: change => {
+                options.onCacheChange(engine, change);
+            },
+        });
+    }
+
+    const computePrefillMs = (tokens: number): number => prefillOverheadMs + (tokens / prefillTokensPerSecond) * 1000;
+
+    function computeHits(blocks: readonly string[], also?: ReadonlySet<string>): number {
+        const index = blocks.findIndex(block => !cache.has(block) && !also?.has(block));
+        return index < 0 ? blocks.length : index;
+    }
+
+    const computeMissed = (job: EngineJob, hits: number): number => Math.max(0, job.promptTokens - hits * blockTokens);
+
+    function startNext(): void {
+        if (prefilling || decoding.size >= slots) {
+            return;
+        }
+        const job = queue.shift();
+        if (!job) {
+            return;
+        }
+        const hits = cache.findHits(job.blocks);
+        options.onPrefill(engine, job, hits);
+        const missedTokens = computeMissed(job, hits);
+        const prefillMs = computePrefillMs(missedTokens);
+        busyMs += prefillMs;
+        const prefillEndsAt = simulation.getNow() + prefillMs;
+        const slot = {
+            job,
+            missedTokens,
+            prefillEndsAt,
+            endsAt: prefillEndsAt + job.outputTokens * decodeMs,
+            isCancelled: false,
+        };
+        prefilling = slot;
+        const started = epoch;
+        simulation.schedule(prefillMs, () => {
+            if (started === epoch) {
+                startDecode(slot);
+            }
+        });
+    }
+
+    function startDecode(slot: Slot): void {
+        const { job } = slot;
+        prefilling = undefined;
+        cache.add(job.blocks);
+        if (!slot.isCancelled) {
+            decoding.set(job.id, slot);
+            job.onFirstToken(Math.max(0, job.promptTokens - slot.missedTokens));
+            const started = epoch;
+            simulation.schedule(job.outputTokens * decodeMs, () => {
+                if (started === epoch && decoding.delete(job.id)) {
+                    job.onFinished();
+                    startNext();
+                }
+            });
+        }
+        startNext();
+    }
+
+    function estimateFirstToken(blocks: readonly string[], promptTokens: number): EngineForecast {
+        const now = simulation.getNow();
+        const ends = [...decoding.values()].map(slot => slot.endsAt);
+        const coming = new Set<string>();
+        let freeAt = now;
+        if (prefilling) {
+            freeAt = prefilling.prefillEndsAt;
+            ends.push(prefilling.endsAt);
+            prefilling.job.blocks.forEach(block => coming.add(block));
+        }
+        const waitForSlot = (): void => {
+            ends.sort((left, right) => left - right);
+            while (ends.length >= slots) {
+                freeAt = Math.max(freeAt, ends.shift() as number);
+            }
+        };
+        for (const job of queue) {
+            waitForSlot();
+            freeAt += computePrefillMs(computeMissed(job, computeHits(job.blocks, coming)));
+            ends.push(freeAt + job.outputTokens * decodeMs);
+            job.blocks.forEach(block => coming.add(block));
+        }
+        waitForSlot();
+        const missedTokens = Math.max(0, promptTokens - computeHits(blocks, coming) * blockTokens);
+        return { firstTokenMs: freeAt - now + computePrefillMs(missedTokens), missedTokens };
+    }
+
+    function computeWaitingTokens(): number {
+        const rest = prefilling ? Math.max(0, prefilling.prefillEndsAt - simulation.getNow()) : 0;
+        const queued = queue.reduce((sum, job) => sum + computeMissed(job, computeHits(job.blocks)), 0);
+        return Math.round(queued + (rest / 1000) * prefillTokensPerSecond);
+    }
+
+    function stopAndLose(downMs: number): void {
+        const lost = [
+            ...queue,
+            ...(prefilling ? [prefilling.job] : []),
+            ...[...decoding.values()].map(slot => slot.job),
+        ];
+        epoch += 1;
+        isUp = false;
+        queue = [];
+        prefilling = undefined;
+        decoding.clear();
+        cache = createCache();
+        for (const job of lost) {
+            job.onLost();
+        }
+        simulation.schedule(downMs, () => {
+            isUp = true;
+        });
+    }
+
+    const engine: FakeEngine = {
+        name,
+        getIncarnation: () => `${name}-run-${epoch}`,
+        isUp: () => isUp,
+        has: block => cache.has(block),
+        getBusyMs: () => busyMs,
+        getReport: () => ({
+            running: decoding.size + (prefilling ? 1 : 0),
+            waiting: queue.length,
+            waitingTokens: computeWaitingTokens(),
+        }),
+        submit: job => {
+            queue.push(job);
+            startNext();
+        },
+        cancel: id => {
+            queue = queue.filter(job => job.id !== id);
+            if (prefilling?.job.id === id) {
+                prefilling.isCancelled = true;
+            }
+            if (decoding.delete(id)) {
+                startNext();
+            }
+        },
+        estimateFirstToken,
+        crash: stopAndLose,
+    };
+    return engine;
+}
--- /dev/null
+++ b/bench/fleet.ts
@@ -0,0 +1,309 @@
+/** Runs one policy on one case: the real tables, systems and runner, with fakes of engines and store. */
+import type { EffectHandlers, EffectOf } from "../src/effects";
+import type { Event } from "../src/events";
+import { type RequestId, toIncarnation, toModelId, toModelVersion, toRequestId } from "../src/ids";
+import type { Hasher } from "../src/policy/prefix";
+import { createRunner, type Runner } from "../src/runner";
+import { systems } from "../src/systems";
+import { routeRequests } from "../src/systems/routeRequests";
+import type { System } from "../src/world";
+import { type BaselineName, createBaseline } from "./baselines";
+import { buildDocument, buildKeyHash, createBenchWorld, createIdleHandlers } from "./benchWorld";
+import { createCacheFeed } from "./cacheFeed";
+import type { FaultCase } from "./cases";
+import { createFakeEngine, type EngineJob, type FakeEngine } from "./engine";
+import { createMeasures, type Measures, type PolicyFigures } from "./measures";
+import { createFakeStore } from "./platform";
+import { createSimulation, type Simulation } from "./simulation";
+import {
+    type Arrival,
+    blockTokens,
+    buildArrivals,
+    buildPrompt,
+    computePromptTokens,
+    type Deployment,
+    listAccounts,
+    listEngines,
+    maxTokens,
+} from "./workload";
+
+export const ownPolicy = "marjoramvane";
+export type PolicyName = BaselineName | typeof ownPolicy;
+
+export interface PolicyRunOptions {
+    readonly deployment: Deployment;
+    readonly fault: FaultCase;
+    readonly policy: PolicyName;
+    readonly seed: number;
+    readonly requests: number;
+    readonly hasher: Hasher;
+    /** Replaces the weight of the deployment's route. */
+    readonly affinityWeight?: number;
+    /** Receives each prefill, for traces. */
+    readonly trace?: (line: Readonly<Record<string, unknown>>) => void;
+}
+
+export interface PolicyRun {
+    readonly figures: PolicyFigures;
+    readonly arrivals: number;
+    readonly ended: number;
+}
+
+const networkMs = 1;
+/** Longest virtual time after the last arrival; a request that has not ended by then is a fault. */
+const settleMs = 200_000;
+
+interface Bench {
+    readonly options: PolicyRunOptions;
+    readonly simulation: Simulation;
+    readonly measures: Measures;
+    readonly arrivals: readonly Arrival[];
+    readonly engines: ReadonlyMap<string, FakeEngine>;
+    post(event: Event): void;
+}
+
+const toNumber = (request: RequestId): number => Number(request);
+
+/** Tokens of missed blocks that another engine holds, or that this run of the engine held before. */
+function computeWasted(bench: Bench, held: ReadonlySet<string>, engine: FakeEngine, missed: readonly string[]): number {
+    const others = [...bench.engines.values()].filter(other => other !== engine && other.isUp());
+    return missed.filter(block => held.has(block) || others.some(other => other.has(block))).length * blockTokens;
+}
+
+function createEngines(
+    getBench: () => Bench,
+    options: PolicyRunOptions,
+    simulation: Simulation,
+): Map<string, FakeEngine> {
+    const engines = new Map<string, FakeEngine>();
+    for (const [index, { id }] of listEngines(options.deployment).entries()) {
+        const feed = createCacheFeed({
+            simulation,
+            post: event => {
+                getBench().post(event);
+            },
+            fault: options.fault,
+            seed: options.seed + 1000 + index,
+        });
+        let held = new Set<string>();
+        let heldBy = "";
+        engines.set(
+            id,
+            createFakeEngine({
+                ...options.deployment.engine,
+                name: id,
+                simulation,
+                onCacheChange: (engine, change) => {
+                    if (heldBy !== engine.getIncarnation()) {
+                        heldBy = engine.getIncarnation();
+                        held = new Set();
+                    }
+                    if (change.kind === "stored") {
+                        change.blocks.forEach(block => held.add(block));
+                    }
+                    feed(engine, change);
+                },
+                onPrefill: (engine, job, hits) => {
+                    const bench = getBench();
+                    const before = heldBy === engine.getIncarnation() ? held : new Set<string>();
+                    const wasted = computeWasted(bench, before, engine, job.blocks.slice(hits));
+                    bench.measures.recordPrefill(Number(job.id), { promptTokens: job.promptTokens, hits }, wasted);
+                    options.trace?.({ at: simulation.getNow(), request: job.id, engine: id, hits, wasted });
+                },
+            }),
+        );
+    }
+    return engines;
+}
+
+function sendToEngine(bench: Bench, { request, attempt, call }: EffectOf<"sendRequest">): void {
+    const { simulation, post, measures } = bench;
+    const target = [...bench.engines.values()][Number(call.address.split(/[.:]/)[3]) - 1];
+    const arrival = bench.arrivals[toNumber(request)] as Arrival;
+    const promptTokens = computePromptTokens(arrival);
+    let cachedTokens = 0;
+    let isStarted = false;
+    const createUsage = (completionTokens: number) => ({ promptTokens, completionTokens, cachedTokens });
+    const postLater = (event: Event): void => {
+        simulation.schedule(networkMs, () => {
+            post(event);
+        });
+    };
+    const job: EngineJob = {
+        id: request,
+        blocks: call.engine?.blocks ?? [],
+        promptTokens,
+        outputTokens: arrival.outputTokens,
+        onFirstToken: cached => {
+            cachedTokens = cached;
+            isStarted = true;
+            postLater({ kind: "attemptAnswered", request, attempt, status: 200, refusedBeforeRun: false });
+            postLater({ kind: "attemptFirstToken", request, attempt, usage: createUsage(1) });
+            measures.recordFirstToken(toNumber(request), simulation.getNow() + networkMs - arrival.at);
+        },
+        onFinished: () => {
+            postLater({ kind: "attemptFinished", request, attempt, usage: createUsage(arrival.outputTokens) });
+            measures.recordEnd(toNumber(request), "finished");
+        },
+        onLost: () => {
+            const failure = isStarted ? "broken_stream" as const : "closed" as const;
+            postLater({ kind: "attemptFailed", request, attempt, failure, lastEventId: 0 });
+        },
+    };
+    simulation.schedule(networkMs, () => {
+        if (!target?.isUp()) {
+            postLater({ kind: "attemptFailed", request, attempt, failure: "connect", lastEventId: 0 });
+            return;
+        }
+        post({ kind: "attemptBytesHanded", request, attempt });
+        target.submit(job);
+    });
+}
+
+function readEngine(bench: Bench, { target }: EffectOf<"readTarget">): void {
+    const { simulation, post, engines, options } = bench;
+    const engine = engines.get(target);
+    if (!engine?.isUp()) {
+        simulation.schedule(networkMs, () => {
+            post({ kind: "targetUnreachable", target });
+        });
+        return;
+    }
+    const { running, waiting, waitingTokens } = engine.getReport();
+    const report = {
+        incarnation: toIncarnation(engine.getIncarnation()),
+        state: "ready" as const,
+        model: toModelId("text"),
+        version: toModelVersion("1"),
+        runningRequests: running,
+        waitingRequests: waiting,
+        waitingTokens,
+    };
+    simulation.schedule(networkMs + options.fault.reportLagMs, () => {
+        if (engine.isUp()) {
+            post({ kind: "targetReported", target, report });
+        }
+    });
+}
+
+function createHandlers(bench: Bench, document: unknown): EffectHandlers {
+    const { simulation, measures, engines, post } = bench;
+    const store = createFakeStore({ simulation, document, post });
+    return {
+        ...createIdleHandlers(),
+        callStore: store.call,
+        sendRequest: effect => {
+            sendToEngine(bench, effect);
+        },
+        readTarget: effect => {
+            readEngine(bench, effect);
+        },
+        cancelAttempt: ({ request }) => {
+            for (const engine of engines.values()) {
+                engine.cancel(request);
+            }
+        },
+        resumeStream: ({ request, attempt }) => {
+            simulation.schedule(networkMs, () => {
+                post({ kind: "attemptFailed", request, attempt, failure: "not_resumable", lastEventId: 0 });
+            });
+        },
+        refuseRequest: ({ request }) => {
+            measures.recordEnd(toNumber(request), "refused");
+        },
+        interruptAnswer: ({ request }) => {
+            measures.recordEnd(toNumber(request), "interrupted");
+        },
+    };
+}
+
+function buildArrivalEvent(arrival: Arrival, number: number, bench: Bench): Event {
+    const accounts = listAccounts(bench.options.deployment);
+    return {
+        kind: "requestArrived",
+        arrival: {
+            request: toRequestId(String(number)),
+            keyHash: buildKeyHash(accounts.indexOf(arrival.account)),
+            endpoint: "completions",
+            routeName: "text",
+            method: "POST",
+            path: "",
+            stream: true,
+            prompt: buildPrompt(arrival, number),
+            maxTokens,
+            priority: undefined,
+            bodyBytes: computePromptTokens(arrival),
+            bodyHash: "",
+            idempotencyKey: undefined,
+            timeoutMs: undefined,
+            arrivedAt: bench.simulation.clock.getNow(),
+        },
+    };
+}
+
+/** Schedules arrivals one after the other, so that the queue of actions stays short. */
+function scheduleArrivals(bench: Bench, number = 0): void {
+    const arrival = bench.arrivals[number];
+    if (arrival) {
+        bench.simulation.schedule(arrival.at - bench.simulation.getNow(), () => {
+            bench.measures.recordArrival(number, arrival);
+            bench.post(buildArrivalEvent(arrival, number, bench));
+            scheduleArrivals(bench, number + 1);
+        });
+    }
+}
+
+function scheduleLosses(bench: Bench, runMs: number): void {
+    for (const { engine, at, downMs } of bench.options.fault.losses) {
+        bench.simulation.schedule(runMs * at, () => {
+            [...bench.engines.values()][engine]?.crash(downMs);
+        });
+    }
+}
+
+function listSystems(policy: PolicyName, seed: number, engines: ReadonlyMap<string, FakeEngine>): readonly System[] {
+    if (policy === ownPolicy) {
+        return systems;
+    }
+    const baseline = createBaseline(policy, { seed, findEngine: target => engines.get(target) });
+    return systems.map(system => (system === routeRequests ? baseline : system));
+}
+
+/** Runs one policy on one case to its end. */
+export function runPolicy(options: PolicyRunOptions): PolicyRun {
+    const { deployment, fault, policy, seed, requests, hasher } = options;
+    const simulation = createSimulation();
+    const arrivals = buildArrivals(deployment, fault, { seed, requests });
+    const measures = createMeasures(deployment, arrivals.length);
+    const getBench = (): Bench => bench;
+    const engines = createEngines(getBench, options, simulation);
+    const bench: Bench = {
+        options,
+        simulation,
+        measures,
+        arrivals,
+        engines,
+        post: event => {
+            runner.post(event);
+        },
+    };
+    const document = buildDocument(deployment, options.affinityWeight ?? deployment.affinityWeight);
+    const runner: Runner = createRunner({
+        world: createBenchWorld({ hasher, seed }),
+        systems: listSystems(policy, seed, engines),
+        handlers: createHandlers(bench, document),
+        clock: simulation.clock,
+    });
+    runner.start();
+    const runMs = arrivals.at(-1)?.at ?? 0;
+    scheduleArrivals(bench);
+    scheduleLosses(bench, runMs);
+    simulation.runUntil(() => measures.countEnded() === arrivals.length || simulation.getNow() > runMs + settleMs);
+    runner.stop();
+    const busyMs = [...engines.values()].reduce((sum, engine) => sum + engine.getBusyMs(), 0);
+    return {
+        figures: measures.buildFigures(busyMs / (engines.size * simulation.getNow())),
+        arrivals: arrivals.length,
+        ended: measures.countEnded(),
+    };
+}
--- /dev/null
+++ b/bench/goals.ts
@@ -0,0 +1,69 @@
+/** Goals of the policy benchmark, checked against the baselines of the same run. Misses are printed, never hidden. */
+import { baselineNames } from "./baselines";
+import { ownPolicy, type PolicyName } from "./fleet";
+import type { PolicyFigures } from "./measures";
+
+export interface GoalResult {
+    readonly goal: string;
+    readonly isMet: boolean;
+    readonly detail: string;
+}
+
+export type CaseFigures = Readonly<Partial<Record<PolicyName, PolicyFigures>>>;
+
+const hitRateShare = 0.9;
+const firstTokenFactor = 1.3;
+
+/** Measures compared with least load; the sign says whether a higher value is better. */
+const comparedMeasures = {
+    hitRate: 1,
+    firstTokenMsP95: -1,
+    firstTokenMsP99: -1,
+    firstTokenMsP999: -1,
+    wastedShare: -1,
+    worstAccountMsP95: -1,
+    refusedWithinRate: -1,
+} as const satisfies Partial<Record<keyof PolicyFigures, 1 | -1>>;
+
+type ComparedMeasure = keyof typeof comparedMeasures;
+
+const formatValue = (value: number): string => (value <= 1 ? value.toFixed(3) : String(Math.round(value)));
+
+/** Measures in which `own` is worse than `other`. */
+function listWorse(own: PolicyFigures, other: PolicyFigures): string[] {
+    return (Object.keys(comparedMeasures) as ComparedMeasure[])
+        .filter(measure => (own[measure] - other[measure]) * comparedMeasures[measure] < 0)
+        .map(measure => `${measure} ${formatValue(own[measure])} against ${formatValue(other[measure])}`);
+}
+
+/** Compares the own policy with the best omniscient figure, measure by measure, and with least load. */
+export function checkGoals(figures: CaseFigures): readonly GoalResult[] {
+    const own = figures[ownPolicy];
+    const leastLoad = figures["least load"];
+    const omniscient = baselineNames
+        .filter(name => name.startsWith("omniscient"))
+        .flatMap(name => figures[name] ?? []);
+    if (!own || !leastLoad || omniscient.length === 0) {
+        return [];
+    }
+    const hitRate = Math.max(...omniscient.map(entry => entry.hitRate));
+    const firstToken = Math.min(...omniscient.map(entry => entry.firstTokenMsP99));
+    const worse = listWorse(own, leastLoad);
+    return [
+        {
+            goal: "hit rate within 10% of omniscient",
+            isMet: own.hitRate >= hitRateShare * hitRate,
+            detail: `${own.hitRate.toFixed(3)} of ${hitRate.toFixed(3)}: ${(own.hitRate / hitRate).toFixed(2)}`,
+        },
+        {
+            goal: "p99 first token within 1.3 times omniscient",
+            isMet: own.firstTokenMsP99 <= firstTokenFactor * firstToken,
+            detail: `${own.firstTokenMsP99} ms to ${firstToken} ms: ${(own.firstTokenMsP99 / firstToken).toFixed(2)}`,
+        },
+        {
+            goal: "not worse than least load by any measure",
+            isMet: worse.length === 0,
+            detail: worse.length === 0 ? "none worse" : worse.join("; "),
+        },
+    ];
+}
--- /dev/null
+++ b/bench/measures.ts
@@ -0,0 +1,175 @@
+/** Measures of one policy run. The exact definitions are in docs/measurements.md. */
+import { build } from "hdr-histogram-js";
+import type { AccountId } from "../src/ids";
+import { toMillis } from "../src/ids";
+import { type Bucket, createBucket, reserveFromBucket, settleBucket, updateBucket } from "../src/policy/bucket";
+import {
+    type Arrival,
+    blockTokens,
+    computeAccountLimits,
+    computePromptTokens,
+    type Deployment,
+    listAccounts,
+} from "./workload";
+
+export interface PolicyFigures {
+    readonly requests: number;
+    /** Cached tokens over prompt tokens, at the engines. */
+    readonly hitRate: number;
+    readonly firstTokenMsP50: number;
+    readonly firstTokenMsP95: number;
+    readonly firstTokenMsP99: number;
+    readonly firstTokenMsP999: number;
+    readonly wastedTokens: number;
+    /** Wasted tokens over prompt tokens. */
+    readonly wastedShare: number;
+    /** 95th percentile of the time to the first token of the account for which it is longest. */
+    readonly worstAccountMsP95: number;
+    readonly worstAccount: string;
+    readonly refusedWithinRate: number;
+    readonly refusedBeyondRate: number;
+    /** Answers that had begun and did not end. */
+    readonly interrupted: number;
+    /** Part of the time that the engines computed prompts. */
+    readonly busyShare: number;
+}
+
+export interface Measures {
+    /** Counts an arrival against the account's rate; true when it is within the rate. */
+    recordArrival(number: number, arrival: Arrival): void;
+    recordPrefill(
+        number: number,
+        prompt: { readonly promptTokens: number; readonly hits: number; },
+        wasted: number,
+    ): void;
+    recordFirstToken(number: number, milliseconds: number): void;
+    recordEnd(number: number, end: "finished" | "refused" | "interrupted"): void;
+    hasEnded(number: number): boolean;
+    countEnded(): number;
+    buildFigures(busyShare: number): PolicyFigures;
+}
+
+interface RequestMeasure {
+    readonly account: AccountId;
+    readonly isWithinRate: boolean;
+    readonly isMeasured: boolean;
+    firstTokenMs: number | undefined;
+    end: "finished" | "refused" | "interrupted" | undefined;
+}
+
+/** A request without an answer counts with this time in the figure of the worst-served account. */
+const unansweredMs = 120_000;
+/** Requests before this part of the run fill the caches and are not measured. */
+export const warmUpShare = 0.15;
+
+function createHistogram(): ReturnType<typeof build> {
+    return build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: unansweredMs * 2,
+        numberOfSignificantValueDigits: 3,
+    });
+}
+
+export function createMeasures(deployment: Deployment, total: number): Measures {
+    const rows = new Map<number, RequestMeasure>();
+    const buckets = new Map<AccountId, Bucket>(
+        listAccounts(deployment).map((account, index) => {
+            const limits = computeAccountLimits(deployment, index);
+            const bucket = createBucket({ ...limits, now: toMillis(0) });
+            bucket.level = limits.burst;
+            return [account, bucket];
+        }),
+    );
+    let promptTokens = 0;
+    let cachedTokens = 0;
+    let wastedTokens = 0;
+    let ended = 0;
+
+    function isWithinRate(arrival: Arrival): boolean {
+        const bucket = buckets.get(arrival.account) as Bucket;
+        const tokens = computePromptTokens(arrival) + arrival.outputTokens;
+        updateBucket(bucket, toMillis(arrival.at));
+        const isWithin = reserveFromBucket(bucket, tokens);
+        if (isWithin) {
+            settleBucket(bucket, { spent: tokens });
+        }
+        return isWithin;
+    }
+
+    function computeWorstAccount(
+        measured: readonly RequestMeasure[],
+    ): { worstAccountMsP95: number; worstAccount: string; } {
+        let worst = { worstAccountMsP95: 0, worstAccount: "" };
+        for (const account of buckets.keys()) {
+            const histogram = createHistogram();
+            for (const row of measured.filter(row => row.account === account && row.isWithinRate)) {
+                histogram.recordValue(Math.max(1, Math.round(row.firstTokenMs ?? unansweredMs)));
+            }
+            const value = histogram.getValueAtPercentile(95);
+            if (value > worst.worstAccountMsP95) {
+                worst = { worstAccountMsP95: value, worstAccount: account };
+            }
+        }
+        return worst;
+    }
+
+    return {
+        recordArrival: (number, arrival) => {
+            rows.set(number, {
+                account: arrival.account,
+                isWithinRate: isWithinRate(arrival),
+                isMeasured: number >= total * warmUpShare,
+                firstTokenMs: undefined,
+                end: undefined,
+            });
+        },
+        recordPrefill: (number, prompt, wasted) => {
+            if (rows.get(number)?.isMeasured) {
+                promptTokens += prompt.promptTokens;
+                cachedTokens += Math.min(prompt.promptTokens, prompt.hits * blockTokens);
+                wastedTokens += wasted;
+            }
+        },
+        recordFirstToken: (number, milliseconds) => {
+            const row = rows.get(number);
+            if (row) {
+                row.firstTokenMs ??= milliseconds;
+            }
+        },
+        recordEnd: (number, end) => {
+            const row = rows.get(number);
+            if (row && row.end === undefined) {
+                row.end = end;
+                ended += 1;
+            }
+        },
+        hasEnded: number => rows.get(number)?.end !== undefined,
+        countEnded: () => ended,
+        buildFigures: busyShare => {
+            const measured = [...rows.values()].filter(row => row.isMeasured);
+            const histogram = createHistogram();
+            for (const { firstTokenMs } of measured) {
+                if (firstTokenMs !== undefined) {
+                    histogram.recordValue(Math.max(1, Math.round(firstTokenMs)));
+                }
+            }
+            const refused = measured.filter(row => row.end === "refused");
+            const within = refused.filter(row => row.isWithinRate).length;
+            return {
+                requests: measured.length,
+                hitRate: promptTokens === 0 ? 0 : cachedTokens / promptTokens,
+                firstTokenMsP50: histogram.getValueAtPercentile(50),
+                firstTokenMsP95: histogram.getValueAtPercentile(95),
+                firstTokenMsP99: histogram.getValueAtPercentile(99),
+                firstTokenMsP999: histogram.getValueAtPercentile(99.9),
+                wastedTokens,
+                wastedShare: promptTokens === 0 ? 0 : wastedTokens / promptTokens,
+                ...computeWorstAccount(measured),
+                refusedWithinRate: within,
+                refusedBeyondRate: refused.length - within,
+                interrupted: measured.filter(row => row.end === "interrupted").length,
+                busyShare,
+            };
+        },
+    };
+}
--- a/src/systems/routeRequests.ts
+++ b/src/systems/routeRequests.ts
@@ -19,7 +19,8 @@
 /** Scores closer than this count as equal; rendezvous hashing then decides. */
 const tieMs = 5;
 
-interface Candidate {
+/** A target that can take a request, with its score. */
+export interface Candidate {
     readonly target: TargetRow;
     readonly score: CandidateScore;
 }
@@ -33,7 +34,11 @@
     return model === row.model.model && version === row.model.version && (report?.state ?? "ready") === "ready";
 }
 
-function canTake(target: TargetRow, row: RequestRow, tick: Tick): boolean {
+/** True while any target has room. */
+export const hasAnyRoom = (world: World): boolean => world.tables.targets.list().some(hasRoom);
+
+/** True when the target serves the request's route and has not failed it. */
+export function canTake(target: TargetRow, row: RequestRow, tick: Tick): boolean {
     if (target.isLeaving || tick.now < target.backOffUntil) {
         return false;
     }
@@ -43,7 +48,9 @@
     return isServed && !row.attempts.some(attempt => attempt.target === target.id && attempt.state === "failed");
 }
 
-const hasRoom = (target: TargetRow): boolean => target.inFlight.size < target.configuration.slots * slotOvercommit;
+/** True while this process may send more requests to the target. */
+export const hasRoom = (target: TargetRow): boolean =>
+    target.inFlight.size < target.configuration.slots * slotOvercommit;
 
 /** Tokens of the prompt that the target is expected to have cached for its present incarnation. */
 export function computeHitTokens(world: World, target: TargetRow, row: RequestRow): number {
@@ -102,10 +109,19 @@
     };
 }
 
-function listCandidates(world: World, tick: Tick, row: RequestRow): Candidate[] {
+/** Targets with room that may take the request. Room is checked first: it rules out most targets under load. */
+export const listOpenTargets = (world: World, tick: Tick, row: RequestRow): TargetRow[] =>
+    world.tables.targets.list().filter(target => hasRoom(target) && canTake(target, row, tick));
+
+/** Scores targets for the request, best score first. */
+export function listCandidates(
+    world: World,
+    tick: Tick,
+    row: RequestRow,
+    targets: readonly TargetRow[],
+): Candidate[] {
     const model = row.model && world.tables.configuration.document.models[row.model.model];
-    return world.tables.targets.list()
-        .filter(target => canTake(target, row, tick))
+    return targets
         .map(target => ({
             target,
             score: model ? computeEngineScore(world, tick, target, row, model) : computeServiceScore(world, target),
@@ -164,7 +180,8 @@
     };
 }
 
-function sendToTarget(
+/** Starts an attempt on the chosen candidate. */
+export function sendToTarget(
     world: World,
     tick: Tick,
     row: RequestRow,
@@ -214,7 +231,7 @@
 }
 
 /** Orders queued requests by priority, then takes one of each account in turn. */
-function listFairly(rows: readonly RequestRow[]): RequestRow[] {
+export function listFairly(rows: readonly RequestRow[]): RequestRow[] {
     const turns = new Map<string, number>();
     return rows
         .map(row => {
@@ -231,12 +248,17 @@
  * Effects: requests to targets, log lines.
  */
 export function routeRequests(world: World, tick: Tick): void {
+    // Under overload most ticks find every target full; the queue is not even sorted then.
+    if (!hasAnyRoom(world)) {
+        return;
+    }
     for (const row of listFairly(world.tables.requests.list("queued"))) {
         if (tick.now < row.notBefore) {
             continue;
         }
-        const candidates = listCandidates(world, tick, row);
-        const chosen = chooseCandidate(world, row, candidates.filter(candidate => hasRoom(candidate.target)));
+        // Only targets with room are scored, so that a long queue costs little in each tick.
+        const candidates = listCandidates(world, tick, row, listOpenTargets(world, tick, row));
+        const chosen = chooseCandidate(world, row, candidates);
         if (chosen) {
             sendToTarget(world, tick, row, chosen, candidates);
         }
--- a/standins/prefixCache.ts
+++ b/standins/prefixCache.ts
@@ -7,6 +7,8 @@
 
 export interface PrefixCache {
     readonly size: number;
+    /** True when the block is cached; does not change its age. */
+    has(block: string): boolean;
     /** Number of leading blocks that are cached; refreshes their age. */
     findHits(blocks: readonly string[]): number;
     add(blocks: readonly string[]): void;
@@ -40,6 +42,7 @@
         get size() {
             return blocks.size;
         },
+        has: block => blocks.has(block),
         findHits: wanted => {
             let hits = 0;
             for (const block of wanted) {
