--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -39,7 +39,7 @@
     readonly hasher: Hasher;
     /** Replaces the weight of the deployment's route. */
     readonly affinityWeight?: number;
-    /** Receives each prefill, for traces. */
+    /** Receives each decision and each prefill, for traces. */
     readonly trace?: (line: Readonly<Record<string, unknown>>) => void;
 }
 
@@ -108,7 +108,14 @@
                     const before = heldBy === engine.getIncarnation() ? held : new Set<string>();
                     const wasted = computeWasted(bench, before, engine, job.blocks.slice(hits));
                     bench.measures.recordPrefill(Number(job.id), { promptTokens: job.promptTokens, hits }, wasted);
-                    options.trace?.({ at: simulation.getNow(), request: job.id, engine: id, hits, wasted });
+                    options.trace?.({
+                        at: simulation.getNow(),
+                        request: job.id,
+                        engine: id,
+                        hits,
+                        wasted,
+                        queued: engine.getReport().waiting,
+                    });
                 },
             }),
         );
@@ -187,7 +194,7 @@
 }
 
 function createHandlers(bench: Bench, document: unknown): EffectHandlers {
-    const { simulation, measures, engines, post } = bench;
+    const { simulation, measures, engines, options, post } = bench;
     const store = createFakeStore({ simulation, document, post });
     return {
         ...createIdleHandlers(),
@@ -208,6 +215,11 @@
                 post({ kind: "attemptFailed", request, attempt, failure: "not_resumable", lastEventId: 0 });
             });
         },
+        writeLog: ({ prefix, fields }) => {
+            if (prefix === "route:") {
+                options.trace?.({ at: simulation.getNow(), ...fields });
+            }
+        },
         refuseRequest: ({ request }) => {
             measures.recordEnd(toNumber(request), "refused");
         },
--- a/src/systems/routeRequests.ts
+++ b/src/systems/routeRequests.ts
@@ -180,6 +180,19 @@
     };
 }
 
+/**
+ * Records that the target will hold the prompt. Requests with the same prefix that arrive before the first token
+ * would otherwise find no holder and compute the prefix once more on other engines.
+ */
+function recordExpectedPrefixes(world: World, tick: Tick, row: RequestRow, target: TargetRow): void {
+    const { incarnation } = target;
+    if (incarnation !== undefined) {
+        for (const block of row.blocks) {
+            world.tables.prefixes.add(block, { target: target.id, incarnation, seenAt: tick.now });
+        }
+    }
+}
+
 /** Starts an attempt on the chosen candidate. */
 export function sendToTarget(
     world: World,
@@ -207,6 +220,7 @@
         chosen: target.id,
         candidates: candidates.map(candidate => candidate.score),
     });
+    recordExpectedPrefixes(world, tick, row, target);
     target.inFlight.set(row.id, { prefillTokens: score.missedTokens, sentAt: tick.now });
     world.tables.requests.updateState(row, "running");
     const send: EffectOf<"sendRequest"> = {
