Estimate the wait from own work in flight and others' work in the reports

Own work was counted twice, in the report and in flight; the prompt being computed counted in full until its first token; and the waits for prefill and for a slot, which pass at the same time, were added. Routers so left the engines that held the prefix. Change: own work counts from the table of requests in flight, less what was computed since the last first token; a report adds only what exceeds the most that this process had in flight lately; the longer wait counts.

--- a/src/policy/score.ts
+++ b/src/policy/score.ts
@@ -4,10 +4,8 @@
 
 export interface EngineLoad {
     readonly target: TargetId;
-    /** Prompt tokens that wait or are being computed, as the engine reported them. */
-    readonly reportedTokens: number;
-    /** Prompt tokens that this process sent and that the report cannot include yet. */
-    readonly ownTokens: number;
+    /** Prompt tokens that the engine has to compute before a request sent now. */
+    readonly tokensAhead: number;
     /** Requests running or waiting beyond the engine's slots. */
     readonly excessRequests: number;
     /** Tokens of the prompt that the engine is expected to have cached. */
@@ -32,7 +30,8 @@
     const { promptTokens, prefillTokensPerSecond, slotMs, affinityWeight, remotePenaltyMs = 2 } = options;
     const missedTokens = Math.max(0, promptTokens - load.hitTokens);
     const computePrefillMs = (tokens: number): number => (tokens / prefillTokensPerSecond) * 1000;
-    const waitMs = computePrefillMs(load.reportedTokens + load.ownTokens) + load.excessRequests * slotMs;
+    // Slots are freed while prompts are computed, so the longer of the two waits counts, not their sum.
+    const waitMs = Math.max(computePrefillMs(load.tokensAhead), load.excessRequests * slotMs);
     const scoreMs = waitMs
         + affinityWeight * computePrefillMs(missedTokens)
         + (load.isRemote ? remotePenaltyMs : 0)
--- a/src/systems/followAttempts.ts
+++ b/src/systems/followAttempts.ts
@@ -137,9 +137,11 @@
     event: EventOf<"attemptFirstToken">,
 ): void {
     attempt.firstTokenAt ??= tick.now;
-    const work = world.tables.targets.get(attempt.target)?.inFlight.get(row.id);
-    if (work) {
+    const target = world.tables.targets.get(attempt.target);
+    const work = target?.inFlight.get(row.id);
+    if (target && work) {
         work.prefillTokens = 0;
+        target.prefillSince = tick.now;
     }
     recordPrefixes(world, tick, row, attempt);
     if (event.usage) {
--- a/src/systems/routeRequests.ts
+++ b/src/systems/routeRequests.ts
@@ -9,11 +9,10 @@
 import type { RequestRow } from "../tables/requests";
 import type { TargetRow } from "../tables/targets";
 import type { Tick, World } from "../world";
+import { estimateLoad } from "./engineLoad";
 
 /** Requests that this process sends to one engine beyond its slots; more wait in the queue of this process. */
 const slotOvercommit = 2;
-/** Load reports lag by about this much, so that newer work is counted from this process's own table. */
-const reportLagMs = 400;
 const staleReportMs = 3000;
 const stalePenaltyMs = 500;
 /** Scores closer than this count as equal; rendezvous hashing then decides. */
@@ -72,27 +71,18 @@
     row: RequestRow,
     model: Model,
 ): CandidateScore {
-    const { report, reportedAt = 0 } = target;
-    let ownTokens = 0;
-    let ownRequests = 0;
-    for (const work of target.inFlight.values()) {
-        if (work.sentAt > reportedAt - reportLagMs) {
-            ownTokens += work.prefillTokens;
-            ownRequests += 1;
-        }
-    }
-    const running = (report?.runningRequests ?? 0) + (report?.waitingRequests ?? 0) + ownRequests;
+    const { prefillTokensPerSecond } = model;
+    const ahead = estimateLoad(target, { now: tick.now, prefillTokensPerSecond });
     return computeScore({
         target: target.id,
-        reportedTokens: report?.waitingTokens ?? 0,
-        ownTokens,
-        excessRequests: Math.max(0, running + 1 - target.configuration.slots),
+        tokensAhead: ahead.tokens,
+        excessRequests: Math.max(0, ahead.requests + 1 - target.configuration.slots),
         hitTokens: computeHitTokens(world, target, row),
         isRemote: target.configuration.dataCentre !== world.settings.dataCentre,
-        stalePenaltyMs: tick.now - reportedAt > staleReportMs ? stalePenaltyMs : 0,
+        stalePenaltyMs: tick.now - (target.reportedAt ?? 0) > staleReportMs ? stalePenaltyMs : 0,
     }, {
         promptTokens: row.promptTokens,
-        prefillTokensPerSecond: model.prefillTokensPerSecond,
+        prefillTokensPerSecond,
         slotMs: (row.maxTokens / 2 / model.decodeTokensPerSecond) * 1000 / Math.max(1, target.configuration.slots),
         affinityWeight: row.route.kind === "model" ? row.route.affinityWeight : 0,
     });
@@ -221,6 +211,9 @@
         candidates: candidates.map(candidate => candidate.score),
     });
     recordExpectedPrefixes(world, tick, row, target);
+    if (![...target.inFlight.values()].some(work => work.prefillTokens > 0)) {
+        target.prefillSince = tick.now;
+    }
     target.inFlight.set(row.id, { prefillTokens: score.missedTokens, sentAt: tick.now });
     world.tables.requests.updateState(row, "running");
     const send: EffectOf<"sendRequest"> = {
@@ -238,6 +231,7 @@
         attempt: number,
         target: target.id,
         scoreMs: Math.round(score.scoreMs),
+        waitMs: Math.round(score.waitMs),
         hitTokens: score.hitTokens,
         missedTokens: score.missedTokens,
         candidates: candidates.length,
--- a/src/systems/updateTargets.ts
+++ b/src/systems/updateTargets.ts
@@ -4,6 +4,7 @@
 import { isEngine, type TargetRow } from "../tables/targets";
 import type { CacheEvent, TargetReport } from "../targets";
 import type { Tick, World } from "../world";
+import { recordOwnLoad, updateOtherLoad } from "./engineLoad";
 
 /** Reports are read this often while requests run, and `idleReportMs` otherwise. */
 const reportMs = 250;
@@ -47,6 +48,7 @@
 function handleReport(world: World, tick: Tick, target: TargetRow, report: TargetReport): void {
     updateIncarnation(world, tick, target, report);
     target.report = report;
+    updateOtherLoad(target, report);
     target.reportedAt = tick.now;
     target.isLeaving = target.configuration.leaving || report.state === "leaving";
     if (target.failures > 0 && tick.now >= target.backOffUntil) {
@@ -120,6 +122,7 @@
     for (const target of targets.list()) {
         if (isEngine(target) && isReportDue(target, tick, isBusy)) {
             target.askedAt = tick.now;
+            recordOwnLoad(target, tick.now);
             world.effects.append({ kind: "readTarget", target: target.id, address: target.configuration.address });
             followCacheEvents(world, target);
         }
@@ -146,6 +149,8 @@
         if (target) {
             target.reportedAt = tick.now;
             target.report = undefined;
+            target.otherTokens = 0;
+            target.otherRequests = 0;
             recordTargetFailure(world, tick, target);
         }
     }
--- a/src/tables/targets.ts
+++ b/src/tables/targets.ts
@@ -22,6 +22,13 @@
     /** True when the configuration, the VM list or the target itself says that it leaves. */
     isLeaving: boolean;
     readonly inFlight: Map<RequestId, InFlight>;
+    /** Time since which the engine computes the oldest of the prompts in flight. */
+    prefillSince: Millis;
+    /** Own work in flight when reports were asked for, oldest first. */
+    readonly ownSamples: { readonly at: Millis; readonly tokens: number; readonly requests: number; }[];
+    /** Work of other routers according to the last report. */
+    otherTokens: number;
+    otherRequests: number;
     failures: number;
     /** Gets no request before this time. */
     backOffUntil: Millis;
@@ -49,6 +56,10 @@
         incarnation: undefined,
         isLeaving: configuration.leaving,
         inFlight: new Map(),
+        prefillSince: 0 as Millis,
+        ownSamples: [],
+        otherTokens: 0,
+        otherRequests: 0,
         failures: 0,
         backOffUntil: 0 as Millis,
         cacheSeq: 0,
