Hold a request for a full engine that remains the best choice

Cause: only engines with room were scored. When the engines filled up at the cold start, each freed place took the first request of the queue whatever its prefix; prefixes spread over all engines, hit rate fell to 0.49 and the recomputation alone kept the engines busy for 0.95 of the time. The router did not recover. Change: full engines are scored too; a request whose best engine is full waits, and its work counts before later ones. A held request is scored again when its engine has room or after 200 ms.

--- a/src/systems/admitRequests.ts
+++ b/src/systems/admitRequests.ts
@@ -150,6 +150,7 @@
         attempts: [],
         decisions: [],
         isRelaying: false,
+        hold: undefined,
         notBefore: arrival.arrivedAt,
         queuedAt: undefined,
         refusal: undefined,
--- a/src/systems/routeRequests.ts
+++ b/src/systems/routeRequests.ts
@@ -1,6 +1,7 @@
 /** Chooses a target for each queued request and sends it. */
 import type { Model } from "../config/document";
 import { type EffectOf, logInfo } from "../effects";
+import type { TargetId } from "../ids";
 import type { CandidateScore } from "../operators";
 import { computeScopeSeed, formatPrefixId } from "../policy/prefix";
 import { listByRendezvous } from "../policy/rendezvous";
@@ -15,9 +16,16 @@
 const slotOvercommit = 2;
 const staleReportMs = 3000;
 const stalePenaltyMs = 500;
+/** A request held for a full target is scored again after this time; others have finished or arrived by then. */
+const rescoreMs = 200;
 /** Scores closer than this count as equal; rendezvous hashing then decides. */
 const tieMs = 5;
 
+/** Work of requests that this tick has held for a full target. They stand before the requests that follow. */
+type HeldWork = Map<TargetId, { readonly tokens: number; readonly requests: number; }>;
+
+const noHeldWork: HeldWork = new Map();
+
 /** A target that can take a request, with its score. */
 export interface Candidate {
     readonly target: TargetRow;
@@ -70,9 +78,14 @@
     target: TargetRow,
     row: RequestRow,
     model: Model,
+    held: HeldWork,
 ): CandidateScore {
     const { prefillTokensPerSecond } = model;
-    const ahead = estimateLoad(target, { now: tick.now, prefillTokensPerSecond });
+    const load = estimateLoad(target, { now: tick.now, prefillTokensPerSecond });
+    const ahead = {
+        tokens: load.tokens + (held.get(target.id)?.tokens ?? 0),
+        requests: load.requests + (held.get(target.id)?.requests ?? 0),
+    };
     return computeScore({
         target: target.id,
         tokensAhead: ahead.tokens,
@@ -109,12 +122,15 @@
     tick: Tick,
     row: RequestRow,
     targets: readonly TargetRow[],
+    held: HeldWork = noHeldWork,
 ): Candidate[] {
     const model = row.model && world.tables.configuration.document.models[row.model.model];
     return targets
         .map(target => ({
             target,
-            score: model ? computeEngineScore(world, tick, target, row, model) : computeServiceScore(world, target),
+            score: model
+                ? computeEngineScore(world, tick, target, row, model, held)
+                : computeServiceScore(world, target),
         }))
         .sort((left, right) => left.score.scoreMs - right.score.scoreMs);
 }
@@ -251,6 +267,42 @@
         .map(({ row }) => row);
 }
 
+function addHeldWork(held: HeldWork, target: TargetId, missedTokens: number): void {
+    const before = held.get(target);
+    held.set(target, { tokens: (before?.tokens ?? 0) + missedTokens, requests: (before?.requests ?? 0) + 1 });
+}
+
+/** True while a held request need not be scored again: its target is still full and could still take it. */
+function isStillHeld(world: World, tick: Tick, row: RequestRow): boolean {
+    const target = row.hold && world.tables.targets.get(row.hold.target);
+    return target !== undefined && row.hold !== undefined
+        && tick.now - row.hold.at < rescoreMs && !hasRoom(target) && canTake(target, row, tick);
+}
+
+/**
+ * Routes one request or holds it. A full target keeps its place in the choice: sending its requests to whichever
+ * target has room spreads the prefixes over all of them under overload, and the recomputation keeps it overloaded.
+ */
+function routeRequest(world: World, tick: Tick, row: RequestRow, held: HeldWork): void {
+    if (row.hold && isStillHeld(world, tick, row)) {
+        addHeldWork(held, row.hold.target, row.hold.missedTokens);
+        return;
+    }
+    const targets = world.tables.targets.list().filter(target => canTake(target, row, tick));
+    const candidates = listCandidates(world, tick, row, targets, held);
+    const chosen = chooseCandidate(world, row, candidates);
+    if (chosen && hasRoom(chosen.target)) {
+        row.hold = undefined;
+        sendToTarget(world, tick, row, chosen, candidates);
+        return;
+    }
+    if (chosen) {
+        const { missedTokens } = chosen.score;
+        row.hold = { target: chosen.target.id, at: tick.now, missedTokens };
+        addHeldWork(held, chosen.target.id, missedTokens);
+    }
+}
+
 /**
  * Reads: configuration, prefixes. Writes: requests, targets (work in flight).
  * Effects: requests to targets, log lines.
@@ -260,15 +312,11 @@
     if (!hasAnyRoom(world)) {
         return;
     }
+    const held: HeldWork = new Map();
     for (const row of listFairly(world.tables.requests.list("queued"))) {
         if (tick.now < row.notBefore) {
             continue;
         }
-        // Only targets with room are scored, so that a long queue costs little in each tick.
-        const candidates = listCandidates(world, tick, row, listOpenTargets(world, tick, row));
-        const chosen = chooseCandidate(world, row, candidates);
-        if (chosen) {
-            sendToTarget(world, tick, row, chosen, candidates);
-        }
+        routeRequest(world, tick, row, held);
     }
 }
--- a/src/tables/requests.ts
+++ b/src/tables/requests.ts
@@ -70,6 +70,8 @@
     }[];
     /** True from the moment the answer began to be relayed. */
     isRelaying: boolean;
+    /** Full target that the queued request waits for, and when it was chosen. */
+    hold: { readonly target: TargetId; readonly at: Millis; readonly missedTokens: number; } | undefined;
     /** Not routed before this time, after a failed attempt. */
     notBefore: Millis;
     queuedAt: Millis | undefined;
