Derive other routers' work from request counts, not from tokens

Cause: the trace of the cold start shows waits predicted 1880 ms too long at the median for Authority (5th percentile of actual minus predicted -8182 ms). An engine counts a shared prefix once for each waiting request, so its waiting tokens exceeded the own tokens in flight, and the difference counted as work of other routers. Change: other routers' work is the requests beyond the own ones, with their share of the waiting tokens.

--- a/src/systems/engineLoad.ts
+++ b/src/systems/engineLoad.ts
@@ -29,21 +29,21 @@
 
 /** Records the own work at the time at which a report is asked for. */
 export function recordOwnLoad(target: TargetRow, now: Millis): void {
-    const { tokens, requests } = computeOwnLoad(target);
-    target.ownSamples.push({ at: now, tokens, requests });
+    target.ownSamples.push({ at: now, requests: target.inFlight.size });
     target.ownSamples.splice(0, target.ownSamples.length - keptSamples);
 }
 
 /**
- * Derives the work of other routers from a report: what is beyond the most that this process had in flight lately.
- * The report may describe any moment of that time, and counting own work twice made routers flee from the engines
- * that they had just chosen.
+ * Derives the work of other routers from a report: the requests beyond the most that this process had in flight
+ * lately, with their share of the waiting tokens. The report may describe any moment of that time. Tokens are not
+ * compared directly: engines count a prefix once for each waiting request that shares it, and the difference would
+ * look like work of others.
  */
 export function updateOtherLoad(target: TargetRow, report: TargetReport): void {
-    const ownTokens = Math.max(0, ...target.ownSamples.map(sample => sample.tokens));
     const ownRequests = Math.max(0, ...target.ownSamples.map(sample => sample.requests));
-    target.otherTokens = Math.max(0, report.waitingTokens - ownTokens);
-    target.otherRequests = Math.max(0, report.runningRequests + report.waitingRequests - ownRequests);
+    const requests = report.runningRequests + report.waitingRequests;
+    target.otherRequests = Math.max(0, requests - ownRequests);
+    target.otherTokens = requests === 0 ? 0 : report.waitingTokens * (target.otherRequests / requests);
 }
 
 /** Prompt tokens and requests that stand before a request sent now. */
--- a/src/tables/targets.ts
+++ b/src/tables/targets.ts
@@ -24,8 +24,8 @@
     readonly inFlight: Map<RequestId, InFlight>;
     /** Time since which the engine computes the oldest of the prompts in flight. */
     prefillSince: Millis;
-    /** Own work in flight when reports were asked for, oldest first. */
-    readonly ownSamples: { readonly at: Millis; readonly tokens: number; readonly requests: number; }[];
+    /** Own requests in flight when reports were asked for, oldest first. */
+    readonly ownSamples: { readonly at: Millis; readonly requests: number; }[];
     /** Work of other routers according to the last report. */
     otherTokens: number;
     otherRequests: number;
