--- a/bench/benchWorld.ts
+++ b/bench/benchWorld.ts
@@ -1,15 +1,26 @@
 /** The world that benchmarks run: configuration, settings and handlers that do nothing. */
 import { parseSettings } from "../src/config/settings";
 import { createEffectQueue, type Effect, type EffectOf } from "../src/effects";
-import { type DataCentreId, toIncarnation, toKeyHash } from "../src/ids";
+import type { Event } from "../src/events";
+import { type DataCentreId, type Millis, toIncarnation, toKeyHash, toRequestId } from "../src/ids";
 import type { Hasher } from "../src/policy/prefix";
 import { createTables } from "../src/tables";
 import { createTimerService } from "../src/timers";
 import type { World } from "../src/world";
 import { createRandom } from "./random";
-import { blockTokens, computeAccountLimits, type Deployment, listAccounts, listEngines } from "./workload";
+import {
+    type Arrival,
+    blockTokens,
+    buildPrompt,
+    computeAccountLimits,
+    computePromptTokens,
+    type Deployment,
+    listAccounts,
+    listEngines,
+    maxTokens,
+} from "./workload";
 
-export const buildKeyHash = (index: number) => toKeyHash(index.toString(16).padStart(64, "0"));
+const buildKeyHash = (index: number) => toKeyHash(index.toString(16).padStart(64, "0"));
 
 /** Configuration of a deployment: one model route, one key for each account. */
 export function buildDocument(deployment: Deployment, affinityWeight = deployment.affinityWeight): unknown {
@@ -29,7 +40,7 @@
         targets: Object.fromEntries(
             listEngines(deployment).map(({ id, dataCentre }, index) => [id, {
                 kind: "engine",
-                address: `10.0.0.${index + 1}:8000`,
+                address: `10.0.${(index + 1) >> 8}.${(index + 1) & 255}:8000`,
                 dataCentre,
                 model: "text",
                 version: "1",
@@ -39,6 +50,34 @@
     };
 }
 
+/** The event of an arrival, as the server of callers posts it. */
+export function buildArrivalEvent(
+    deployment: Deployment,
+    arrival: Arrival,
+    { number, now }: { readonly number: number; readonly now: Millis; },
+): Event {
+    return {
+        kind: "requestArrived",
+        arrival: {
+            request: toRequestId(String(number)),
+            keyHash: buildKeyHash(listAccounts(deployment).indexOf(arrival.account)),
+            endpoint: "completions",
+            routeName: "text",
+            method: "POST",
+            path: "",
+            stream: true,
+            prompt: buildPrompt(arrival, number),
+            maxTokens,
+            priority: undefined,
+            bodyBytes: computePromptTokens(arrival),
+            bodyHash: "",
+            idempotencyKey: undefined,
+            timeoutMs: undefined,
+            arrivedAt: now,
+        },
+    };
+}
+
 export function createBenchWorld(
     { hasher, seed, dataCentre = "dc-0" }: {
         readonly hasher: Hasher;
--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -1,14 +1,14 @@
 /** Runs one policy on one case: the real tables, systems and runner, with fakes of engines and store. */
 import type { EffectHandlers, EffectOf } from "../src/effects";
 import type { Event } from "../src/events";
-import { type RequestId, toIncarnation, toModelId, toModelVersion, toRequestId } from "../src/ids";
+import { type RequestId, toIncarnation, toModelId, toModelVersion } from "../src/ids";
 import type { Hasher } from "../src/policy/prefix";
 import { createRunner, type Runner } from "../src/runner";
 import { systems } from "../src/systems";
 import { routeRequests } from "../src/systems/routeRequests";
 import type { System } from "../src/world";
 import { type BaselineName, createBaseline } from "./baselines";
-import { buildDocument, buildKeyHash, createBenchWorld, createIdleHandlers } from "./benchWorld";
+import { buildArrivalEvent, buildDocument, createBenchWorld, createIdleHandlers } from "./benchWorld";
 import { createCacheFeed } from "./cacheFeed";
 import type { FaultCase } from "./cases";
 import { createFakeEngine, type EngineJob, type FakeEngine } from "./engine";
@@ -19,12 +19,9 @@
     type Arrival,
     blockTokens,
     buildArrivals,
-    buildPrompt,
     computePromptTokens,
     type Deployment,
-    listAccounts,
     listEngines,
-    maxTokens,
 } from "./workload";
 
 export const ownPolicy = "marjoramvane";
@@ -229,37 +226,15 @@
     };
 }
 
-function buildArrivalEvent(arrival: Arrival, number: number, bench: Bench): Event {
-    const accounts = listAccounts(bench.options.deployment);
-    return {
-        kind: "requestArrived",
-        arrival: {
-            request: toRequestId(String(number)),
-            keyHash: buildKeyHash(accounts.indexOf(arrival.account)),
-            endpoint: "completions",
-            routeName: "text",
-            method: "POST",
-            path: "",
-            stream: true,
-            prompt: buildPrompt(arrival, number),
-            maxTokens,
-            priority: undefined,
-            bodyBytes: computePromptTokens(arrival),
-            bodyHash: "",
-            idempotencyKey: undefined,
-            timeoutMs: undefined,
-            arrivedAt: bench.simulation.clock.getNow(),
-        },
-    };
-}
-
 /** Schedules arrivals one after the other, so that the queue of actions stays short. */
 function scheduleArrivals(bench: Bench, number = 0): void {
     const arrival = bench.arrivals[number];
     if (arrival) {
         bench.simulation.schedule(arrival.at - bench.simulation.getNow(), () => {
             bench.measures.recordArrival(number, arrival);
-            bench.post(buildArrivalEvent(arrival, number, bench));
+            bench.post(
+                buildArrivalEvent(bench.options.deployment, arrival, { number, now: bench.simulation.clock.getNow() }),
+            );
             scheduleArrivals(bench, number + 1);
         });
     }
