--- a/test/bench.test.ts
+++ b/test/bench.test.ts
@@ -33,4 +33,10 @@
         expect(omniscient.figures.hitRate).toBeGreaterThanOrEqual(random.figures.hitRate);
         expect(omniscient.figures.wastedTokens).toBeLessThanOrEqual(random.figures.wastedTokens);
     });
+
+    test("keeps requests with their prefix while engines fill up, so that overload does not feed itself", async () => {
+        const omniscient = await runShort("omniscient, hits", 600);
+        const own = await runShort(ownPolicy, 600);
+        expect(own.figures.hitRate).toBeGreaterThanOrEqual(0.9 * omniscient.figures.hitRate);
+    });
 });
