--- a/src/policy/fairQueue.ts
+++ b/src/policy/fairQueue.ts
@@ -61,12 +61,14 @@
     readonly quantum: number;
     /** Turns of each account in this call that added to its deficit. */
     readonly gains: Map<string, number>;
+    /** Accounts with items that cannot be sent now. */
+    readonly held: Set<string>;
 }
 
 /** Sends items of one account until its deficit is used up. */
 function runTurn<Item>(
     { deficits }: FairQueue,
-    { account, items, quantum, gains }: Turn<Item>,
+    { account, items, quantum, gains, held }: Turn<Item>,
     { getTokens, send }: FairQueueOptions<Item>,
 ): "turn_ended" | "account_waits" | "all_wait" {
     let deficit = deficits.get(account) ?? 0;
@@ -85,6 +87,9 @@
             return outcome;
         }
         items.shift();
+        if (outcome === "item_waits") {
+            held.add(account);
+        }
         deficit -= outcome === "sent" ? getTokens(item) : 0;
     }
 }
@@ -124,6 +129,7 @@
     const quantum = heads.reduce((most, tokens) => Math.max(most, Math.ceil(tokens / maxTurns)), minQuantum);
     const waiting = new Set<string>();
     const gains = new Map<string, number>();
+    const held = new Set<string>();
     for (;;) {
         const index = ring.findIndex(account => !waiting.has(account));
         const account = ring[index];
@@ -131,11 +137,12 @@
             break;
         }
         const list = byAccount.get(account) ?? [];
-        const result = runTurn(queue, { account, items: list, quantum, gains }, options);
+        const result = runTurn(queue, { account, items: list, quantum, gains, held }, options);
         if (result === "all_wait") {
             break;
         }
-        if (result === "account_waits") {
+        // An account whose items are all held keeps its turn, too, or it would lose its share to the others.
+        if (result === "account_waits" || (list.length === 0 && held.has(account))) {
             waiting.add(account);
             continue;
         }
--- a/src/systems/followAttempts.ts
+++ b/src/systems/followAttempts.ts
@@ -170,9 +170,11 @@
 ): void {
     attempt.firstTokenAt ??= tick.now;
     recordStreamSuccess(world, attempt);
-    const work = world.tables.targets.get(attempt.target)?.inFlight.get(row.id);
-    if (work) {
+    const target = world.tables.targets.get(attempt.target);
+    const work = target?.inFlight.get(row.id);
+    if (target && work) {
         work.prefillTokens = 0;
+        target.prefillSince = tick.now;
     }
     recordPrefixes(world, tick, row, attempt);
     if (event.usage) {
--- a/src/systems/prefixUpdates.ts
+++ b/src/systems/prefixUpdates.ts
@@ -20,6 +20,6 @@
             continue;
         }
         const { target: id, incarnation } = update;
-        world.tables.prefixes.addReported(prefix, { target: id, incarnation, seenAt: now });
+        world.tables.prefixes.addExpected(prefix, { target: id, incarnation, seenAt: now });
     }
 }
--- a/src/systems/routeRequests.ts
+++ b/src/systems/routeRequests.ts
@@ -1,6 +1,7 @@
 /** Chooses a target for each queued request and sends it. */
 import type { Model } from "../config/document";
 import { type EffectOf, logInfo } from "../effects";
+import type { TargetId } from "../ids";
 import type { CandidateScore } from "../operators";
 import { runFairQueue, type SendOutcome } from "../policy/fairQueue";
 import { computeScopeSeed, formatPrefixId } from "../policy/prefix";
@@ -11,17 +12,24 @@
 import type { RequestRow } from "../tables/requests";
 import { canPassCircuit, type TargetRow } from "../tables/targets";
 import type { Tick, World } from "../world";
+import { estimateLoad } from "./engineLoad";
 
 /** Requests that this process sends to one engine beyond its slots; more wait in the queue of this process. */
 const slotOvercommit = 2;
-/** Load reports lag by about this much, so that newer work is counted from this process's own table. */
-const reportLagMs = 400;
 const staleReportMs = 3000;
 const stalePenaltyMs = 500;
+/** A request held for a full target is scored again after this time; others have finished or arrived by then. */
+const rescoreMs = 200;
 /** Scores closer than this count as equal; rendezvous hashing then decides. */
 const tieMs = 5;
 
-interface Candidate {
+/** Work of requests that this tick has held for a full target. They stand before the requests that follow. */
+type HeldWork = Map<TargetId, { readonly tokens: number; readonly requests: number; }>;
+
+const noHeldWork: HeldWork = new Map();
+
+/** A target that can take a request, with its score. */
+export interface Candidate {
     readonly target: TargetRow;
     readonly score: CandidateScore;
 }
@@ -34,7 +42,11 @@
     return report?.state === "ready" && report.model === row.model.model && report.version === row.model.version;
 }
 
-function canTake(target: TargetRow, row: RequestRow, tick: Tick): boolean {
+/** True while any target has room. */
+export const hasAnyRoom = (world: World): boolean => world.tables.targets.list().some(hasRoom);
+
+/** True when the target serves the request's route and is not backed off. */
+export function canTake(target: TargetRow, row: RequestRow, tick: Tick): boolean {
     if (target.isLeaving || !canPassCircuit(target, tick.now)) {
         return false;
     }
@@ -52,7 +64,9 @@
     return untried.length > 0 ? untried : able;
 }
 
-const hasRoom = (target: TargetRow): boolean => target.inFlight.size < target.configuration.slots * slotOvercommit;
+/** True while this process may send more requests to the target. */
+export const hasRoom = (target: TargetRow): boolean =>
+    target.inFlight.size < target.configuration.slots * slotOvercommit;
 
 /** One slot of this many is kept free for accounts that run nothing on the target. */
 const slotsForEachReserved = 8;
@@ -91,28 +105,24 @@
     target: TargetRow,
     row: RequestRow,
     model: Model,
+    held: HeldWork,
 ): CandidateScore {
-    const { report, reportedAt = 0 } = target;
-    let ownTokens = 0;
-    let ownRequests = 0;
-    for (const work of target.inFlight.values()) {
-        if (work.sentAt > reportedAt - reportLagMs) {
-            ownTokens += work.prefillTokens;
-            ownRequests += 1;
-        }
-    }
-    const running = (report?.runningRequests ?? 0) + (report?.waitingRequests ?? 0) + ownRequests;
+    const { prefillTokensPerSecond } = model;
+    const load = estimateLoad(target, { now: tick.now, prefillTokensPerSecond });
+    const ahead = {
+        tokens: load.tokens + (held.get(target.id)?.tokens ?? 0),
+        requests: load.requests + (held.get(target.id)?.requests ?? 0),
+    };
     return computeScore({
         target: target.id,
-        reportedTokens: report?.waitingTokens ?? 0,
-        ownTokens,
-        excessRequests: Math.max(0, running + 1 - target.configuration.slots),
+        tokensAhead: ahead.tokens,
+        excessRequests: Math.max(0, ahead.requests + 1 - target.configuration.slots),
         hitTokens: computeHitTokens(world, target, row),
         isRemote: target.configuration.dataCentre !== world.settings.dataCentre,
-        stalePenaltyMs: tick.now - reportedAt > staleReportMs ? stalePenaltyMs : 0,
+        stalePenaltyMs: tick.now - (target.reportedAt ?? 0) > staleReportMs ? stalePenaltyMs : 0,
     }, {
         promptTokens: row.promptTokens,
-        prefillTokensPerSecond: model.prefillTokensPerSecond,
+        prefillTokensPerSecond,
         slotMs: (row.maxTokens / 2 / model.decodeTokensPerSecond) * 1000 / Math.max(1, target.configuration.slots),
         affinityWeight: row.route.kind === "model" ? row.route.affinityWeight : 0,
     });
@@ -129,12 +139,25 @@
     };
 }
 
-function listCandidates(world: World, tick: Tick, row: RequestRow): Candidate[] {
+/** Targets with room that may take the request. Room is checked first: it rules out most targets under load. */
+export const listOpenTargets = (world: World, tick: Tick, row: RequestRow): TargetRow[] =>
+    world.tables.targets.list().filter(target => hasRoom(target) && canTake(target, row, tick));
+
+/** Scores targets for the request, best score first. */
+export function listCandidates(
+    world: World,
+    tick: Tick,
+    row: RequestRow,
+    targets: readonly TargetRow[],
+    held: HeldWork = noHeldWork,
+): Candidate[] {
     const model = row.model && world.tables.configuration.document.models[row.model.model];
-    return listAbleTargets(world, tick, row)
+    return targets
         .map(target => ({
             target,
-            score: model ? computeEngineScore(world, tick, target, row, model) : computeServiceScore(world, target),
+            score: model
+                ? computeEngineScore(world, tick, target, row, model, held)
+                : computeServiceScore(world, target),
         }))
         .sort((left, right) => left.score.scoreMs - right.score.scoreMs);
 }
@@ -191,7 +214,21 @@
     };
 }
 
-function sendToTarget(
+/**
+ * Records that the target will hold the prompt. Requests with the same prefix that arrive before the first token
+ * would otherwise find no holder and compute the prefix once more on other engines.
+ */
+function recordExpectedPrefixes(world: World, tick: Tick, row: RequestRow, target: TargetRow): void {
+    const { incarnation } = target;
+    if (incarnation !== undefined) {
+        for (const block of row.blocks) {
+            world.tables.prefixes.addExpected(block, { target: target.id, incarnation, seenAt: tick.now });
+        }
+    }
+}
+
+/** Starts an attempt on the chosen candidate. */
+export function sendToTarget(
     world: World,
     tick: Tick,
     row: RequestRow,
@@ -223,6 +260,10 @@
     if (target.backOffUntil > 0) {
         target.trial = row.id;
     }
+    recordExpectedPrefixes(world, tick, row, target);
+    if (![...target.inFlight.values()].some(work => work.prefillTokens > 0)) {
+        target.prefillSince = tick.now;
+    }
     target.inFlight.set(row.id, { prefillTokens: score.missedTokens, sentAt: tick.now, account: row.account });
     world.tables.requests.updateState(row, "running");
     const send: EffectOf<"sendRequest"> = {
@@ -240,6 +281,7 @@
         attempt: number,
         target: target.id,
         scoreMs: Math.round(score.scoreMs),
+        waitMs: Math.round(score.waitMs),
         hitTokens: score.hitTokens,
         missedTokens: score.missedTokens,
         candidates: candidates.length,
@@ -252,20 +294,51 @@
     return `${priority} ${route.kind} ${need}`;
 }
 
-/** Sends a request if a target has room for it and its account. */
-function routeRequest(world: World, tick: Tick, row: RequestRow): SendOutcome {
-    const candidates = listCandidates(world, tick, row);
-    const withRoom = candidates.filter(({ target }) => hasRoom(target));
-    const chosen = chooseCandidate(world, row, withRoom.filter(({ target }) => hasRoomFor(target, row)));
-    if (chosen) {
-        sendToTarget(world, tick, row, chosen, candidates);
-        return "sent";
-    }
+function addHeldWork(held: HeldWork, target: TargetId, missedTokens: number): void {
+    const before = held.get(target);
+    held.set(target, { tokens: (before?.tokens ?? 0) + missedTokens, requests: (before?.requests ?? 0) + 1 });
+}
+
+/** True while a held request need not be scored again: its target is still full and could still take it. */
+function isStillHeld(world: World, tick: Tick, row: RequestRow): boolean {
+    const target = row.hold && world.tables.targets.get(row.hold.target);
+    return target !== undefined && row.hold !== undefined
+        && tick.now - row.hold.at < rescoreMs && !hasRoomFor(target, row) && canTake(target, row, tick);
+}
+
+/** Says who waits when no target has room for the request. */
+function getWait(candidates: readonly Candidate[], row: RequestRow): SendOutcome {
     // A request that failed on some targets waits for the others; that says nothing about the next request.
     if (row.attempts.length > 0) {
         return "item_waits";
     }
-    return withRoom.length > 0 ? "account_waits" : "all_wait";
+    return candidates.some(({ target }) => hasRoom(target)) ? "account_waits" : "all_wait";
+}
+
+/**
+ * Sends one request, or holds it for a full target whose prefixes are worth the wait: sending it to whichever target
+ * has room spreads the prefixes over all of them under overload, and the recomputation keeps it overloaded.
+ */
+function routeRequest(world: World, tick: Tick, row: RequestRow, held: HeldWork): SendOutcome {
+    if (row.hold && isStillHeld(world, tick, row)) {
+        addHeldWork(held, row.hold.target, row.hold.missedTokens);
+        return "item_waits";
+    }
+    row.hold = undefined;
+    const candidates = listCandidates(world, tick, row, listAbleTargets(world, tick, row), held);
+    const best = chooseCandidate(world, row, candidates);
+    const open = chooseCandidate(world, row, candidates.filter(({ target }) => hasRoomFor(target, row)));
+    if (!best || !open) {
+        return getWait(candidates, row);
+    }
+    if (best.score.hitTokens > open.score.hitTokens && !hasRoomFor(best.target, row)) {
+        const { missedTokens } = best.score;
+        row.hold = { target: best.target.id, at: tick.now, missedTokens };
+        addHeldWork(held, best.target.id, missedTokens);
+        return "item_waits";
+    }
+    sendToTarget(world, tick, row, open, candidates);
+    return "sent";
 }
 
 /**
@@ -273,7 +346,12 @@
  * Effects: requests to targets, log lines.
  */
 export function routeRequests(world: World, tick: Tick): void {
+    // Under overload most ticks find every target full; the queue is not even sorted then.
+    if (!hasAnyRoom(world)) {
+        return;
+    }
     const { queues, requests } = world.tables;
+    const held: HeldWork = new Map();
     const ready = requests.list("queued").filter(row => tick.now >= row.notBefore);
     const byQueue = new Map<string, RequestRow[]>();
     // Retried requests come before those of their account that arrived later.
@@ -288,7 +366,7 @@
         runFairQueue(queues.get(name), rows, {
             getAccount: row => row.account ?? "",
             getTokens: row => Math.max(1, row.promptTokens + row.maxTokens),
-            send: row => routeRequest(world, tick, row),
+            send: row => routeRequest(world, tick, row, held),
         });
     }
 }
--- a/src/systems/updateTargets.ts
+++ b/src/systems/updateTargets.ts
@@ -4,6 +4,7 @@
 import { isEngine, type TargetRow } from "../tables/targets";
 import type { CacheEvent, TargetReport } from "../targets";
 import type { Tick, World } from "../world";
+import { recordOwnLoad, updateOtherLoad } from "./engineLoad";
 
 /** Reports are read this often while requests run or placement waits, and `idleReportMs` otherwise. */
 const reportMs = 250;
@@ -74,6 +75,7 @@
 function handleReport(world: World, tick: Tick, target: TargetRow, report: TargetReport): void {
     updateIncarnation(world, tick, target, report);
     world.tables.targets.applyReport(target, report, tick.now);
+    updateOtherLoad(target, report);
     // A report does not show that the target answers requests, so only a trial closes the circuit after one failed.
     if (target.failedBy === "report") {
         recordTargetSuccess(target);
@@ -161,6 +163,7 @@
     for (const target of targets.list()) {
         if (isEngine(target) && isReportDue(target, tick, isBusy)) {
             target.askedAt = tick.now;
+            recordOwnLoad(target, tick.now);
             world.effects.append({ kind: "readTarget", target: target.id, address: target.configuration.address });
             followCacheEvents(world, target);
         }
@@ -187,6 +190,8 @@
         if (target) {
             target.reportedAt = tick.now;
             target.report = undefined;
+            target.otherTokens = 0;
+            target.otherRequests = 0;
             recordTargetFailure(world, tick, target, { failedBy: target.failedBy ?? "report" });
         }
     }
--- a/src/tables/prefixes.ts
+++ b/src/tables/prefixes.ts
@@ -20,8 +20,8 @@
     /** Holders of a prefix, without changing its age. */
     listHolders(prefix: PrefixId): readonly PrefixHolder[];
     add(prefix: PrefixId, holder: PrefixHolder): void;
-    /** Adds a holder that a peer reported; it is not reported on. */
-    addReported(prefix: PrefixId, holder: PrefixHolder): void;
+    /** Adds a holder that a peer reported or that is expected soon. It counts as no use and is not told to peers. */
+    addExpected(prefix: PrefixId, holder: PrefixHolder): void;
     remove(prefix: PrefixId, target: TargetId): void;
     /** Removes and returns up to `limit` reused prefixes that peers have not been told of, newest first. */
     takeReused(limit: number): ReusedPrefix[];
@@ -89,7 +89,7 @@
                 recordReuse(prefix, holder);
             }
         },
-        addReported: (prefix, holder) => {
+        addExpected: (prefix, holder) => {
             updateRow(prefix, holder, rows.get(prefix)?.uses ?? 0);
         },
         remove: (prefix, target) => {
--- a/src/tables/targets.ts
+++ b/src/tables/targets.ts
@@ -25,6 +25,13 @@
     /** True when the last report of the target said that it leaves. */
     isReportedLeaving: boolean;
     readonly inFlight: Map<RequestId, InFlight>;
+    /** Time since which the engine computes the oldest of the prompts in flight. */
+    prefillSince: Millis;
+    /** Own requests in flight when reports were asked for, oldest first. */
+    readonly ownSamples: { readonly at: Millis; readonly requests: number; }[];
+    /** Work of other routers according to the last report. */
+    otherTokens: number;
+    otherRequests: number;
     /** Failures in a row. */
     failures: number;
     /** What failed last: a request, or only the reading of a report. */
@@ -65,6 +72,10 @@
         isLeaving: configuration.leaving,
         isReportedLeaving: false,
         inFlight: new Map(),
+        prefillSince: 0 as Millis,
+        ownSamples: [],
+        otherTokens: 0,
+        otherRequests: 0,
         failures: 0,
         failedBy: undefined,
         backOffUntil: 0 as Millis,
