Let an owner take its bucket up again after a store outage

Cause: in an outage the owner ends its ownership when its lease ends on its own clock. The platform keeps leases through its outage, so the owner renews the same lease afterwards and its key in the store lives on. If the members choose another VM meanwhile, that VM finds the key taken and asks the owner, which answers not_owner: nobody grants until the membership changes.

Change: a process that may still hold the key tries to acquire as well, finds its own record and starts with an empty bucket.

The fleets of the rate tests are confirmed for good: since freshness is also computed in the exchanges, late processes refused everything as stale, which made the histories weaker than they look.

--- a/src/systems/ownership.ts
+++ b/src/systems/ownership.ts
@@ -46,7 +46,10 @@
 export function requestOwnership(world: World, account: AccountId, now: Millis): void {
     const ownership = world.tables.buckets.getOwnership(account);
     const owner = chooseOwner(world, account, now);
-    if (owner && isOwnAddress(world, owner) && world.tables.node.state !== "stopped") {
+    // The store key lives as long as the lease, also after this side ended ownership in an outage of the store. Only
+    // this process can then take it up again: for any other it is taken.
+    const mayHoldKey = ownership.heldLease !== undefined && ownership.heldLease === world.tables.node.memberLease.id;
+    if (((owner && isOwnAddress(world, owner)) || mayHoldKey) && world.tables.node.state !== "stopped") {
         ownership.isWanted = true;
     }
 }
@@ -101,6 +104,7 @@
         grants: new Map(),
     });
     ownership.owner = undefined;
+    ownership.heldLease = lease;
     logInfo(world.effects, "rate:", "This VM owns the bucket.", { account: ownership.account, fencing });
 }
 
--- a/src/tables/buckets.ts
+++ b/src/tables/buckets.ts
@@ -55,6 +55,8 @@
     /** Process that the store named as owner at `checkedAt`. */
     owner: OwnerAddress | undefined;
     checkedAt: Millis | undefined;
+    /** Member lease that carried the store key when this process last owned the bucket. */
+    heldLease: LeaseId | undefined;
 }
 
 export interface BucketsTable {
@@ -84,7 +86,14 @@
         },
         getOwnership: account => {
             const row = ownerships.get(account)
-                ?? { account, acquiring: undefined, isWanted: false, owner: undefined, checkedAt: undefined };
+                ?? {
+                    account,
+                    acquiring: undefined,
+                    isWanted: false,
+                    owner: undefined,
+                    checkedAt: undefined,
+                    heldLease: undefined,
+                };
             ownerships.set(account, row);
             return row;
         },
--- a/test/rates.test.ts
+++ b/test/rates.test.ts
@@ -2,6 +2,7 @@
 import { beforeAll, describe, expect, it } from "vitest";
 import { loadHasher } from "../src/adapters/hasher";
 import type { Hasher } from "../src/policy/prefix";
+import { listByRendezvous } from "../src/policy/rendezvous";
 import { createRateFleet, type RateFleet, type RateProcess } from "./support/rateFleet";
 
 const account = { rate: 1000, burst: 3000 };
@@ -109,6 +110,27 @@
         fleet.run(21_000);
         expect(fleet.refusals).toEqual([]);
     });
+
+    it("come again from the owner whose store key outlived an outage, although another VM is chosen since", () => {
+        const { fleet, owner } = createReadyFleet();
+        const vms = fleet.processes.map(process => process.vm);
+        const names = Array.from({ length: 50 }, (_, index) => `late-${index}`);
+        const chosen = names.find(name => listByRendezvous(hasher, "rate/shop", [...vms, name])[0] === name) ?? "";
+        fleet.faults.storeDown = true;
+        fleet.run(14_000);
+        // The platform keeps leases through its own outages; the owner's ended on the owner's clock.
+        fleet.store.extendLeases();
+        const late = fleet.startProcess(chosen, "127.0.0.1:3000");
+        fleet.faults.storeDown = false;
+        fleet.run(20_000);
+        for (const at of [20_000, 22_000, 24_000]) {
+            fleet.schedule(at, () => fleet.sendRequest(late, 50, 50));
+        }
+        fleet.run(26_000);
+        expect(fleet.admissions.length).toBeGreaterThan(0);
+        expect(listKeys(fleet, "rate")).toHaveLength(1);
+        expect(owner.world.tables.buckets.list()).toHaveLength(1);
+    });
 });
 
 describe("floors", () => {
--- a/test/support/rateFleet.ts
+++ b/test/support/rateFleet.ts
@@ -211,6 +211,8 @@
         const [tables, effects, timers] = [createTables(settings), createEffectQueue(), createTimerService()];
         const world: World = { settings, hasher, random, incarnation, tables, effects, timers };
         tables.configuration.apply(toConfigVersion(1), document);
+        // Confirmed for good: these fleets have no configuration in their store, and keys are not what they test.
+        tables.configuration.confirmedAt = toMillis(1e12);
         tables.configuration.freshness = "fresh";
         const process = { vm, address, world, pausedUntil: 0, isDead: false } as RateProcess;
         processes.push(process);
