Keep test ports clear of those that fetch refuses; share the store calls

Ports of test processes start at a place that depends on the process id, from 10,000 up, and fetch refuses 10080. They now start at 11,000, above every refused port.

--- a/standins/processes.ts
+++ b/standins/processes.ts
@@ -10,9 +10,9 @@
 
 /**
  * Ports below the range that outgoing connections use. A port from that range could be taken by a connection of
- * another process between its choice and the start of the router.
+ * another process between its choice and the start of the router. `fetch` refuses some ports up to 10080.
  */
-const firstPort = 10_000;
+const firstPort = 11_000;
 const portCount = 20_000;
 /** Processes that run at the same time start at different places of the range. */
 let nextPort = (process.pid * 97) % portCount;
--- a/test/support/storeCalls.ts
+++ b/standins/storeCalls.ts
@@ -1,14 +1,8 @@
 /** Runs the store calls of systems against the store stand-in, without the wire format. */
 import { Err, Ok, type Result } from "ts-results";
-import { toLeaseId } from "../../src/ids";
-import {
-    computePrefixEnd,
-    type StoreAnswer,
-    type StoreCall,
-    type StoreFailure,
-    type StoreRange,
-} from "../../src/store";
-import type { Compare, KeyValueStore, Operation } from "../../standins/keyValueStore";
+import { toLeaseId } from "../src/ids";
+import { computePrefixEnd, type StoreAnswer, type StoreCall, type StoreFailure, type StoreRange } from "../src/store";
+import type { Compare, KeyValueStore, Operation } from "./keyValueStore";
 
 type Calls = { readonly [Kind in StoreCall["kind"]]: Extract<StoreCall, { readonly kind: Kind; }>; };
 
--- a/test/support/claimNodes.ts
+++ b/test/support/claimNodes.ts
@@ -22,8 +22,8 @@
 import { createTimerService } from "../../src/timers";
 import type { System, World } from "../../src/world";
 import { createKeyValueStore } from "../../standins/keyValueStore";
+import { runStoreCall } from "../../standins/storeCalls";
 import { hashKey } from "./fleet";
-import { runStoreCall } from "./storeCalls";
 
 export type StoreFault = "none" | "requestLost" | "answerLost" | "late" | "refused";
 export type TargetFault = "none" | "refused" | "lostBefore" | "lostAfter" | "failed" | "notRun" | "hangs";
--- a/test/support/rateFleet.ts
+++ b/test/support/rateFleet.ts
@@ -17,7 +17,7 @@
 import { createTimerService } from "../../src/timers";
 import type { World } from "../../src/world";
 import { createKeyValueStore } from "../../standins/keyValueStore";
-import { runStoreCall } from "./storeCalls";
+import { runStoreCall } from "../../standins/storeCalls";
 
 /** One admission: tokens reserved at a time, and those that the engine really computed. */
 export interface Admission {
--- a/test/support/virtualFleet.ts
+++ b/test/support/virtualFleet.ts
@@ -15,8 +15,8 @@
 import { createTimerService } from "../../src/timers";
 import type { World } from "../../src/world";
 import { createKeyValueStore, type KeyValueStore, type Watcher } from "../../standins/keyValueStore";
+import { runStoreCall } from "../../standins/storeCalls";
 import type { SimulatedEngine } from "./simulatedEngine";
-import { runStoreCall } from "./storeCalls";
 
 /** Milliseconds that a message takes. */
 const messageMs = 1;
