Describe the counts of a grant once, and remove three unused functions

The owner's row of a grant repeated the fields that reports change; it now extends them. computeSharedTokens, revokeKey and toRouteId had no caller. No change of behaviour.

--- a/src/ids.ts
+++ b/src/ids.ts
@@ -43,7 +43,6 @@
 export const toRequestId = (value: string): RequestId => value as RequestId;
 export const toAccountId = (value: string): AccountId => value as AccountId;
 export const toKeyHash = (value: string): KeyHash => value as KeyHash;
-export const toRouteId = (value: string): RouteId => value as RouteId;
 export const toTargetId = (value: string): TargetId => value as TargetId;
 export const toVmId = (value: string): VmId => value as VmId;
 export const toDataCentreId = (value: string): DataCentreId => value as DataCentreId;
--- a/src/policy/settlement.ts
+++ b/src/policy/settlement.ts
@@ -5,14 +5,20 @@
 
 /** The counts of a grant that reports change. */
 export interface ReportedGrant {
+    /** From this time on only tokens of running requests count as outstanding. */
+    readonly expiresAt: Millis;
     outstanding: number;
+    /** Totals and sequence number of the newest report. */
     sequence: number;
     spent: number;
     returned: number;
     reserved: number;
     reservedUntil: Millis;
+    /**
+     * False once tokens of the grant were counted as spent or belonged to an earlier owner: what is returned then
+     * ends being outstanding and does not go back into the level.
+     */
     isCreditable: boolean;
-    readonly expiresAt: Millis;
 }
 
 /**
--- a/src/tables/buckets.ts
+++ b/src/tables/buckets.ts
@@ -10,25 +10,12 @@
 } from "../ids";
 import type { OwnerAddress } from "../peers";
 import type { Bucket } from "../policy/bucket";
+import type { ReportedGrant } from "../policy/settlement";
 
 /** A grant as its owner counts it. */
-export interface GivenGrant {
+export interface GivenGrant extends ReportedGrant {
     readonly id: GrantId;
     readonly holder: VmId;
-    /** From this time on only tokens of running requests count as outstanding. */
-    readonly expiresAt: Millis;
-    outstanding: number;
-    /** Totals and sequence number of the newest report. */
-    sequence: number;
-    spent: number;
-    returned: number;
-    reserved: number;
-    reservedUntil: Millis;
-    /**
-     * False once tokens of the grant were counted as spent or belonged to an earlier owner: what is returned then
-     * ends being outstanding and does not go back into the level.
-     */
-    isCreditable: boolean;
 }
 
 export interface BucketRow {
--- a/standins/load.ts
+++ b/standins/load.ts
@@ -1,6 +1,6 @@
 /** Load tool: callers of one deployment that send completions with nested prompts and orders that may run once. */
 import { randomBytes } from "node:crypto";
-import { type AccountPlan, blockTokens, bytesPerToken, type DeploymentPlan } from "./deployments";
+import { type AccountPlan, bytesPerToken, type DeploymentPlan } from "./deployments";
 import { createEntryList, type EntryList, sendCompletion } from "./loadClient";
 import { type AccountRecord, addRefusal, type LoadRecord, type OrderRecord, recordOutcome } from "./loadRecord";
 import { computeArrivalDelay, createPrompt, createRandom, type Random } from "./workload";
@@ -147,7 +147,3 @@
         return runCaller(caller, options, createRandom(seed * 1000 + index));
     }));
 }
-
-/** Tokens of the longest shared prefix of a deployment's prompts. */
-export const computeSharedTokens = (plan: DeploymentPlan): number =>
-    (plan.documentBlocks + plan.caseBlocks) * blockTokens;
--- a/standins/operatorClient.ts
+++ b/standins/operatorClient.ts
@@ -30,8 +30,3 @@
         await new Promise(resolve => setTimeout(resolve, 100));
     }
 }
-
-/** Withdraws the key with the given label. */
-export async function revokeKey(router: RouterProcess, label: string, key: string): Promise<number> {
-    return (await sendCall(router, "DELETE", `keys/${label}`, key)).status;
-}
