--- a/src/effects.ts
+++ b/src/effects.ts
@@ -132,19 +132,29 @@
 export type EffectKind = Effect["kind"];
 export type EffectOf<Kind extends EffectKind> = Extract<Effect, { readonly kind: Kind; }>;
 
+/** Anything that a table of handlers can tell apart. */
+export interface Kinded {
+    readonly kind: string;
+}
+
+/** One handler for each kind of a union of effects. */
+export type HandlersOf<AnyEffect extends Kinded> = {
+    readonly [Kind in AnyEffect["kind"]]: (effect: Extract<AnyEffect, { readonly kind: Kind; }>) => void;
+};
+
 /** Adapters provide one handler for each kind of effect. */
-export type EffectHandlers = { readonly [Kind in EffectKind]: (effect: EffectOf<Kind>) => void; };
+export type EffectHandlers = HandlersOf<Effect>;
 
 /** Effects that systems appended in the current tick. */
-export interface EffectQueue {
-    append(effect: Effect): void;
+export interface EffectQueue<AnyEffect extends Kinded = Effect> {
+    append(effect: AnyEffect): void;
     /** Removes and returns all effects in order. */
-    takeAll(): readonly Effect[];
+    takeAll(): readonly AnyEffect[];
 }
 
 /** Creates an empty effect queue. */
-export function createEffectQueue(): EffectQueue {
-    let effects: Effect[] = [];
+export function createEffectQueue<AnyEffect extends Kinded = Effect>(): EffectQueue<AnyEffect> {
+    let effects: AnyEffect[] = [];
     return {
         append: effect => {
             effects.push(effect);
@@ -157,19 +167,27 @@
     };
 }
 
+/** Any effect queue that takes log lines. */
+export interface LogQueue {
+    append(effect: EffectOf<"writeLog">): void;
+}
+
 /** Appends a log line. */
-export function logInfo(effects: EffectQueue, prefix: LogPrefix, message: string, fields: LogFields = {}): void {
+export function logInfo(effects: LogQueue, prefix: LogPrefix, message: string, fields: LogFields = {}): void {
     effects.append({ kind: "writeLog", level: "info", prefix, message, fields });
 }
 
 /** Appends a log line about something an operator should look at. */
-export function logWarning(effects: EffectQueue, prefix: LogPrefix, message: string, fields: LogFields = {}): void {
+export function logWarning(effects: LogQueue, prefix: LogPrefix, message: string, fields: LogFields = {}): void {
     effects.append({ kind: "writeLog", level: "warn", prefix, message, fields });
 }
 
 /** Carries out effects in order. */
-export function runEffects(effects: readonly Effect[], handlers: EffectHandlers): void {
+export function runEffects<AnyEffect extends Kinded>(
+    effects: readonly AnyEffect[],
+    handlers: HandlersOf<AnyEffect>,
+): void {
     for (const effect of effects) {
-        (handlers[effect.kind] as (effect: Effect) => void)(effect);
+        (handlers[effect.kind as AnyEffect["kind"]] as (effect: AnyEffect) => void)(effect);
     }
 }
--- a/src/events.ts
+++ b/src/events.ts
@@ -17,6 +17,7 @@
 import type { PeerAnswer, PeerRequest } from "./peers";
 import type { AnswerRecord, AttemptFailure, RequestArrival, Usage } from "./requests";
 import type { StoreChange, StoreOutcome } from "./store";
+import { createKindBatch } from "./kindBatch";
 import type { CacheEvent, OrderOutcome, TargetReport } from "./targets";
 
 /** Says which decision a store call belongs to, so that its outcome reaches the right system. */
@@ -177,23 +178,9 @@
     })[];
 }
 
-const emptyList: readonly never[] = [];
-
 /** Groups events by kind. */
 export function createEventBatch(events: readonly Event[]): EventBatch {
-    const byKind = new Map<EventKind, Event[]>();
-    for (const event of events) {
-        const list = byKind.get(event.kind);
-        if (list) {
-            list.push(event);
-        }
-        else {
-            byKind.set(event.kind, [event]);
-        }
-    }
-    function list<Kind extends EventKind>(kind: Kind): readonly EventOf<Kind>[] {
-        return (byKind.get(kind) ?? emptyList) as readonly EventOf<Kind>[];
-    }
+    const { list } = createKindBatch(events);
     return {
         list,
         listStoreReplies: purpose => list("storeReplied").filter(event => event.purpose.for === purpose) as never,
--- /dev/null
+++ b/src/kindBatch.ts
@@ -0,0 +1,24 @@
+/** Events of one tick, grouped by kind. */
+import type { Kinded } from "./effects";
+
+/** The events of one tick, in the order of arrival within a kind. */
+export interface KindBatch<AnyEvent extends Kinded> {
+    list<Kind extends AnyEvent["kind"]>(kind: Kind): readonly Extract<AnyEvent, { readonly kind: Kind; }>[];
+}
+
+const emptyList: readonly never[] = [];
+
+/** Groups events by kind. */
+export function createKindBatch<AnyEvent extends Kinded>(events: readonly AnyEvent[]): KindBatch<AnyEvent> {
+    const byKind = new Map<string, AnyEvent[]>();
+    for (const event of events) {
+        const list = byKind.get(event.kind);
+        if (list) {
+            list.push(event);
+        }
+        else {
+            byKind.set(event.kind, [event]);
+        }
+    }
+    return { list: kind => (byKind.get(kind) ?? emptyList) as never };
+}
--- a/src/runner.ts
+++ b/src/runner.ts
@@ -1,8 +1,9 @@
 /** Runs ticks: collects events and due timers, runs the systems in order, hands the effects to the adapters. */
-import { type EffectHandlers, runEffects } from "./effects";
-import { createEventBatch, type Event } from "./events";
+import { type Effect, type EffectHandlers, type EffectQueue, type HandlersOf, type Kinded, runEffects } from "./effects";
+import { createEventBatch, type Event, type EventBatch } from "./events";
 import type { Millis } from "./ids";
-import type { System, World } from "./world";
+import type { TimerService } from "./timers";
+import type { System, TickOf, World } from "./world";
 
 /** Time as the runner needs it; tests pass a virtual clock. */
 export interface Clock {
@@ -15,26 +16,46 @@
     cancelWake(): void;
 }
 
-export interface RunnerOptions {
-    readonly world: World;
-    readonly systems: readonly System[];
-    readonly handlers: EffectHandlers;
+/** Receives the numbers of events and effects of a tick. */
+export type TickObserver = (
+    tick: { readonly number: number; readonly events: number; readonly effects: number; },
+) => void;
+
+/** What the runner needs of a world. */
+export interface RunnableWorld<AnyEffect extends Kinded> {
+    readonly effects: EffectQueue<AnyEffect>;
+    readonly timers: TimerService;
+}
+
+export interface TickRunnerOptions<AnyEvent, Batch, AnyEffect extends Kinded, AnyWorld extends RunnableWorld<AnyEffect>> {
+    readonly world: AnyWorld;
+    readonly systems: readonly ((world: AnyWorld, tick: TickOf<Batch>) => void)[];
+    readonly handlers: HandlersOf<AnyEffect>;
     readonly clock: Clock;
+    /** Groups the events of one tick. */
+    readonly createBatch: (events: readonly AnyEvent[]) => Batch;
     /** Called after each tick with its processor-independent facts, for tests and benchmarks. */
-    readonly observe?: (tick: { readonly number: number; readonly events: number; readonly effects: number; }) => void;
+    readonly observe?: TickObserver;
 }
 
-export interface Runner {
+export interface Runner<AnyEvent = Event> {
     /** Adds an event; the next tick reads it. */
-    post(event: Event): void;
+    post(event: AnyEvent): void;
     /** Runs the first tick, in which systems set up their timers. */
     start(): void;
     stop(): void;
 }
 
-/** Creates the runner of one process. */
-export function createRunner({ world, systems, handlers, clock, observe }: RunnerOptions): Runner {
-    let pending: Event[] = [];
+/** Creates the runner of any world. */
+export function createTickRunner<
+    AnyEvent,
+    Batch,
+    AnyEffect extends Kinded,
+    AnyWorld extends RunnableWorld<AnyEffect>,
+>(
+    { world, systems, handlers, clock, createBatch, observe }: TickRunnerOptions<AnyEvent, Batch, AnyEffect, AnyWorld>,
+): Runner<AnyEvent> {
+    let pending: AnyEvent[] = [];
     let isScheduled = false;
     let isStopped = false;
     let number = 0;
@@ -52,7 +73,7 @@
             number,
             now,
             wallNow: clock.getWallNow(),
-            events: createEventBatch(events),
+            events: createBatch(events),
             due: world.timers.takeDue(now),
         };
         for (const system of systems) {
@@ -90,3 +111,16 @@
         },
     };
 }
+
+export interface RunnerOptions {
+    readonly world: World;
+    readonly systems: readonly System[];
+    readonly handlers: EffectHandlers;
+    readonly clock: Clock;
+    readonly observe?: TickObserver;
+}
+
+/** Creates the runner of one process. */
+export function createRunner(options: RunnerOptions): Runner {
+    return createTickRunner<Event, EventBatch, Effect, World>({ ...options, createBatch: createEventBatch });
+}
--- a/src/world.ts
+++ b/src/world.ts
@@ -19,15 +19,18 @@
     readonly timers: TimerService;
 }
 
-export interface Tick {
+/** One run of the systems over the events of a batch. */
+export interface TickOf<Batch> {
     /** Counts up by one; the first tick of a process is 1. */
     readonly number: number;
     readonly now: Millis;
     /** Milliseconds since the Unix epoch, for records that people or other processes read. */
     readonly wallNow: number;
-    readonly events: EventBatch;
+    readonly events: Batch;
     readonly due: DueTimers;
 }
 
+export type Tick = TickOf<EventBatch>;
+
 /** A system reads events and tables, writes tables and appends effects. It never awaits. */
 export type System = (world: World, tick: Tick) => void;
