--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,7 +1,7 @@
 // Bundles a TypeScript entry point into one CommonJS file.
 import { build } from "esbuild";
 
-export async function bundle(entry, outfile) {
+export async function bundle(entry, outfile, { sourcemap = "inline", minify = false } = {}) {
     await build({
         entryPoints: [entry],
         outfile,
@@ -11,7 +11,8 @@
         format: "cjs",
         // The CommonJS entry of ts-results cannot be bundled, so its module entry comes first.
         mainFields: ["module", "main"],
-        sourcemap: "inline",
+        sourcemap,
+        minify,
         logLevel: "warning",
     });
 }
--- a/src/adapters/logger.ts
+++ b/src/adapters/logger.ts
@@ -1,19 +1,47 @@
-/** Structured logs: one JSON line for each entry, on standard error. */
+/** Structured logs: one JSON line for each entry. */
 import * as winston from "winston";
-import type { Settings } from "../config/settings";
 import type { EffectOf } from "../effects";
 
 export type LogWriter = (effect: EffectOf<"writeLog">) => void;
 
-/** Creates the writer of log lines. */
-export function createLogWriter(settings: Settings): LogWriter {
+export interface LogOptions {
+    readonly log: { readonly level: string; };
+    readonly vm: string;
+    /** Stream that the lines are written to; the default is standard error. */
+    readonly stream?: "stdout" | "stderr";
+    /** Lines of level info in one second; further ones are counted and dropped. The default is no limit. */
+    readonly infoLinesPerSecond?: number;
+}
+
+const allLevels = ["error", "warn", "info", "debug"];
+
+/** Creates the writer of log lines. Warnings and errors are never dropped; they are bounded by the requests. */
+export function createLogWriter(
+    { log, vm, stream = "stderr", infoLinesPerSecond = Number.POSITIVE_INFINITY }: LogOptions,
+): LogWriter {
     const logger = winston.createLogger({
-        level: settings.log.level,
+        level: log.level,
         format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
-        defaultMeta: { vm: settings.vm },
-        transports: [new winston.transports.Console({ stderrLevels: ["error", "warn", "info", "debug"] })],
+        defaultMeta: { vm },
+        transports: [new winston.transports.Console({ stderrLevels: stream === "stderr" ? allLevels : [] })],
     });
+    let second = 0;
+    let written = 0;
+    let dropped = 0;
     return ({ level, prefix, message, fields }) => {
+        const now = Math.floor(performance.now() / 1000);
+        if (now !== second) {
+            if (dropped > 0) {
+                logger.log("warn", "log: Lines were dropped.", { lines: dropped });
+            }
+            second = now;
+            written = 0;
+            dropped = 0;
+        }
+        if (level === "info" && ++written > infoLinesPerSecond) {
+            dropped += 1;
+            return;
+        }
         logger.log(level, `${prefix} ${message}`, fields);
     };
 }
--- a/src/cli/commandLine.ts
+++ b/src/cli/commandLine.ts
@@ -13,6 +13,7 @@
 import { configGetCommand, configHistoryCommand, configPutCommand } from "./commands/config";
 import { entriesCommand } from "./commands/entries";
 import { explainCommand } from "./commands/explain";
+import { forwardCommand } from "./commands/forward";
 import { keyGrantCommand, keyWithdrawCommand } from "./commands/key";
 import { serveCommand } from "./commands/serve";
 import { statusCommand } from "./commands/status";
@@ -22,6 +23,7 @@
 
 const commands: Readonly<Record<string, Command>> = {
     "serve": serveCommand,
+    "forward": forwardCommand,
     "check": checkCommand,
     "config get": configGetCommand,
     "config put": configPutCommand,
--- /dev/null
+++ b/src/cli/commands/forward.ts
@@ -0,0 +1,46 @@
+/** `forward`: runs one process in the forwarding mode. */
+import { platformPorts } from "../../../platform";
+import { startForwardNode } from "../../forward/adapters/node";
+import { parseForwardSettings } from "../../forward/settings";
+import { type Command, type ExitCode, exitCodes, getText, printFaults, readTextFile, UsageError } from "../command";
+
+const settingsVariable = "MARJORAMVANE_CONFIG";
+
+export const forwardCommand: Command = {
+    summary: "Passes requests on to registered targets until SIGTERM or SIGINT; SIGHUP reads the settings again.",
+    arguments: [],
+    options: {
+        settings: { type: "string", value: "FILE", help: `settings in TOML; default: $${settingsVariable}` },
+    },
+    run: async ({ values, io }) => {
+        const file = getText(values, "settings") ?? io.env[settingsVariable];
+        if (file === undefined) {
+            throw new UsageError(`--settings or ${settingsVariable} is required`);
+        }
+        const settings = parseForwardSettings(readTextFile(file));
+        if (settings.err) {
+            printFaults(io, file, settings.val);
+            return exitCodes.invalid;
+        }
+        return new Promise<ExitCode>((resolve, reject) => {
+            const handleExit = (code: number): void => {
+                resolve(code === 0 ? exitCodes.done : exitCodes.failed);
+            };
+            startForwardNode({ settings: settings.val, ports: platformPorts, onExit: handleExit }).then(node => {
+                for (const signal of ["SIGTERM", "SIGINT"] as const) {
+                    process.on(signal, () => {
+                        node.drain();
+                    });
+                }
+                process.on("SIGHUP", () => {
+                    const next = parseForwardSettings(readTextFile(file));
+                    if (next.ok) {
+                        node.reload(next.val);
+                        return;
+                    }
+                    printFaults(io, file, next.val);
+                });
+            }, reject);
+        });
+    },
+};
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,7 +1,7 @@
 /** Entry point of the program. */
 import { runCommandLine } from "./commandLine";
 
-/** Time for the last log lines and store calls of `serve` to leave the process. */
+/** Time for the last log lines and store calls of `serve` and `forward` to leave the process. */
 const exitDelayMs = 100;
 
 const io = {
@@ -17,7 +17,7 @@
 const args = process.argv.slice(2);
 void runCommandLine(args, io).then(code => {
     process.exitCode = code;
-    if (args[0] === "serve") {
+    if (args[0] === "serve" || args[0] === "forward") {
         // Open connections would keep a process alive that failed to start or has drained.
         setTimeout(() => process.exit(code), exitDelayMs).unref();
     }
--- a/src/events.ts
+++ b/src/events.ts
@@ -13,11 +13,11 @@
     TargetId,
     VmId,
 } from "./ids";
+import { createKindBatch } from "./kindBatch";
 import type { OperatorCommand } from "./operators";
 import type { PeerAnswer, PeerRequest } from "./peers";
 import type { AnswerRecord, AttemptFailure, RequestArrival, Usage } from "./requests";
 import type { StoreChange, StoreOutcome } from "./store";
-import { createKindBatch } from "./kindBatch";
 import type { CacheEvent, OrderOutcome, TargetReport } from "./targets";
 
 /** Says which decision a store call belongs to, so that its outcome reaches the right system. */
--- /dev/null
+++ b/src/forward/adapters/eventRelay.ts
@@ -0,0 +1,100 @@
+/** Relays the events of a stream to a caller; checks that they are consecutive and whole. */
+import type * as http from "node:http";
+import type { AttemptFault } from "../calls";
+import { createEventCutter, type RawEvent } from "../codec/eventStream";
+
+export interface EventRelayOptions {
+    readonly source: http.IncomingMessage;
+    readonly caller: http.ServerResponse;
+    /** Number of the last event that the caller has; undefined when it has none. */
+    readonly lastEventId: number | undefined;
+    readonly onFirstEvent: () => void;
+    readonly onFinished: () => void;
+    readonly onFailed: (fault: AttemptFault, lastEventId: number) => void;
+}
+
+export interface EventRelay {
+    start(): void;
+    stop(): void;
+}
+
+/** Creates the relay of one attempt. */
+export function createEventRelay(options: EventRelayOptions): EventRelay {
+    const { source, caller, onFirstEvent, onFinished, onFailed } = options;
+    const cutter = createEventCutter();
+    let { lastEventId } = options;
+    let hasFirst = false;
+    let isOver = false;
+
+    function closeFailed(fault: AttemptFault): void {
+        if (!isOver) {
+            isOver = true;
+            source.destroy();
+            onFailed(fault, lastEventId ?? 0);
+        }
+    }
+
+    function writeToCaller(bytes: Buffer): void {
+        if (!caller.write(bytes)) {
+            // Pausing the target's socket makes a slow reader slow only its own stream.
+            source.pause();
+            caller.once("drain", () => source.resume());
+        }
+    }
+
+    function handleEvent({ bytes, id }: RawEvent): void {
+        if (id !== undefined && lastEventId !== undefined && id <= lastEventId) {
+            return;
+        }
+        if (id !== undefined && lastEventId !== undefined && id !== lastEventId + 1) {
+            closeFailed("mismatched");
+            return;
+        }
+        lastEventId = id ?? lastEventId;
+        if (!hasFirst) {
+            hasFirst = true;
+            onFirstEvent();
+        }
+        writeToCaller(bytes);
+    }
+
+    function closeFinished(): void {
+        if (isOver) {
+            return;
+        }
+        if (!source.complete) {
+            closeFailed("cut_short");
+            return;
+        }
+        isOver = true;
+        const rest = cutter.getRest();
+        caller.end(rest.length > 0 ? rest : undefined);
+        onFinished();
+    }
+
+    return {
+        start: () => {
+            source.on("data", (chunk: Buffer) => {
+                for (const event of cutter.add(chunk)) {
+                    if (!isOver) {
+                        handleEvent(event);
+                    }
+                }
+            });
+            source.on("end", closeFinished);
+            source.on("error", () => {
+                closeFailed("cut_short");
+            });
+            source.on("close", () => {
+                closeFailed("cut_short");
+            });
+            if (source.destroyed) {
+                closeFailed("cut_short");
+            }
+        },
+        stop: () => {
+            isOver = true;
+            source.destroy();
+        },
+    };
+}
--- /dev/null
+++ b/src/forward/adapters/node.ts
@@ -0,0 +1,160 @@
+/** Assembles one process of the forwarding mode: tables, systems, timers and all adapters. */
+import * as http from "node:http";
+import { createProcessClock } from "../../adapters/clock";
+import { loadHasher } from "../../adapters/hasher";
+import { createLogWriter, type LogWriter } from "../../adapters/logger";
+import { createMetrics, type Metrics } from "../../adapters/metrics";
+import { createEffectQueue } from "../../effects";
+import { createTickRunner } from "../../runner";
+import { createTimerService } from "../../timers";
+import type { ForwardEffect, ForwardHandlers } from "../effects";
+import { createForwardBatch, type ForwardBatch, type ForwardEvent } from "../events";
+import type { PlatformPorts } from "../ports";
+import type { ForwardSettings } from "../settings";
+import { forwardSystems } from "../systems";
+import { createForwardTables } from "../tables";
+import type { ForwardWorld } from "../world";
+import { createForwardClient } from "./forwardClient";
+import { createFrontServer, openListener } from "./frontServer";
+import { createOpenForwards } from "./openForwards";
+
+/** Time between steps of the directory's answers that callers keep: a part of the longest time they may. */
+const keepFraction = 0.4;
+
+export interface ForwardNodeOptions {
+    readonly settings: ForwardSettings;
+    readonly ports: PlatformPorts;
+    readonly onExit?: (code: number) => void;
+    /** Receives log lines; the default writes JSON lines to standard output. */
+    readonly writeLog?: LogWriter;
+}
+
+export interface RunningForwardNode {
+    /** Begins a graceful shutdown. */
+    drain(): void;
+    /** Takes settings that were read again. */
+    reload(settings: ForwardSettings): void;
+    /** Stops at once. */
+    stop(): void;
+}
+
+function createMetricsServer(metrics: Metrics): http.Server {
+    return http.createServer((_request, response) => {
+        void metrics.format().then(text => {
+            response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+            response.end(text);
+        });
+    });
+}
+
+/**
+ * Starts one process in the forwarding mode.
+ *
+ * @example
+ * const node = await startForwardNode({ settings, ports: platformPorts, onExit: code => process.exit(code) });
+ * process.once("SIGTERM", () => node.drain());
+ */
+export async function startForwardNode(
+    { settings, ports, onExit, writeLog }: ForwardNodeOptions,
+): Promise<RunningForwardNode> {
+    const clock = createProcessClock();
+    const world: ForwardWorld = {
+        settings,
+        hasher: await loadHasher(),
+        random: Math.random,
+        tables: createForwardTables(),
+        effects: createEffectQueue<ForwardEffect>(),
+        timers: createTimerService(),
+    };
+    const post = (event: ForwardEvent): void => {
+        runner.post(event);
+    };
+    const metrics = createMetrics();
+    const metricsServer = createMetricsServer(metrics);
+    const openForwards = createOpenForwards();
+    const { listen, store: storeSettings, bounds, log, vm } = settings;
+    const front = createFrontServer({ address: listen.callers, codec: ports.headers, clock, post, openForwards });
+    const client = createForwardClient({ codec: ports.headers, post, openForwards, isClosing: front.isClosing });
+    const store = ports.createStore({ clock, post, ...storeSettings });
+    const engines = ports.createEngines({ clock, post });
+    const directory = ports.createDirectory({
+        clock,
+        post,
+        directoryAddress: listen.directory,
+        readinessAddress: listen.readiness,
+        keepSeconds: bounds.addressesKeepSeconds * keepFraction,
+        isReady: () => world.tables.node.isReady,
+    });
+
+    function stop(): void {
+        runner.stop();
+        front.close();
+        client.close();
+        store.close();
+        engines.close();
+        directory.close();
+        metricsServer.close();
+    }
+
+    const handlers: ForwardHandlers = {
+        refuseRequest: front.refuse,
+        relayAnswer: client.relay,
+        interruptAnswer: front.interrupt,
+        forgetRequest: ({ request }) => {
+            client.forget(request);
+            openForwards.remove(request);
+        },
+        answerAddresses: directory.answer,
+        applyLimits: ({ limits }) => {
+            front.applyLimits(limits);
+        },
+        updateReadiness: ({ isClosing }) => {
+            if (isClosing) {
+                front.startClosing();
+            }
+        },
+        sendRequest: client.send,
+        cancelAttempt: client.cancel,
+        closeTarget: ({ target }) => {
+            client.closeTarget(target);
+        },
+        readEngine: engines.read,
+        orderWeights: engines.order,
+        callStore: store.call,
+        writeLog: writeLog ?? createLogWriter({
+            log,
+            vm,
+            stream: "stdout",
+            infoLinesPerSecond: log.infoLinesPerSecond,
+        }),
+        addCount: metrics.addCount,
+        recordValue: metrics.recordValue,
+        closeListeners: front.close,
+        exitProcess: ({ code }) => {
+            stop();
+            onExit?.(code);
+        },
+    };
+    const runner = createTickRunner<ForwardEvent, ForwardBatch, ForwardEffect, ForwardWorld>({
+        world,
+        systems: forwardSystems,
+        handlers,
+        clock,
+        createBatch: createForwardBatch,
+    });
+    await front.start();
+    await directory.start();
+    await openListener(metricsServer, listen.metrics);
+    runner.start();
+    store.start();
+    return {
+        drain: () => {
+            post({ kind: "drainAsked" });
+        },
+        reload: next => {
+            world.settings = { ...next, listen };
+            post({ kind: "reloadAsked", outcome: "applied" });
+        },
+        stop,
+    };
+}
--- /dev/null
+++ b/src/forward/effects.ts
@@ -0,0 +1,52 @@
+/** Effects of the forwarding mode: what its systems ask the adapters to do. */
+import type { EffectOf, EffectQueue, HandlersOf } from "../effects";
+import type { CallId, Millis, RequestId, TargetId } from "../ids";
+import type { Refusal } from "../refusals";
+import type { StoreCall } from "../store";
+import type { ForwardCall, WeightsOrder } from "./calls";
+import type { CallerLimits } from "./document";
+import type { ForwardStorePurpose } from "./events";
+
+export type ForwardEffect =
+    /* callers */
+    | { readonly kind: "refuseRequest"; readonly request: RequestId; readonly refusal: Refusal; }
+    /** Relays the answer of the attempt to the caller. */
+    | { readonly kind: "relayAnswer"; readonly request: RequestId; readonly attempt: number; }
+    /** Breaks off an answer that has begun. */
+    | { readonly kind: "interruptAnswer"; readonly request: RequestId; }
+    | { readonly kind: "forgetRequest"; readonly request: RequestId; }
+    | { readonly kind: "answerAddresses"; readonly call: CallId; readonly addresses: readonly string[]; }
+    | { readonly kind: "applyLimits"; readonly limits: CallerLimits; }
+    | { readonly kind: "updateReadiness"; readonly isReady: boolean; readonly isClosing: boolean; }
+    /* attempts */
+    | {
+        readonly kind: "sendRequest";
+        readonly request: RequestId;
+        readonly attempt: number;
+        readonly call: ForwardCall;
+    }
+    | { readonly kind: "cancelAttempt"; readonly request: RequestId; readonly attempt: number; }
+    | { readonly kind: "closeTarget"; readonly target: TargetId; }
+    /* engines */
+    | { readonly kind: "readEngine"; readonly target: TargetId; readonly address: string; readonly instance: string; }
+    | {
+        readonly kind: "orderWeights";
+        readonly target: TargetId;
+        readonly address: string;
+        readonly instance: string;
+        readonly order: WeightsOrder;
+        /** The order is dropped from this time on: the holder's lease is no longer certain. */
+        readonly notAfter: Millis;
+    }
+    /* store */
+    | { readonly kind: "callStore"; readonly purpose: ForwardStorePurpose; readonly call: StoreCall; }
+    /* process */
+    | EffectOf<"writeLog">
+    | EffectOf<"addCount">
+    | EffectOf<"recordValue">
+    | { readonly kind: "closeListeners"; }
+    | { readonly kind: "exitProcess"; readonly code: number; };
+
+export type ForwardEffectOf<Kind extends ForwardEffect["kind"]> = Extract<ForwardEffect, { readonly kind: Kind; }>;
+export type ForwardEffectQueue = EffectQueue<ForwardEffect>;
+export type ForwardHandlers = HandlersOf<ForwardEffect>;
--- /dev/null
+++ b/src/forward/settings.ts
@@ -0,0 +1,69 @@
+/** Settings of one process in the forwarding mode, read from a TOML file. */
+import { Err, Ok, type Result } from "ts-results";
+import { z } from "zod";
+import { type Fault, listSchemaFaults } from "../config/document";
+import { parseTomlText } from "../config/files";
+import type { DataCentreId, VmId } from "../ids";
+
+const ipAndPort = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "expected IP:PORT");
+const milliseconds = z.number().positive();
+
+const settingsSchema = z.strictObject({
+    /** Name of this VM; unique in the fleet. */
+    vm: z.string().min(1).max(64),
+    dataCentre: z.string().min(1),
+    listen: z.strictObject({
+        callers: ipAndPort,
+        readiness: ipAndPort,
+        directory: ipAndPort,
+        metrics: ipAndPort,
+    }),
+    store: z.strictObject({ address: ipAndPort, timeoutMs: milliseconds.default(900) }),
+    /** What the operators of the platform allow. Times are in milliseconds. */
+    bounds: z.strictObject({
+        /** Time after which a stopped process is killed. */
+        graceMs: milliseconds,
+        /** Repeated sends allowed for each request. */
+        retryRatio: z.number().min(0),
+        /** Repeated sends allowed besides, in one window and over the fleet. */
+        retryMin: z.number().min(0),
+        retryWindowMs: milliseconds,
+        quotaWindowMs: milliseconds,
+        /** Tokens allowed beyond rate and burst in one window, over the fleet. */
+        quotaSlackTokens: z.number().min(0),
+        /** Two holders of a duty must not act within this time of each other. */
+        dutyGuardMs: milliseconds,
+        /** Time within which engines must serve a named version of the weights. */
+        weightsMs: milliseconds,
+        /** Longest time for which callers keep the list of addresses. */
+        addressesKeepSeconds: z.number().positive(),
+    }),
+    log: z.strictObject({
+        level: z.enum(["error", "warn", "info", "debug"]).default("info"),
+        /** Lines of level info that are written in one second; further ones are counted and dropped. */
+        infoLinesPerSecond: z.number().int().positive().default(300),
+    }).prefault({}),
+});
+
+type ParsedSettings = z.output<typeof settingsSchema>;
+
+export type ForwardSettings = Omit<ParsedSettings, "vm" | "dataCentre"> & {
+    readonly vm: VmId;
+    readonly dataCentre: DataCentreId;
+};
+
+/**
+ * Parses a TOML settings file. Reports every fault at once.
+ *
+ * @example
+ * const result = parseForwardSettings('vm = "front-1"');
+ * if (result.err) { result.val.map(fault => fault.path); }
+ */
+export function parseForwardSettings(text: string): Result<ForwardSettings, readonly Fault[]> {
+    const toml = parseTomlText(text);
+    if (toml.err) {
+        return toml;
+    }
+    const parsed = settingsSchema.safeParse(toml.val);
+    return parsed.success ? Ok(parsed.data as ForwardSettings) : Err(listSchemaFaults(parsed.error));
+}
--- /dev/null
+++ b/src/forward/systems/admitRequests.ts
@@ -0,0 +1,191 @@
+/** Admits arriving requests: configuration, route, key, account's share, deadline. */
+import { logInfo, logWarning } from "../../effects";
+import { addMillis, type Millis } from "../../ids";
+import { type RefusalCode } from "../../refusals";
+import type { ForwardArrival } from "../calls";
+import type { ForwardAccount, ForwardRoute } from "../document";
+import type { ForwardTick } from "../events";
+import type { ServiceId } from "../ids";
+import { computeShare } from "../policy/share";
+import type { ForwardRequestRow } from "../tables/requests";
+import type { ShareRow } from "../tables/shares";
+import type { ForwardWorld } from "../world";
+import { isAdmitting } from "./drainNode";
+
+/** The process counts as out of touch when the store has been silent for longer than a lease lasts. */
+const outOfTouchMs = 4000;
+/** Callers come back to a process without configuration after this time. */
+const startingRetrySeconds = 0.5;
+const drainingRetrySeconds = 0.1;
+/** Time that a caller needs to come back, before it can use tokens that are refilled. */
+const shortestRetrySeconds = 0.05;
+
+type Decision =
+    | { readonly kind: "refuse"; readonly code: RefusalCode; readonly retryAfterSeconds?: number; }
+    | { readonly kind: "admit"; readonly account: ForwardAccount | undefined; readonly route: ForwardRoute; };
+
+const refuse = (code: RefusalCode, retryAfterSeconds?: number): Decision => ({
+    kind: "refuse",
+    code,
+    ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }),
+});
+
+/** Tokens for which the account is charged. */
+const computeTokens = (arrival: ForwardArrival, account: ForwardAccount | undefined): number =>
+    arrival.hasTokens ? arrival.promptTokens + arrival.maxOutputTokens : account?.plainTokens ?? 0;
+
+function updateShare(world: ForwardWorld, now: Millis, account: ForwardAccount): ShareRow {
+    const { shares, members, node } = world.tables;
+    const share = computeShare({
+        rate: account.rate,
+        burst: account.burst,
+        slackTokens: world.settings.bounds.quotaSlackTokens,
+        members: members.countLive(),
+        isInTouch: now - node.storeHeardAt < outOfTouchMs,
+    });
+    const known = shares.rows.get(account.id);
+    // A process that has just started may follow one that had used up its share.
+    const row = known ?? { level: share.capacity / 2, refilledAt: now };
+    shares.rows.set(account.id, row);
+    row.level = Math.min(share.capacity, row.level + (now - row.refilledAt) / 1000 * share.rate);
+    row.refilledAt = now;
+    return row;
+}
+
+/** Takes the tokens of the request; returns the seconds until the account has tokens again if it has none. */
+function reserveTokens(
+    world: ForwardWorld,
+    now: Millis,
+    account: ForwardAccount,
+    tokens: number,
+): number | undefined {
+    if (account.rate <= 0 || tokens === 0) {
+        return undefined;
+    }
+    const row = updateShare(world, now, account);
+    if (row.level > 0) {
+        row.level -= tokens;
+        return undefined;
+    }
+    const members = Math.max(1, world.tables.members.countLive());
+    return Math.max(shortestRetrySeconds, -row.level / (account.rate / members));
+}
+
+function checkAdmission(world: ForwardWorld, tick: ForwardTick, arrival: ForwardArrival): Decision {
+    const { configuration } = world.tables;
+    const { document } = configuration;
+    if (!document) {
+        return refuse("configuration_missing", startingRetrySeconds);
+    }
+    if (!isAdmitting(world, tick)) {
+        return refuse("draining", drainingRetrySeconds);
+    }
+    const route = configuration.findRoute(arrival.host, arrival.path);
+    if (!route) {
+        return refuse("route_unknown");
+    }
+    if (arrival.attemptId === undefined) {
+        return refuse("bad_request");
+    }
+    const account = arrival.keyHash === undefined ? undefined : configuration.findAccount(arrival.keyHash);
+    if (!account && document.needsKeys && !route.isOpen) {
+        return refuse(arrival.keyHash === undefined ? "key_missing" : "key_unknown");
+    }
+    const wait = account && reserveTokens(world, tick.now, account, computeTokens(arrival, account));
+    if (wait !== undefined) {
+        return refuse("rate_limited", wait);
+    }
+    return { kind: "admit", account, route };
+}
+
+function chooseService(world: ForwardWorld, route: ForwardRoute): ServiceId {
+    const total = route.services.reduce((sum, { weight }) => sum + weight, 0);
+    let point = world.random() * total;
+    for (const { service, weight } of route.services) {
+        point -= weight;
+        if (point < 0) {
+            return service;
+        }
+    }
+    return route.services[0]?.service as ServiceId;
+}
+
+function createRow(
+    world: ForwardWorld,
+    arrival: ForwardArrival,
+    { account, route }: Extract<Decision, { readonly kind: "admit"; }>,
+): ForwardRequestRow {
+    const waitMs = Math.min(arrival.waitMs ?? route.timeoutMs, route.timeoutMs);
+    return {
+        id: arrival.request,
+        arrival,
+        account,
+        accountId: account?.id,
+        route,
+        service: chooseService(world, route),
+        tokens: account ? computeTokens(arrival, account) : 0,
+        deadline: addMillis(arrival.arrivedAt, waitMs),
+        isRepeatable: route.kind === "repeatable" || (route.kind === "stream" && route.isResumable),
+        state: "queued",
+        attempts: [],
+        isRelaying: false,
+        lastEventId: arrival.lastEventId ?? 0,
+        hasFirstEvent: false,
+        notBefore: arrival.arrivedAt,
+    };
+}
+
+function refuseArrival(
+    world: ForwardWorld,
+    arrival: ForwardArrival,
+    { code, retryAfterSeconds }: Extract<Decision, { readonly kind: "refuse"; }>,
+): void {
+    world.effects.append({
+        kind: "refuseRequest",
+        request: arrival.request,
+        refusal: { code, verdict: "not_run", ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) },
+    });
+    world.effects.append({ kind: "forgetRequest", request: arrival.request });
+    const labels = { code, verdict: "not_run" };
+    world.effects.append({ kind: "addCount", name: "refusals_total", value: 1, labels });
+    logWarning(world.effects, "admit:", "Request was refused.", {
+        request: arrival.request,
+        code,
+        verdict: "not_run",
+        host: arrival.host,
+        path: arrival.path,
+        retryAfterSeconds,
+        version: world.tables.configuration.version,
+        storeAgeMs: Math.round(arrival.arrivedAt - world.tables.node.storeHeardAt),
+    });
+}
+
+/**
+ * Reads: configuration, members, node. Writes: requests, shares.
+ * Effects: refusals, deadline timers, counts, log lines.
+ */
+export function admitRequests(world: ForwardWorld, tick: ForwardTick): void {
+    const arrived = tick.events.list("requestArrived");
+    if (arrived.length === 0) {
+        return;
+    }
+    const gone = new Set(tick.events.list("callerGone").map(event => event.request));
+    for (const { arrival } of arrived) {
+        // A caller that left in the tick of its arrival is not reported again.
+        if (gone.has(arrival.request)) {
+            logInfo(world.effects, "stream:", "Caller closed the connection.", { request: arrival.request });
+            world.effects.append({ kind: "forgetRequest", request: arrival.request });
+            continue;
+        }
+        const decision = checkAdmission(world, tick, arrival);
+        if (decision.kind === "refuse") {
+            refuseArrival(world, arrival, decision);
+            continue;
+        }
+        const row = createRow(world, arrival, decision);
+        world.tables.requests.add(row);
+        world.timers.schedule({ name: "requestDeadline", at: row.deadline, key: row.id });
+        const labels = { route: row.route.id, account: row.accountId ?? "" };
+        world.effects.append({ kind: "addCount", name: "requests_total", value: 1, labels });
+    }
+}
--- /dev/null
+++ b/src/forward/systems/applyPublished.ts
@@ -0,0 +1,193 @@
+/** Takes what operators, targets and processes publish in the store. */
+import { logInfo, logWarning } from "../../effects";
+import { addMillis } from "../../ids";
+import { decodeMember, memberPrefix, weightsDutyKey } from "../codec/fleetRows";
+import type { FleetRow, PublishedChanges, TargetChange } from "../events";
+import type { ForwardTick } from "../events";
+import { getNewestWeights } from "../tables/configuration";
+import type { ForwardWorld } from "../world";
+import { closeForwardTarget } from "./targetEnd";
+
+/** The store's silence ended this recently: rows that lapsed meanwhile may still come back. */
+const returnMs = 2300;
+
+function applyDocument(world: ForwardWorld, { document }: PublishedChanges): void {
+    const { configuration } = world.tables;
+    if (!document) {
+        return;
+    }
+    const before = configuration.version;
+    if (!configuration.apply(document)) {
+        if (document.version < before) {
+            logWarning(world.effects, "config:", "An older configuration was read and is ignored.", {
+                version: document.version,
+                inForce: before,
+            });
+        }
+        return;
+    }
+    world.effects.append({ kind: "applyLimits", limits: document.limits });
+    logInfo(world.effects, "config:", "Configuration is in force.", {
+        version: document.version,
+        before,
+        routes: document.routes.length,
+        accounts: document.accounts.size,
+    });
+}
+
+function applyWeights(world: ForwardWorld, tick: ForwardTick, { weights, revision }: PublishedChanges): void {
+    const { configuration } = world.tables;
+    for (const { model, version } of weights) {
+        const newest = getNewestWeights(configuration, model);
+        if (newest && newest.version >= version) {
+            continue;
+        }
+        configuration.weights.set(model, [
+            ...(configuration.weights.get(model) ?? []),
+            { version, namedAt: tick.now },
+        ]);
+        logInfo(world.effects, "place:", "New weights are named.", { model, version, revision });
+    }
+}
+
+function applyTarget(world: ForwardWorld, tick: ForwardTick, { name, target }: TargetChange): void {
+    const { targets, node, heldParts } = world.tables;
+    if (target) {
+        const known = targets.findByName(name);
+        const replaced = targets.apply(name, target, tick.now);
+        if (replaced) {
+            closeForwardTarget(world, replaced);
+        }
+        if (known?.registration.isLeaving !== target.isLeaving || replaced) {
+            logInfo(world.effects, "target:", "Target is registered.", {
+                target: target.id,
+                service: target.service,
+                state: target.isLeaving ? "leaving" : "ready",
+            });
+        }
+        for (const [model, version] of target.weights) {
+            if (known && known.weights.get(model) !== version) {
+                heldParts.removeTarget(target.id);
+            }
+        }
+        return;
+    }
+    const row = targets.findByName(name);
+    if (!row) {
+        return;
+    }
+    const steadyMs = node.storeSteadySince === undefined ? 0 : tick.now - node.storeSteadySince;
+    if (steadyMs < returnMs && !row.registration.isLeaving) {
+        row.missingUntil ??= addMillis(tick.now, returnMs);
+        world.timers.schedule({ name: "targetReturn", at: row.missingUntil, key: name });
+        logInfo(world.effects, "target:", "Target vanished in an outage of the store; it is kept for a while.", {
+            target: row.registration.id,
+            storeSteadyMs: Math.round(steadyMs),
+        });
+        return;
+    }
+    removeTarget(world, name);
+}
+
+function removeTarget(world: ForwardWorld, name: string): void {
+    const { targets } = world.tables;
+    const row = targets.findByName(name);
+    if (row) {
+        targets.remove(name);
+        closeForwardTarget(world, row);
+        logInfo(world.effects, "target:", "Target is gone.", { target: row.registration.id });
+    }
+}
+
+function removeMissing(world: ForwardWorld, tick: ForwardTick): void {
+    for (const name of tick.due.listKeys("targetReturn")) {
+        const row = world.tables.targets.findByName(name);
+        if (row?.missingUntil !== undefined && tick.now >= row.missingUntil) {
+            removeTarget(world, name);
+        }
+    }
+}
+
+function applyRow(world: ForwardWorld, { key, value }: FleetRow): void {
+    const { members, node } = world.tables;
+    if (key === weightsDutyKey) {
+        node.duty.holder = value;
+        return;
+    }
+    if (!key.startsWith(memberPrefix)) {
+        return;
+    }
+    const vm = key.slice(memberPrefix.length) as Parameters<typeof members.remove>[0];
+    const member = value === undefined ? undefined : decodeMember(value);
+    const before = members.get(vm)?.state;
+    if (member) {
+        members.apply(member);
+    }
+    else {
+        members.remove(vm);
+    }
+    if (before !== member?.state) {
+        logInfo(world.effects, "member:", "Member changed.", { member: vm, before, after: member?.state });
+    }
+}
+
+function applyChanges(world: ForwardWorld, tick: ForwardTick, changes: PublishedChanges): void {
+    applyDocument(world, changes);
+    applyWeights(world, tick, changes);
+    for (const change of changes.targets) {
+        applyTarget(world, tick, change);
+    }
+    for (const row of changes.rows) {
+        applyRow(world, row);
+    }
+}
+
+/** A full read also says what is no longer there. */
+function removeUnlisted(world: ForwardWorld, tick: ForwardTick, changes: PublishedChanges): void {
+    const { targets, members, node } = world.tables;
+    const names = new Set(changes.targets.map(change => change.name));
+    for (const name of targets.listNames().filter(known => !names.has(known))) {
+        applyTarget(world, tick, { name, target: undefined });
+    }
+    const keys = new Set(changes.rows.map(row => row.key));
+    for (const vm of members.listVms().filter(known => !keys.has(`${memberPrefix}${known}`))) {
+        applyRow(world, { key: `${memberPrefix}${vm}`, value: undefined, createRevision: 0 });
+    }
+    if (!keys.has(weightsDutyKey)) {
+        node.duty.holder = undefined;
+    }
+}
+
+function recordContact(world: ForwardWorld, tick: ForwardTick, heardAt: ForwardTick["now"]): void {
+    const { node } = world.tables;
+    node.storeHeardAt = heardAt;
+    if (node.storeSteadySince === undefined) {
+        node.storeSteadySince = tick.now;
+        logInfo(world.effects, "store:", "The store answers.", {});
+    }
+}
+
+/**
+ * Reads: nothing else. Writes: configuration, targets, members, node (contact with the store).
+ * Effects: limits of callers, closed targets, log lines.
+ */
+export function applyPublished(world: ForwardWorld, tick: ForwardTick): void {
+    const { node } = world.tables;
+    for (const { message } of tick.events.list("storeSilent")) {
+        if (node.storeSteadySince !== undefined || node.isUnread) {
+            logWarning(world.effects, "store:", "The store does not answer.", { message });
+        }
+        node.storeSteadySince = undefined;
+    }
+    for (const { changes, heardAt } of tick.events.list("publishedRead")) {
+        recordContact(world, tick, heardAt);
+        applyChanges(world, tick, changes);
+        removeUnlisted(world, tick, changes);
+        node.isUnread = false;
+    }
+    for (const { changes, heardAt } of tick.events.list("publishedChanged")) {
+        recordContact(world, tick, heardAt);
+        applyChanges(world, tick, changes);
+    }
+    removeMissing(world, tick);
+}
--- /dev/null
+++ b/src/forward/systems/drainNode.ts
@@ -0,0 +1,132 @@
+/** Life cycle of this process: ready, leaving, stopped. */
+import { logInfo, logWarning } from "../../effects";
+import { addMillis } from "../../ids";
+import { weightsDutyKey } from "../codec/fleetRows";
+import type { ForwardTick } from "../events";
+import type { ForwardWorld } from "../world";
+
+/**
+ * Part of the grace period in which a leaving process takes new requests: callers that have its address from an
+ * earlier answer still come.
+ */
+const admitPart = 0.35;
+/** Part of the grace period after which the process exits even if answers are open. */
+const exitPart = 0.93;
+/** Time for the end of the lease to reach the store before the process exits. */
+const exitDelayMs = 120;
+
+function updateReadiness(world: ForwardWorld): void {
+    const { node, configuration } = world.tables;
+    const isReady = node.state === "live" && configuration.document !== undefined;
+    if (isReady !== node.isReady) {
+        node.isReady = isReady;
+        const isClosing = node.state !== "live";
+        world.effects.append({ kind: "updateReadiness", isReady, isClosing });
+        logInfo(world.effects, "drain:", isReady ? "The process is ready." : "The process is not ready.", {
+            version: configuration.version,
+        });
+    }
+}
+
+function startDrain(world: ForwardWorld, tick: ForwardTick): void {
+    const { node } = world.tables;
+    if (node.state === "leaving" || node.state === "stopped") {
+        return;
+    }
+    node.state = "leaving";
+    node.leavingSince = tick.now;
+    node.isRegistered = false;
+    logInfo(world.effects, "drain:", "Shutdown began; running requests will finish.", {
+        open: world.tables.requests.size,
+    });
+    const { graceMs } = world.settings.bounds;
+    world.timers.schedule({ name: "drain", at: addMillis(tick.now, graceMs * admitPart) });
+    world.timers.schedule({ name: "drain", at: addMillis(tick.now, graceMs * exitPart), key: "limit" });
+    releaseDuty(world);
+}
+
+/** Gives the duty up at once, so that the guard time of the next holder begins now. */
+function releaseDuty(world: ForwardWorld): void {
+    const { duty } = world.tables.node;
+    if (duty.state !== "held") {
+        return;
+    }
+    duty.state = "none";
+    world.tables.rollouts.rows.clear();
+    world.effects.append({
+        kind: "callStore",
+        purpose: { for: "duty", step: "release" },
+        call: {
+            kind: "transaction",
+            compare: [{ key: weightsDutyKey, createRevision: duty.fencing }],
+            success: [{ kind: "delete", key: weightsDutyKey }],
+        },
+    });
+    logInfo(world.effects, "place:", "Duty of orders is given up.", { fencing: duty.fencing, reason: "shutdown" });
+}
+
+function stopNode(world: ForwardWorld, tick: ForwardTick): void {
+    const { node, requests } = world.tables;
+    if (requests.undelivered > 0) {
+        logWarning(world.effects, "drain:", "Answers are still open at the end of the grace period.", {
+            answers: requests.undelivered,
+        });
+    }
+    node.state = "stopped";
+    world.effects.append({ kind: "closeListeners" });
+    if (node.lease.id !== undefined) {
+        world.effects.append({
+            kind: "callStore",
+            purpose: { for: "lease", step: "end" },
+            call: { kind: "revokeLease", lease: node.lease.id },
+        });
+    }
+    world.timers.schedule({ name: "drain", at: addMillis(tick.now, exitDelayMs), key: "exit" });
+}
+
+function checkDrain(world: ForwardWorld, tick: ForwardTick): void {
+    const { node, requests } = world.tables;
+    const keys = tick.due.listKeys("drain");
+    if (node.state === "stopped") {
+        if (keys.includes("exit")) {
+            logInfo(world.effects, "drain:", "The process exits.", {});
+            world.effects.append({ kind: "exitProcess", code: 0 });
+        }
+        return;
+    }
+    const elapsed = tick.now - (node.leavingSince ?? tick.now);
+    const isQuiet = requests.size === 0 && requests.undelivered === 0;
+    const { graceMs } = world.settings.bounds;
+    if (keys.includes("limit") || (isQuiet && elapsed >= graceMs * admitPart)) {
+        stopNode(world, tick);
+    }
+}
+
+/**
+ * Reads: requests, configuration. Writes: node.
+ * Effects: readiness, closing of listeners, calls to the store, exit, log lines.
+ */
+export function drainNode(world: ForwardWorld, tick: ForwardTick): void {
+    const { node } = world.tables;
+    if (node.state === "starting") {
+        node.state = "live";
+        logInfo(world.effects, "drain:", "The process starts.", { vm: world.settings.vm });
+    }
+    for (const { outcome } of tick.events.list("reloadAsked")) {
+        logInfo(world.effects, "drain:", "Settings were read again.", { outcome });
+    }
+    if (tick.events.list("drainAsked").length > 0) {
+        startDrain(world, tick);
+    }
+    updateReadiness(world);
+    if (node.state === "leaving" || node.state === "stopped") {
+        checkDrain(world, tick);
+    }
+}
+
+/** True while new requests are taken. */
+export function isAdmitting(world: ForwardWorld, tick: ForwardTick): boolean {
+    const { node } = world.tables;
+    const elapsed = tick.now - (node.leavingSince ?? tick.now);
+    return node.state !== "stopped" && elapsed < world.settings.bounds.graceMs * admitPart;
+}
--- /dev/null
+++ b/src/forward/systems/followAttempts.ts
@@ -0,0 +1,266 @@
+/** Follows attempts on targets: answers, first events, ends, failures; relays, resumes and repeats. */
+import { logInfo } from "../../effects";
+import { addMillis } from "../../ids";
+import { hasRetry, reserveRetry } from "../../policy/retryBudget";
+import type { ForwardEventOf, ForwardTick } from "../events";
+import { getNewestWeights } from "../tables/configuration";
+import { findOpenAttempt, type ForwardAttempt, type ForwardRequestRow } from "../tables/requests";
+import type { ForwardTargetRow } from "../tables/targets";
+import type { ForwardWorld } from "../world";
+import { closeRequest, refuseForward, removeWork } from "./requestEnd";
+import { recordSaltedParts } from "./salts";
+import { recordErrorAnswer, recordForwardFailure, recordForwardSuccess } from "./targetHealth";
+
+/** An engine that refuses while a newer version is named is taken to be loading it for this long. */
+const loadingMs = 700;
+/** A full target gets nothing more for this long. */
+const fullBackOffMs = 60;
+/** Sends of one request that targets may refuse before running it. */
+const maxSends = 4;
+/** Time after which a caller that was refused because targets are busy should come back. */
+const busyRetrySeconds = 0.3;
+
+type AttemptEventKind =
+    | "attemptBytesHanded"
+    | "attemptAnswered"
+    | "attemptFirstEvent"
+    | "attemptFinished"
+    | "attemptFailed";
+
+type Handler<Kind extends AttemptEventKind> = (
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    attempt: ForwardAttempt,
+    event: ForwardEventOf<Kind>,
+) => void;
+
+function closeAttempt(world: ForwardWorld, row: ForwardRequestRow, attempt: ForwardAttempt, outcome: string): void {
+    attempt.isOpen = false;
+    attempt.outcome = outcome;
+    removeWork(world, row);
+    world.effects.append({ kind: "cancelAttempt", request: row.id, attempt: attempt.number });
+}
+
+const computeRuns = (row: ForwardRequestRow): number =>
+    row.attempts.filter(attempt => attempt.evidence.bytesHanded && attempt.evidence.answer !== "refused").length;
+
+/** True when another target may get the request: it cannot have run, or it may run again. */
+function canRepeat(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): boolean {
+    const runs = computeRuns(row);
+    const isAllowed = runs === 0 || (row.isRepeatable && runs < row.route.maxTargets);
+    const budget = world.tables.retryBudgets.get(row.service);
+    return isAllowed
+        && row.attempts.length < maxSends
+        && tick.now < row.deadline
+        && (budget === undefined || hasRetry(budget));
+}
+
+function retryOrRefuse(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, outcome: string): void {
+    if (!canRepeat(world, tick, row)) {
+        const isNotRun = computeRuns(row) === 0;
+        refuseForward(world, tick, row, isNotRun ? "overloaded" : "target_failed", busyRetrySeconds);
+        return;
+    }
+    const budget = world.tables.retryBudgets.get(row.service);
+    if (budget) {
+        reserveRetry(budget);
+    }
+    row.notBefore = tick.now;
+    world.tables.requests.updateState(row, "queued");
+    world.effects.append({ kind: "addCount", name: "retries_total", value: 1, labels: { outcome } });
+    logInfo(world.effects, "stream:", "Request is sent again.", {
+        request: row.id,
+        outcome,
+        attempts: row.attempts.length,
+        lastEventId: row.lastEventId,
+    });
+}
+
+/** Learns from a refusal why the target did not run the request. */
+function recordRefusal(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    target: ForwardTargetRow,
+    event: ForwardEventOf<"attemptAnswered">,
+): void {
+    const { model } = row.arrival;
+    const { facts, status } = event;
+    if (facts.isMisdirected) {
+        const newest = model && getNewestWeights(world.tables.configuration, model)?.version;
+        const version = facts.weights ?? newest;
+        if (model && version !== undefined && target.weights.get(model) !== version) {
+            target.weights.set(model, version);
+            world.tables.heldParts.removeTarget(target.registration.id);
+            return;
+        }
+        recordForwardFailure(world, tick, target, "misdirected");
+        return;
+    }
+    if (model) {
+        const newest = getNewestWeights(world.tables.configuration, model);
+        if (newest && target.weights.get(model) !== newest.version) {
+            target.loadingUntil = addMillis(tick.now, loadingMs);
+            return;
+        }
+    }
+    target.loadingUntil = addMillis(tick.now, fullBackOffMs);
+    logInfo(world.effects, "target:", "Target is full.", { target: target.registration.id, status });
+}
+
+/** A success must be vouched for and belong to the request. */
+function findAnswerFault(row: ForwardRequestRow, event: ForwardEventOf<"attemptAnswered">): string | undefined {
+    const { facts, status } = event;
+    if (facts.attemptId !== undefined && facts.attemptId !== row.arrival.attemptId) {
+        return "mismatched";
+    }
+    if (status < 300 && !facts.isSigned) {
+        return "unsigned";
+    }
+    // A 503 or 429 would promise the caller that the request did not run, which this target did not say.
+    return status === 503 || status === 429 || status === 408 ? `status ${status}` : undefined;
+}
+
+function handleAnswer(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    attempt: ForwardAttempt,
+    event: ForwardEventOf<"attemptAnswered">,
+): void {
+    const { facts, status } = event;
+    const target = world.tables.targets.get(attempt.target);
+    const isRefusal = (facts.isNotRun || facts.isMisdirected)
+        && (facts.attemptId === undefined || facts.attemptId === row.arrival.attemptId);
+    attempt.evidence = { bytesHanded: true, answer: isRefusal ? "refused" : "answered" };
+    if (target) {
+        target.heardAt = tick.now;
+    }
+    if (isRefusal) {
+        if (target) {
+            recordRefusal(world, tick, row, target, event);
+        }
+        closeAttempt(world, row, attempt, `refused with ${status}`);
+        retryOrRefuse(world, tick, row, "refused");
+        return;
+    }
+    const fault = findAnswerFault(row, event)
+        ?? (row.isRelaying && !event.isOpenStream ? "not_resumed" : undefined);
+    const isError = status >= 500;
+    if (target && (fault !== undefined || isError)) {
+        recordErrorAnswer(target);
+    }
+    if (fault !== undefined || (isError && row.isRepeatable && canRepeat(world, tick, row))) {
+        closeAttempt(world, row, attempt, fault ?? `status ${status}`);
+        retryOrRefuse(world, tick, row, fault ?? "error");
+        return;
+    }
+    world.effects.append({ kind: "relayAnswer", request: row.id, attempt: attempt.number });
+    row.isRelaying = true;
+    if (event.isOpenStream) {
+        return;
+    }
+    if (target && !isError) {
+        recordForwardSuccess(world, target);
+    }
+    endRequest(world, tick, row, attempt, status);
+}
+
+function endRequest(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    attempt: ForwardAttempt,
+    status: number,
+): void {
+    attempt.isOpen = false;
+    attempt.outcome = "finished";
+    logInfo(world.effects, "stream:", "Request finished.", {
+        request: row.id,
+        target: attempt.target,
+        status,
+        ageMs: Math.round(tick.now - row.arrival.arrivedAt),
+        attempts: row.attempts.length,
+    });
+    closeRequest(world, tick, row);
+}
+
+function handleFirstEvent(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    attempt: ForwardAttempt,
+): void {
+    const target = world.tables.targets.get(attempt.target);
+    const work = target?.work.get(row.id);
+    if (!row.hasFirstEvent) {
+        row.hasFirstEvent = true;
+        const firstMs = tick.now - row.arrival.arrivedAt;
+        world.effects.append({ kind: "recordValue", name: "first_token_ms", value: firstMs });
+    }
+    if (target) {
+        target.heardAt = tick.now;
+        recordForwardSuccess(world, target);
+        recordSaltedParts(world, tick, row, attempt);
+    }
+    if (work) {
+        work.missedTokens = 0;
+        work.hasAnswered = true;
+    }
+}
+
+function handleFailure(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    attempt: ForwardAttempt,
+    event: ForwardEventOf<"attemptFailed">,
+): void {
+    const target = world.tables.targets.get(attempt.target);
+    if (target) {
+        recordForwardFailure(world, tick, target, event.fault);
+    }
+    row.lastEventId = Math.max(row.lastEventId, event.lastEventId);
+    closeAttempt(world, row, attempt, event.fault);
+    if (row.isRelaying && !row.route.isResumable) {
+        refuseForward(world, tick, row, "stream_interrupted");
+        return;
+    }
+    retryOrRefuse(world, tick, row, event.fault);
+}
+
+const handlers: { readonly [Kind in AttemptEventKind]: Handler<Kind>; } = {
+    attemptBytesHanded: (_world, _tick, _row, attempt) => {
+        attempt.evidence = { ...attempt.evidence, bytesHanded: true };
+    },
+    attemptAnswered: handleAnswer,
+    attemptFirstEvent: handleFirstEvent,
+    attemptFinished: (world, tick, row, attempt) => {
+        endRequest(world, tick, row, attempt, 200);
+    },
+    attemptFailed: handleFailure,
+};
+
+/** Kinds in the order in which they can follow each other within one tick. */
+const handlerOrder = Object.keys(handlers) as AttemptEventKind[];
+
+function handleEvents<Kind extends AttemptEventKind>(world: ForwardWorld, tick: ForwardTick, kind: Kind): void {
+    for (const event of tick.events.list(kind) as readonly ForwardEventOf<AttemptEventKind>[]) {
+        const row = world.tables.requests.get(event.request);
+        const attempt = row && findOpenAttempt(row, event.attempt);
+        if (row && attempt) {
+            (handlers[kind] as Handler<AttemptEventKind>)(world, tick, row, attempt, event);
+        }
+    }
+}
+
+/**
+ * Reads: configuration. Writes: requests, targets, held parts, retry budgets, shares.
+ * Effects: relays, cancelled attempts, refusals, counts, log lines.
+ */
+export function followAttempts(world: ForwardWorld, tick: ForwardTick): void {
+    for (const kind of handlerOrder) {
+        handleEvents(world, tick, kind);
+    }
+}
--- /dev/null
+++ b/src/forward/systems/index.ts
@@ -0,0 +1,23 @@
+/** The systems of the forwarding mode in the order in which they run in each tick. */
+import type { ForwardSystem } from "../world";
+import { admitRequests } from "./admitRequests";
+import { answerAddresses } from "./answerAddresses";
+import { applyPublished } from "./applyPublished";
+import { drainNode } from "./drainNode";
+import { expireRequests } from "./expireRequests";
+import { followAttempts } from "./followAttempts";
+import { placeWeights } from "./placeWeights";
+import { routeRequests } from "./routeRequests";
+import { updateMembership } from "./updateMembership";
+
+export const forwardSystems: readonly ForwardSystem[] = [
+    applyPublished,
+    updateMembership,
+    followAttempts,
+    expireRequests,
+    admitRequests,
+    routeRequests,
+    placeWeights,
+    answerAddresses,
+    drainNode,
+];
--- /dev/null
+++ b/src/forward/systems/routeRequests.ts
@@ -0,0 +1,308 @@
+/** Chooses a target for each waiting request and sends it. */
+import { logInfo } from "../../effects";
+import { addMillis } from "../../ids";
+import { listByRendezvous } from "../../policy/rendezvous";
+import { createRetryBudget, recordFirstSend } from "../../policy/retryBudget";
+import type { ForwardCall } from "../calls";
+import type { RouteKind } from "../document";
+import type { ForwardTick } from "../events";
+import type { WeightsVersion } from "../ids";
+import { computeEngineScore } from "../policy/engineScore";
+import { findOutdatedSince } from "../tables/configuration";
+import type { ForwardRequestRow } from "../tables/requests";
+import { canPassBackOff, type ForwardTargetRow } from "../tables/targets";
+import type { ForwardWorld } from "../world";
+import { refuseForward } from "./requestEnd";
+import { computeHeldTokens, computeSalt } from "./salts";
+
+/** A request that finds every target closed waits this part of its objective, then is refused as not run. */
+const waitFraction = 0.125;
+/** Time after which a caller whose request found no target should come back. */
+const noTargetRetrySeconds = 0.3;
+/** Answers made on weights that were replaced this long ago lose worth. */
+const outdatedAfterMs = 1200;
+/** Preference of an engine with the newest weights after that time. */
+const outdatedPenaltyMs = 150;
+/** Part of the time allowed for new weights after which an engine that lacks them gets no request. */
+const outdatedLimit = 0.85;
+/** A target that owes answers and has been silent for this long gets nothing new. */
+const silentMs = 900;
+/** Fewer tokens than this are not worth a fetch from another engine. */
+const leastFetchTokens = 256;
+/** Work of other processes beside each unit of this process's own, as part of what an equal spread would give. */
+const othersWeight = 0.5;
+
+interface Choice {
+    readonly target: ForwardTargetRow;
+    readonly scoreMs: number;
+    readonly version: WeightsVersion | undefined;
+    readonly heldTokens: number;
+    readonly fetchFrom: string | undefined;
+}
+
+/** True when the target owes an answer that was sent long enough ago and nothing has come from it since. */
+function isSilent(target: ForwardTargetRow, tick: ForwardTick): boolean {
+    for (const { sentAt } of target.work.values()) {
+        if (tick.now - sentAt > silentMs && target.heardAt < sentAt) {
+            return true;
+        }
+    }
+    return false;
+}
+
+function isOutdated(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, target: ForwardTargetRow): boolean {
+    const { model } = row.arrival;
+    const version = model && target.weights.get(model);
+    if (!model || version === undefined) {
+        return false;
+    }
+    const since = findOutdatedSince(world.tables.configuration, model, version);
+    return since !== undefined && tick.now - since > world.settings.bounds.weightsMs * outdatedLimit;
+}
+
+function canTake(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, target: ForwardTargetRow): boolean {
+    return !target.registration.isLeaving
+        && tick.now >= target.loadingUntil
+        && canPassBackOff(target, tick.now)
+        && !isSilent(target, tick)
+        && !isOutdated(world, tick, row, target);
+}
+
+/** Targets that can take the request; one that it was sent to before is listed only when there is no other. */
+function listAble(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): ForwardTargetRow[] {
+    const able = world.tables.targets.listService(row.service).filter(target => canTake(world, tick, row, target));
+    const untried = able.filter(target => !row.attempts.some(attempt => attempt.target === target.registration.id));
+    return untried.length > 0 ? untried : able;
+}
+
+function computeOutdatedMs(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    version: WeightsVersion | undefined,
+): number {
+    const { model } = row.arrival;
+    if (!model || version === undefined) {
+        return 0;
+    }
+    const since = findOutdatedSince(world.tables.configuration, model, version);
+    return since !== undefined && tick.now - since > outdatedAfterMs ? outdatedPenaltyMs : 0;
+}
+
+interface Source {
+    readonly address: string;
+    readonly tokens: number;
+}
+
+/** The engine that holds most of the prompt under the same salt. */
+function findSource(
+    engines: readonly { readonly target: ForwardTargetRow; readonly held: number; readonly version: unknown; }[],
+    chosen: { readonly target: ForwardTargetRow; readonly held: number; readonly version: unknown; },
+): Source | undefined {
+    let best: Source | undefined;
+    for (const { target, held, version } of engines) {
+        const isBetter = held - chosen.held >= leastFetchTokens && held > (best?.tokens ?? 0);
+        if (isBetter && version === chosen.version && target !== chosen.target) {
+            best = { address: target.registration.address, tokens: held };
+        }
+    }
+    return best;
+}
+
+function chooseEngine(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    able: readonly ForwardTargetRow[],
+): Choice | undefined {
+    const { model, parts, promptTokens } = row.arrival;
+    const engines = able.map(target => {
+        const version = model && target.weights.get(model);
+        const held = version === undefined
+            ? 0
+            : computeHeldTokens(world, target.registration.id, computeSalt(row, version), parts);
+        return { target, version, held };
+    });
+    const sharedPart = parts.at(-2)?.id ?? parts[0]?.id ?? row.id;
+    const ranks = listByRendezvous(world.hasher, sharedPart, able.map(target => target.registration.id));
+    const members = Math.max(1, world.tables.members.countLive());
+    const fleetFactor = 1 + (members - 1) * othersWeight;
+    let best: Choice | undefined;
+    for (const engine of engines) {
+        const { target, version, held } = engine;
+        const source = findSource(engines, engine);
+        const fetchedTokens = source ? source.tokens - held : 0;
+        let queuedTokens = 0;
+        for (const work of target.work.values()) {
+            queuedTokens += work.missedTokens;
+        }
+        const scoreMs = computeEngineScore({
+            target: target.registration.id,
+            queuedTokens,
+            runningRequests: target.work.size,
+            missedTokens: Math.max(0, promptTokens - held - fetchedTokens),
+            fetchedTokens,
+            isRemote: target.registration.dataCentre !== world.settings.dataCentre,
+            rank: ranks.indexOf(target.registration.id),
+            outdatedMs: computeOutdatedMs(world, tick, row, version),
+            failureShare: target.failureShare,
+        }, fleetFactor);
+        if (!best || scoreMs < best.scoreMs) {
+            best = { target, scoreMs, version, heldTokens: held + fetchedTokens, fetchFrom: source?.address };
+        }
+    }
+    return best;
+}
+
+/** Milliseconds that one request in flight weighs at a plain service. */
+const serviceWorkMs = 10;
+const serviceRemoteMs = 5;
+const serviceFailureMs = 200;
+
+function chooseServiceTarget(world: ForwardWorld, able: readonly ForwardTargetRow[]): Choice | undefined {
+    let best: Choice | undefined;
+    for (const target of able) {
+        const remoteMs = target.registration.dataCentre === world.settings.dataCentre ? 0 : serviceRemoteMs;
+        const scoreMs = target.work.size * serviceWorkMs
+            + remoteMs
+            + target.failureShare * serviceFailureMs
+            + world.random();
+        if (!best || scoreMs < best.scoreMs) {
+            best = { target, scoreMs, version: undefined, heldTokens: 0, fetchFrom: undefined };
+        }
+    }
+    return best;
+}
+
+/** Silence of a target, in objectives of the route, after which a repeatable request goes to another one. */
+const silentObjectives = { repeatable: 2, single: 0, stream: 3 } as const satisfies Record<RouteKind, number>;
+/** Part of the time left that one target may use up in silence. */
+const silentFraction = 0.45;
+
+/** A request that may not be repeated waits for its target until its deadline. */
+function computeSilentMs(tick: ForwardTick, row: ForwardRequestRow): number | undefined {
+    if (!row.isRepeatable) {
+        return undefined;
+    }
+    const left = row.deadline - tick.now;
+    return Math.max(1, Math.min(left * silentFraction, row.route.objectiveMs * silentObjectives[row.route.kind]));
+}
+
+/** Most urgent and least urgent priority that this process gives to requests; engines know 0 to 9. */
+const firstPriority = 2;
+const lastPriority = 9;
+
+function buildCall(tick: ForwardTick, row: ForwardRequestRow, choice: Choice): ForwardCall {
+    const { registration } = choice.target;
+    const call: ForwardCall = {
+        target: registration.id,
+        address: registration.address,
+        instance: registration.instance,
+        account: row.accountId,
+        waitMs: Math.max(1, Math.floor(row.deadline - tick.now)),
+        isStream: row.route.kind === "stream",
+        silentMs: computeSilentMs(tick, row),
+        resumeAfter: row.lastEventId > 0 ? row.lastEventId : undefined,
+    };
+    if (choice.version === undefined) {
+        return call;
+    }
+    const priority = firstPriority + (row.account?.priority ?? row.route.priority);
+    return {
+        ...call,
+        engine: {
+            salt: computeSalt(row, choice.version),
+            version: choice.version,
+            priority: Math.min(lastPriority, priority),
+            fetchFrom: choice.fetchFrom,
+            copyTo: undefined,
+        },
+    };
+}
+
+/** Part of the fleet's fixed allowance of repeats that a process keeps ready; the rest comes back over a window. */
+const budgetPart = 0.45;
+
+function recordSend(world: ForwardWorld, row: ForwardRequestRow): void {
+    const { retryBudgets, members } = world.tables;
+    const { retryMin, retryRatio } = world.settings.bounds;
+    const burst = Math.max(1, retryMin * budgetPart / Math.max(1, members.countLive()));
+    const budget = retryBudgets.get(row.service) ?? createRetryBudget({ burst });
+    retryBudgets.set(row.service, budget);
+    if (row.attempts.length === 0) {
+        recordFirstSend(budget, retryRatio);
+    }
+}
+
+function sendToTarget(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, choice: Choice): void {
+    const { target, version } = choice;
+    recordSend(world, row);
+    const number = row.attempts.length + 1;
+    row.attempts.push({
+        number,
+        target: target.registration.id,
+        sentAt: tick.now,
+        weights: version,
+        evidence: { bytesHanded: false, answer: "none" },
+        isOpen: true,
+        outcome: "",
+    });
+    if (target.backOffUntil > 0) {
+        target.trial = row.id;
+    }
+    target.work.set(row.id, {
+        missedTokens: Math.max(0, row.arrival.promptTokens - choice.heldTokens),
+        tokens: row.arrival.promptTokens + row.arrival.maxOutputTokens,
+        sentAt: tick.now,
+        hasAnswered: false,
+    });
+    world.tables.requests.updateState(row, "running");
+    world.effects.append({
+        kind: "sendRequest",
+        request: row.id,
+        attempt: number,
+        call: buildCall(tick, row, choice),
+    });
+    logInfo(world.effects, "route:", "Request is sent.", {
+        request: row.id,
+        route: row.route.id,
+        account: row.accountId,
+        attempt: number,
+        target: target.registration.id,
+        scoreMs: Math.round(choice.scoreMs),
+        heldTokens: choice.heldTokens,
+        promptTokens: row.arrival.promptTokens,
+        fetchFrom: choice.fetchFrom,
+        weights: version,
+        work: target.work.size,
+        version: world.tables.configuration.version,
+        storeAgeMs: Math.round(tick.now - world.tables.node.storeHeardAt),
+    });
+}
+
+function routeRequest(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): void {
+    const able = listAble(world, tick, row);
+    const choice = row.arrival.parts.length > 0
+        ? chooseEngine(world, tick, row, able)
+        : chooseServiceTarget(world, able);
+    if (choice) {
+        sendToTarget(world, tick, row, choice);
+        return;
+    }
+    const waitUntil = addMillis(row.arrival.arrivedAt, row.route.objectiveMs * waitFraction);
+    if (tick.now < waitUntil) {
+        world.timers.schedule({ name: "requestRetry", at: waitUntil, key: row.id });
+        return;
+    }
+    refuseForward(world, tick, row, "no_target", noTargetRetrySeconds);
+}
+
+/**
+ * Reads: configuration, members, held parts. Writes: requests, targets (work), retry budgets.
+ * Effects: requests to targets, refusals, log lines.
+ */
+export function routeRequests(world: ForwardWorld, tick: ForwardTick): void {
+    for (const row of world.tables.requests.list("queued")) {
+        routeRequest(world, tick, row);
+    }
+}
--- /dev/null
+++ b/src/forward/tables/index.ts
@@ -0,0 +1,38 @@
+/** All tables of one process in the forwarding mode. */
+import type { RetryBudget } from "../../policy/retryBudget";
+import type { ServiceId } from "../ids";
+import { createForwardConfigurationTable, type ForwardConfigurationTable } from "./configuration";
+import { createHeldPartsTable, type HeldPartsTable } from "./heldParts";
+import { createForwardMembersTable, type ForwardMembersTable } from "./members";
+import { createForwardNodeRow, type ForwardNodeRow } from "./node";
+import { createForwardRequestsTable, type ForwardRequestsTable } from "./requests";
+import { createRolloutsTable, type RolloutsTable } from "./rollouts";
+import { createSharesTable, type SharesTable } from "./shares";
+import { createForwardTargetsTable, type ForwardTargetsTable } from "./targets";
+
+export interface ForwardTables {
+    readonly node: ForwardNodeRow;
+    readonly configuration: ForwardConfigurationTable;
+    readonly members: ForwardMembersTable;
+    readonly targets: ForwardTargetsTable;
+    readonly requests: ForwardRequestsTable;
+    readonly shares: SharesTable;
+    readonly heldParts: HeldPartsTable;
+    readonly rollouts: RolloutsTable;
+    readonly retryBudgets: Map<ServiceId, RetryBudget>;
+}
+
+/** Creates empty tables. */
+export function createForwardTables(): ForwardTables {
+    return {
+        node: createForwardNodeRow(),
+        configuration: createForwardConfigurationTable(),
+        members: createForwardMembersTable(),
+        targets: createForwardTargetsTable(),
+        requests: createForwardRequestsTable(),
+        shares: createSharesTable(),
+        heldParts: createHeldPartsTable(),
+        rollouts: createRolloutsTable(),
+        retryBudgets: new Map(),
+    };
+}
--- /dev/null
+++ b/src/forward/tables/members.ts
@@ -0,0 +1,36 @@
+/** Processes of the fleet, as their rows in the store say. */
+import type { DataCentreId, VmId } from "../../ids";
+
+export interface ForwardMemberRow {
+    readonly vm: VmId;
+    /** Address for callers. */
+    readonly address: string;
+    readonly dataCentre: DataCentreId;
+    readonly state: "live" | "leaving";
+}
+
+export interface ForwardMembersTable {
+    get(vm: VmId): ForwardMemberRow | undefined;
+    list(): readonly ForwardMemberRow[];
+    apply(row: ForwardMemberRow): void;
+    remove(vm: VmId): void;
+    listVms(): readonly VmId[];
+    countLive(): number;
+}
+
+/** Creates an empty table. */
+export function createForwardMembersTable(): ForwardMembersTable {
+    const rows = new Map<VmId, ForwardMemberRow>();
+    return {
+        get: vm => rows.get(vm),
+        list: () => [...rows.values()],
+        apply: row => {
+            rows.set(row.vm, row);
+        },
+        remove: vm => {
+            rows.delete(vm);
+        },
+        listVms: () => [...rows.keys()],
+        countLive: () => [...rows.values()].filter(row => row.state === "live").length,
+    };
+}
--- /dev/null
+++ b/src/forward/tables/requests.ts
@@ -0,0 +1,95 @@
+/** Requests of this process, from arrival to the end of the answer. */
+import type { AccountId, Millis, RequestId, TargetId } from "../../ids";
+import type { AttemptEvidence } from "../../verdict";
+import type { ForwardArrival } from "../calls";
+import type { ForwardAccount, ForwardRoute } from "../document";
+import type { ServiceId, WeightsVersion } from "../ids";
+
+export type ForwardRequestState = "queued" | "running" | "done";
+
+export interface ForwardAttempt {
+    readonly number: number;
+    readonly target: TargetId;
+    readonly sentAt: Millis;
+    readonly weights: WeightsVersion | undefined;
+    evidence: AttemptEvidence;
+    isOpen: boolean;
+    outcome: string;
+}
+
+export interface ForwardRequestRow {
+    readonly id: RequestId;
+    readonly arrival: ForwardArrival;
+    readonly account: ForwardAccount | undefined;
+    readonly accountId: AccountId | undefined;
+    readonly route: ForwardRoute;
+    readonly service: ServiceId;
+    readonly tokens: number;
+    /** The caller's time limit and the route's timeout end at this time, whichever comes first. */
+    readonly deadline: Millis;
+    /** True when the request may be sent again although an earlier attempt may have run. */
+    readonly isRepeatable: boolean;
+    state: ForwardRequestState;
+    readonly attempts: ForwardAttempt[];
+    isRelaying: boolean;
+    /** Last event that was relayed; a resumed stream goes on after it. */
+    lastEventId: number;
+    hasFirstEvent: boolean;
+    /** Not routed before this time, after a failed attempt. */
+    notBefore: Millis;
+}
+
+export interface ForwardRequestsTable {
+    readonly size: number;
+    get(id: RequestId): ForwardRequestRow | undefined;
+    add(row: ForwardRequestRow): void;
+    updateState(row: ForwardRequestRow, state: ForwardRequestState): void;
+    list(state: "queued" | "running"): readonly ForwardRequestRow[];
+    /** Requests whose caller has neither the whole answer nor gone away. */
+    readonly undelivered: number;
+    recordDelivery(id: RequestId): void;
+}
+
+/** Creates an empty table. A row is dropped when its request has ended. */
+export function createForwardRequestsTable(): ForwardRequestsTable {
+    const rows = new Map<RequestId, ForwardRequestRow>();
+    const byState = { queued: new Set<ForwardRequestRow>(), running: new Set<ForwardRequestRow>() };
+    const undelivered = new Set<RequestId>();
+
+    return {
+        get size() {
+            return rows.size;
+        },
+        get undelivered() {
+            return undelivered.size;
+        },
+        get: id => rows.get(id),
+        add: row => {
+            rows.set(row.id, row);
+            undelivered.add(row.id);
+            byState.queued.add(row);
+        },
+        updateState: (row, state) => {
+            if (row.state !== "done") {
+                byState[row.state].delete(row);
+            }
+            row.state = state;
+            if (state === "done") {
+                rows.delete(row.id);
+            }
+            else {
+                byState[state].add(row);
+            }
+        },
+        list: state => [...byState[state]],
+        recordDelivery: id => {
+            undelivered.delete(id);
+        },
+    };
+}
+
+/** The open attempt with that number. */
+export function findOpenAttempt(row: ForwardRequestRow, number: number): ForwardAttempt | undefined {
+    const last = row.attempts.at(-1);
+    return last?.number === number && last.isOpen ? last : undefined;
+}
--- a/src/policy/retryBudget.ts
+++ b/src/policy/retryBudget.ts
@@ -3,17 +3,21 @@
 export interface RetryBudget {
     /** Retries that may be sent now. */
     level: number;
+    /** Most retries that are saved up. */
+    readonly burst: number;
 }
 
 /** Retries that a quiet process may send at once: as many as it has on one engine of 8 slots that crashes. */
-const burst = 20;
+const defaultBurst = 20;
 
 /** Creates a full budget. */
-export const createRetryBudget = (): RetryBudget => ({ level: burst });
+export const createRetryBudget = (
+    { burst = defaultBurst }: { readonly burst?: number; } = {},
+): RetryBudget => ({ level: burst, burst });
 
 /** Counts a request that is sent for the first time. */
 export function recordFirstSend(budget: RetryBudget, fraction: number): void {
-    budget.level = Math.min(burst, budget.level + fraction);
+    budget.level = Math.min(budget.burst, budget.level + fraction);
 }
 
 export const hasRetry = (budget: RetryBudget): boolean => budget.level >= 1;
--- a/src/runner.ts
+++ b/src/runner.ts
@@ -1,5 +1,12 @@
 /** Runs ticks: collects events and due timers, runs the systems in order, hands the effects to the adapters. */
-import { type Effect, type EffectHandlers, type EffectQueue, type HandlersOf, type Kinded, runEffects } from "./effects";
+import {
+    type Effect,
+    type EffectHandlers,
+    type EffectQueue,
+    type HandlersOf,
+    type Kinded,
+    runEffects,
+} from "./effects";
 import { createEventBatch, type Event, type EventBatch } from "./events";
 import type { Millis } from "./ids";
 import type { TimerService } from "./timers";
@@ -27,7 +34,12 @@
     readonly timers: TimerService;
 }
 
-export interface TickRunnerOptions<AnyEvent, Batch, AnyEffect extends Kinded, AnyWorld extends RunnableWorld<AnyEffect>> {
+export interface TickRunnerOptions<
+    AnyEvent,
+    Batch,
+    AnyEffect extends Kinded,
+    AnyWorld extends RunnableWorld<AnyEffect>,
+> {
     readonly world: AnyWorld;
     readonly systems: readonly ((world: AnyWorld, tick: TickOf<Batch>) => void)[];
     readonly handlers: HandlersOf<AnyEffect>;
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -20,9 +20,11 @@
     | "prefixExpiry"
     | "requestDeadline"
     | "requestRetry"
+    | "rollout"
     | "slotRenewal"
     | "slotSearch"
     | "targetReports"
+    | "targetReturn"
     | "vmList"
     | "watchRetry";
 
