Fetch prompt parts by cache events; refuse before sending when the queue is long

Processes now follow cache events of engines and of the store of parts, fetch from the holder and copy shared parts to the store. Silence counts as a failure only when the target answers nobody.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -58,7 +58,7 @@
 }));
 
 export default tseslint.config(
-    { ignores: ["node_modules/**", "dist/**", "build/**"] },
+    { ignores: ["node_modules/**", "dist/**", "build/**", "target/**"] },
     ...tseslint.configs.strict,
     {
         files: ["**/*.ts"],
--- a/src/forward/adapters/eventRelay.ts
+++ b/src/forward/adapters/eventRelay.ts
@@ -2,6 +2,7 @@
 import type * as http from "node:http";
 import type { AttemptFault } from "../calls";
 import { createEventCutter, type RawEvent } from "../codec/eventStream";
+import { isWholeAnswer } from "./answerEnd";
 
 export interface EventRelayOptions {
     readonly source: http.IncomingMessage;
@@ -10,12 +11,14 @@
     readonly lastEventId: number | undefined;
     readonly onFirstEvent: () => void;
     readonly onFinished: () => void;
-    readonly onFailed: (fault: AttemptFault, lastEventId: number) => void;
+    readonly onFailed: (fault: AttemptFault) => void;
 }
 
 export interface EventRelay {
     start(): void;
     stop(): void;
+    /** Number of the last event that the caller has; 0 when it has none. */
+    getLastEventId(): number;
 }
 
 /** Creates the relay of one attempt. */
@@ -30,7 +33,7 @@
         if (!isOver) {
             isOver = true;
             source.destroy();
-            onFailed(fault, lastEventId ?? 0);
+            onFailed(fault);
         }
     }
 
@@ -62,7 +65,7 @@
         if (isOver) {
             return;
         }
-        if (!source.complete) {
+        if (!isWholeAnswer(source)) {
             closeFailed("cut_short");
             return;
         }
@@ -96,5 +99,6 @@
             isOver = true;
             source.destroy();
         },
+        getLastEventId: () => lastEventId ?? 0,
     };
 }
--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -5,6 +5,7 @@
 import type { AttemptFault, ForwardCall, HeaderCodec } from "../calls";
 import type { ForwardEffectOf } from "../effects";
 import type { ForwardEvent } from "../events";
+import { isWholeAnswer } from "./answerEnd";
 import { createEventRelay, type EventRelay } from "./eventRelay";
 import type { OpenForward, OpenForwards } from "./openForwards";
 import { createTargetAgents } from "./targetAgents";
@@ -50,9 +51,10 @@
     const agents = createTargetAgents();
     const running = new Map<RequestId, RunningAttempt>();
 
-    function postFailure(id: RequestId, entry: RunningAttempt, fault: AttemptFault, lastEventId = 0): void {
+    function postFailure(id: RequestId, entry: RunningAttempt, fault: AttemptFault): void {
         if (!entry.isOver && running.get(id) === entry) {
             entry.isOver = true;
+            const lastEventId = entry.relay?.getLastEventId() ?? 0;
             post({ kind: "attemptFailed", request: id, attempt: entry.attempt, fault, lastEventId });
         }
     }
@@ -80,7 +82,7 @@
             }
         });
         head.on("end", () => {
-            if (head.complete && !entry.isOver && running.get(id) === entry) {
+            if (isWholeAnswer(head) && !entry.isOver && running.get(id) === entry) {
                 entry.isOver = true;
                 entry.answer = { head, body: Buffer.concat(chunks) };
                 postAnswer(id, entry, head, false);
@@ -112,8 +114,8 @@
                 entry.isOver = true;
                 post({ kind: "attemptFinished", request: id, attempt: entry.attempt });
             },
-            onFailed: (fault, lastEventId) => {
-                postFailure(id, entry, fault, lastEventId);
+            onFailed: fault => {
+                postFailure(id, entry, fault);
             },
         });
         postAnswer(id, entry, head, true);
@@ -148,12 +150,6 @@
             clearTimeout(connectTimer);
             post({ kind: "attemptBytesHanded", request: id, attempt });
             request.socket?.setNoDelay(true);
-            if (call.silentMs !== undefined) {
-                request.setTimeout(call.silentMs, () => {
-                    postFailure(id, entry, "silent");
-                    request.destroy();
-                });
-            }
         });
         request.on("error", () => {
             clearTimeout(connectTimer);
@@ -161,6 +157,12 @@
         });
         request.on("response", head => {
             if (running.get(id) === entry) {
+                if (call.silentMs !== undefined) {
+                    request.setTimeout(call.silentMs, () => {
+                        postFailure(id, entry, "silent");
+                        request.destroy();
+                    });
+                }
                 handleHead(open, entry, call, head);
             }
             else {
--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -120,6 +120,7 @@
         },
         readEngine: engines.read,
         orderWeights: engines.order,
+        followParts: engines.followParts,
         callStore: store.call,
         writeLog: writeLog ?? createLogWriter({
             log,
--- a/src/forward/calls.ts
+++ b/src/forward/calls.ts
@@ -1,7 +1,7 @@
 /** Requests and answers of the forwarding mode, independent of the names on the wire. */
 import type { IncomingHttpHeaders } from "node:http";
 import type { KeyHash, Millis, ModelId, RequestId, TargetId } from "../ids";
-import type { CacheSalt, PartId, WeightsVersion } from "./ids";
+import type { CachedPartKey, CacheSalt, PartId, WeightsVersion } from "./ids";
 
 /** One part of a prompt with its length in tokens. */
 export interface PromptPart {
@@ -47,7 +47,7 @@
     /** Time left for the target. */
     readonly waitMs: number;
     readonly isStream: boolean;
-    /** Silence of the target after which the attempt fails; undefined when it may be silent until the deadline. */
+    /** Silence within an answer after which the attempt fails; undefined when it may last until the deadline. */
     readonly silentMs: number | undefined;
     /** Events up to this number have been relayed; the target goes on after it. */
     readonly resumeAfter: number | undefined;
@@ -132,3 +132,18 @@
     readonly isBusy: boolean;
     readonly acceptedOrders: number;
 }
+
+/** Changes of what an engine or a store of parts holds. */
+export interface PartsReport {
+    /** Changes when the target restarts. */
+    readonly epoch: number;
+    /** Number from which the next report goes on. */
+    readonly next: number;
+    /** Events are missing between the last report and this one. */
+    readonly hasGap: boolean;
+    readonly changes: readonly {
+        readonly part: CachedPartKey;
+        /** Tokens of the part that are stored now; 0 when it was dropped. */
+        readonly tokens: number;
+    }[];
+}
--- a/src/forward/document.ts
+++ b/src/forward/document.ts
@@ -35,6 +35,8 @@
     readonly slots: number;
     /** Tokens that fit into an engine's memory. */
     readonly memoryTokens: number;
+    /** Processes that may follow one engine's cache events at the same time. */
+    readonly maxFollowers: number;
 }
 
 export interface ForwardService {
@@ -47,8 +49,10 @@
 
 /** A store of cached parts beside the engines. */
 export interface PartStore {
+    readonly id: TargetId;
     readonly address: string;
     readonly dataCentre: DataCentreId;
+    readonly maxFollowers: number;
 }
 
 export interface ForwardAccount {
--- a/src/forward/effects.ts
+++ b/src/forward/effects.ts
@@ -29,6 +29,13 @@
     | { readonly kind: "closeTarget"; readonly target: TargetId; }
     /* engines */
     | { readonly kind: "readEngine"; readonly target: TargetId; readonly address: string; readonly instance: string; }
+    /** Asks what an engine or a store of parts has stored and dropped since event `since`. */
+    | {
+        readonly kind: "followParts";
+        readonly target: TargetId;
+        readonly address: string;
+        readonly since: number;
+    }
     | {
         readonly kind: "orderWeights";
         readonly target: TargetId;
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -4,7 +4,14 @@
 import { createKindBatch, type KindBatch } from "../kindBatch";
 import type { StoreOutcome } from "../store";
 import type { TickOf } from "../world";
-import type { AnswerFacts, AttemptFault, EngineReport, ForwardArrival, WeightsOrderOutcome } from "./calls";
+import type {
+    AnswerFacts,
+    AttemptFault,
+    EngineReport,
+    ForwardArrival,
+    PartsReport,
+    WeightsOrderOutcome,
+} from "./calls";
 import type { ForwardDocument, RegisteredTarget } from "./document";
 import type { WeightsVersion } from "./ids";
 
@@ -77,6 +84,9 @@
         readonly version: WeightsVersion;
         readonly outcome: WeightsOrderOutcome;
     }
+    /** What an engine or a store of parts says that it holds, since the last such event. */
+    | { readonly kind: "partsReported"; readonly target: TargetId; readonly report: PartsReport; }
+    | { readonly kind: "partsUnread"; readonly target: TargetId; readonly message: string; }
     /* store */
     /** Everything that is published, as of one revision. */
     | { readonly kind: "publishedRead"; readonly changes: PublishedChanges; readonly heardAt: Millis; }
--- a/src/forward/policy/engineScore.ts
+++ b/src/forward/policy/engineScore.ts
@@ -3,8 +3,8 @@
 
 export interface EngineChoice {
     readonly target: TargetId;
-    /** Prompt tokens of this process that the engine has not computed yet. */
-    readonly queuedTokens: number;
+    /** Time until the engine begins to compute a prompt that is sent now. */
+    readonly queueMs: number;
     /** Requests of this process that run there. */
     readonly runningRequests: number;
     /** Prompt tokens that the engine would have to compute. */
@@ -22,22 +22,45 @@
 
 /** Prompt tokens that an engine computes in a millisecond; only ratios between engines matter. */
 const promptTokensPerMs = 50;
-/** Fetching a token from another engine takes this part of computing it. */
-const fetchCost = 0.05;
+/**
+ * A fetched token counts as this part of a computed one. The transfer itself is short, but the copy pushes another
+ * part out of the engine's memory.
+ */
+const fetchCost = 0.4;
 /** A decoding request slows each step of the others by about this much. */
 const runningCostMs = 1.5;
 /** Added for another data centre: round trip and bytes between data centres. */
 const remoteMs = 4;
 /** Added for engines other than the first by rendezvous hash, so that independent processes agree on ties. */
-const rankMs = 12;
+const rankMs = 25;
 /** Added for an engine on which every request fails. */
 const failureMs = 3000;
 
+export interface QueueFacts {
+    /** Prompt tokens of this process that the engine has not computed yet. */
+    readonly queuedTokens: number;
+    /** Age of the oldest request of this process that the engine has not answered; 0 when there is none. */
+    readonly oldestMs: number;
+    /** Prompt tokens of that request. */
+    readonly oldestTokens: number;
+}
+
+/** Time from sending a request to its first event on an idle engine, without its prompt. */
+const baseMs = 80;
+
+/**
+ * Estimates the time until an engine begins to compute a prompt that is sent now: from this process's own requests,
+ * scaled to the fleet, or from how long the oldest of them has waited, if that says more.
+ */
+export function estimateQueueMs({ queuedTokens, oldestMs, oldestTokens }: QueueFacts, fleetFactor: number): number {
+    const ownMs = queuedTokens * fleetFactor / promptTokensPerMs;
+    return Math.max(ownMs, oldestMs - oldestTokens / promptTokensPerMs - baseMs);
+}
+
 /** Computes the score of one engine in milliseconds; lower is better. */
 export function computeEngineScore(choice: EngineChoice, fleetFactor: number): number {
-    const queueMs = choice.queuedTokens * fleetFactor / promptTokensPerMs;
     const ownMs = (choice.missedTokens + choice.fetchedTokens * fetchCost) / promptTokensPerMs;
-    return queueMs
+    return choice.queueMs
         + ownMs
         + choice.runningRequests * fleetFactor * runningCostMs
         + (choice.isRemote ? remoteMs : 0)
--- a/src/forward/ports.ts
+++ b/src/forward/ports.ts
@@ -14,6 +14,7 @@
 export interface EnginePort {
     read(effect: ForwardEffectOf<"readEngine">): void;
     order(effect: ForwardEffectOf<"orderWeights">): void;
+    followParts(effect: ForwardEffectOf<"followParts">): void;
     close(): void;
 }
 
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -202,7 +202,7 @@
     if (target) {
         target.heardAt = tick.now;
         recordForwardSuccess(world, target);
-        recordSaltedParts(world, tick, row, attempt);
+        recordSaltedParts(world, row, attempt);
     }
     if (work) {
         work.missedTokens = 0;
@@ -255,6 +255,33 @@
     }
 }
 
+/**
+ * A repeatable request that its target does not answer goes to another one. An engine that answers others meanwhile
+ * is busy, not dead, and its queue is waited for.
+ */
+function retrySilent(world: ForwardWorld, tick: ForwardTick): void {
+    for (const id of tick.due.listKeys("attemptSilence")) {
+        const row = world.tables.requests.get(id as ForwardRequestRow["id"]);
+        const attempt = row?.attempts.at(-1);
+        if (!row || !attempt?.isOpen || attempt.evidence.answer !== "none" || row.state !== "running") {
+            continue;
+        }
+        const target = world.tables.targets.get(attempt.target);
+        const isBusy = target !== undefined && target.heardAt >= attempt.sentAt;
+        if (row.route.kind === "stream" && isBusy) {
+            continue;
+        }
+        if (target && !isBusy) {
+            recordForwardFailure(world, tick, target, "silent");
+        }
+        else if (target) {
+            recordErrorAnswer(target);
+        }
+        closeAttempt(world, row, attempt, "silent");
+        retryOrRefuse(world, tick, row, "silent");
+    }
+}
+
 /**
  * Reads: configuration. Writes: requests, targets, held parts, retry budgets, shares.
  * Effects: relays, cancelled attempts, refusals, counts, log lines.
@@ -263,4 +290,5 @@
     for (const kind of handlerOrder) {
         handleEvents(world, tick, kind);
     }
+    retrySilent(world, tick);
 }
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -6,6 +6,7 @@
 import { drainNode } from "./drainNode";
 import { expireRequests } from "./expireRequests";
 import { followAttempts } from "./followAttempts";
+import { followParts } from "./followParts";
 import { placeWeights } from "./placeWeights";
 import { routeRequests } from "./routeRequests";
 import { updateMembership } from "./updateMembership";
@@ -13,6 +14,7 @@
 export const forwardSystems: readonly ForwardSystem[] = [
     applyPublished,
     updateMembership,
+    followParts,
     followAttempts,
     expireRequests,
     admitRequests,
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -7,7 +7,7 @@
 import type { RouteKind } from "../document";
 import type { ForwardTick } from "../events";
 import type { WeightsVersion } from "../ids";
-import { computeEngineScore } from "../policy/engineScore";
+import { computeEngineScore, estimateQueueMs, type QueueFacts } from "../policy/engineScore";
 import { findOutdatedSince } from "../tables/configuration";
 import type { ForwardRequestRow } from "../tables/requests";
 import { canPassBackOff, type ForwardTargetRow } from "../tables/targets";
@@ -17,6 +17,8 @@
 
 /** A request that finds every target closed waits this part of its objective, then is refused as not run. */
 const waitFraction = 0.125;
+/** A request whose target would begin later than this part of its objective is refused before it is sent. */
+const longestQueue = 0.9;
 /** Time after which a caller whose request found no target should come back. */
 const noTargetRetrySeconds = 0.3;
 /** Answers made on weights that were replaced this long ago lose worth. */
@@ -29,15 +31,20 @@
 const silentMs = 900;
 /** Fewer tokens than this are not worth a fetch from another engine. */
 const leastFetchTokens = 256;
+/** Prompts with fewer shared tokens are not copied to the store of parts. */
+const leastCopyTokens = 1024;
 /** Work of other processes beside each unit of this process's own, as part of what an equal spread would give. */
 const othersWeight = 0.5;
 
 interface Choice {
     readonly target: ForwardTargetRow;
     readonly scoreMs: number;
+    /** Time until the target begins, as estimated. */
+    readonly queueMs: number;
     readonly version: WeightsVersion | undefined;
     readonly heldTokens: number;
     readonly fetchFrom: string | undefined;
+    readonly copyTo?: string | undefined;
 }
 
 /** True when the target owes an answer that was sent long enough ago and nothing has come from it since. */
@@ -94,19 +101,70 @@
     readonly tokens: number;
 }
 
-/** The engine that holds most of the prompt under the same salt. */
+interface EngineState {
+    readonly target: ForwardTargetRow;
+    readonly version: WeightsVersion | undefined;
+    /** Tokens of the prompt that the engine holds. */
+    readonly held: number;
+}
+
+/** The engine, or else the store of parts, that holds most of the prompt under the same salt. */
 function findSource(
-    engines: readonly { readonly target: ForwardTargetRow; readonly held: number; readonly version: unknown; }[],
-    chosen: { readonly target: ForwardTargetRow; readonly held: number; readonly version: unknown; },
+    world: ForwardWorld,
+    row: ForwardRequestRow,
+    engines: readonly EngineState[],
+    chosen: EngineState,
 ): Source | undefined {
+    if (chosen.version === undefined) {
+        return undefined;
+    }
     let best: Source | undefined;
     for (const { target, held, version } of engines) {
-        const isBetter = held - chosen.held >= leastFetchTokens && held > (best?.tokens ?? 0);
-        if (isBetter && version === chosen.version && target !== chosen.target) {
+        if (version === chosen.version && target !== chosen.target && held > (best?.tokens ?? 0)) {
             best = { address: target.registration.address, tokens: held };
         }
     }
-    return best;
+    const store = world.tables.configuration.getPartStore();
+    if (store) {
+        const tokens = computeHeldTokens(world, store.id, computeSalt(row, chosen.version), row.arrival.parts);
+        if (tokens > (best?.tokens ?? 0)) {
+            best = { address: store.address, tokens };
+        }
+    }
+    return best && best.tokens - chosen.held >= leastFetchTokens ? best : undefined;
+}
+
+/** Address of the store of parts if it lacks a shared part of the prompt that is worth keeping. */
+function findCopyTarget(
+    world: ForwardWorld,
+    row: ForwardRequestRow,
+    version: WeightsVersion | undefined,
+): string | undefined {
+    const store = world.tables.configuration.getPartStore();
+    const shared = row.arrival.parts.slice(0, -1);
+    const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
+    if (!store || version === undefined || sharedTokens < leastCopyTokens) {
+        return undefined;
+    }
+    const held = computeHeldTokens(world, store.id, computeSalt(row, version), shared);
+    return held < sharedTokens ? store.address : undefined;
+}
+
+function computeQueueFacts(tick: ForwardTick, target: ForwardTargetRow): QueueFacts {
+    let queuedTokens = 0;
+    let oldestMs = 0;
+    let oldestTokens = 0;
+    for (const { hasAnswered, missedTokens, sentAt } of target.work.values()) {
+        if (hasAnswered) {
+            continue;
+        }
+        queuedTokens += missedTokens;
+        if (tick.now - sentAt > oldestMs) {
+            oldestMs = tick.now - sentAt;
+            oldestTokens = missedTokens;
+        }
+    }
+    return { queuedTokens, oldestMs, oldestTokens };
 }
 
 function chooseEngine(
@@ -116,7 +174,7 @@
     able: readonly ForwardTargetRow[],
 ): Choice | undefined {
     const { model, parts, promptTokens } = row.arrival;
-    const engines = able.map(target => {
+    const engines = able.map((target): EngineState => {
         const version = model && target.weights.get(model);
         const held = version === undefined
             ? 0
@@ -130,15 +188,12 @@
     let best: Choice | undefined;
     for (const engine of engines) {
         const { target, version, held } = engine;
-        const source = findSource(engines, engine);
+        const source = findSource(world, row, engines, engine);
         const fetchedTokens = source ? source.tokens - held : 0;
-        let queuedTokens = 0;
-        for (const work of target.work.values()) {
-            queuedTokens += work.missedTokens;
-        }
+        const queueMs = estimateQueueMs(computeQueueFacts(tick, target), fleetFactor);
         const scoreMs = computeEngineScore({
             target: target.registration.id,
-            queuedTokens,
+            queueMs,
             runningRequests: target.work.size,
             missedTokens: Math.max(0, promptTokens - held - fetchedTokens),
             fetchedTokens,
@@ -148,10 +203,10 @@
             failureShare: target.failureShare,
         }, fleetFactor);
         if (!best || scoreMs < best.scoreMs) {
-            best = { target, scoreMs, version, heldTokens: held + fetchedTokens, fetchFrom: source?.address };
+            best = { target, scoreMs, queueMs, version, heldTokens: held + fetchedTokens, fetchFrom: source?.address };
         }
     }
-    return best;
+    return best && { ...best, copyTo: findCopyTarget(world, row, best.version) };
 }
 
 /** Milliseconds that one request in flight weighs at a plain service. */
@@ -168,7 +223,7 @@
             + target.failureShare * serviceFailureMs
             + world.random();
         if (!best || scoreMs < best.scoreMs) {
-            best = { target, scoreMs, version: undefined, heldTokens: 0, fetchFrom: undefined };
+            best = { target, scoreMs, queueMs: 0, version: undefined, heldTokens: 0, fetchFrom: undefined };
         }
     }
     return best;
@@ -181,7 +236,7 @@
 
 /** A request that may not be repeated waits for its target until its deadline. */
 function computeSilentMs(tick: ForwardTick, row: ForwardRequestRow): number | undefined {
-    if (!row.isRepeatable) {
+    if (!row.isRepeatable || row.attempts.length >= row.route.maxTargets) {
         return undefined;
     }
     const left = row.deadline - tick.now;
@@ -189,8 +244,10 @@
 }
 
 /** Most urgent and least urgent priority that this process gives to requests; engines know 0 to 9. */
-const firstPriority = 2;
+const firstPriority = 1;
 const lastPriority = 9;
+/** The account's priority goes first, and among its equals the route's, of which there are about this many. */
+const routePriorities = 3;
 
 function buildCall(tick: ForwardTick, row: ForwardRequestRow, choice: Choice): ForwardCall {
     const { registration } = choice.target;
@@ -207,7 +264,7 @@
     if (choice.version === undefined) {
         return call;
     }
-    const priority = firstPriority + (row.account?.priority ?? row.route.priority);
+    const priority = firstPriority + (row.account?.priority ?? 0) * routePriorities + row.route.priority;
     return {
         ...call,
         engine: {
@@ -215,7 +272,7 @@
             version: choice.version,
             priority: Math.min(lastPriority, priority),
             fetchFrom: choice.fetchFrom,
-            copyTo: undefined,
+            copyTo: choice.copyTo,
         },
     };
 }
@@ -257,12 +314,11 @@
         hasAnswered: false,
     });
     world.tables.requests.updateState(row, "running");
-    world.effects.append({
-        kind: "sendRequest",
-        request: row.id,
-        attempt: number,
-        call: buildCall(tick, row, choice),
-    });
+    const call = buildCall(tick, row, choice);
+    if (call.silentMs !== undefined) {
+        world.timers.schedule({ name: "attemptSilence", at: addMillis(tick.now, call.silentMs), key: row.id });
+    }
+    world.effects.append({ kind: "sendRequest", request: row.id, attempt: number, call });
     logInfo(world.effects, "route:", "Request is sent.", {
         request: row.id,
         route: row.route.id,
@@ -273,6 +329,7 @@
         heldTokens: choice.heldTokens,
         promptTokens: row.arrival.promptTokens,
         fetchFrom: choice.fetchFrom,
+        copyTo: choice.copyTo,
         weights: version,
         work: target.work.size,
         version: world.tables.configuration.version,
@@ -285,6 +342,10 @@
     const choice = row.arrival.parts.length > 0
         ? chooseEngine(world, tick, row, able)
         : chooseServiceTarget(world, able);
+    if (choice && choice.queueMs > row.route.objectiveMs * longestQueue && row.attempts.length === 0) {
+        refuseForward(world, tick, row, "overloaded", choice.queueMs / 1000);
+        return;
+    }
     if (choice) {
         sendToTarget(world, tick, row, choice);
         return;
--- a/src/forward/systems/salts.ts
+++ b/src/forward/systems/salts.ts
@@ -1,7 +1,6 @@
-/** Salts: which requests may share cached parts, and what engines hold under them. */
+/** Salts: which requests may share cached parts, and what targets hold under them. */
 import type { TargetId } from "../../ids";
 import type { PromptPart } from "../calls";
-import type { ForwardTick } from "../events";
 import { type CacheSalt, toCachedPartKey, toCacheSalt, type WeightsVersion } from "../ids";
 import type { ForwardAttempt, ForwardRequestRow } from "../tables/requests";
 import type { ForwardWorld } from "../world";
@@ -15,7 +14,7 @@
     return toCacheSalt(`${row.arrival.model ?? ""}.${version}.${scope}`);
 }
 
-/** Tokens of the leading parts that the engine is expected to hold. */
+/** Tokens of the leading parts that the target is expected to hold. */
 export function computeHeldTokens(
     world: ForwardWorld,
     target: TargetId,
@@ -24,26 +23,36 @@
 ): number {
     let tokens = 0;
     for (const part of parts) {
-        if (!world.tables.heldParts.has(target, toCachedPartKey(salt, part.id))) {
+        const held = world.tables.heldParts.getTokens(target, toCachedPartKey(salt, part.id));
+        tokens += Math.min(held, part.tokens);
+        if (held < part.tokens) {
             break;
         }
-        tokens += part.tokens;
     }
     return tokens;
 }
 
+/** Part of an engine's memory that its cached parts are expected to have; the rest is used by running requests. */
+const cachedFraction = 0.8;
+
 /** Records that the engine of the attempt holds the prompt. */
 export function recordSaltedParts(
     world: ForwardWorld,
-    tick: ForwardTick,
     row: ForwardRequestRow,
     attempt: Pick<ForwardAttempt, "target" | "weights">,
 ): void {
     if (attempt.weights === undefined) {
         return;
     }
+    const { heldParts, configuration, members } = world.tables;
     const salt = computeSalt(row, attempt.weights);
     for (const part of row.arrival.parts) {
-        world.tables.heldParts.add(attempt.target, toCachedPartKey(salt, part.id), part.tokens, tick.now);
+        heldParts.update(attempt.target, toCachedPartKey(salt, part.id), part.tokens);
+    }
+    const memory = configuration.document?.services.get(row.service)?.engine?.memoryTokens;
+    if (memory !== undefined) {
+        // A process that does not follow the events sees only its own share of what pushes parts out.
+        const seen = heldParts.followers.has(attempt.target) ? 1 : 1 / Math.max(1, members.countLive());
+        heldParts.removeBeyond(attempt.target, memory * cachedFraction * seen);
     }
 }
--- a/src/forward/tables/heldParts.ts
+++ b/src/forward/tables/heldParts.ts
@@ -1,28 +1,31 @@
-/** Which engine holds which part of prompts, as far as this process can tell from its own requests. */
-import type { Millis, TargetId } from "../../ids";
+/** Which engine or store of parts holds which part of prompts, by its events and this process's own requests. */
+import type { TargetId } from "../../ids";
 import type { CachedPartKey } from "../ids";
 
-interface HeldPart {
-    readonly tokens: number;
-    usedAt: Millis;
+/** Following the events of one engine or store of parts. */
+export interface PartFollower {
+    epoch: number | undefined;
+    /** Number from which the next report goes on. */
+    next: number;
+    isPending: boolean;
 }
 
 export interface HeldPartsTable {
-    /** True when the engine is expected to hold the part. */
-    has(target: TargetId, part: CachedPartKey): boolean;
-    /** Records that the engine holds the part and drops what it is expected to have evicted. */
-    add(target: TargetId, part: CachedPartKey, tokens: number, now: Millis): void;
-    /** Forgets everything about an engine that restarted, left or took new weights. */
+    readonly followers: Map<TargetId, PartFollower>;
+    /** Tokens of the part that the target holds, as far as is known. */
+    getTokens(target: TargetId, part: CachedPartKey): number;
+    /** Records how many tokens of a part the target holds; 0 removes it. */
+    update(target: TargetId, part: CachedPartKey, tokens: number): void;
+    /** Forgets everything about a target that restarted, left or took new weights. */
     removeTarget(target: TargetId): void;
-    /** Tokens of one engine that this process accounts for. */
-    updateCapacity(target: TargetId, tokens: number): void;
+    /** Drops what was recorded longest ago until the target holds no more than `tokens` in all. */
+    removeBeyond(target: TargetId, tokens: number): void;
 }
 
 interface TargetParts {
-    /** Least recently used first. */
-    readonly parts: Map<CachedPartKey, HeldPart>;
+    /** Tokens by part, the part that was recorded longest ago first. */
+    readonly parts: Map<CachedPartKey, number>;
     tokens: number;
-    capacity: number;
 }
 
 /** Creates an empty table. */
@@ -30,43 +33,34 @@
     const targets = new Map<TargetId, TargetParts>();
 
     function findOrAdd(target: TargetId): TargetParts {
-        const known = targets.get(target);
-        if (known) {
-            return known;
-        }
-        const added = { parts: new Map<CachedPartKey, HeldPart>(), tokens: 0, capacity: Number.POSITIVE_INFINITY };
-        targets.set(target, added);
-        return added;
-    }
-
-    function removeOldest(row: TargetParts): void {
-        for (const [key, part] of row.parts) {
-            if (row.tokens <= row.capacity) {
-                return;
-            }
-            row.parts.delete(key);
-            row.tokens -= part.tokens;
-        }
+        const known = targets.get(target) ?? { parts: new Map<CachedPartKey, number>(), tokens: 0 };
+        targets.set(target, known);
+        return known;
     }
 
     return {
-        has: (target, part) => targets.get(target)?.parts.has(part) ?? false,
-        add: (target, part, tokens, now) => {
+        followers: new Map(),
+        getTokens: (target, part) => targets.get(target)?.parts.get(part) ?? 0,
+        update: (target, part, tokens) => {
             const row = findOrAdd(target);
-            const known = row.parts.get(part);
-            if (known) {
-                row.parts.delete(part);
-                row.tokens -= known.tokens;
+            row.tokens += tokens - (row.parts.get(part) ?? 0);
+            row.parts.delete(part);
+            if (tokens > 0) {
+                row.parts.set(part, tokens);
             }
-            row.parts.set(part, { tokens, usedAt: now });
-            row.tokens += tokens;
-            removeOldest(row);
         },
         removeTarget: target => {
             targets.delete(target);
         },
-        updateCapacity: (target, tokens) => {
-            findOrAdd(target).capacity = tokens;
+        removeBeyond: (target, tokens) => {
+            const row = findOrAdd(target);
+            for (const [part, held] of row.parts) {
+                if (row.tokens <= tokens) {
+                    return;
+                }
+                row.parts.delete(part);
+                row.tokens -= held;
+            }
         },
     };
 }
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -2,6 +2,7 @@
 import { addMillis, type Millis } from "./ids";
 
 export type TimerName =
+    | "attemptSilence"
     | "claimRetry"
     | "changeConfirmation"
     | "changeDeadline"
@@ -16,6 +17,7 @@
     | "memberRetry"
     | "outageExchange"
     | "ownership"
+    | "partReports"
     | "placement"
     | "prefixExpiry"
     | "requestDeadline"
