Record orders in the store; window usage of accounts; relay answers without a length as such

Orders are now recorded before they are sent, so a new holder waits only for engines that were ordered lately. Rollouts took the engine with the least work first, so one engine waited 7.6 s; the oldest weights go first now. Accounts are limited by a sliding window as the rule counts, instead of a bucket.

--- a/scripts/verbs.mjs
+++ b/scripts/verbs.mjs
@@ -2,7 +2,7 @@
 // dprint-ignore
 export const verbs = [
     "add", "admit", "answer", "append", "apply", "build", "can", "cancel", "check", "choose", "claim", "close",
-    "compute", "confirm", "create", "decode", "drain", "encode", "end", "estimate", "exchange", "expire", "find",
+    "compute", "confirm", "create", "decode", "drain", "encode", "end", "estimate", "exchange", "expect", "expire", "find",
     "follow", "format", "get", "grant", "handle", "has", "hash", "is", "list", "load", "log", "measure", "merge",
     "open", "parse", "place", "post", "print", "read", "record", "refuse", "register", "release", "remove", "request",
     "reserve", "resume", "retry", "revoke", "route", "run", "schedule", "send", "settle", "start", "stop",
--- a/src/forward/adapters/eventRelay.ts
+++ b/src/forward/adapters/eventRelay.ts
@@ -2,7 +2,7 @@
 import type * as http from "node:http";
 import type { AttemptFault } from "../calls";
 import { createEventCutter, type RawEvent } from "../codec/eventStream";
-import { isWholeAnswer } from "./answerEnd";
+import { hasFraming, isWholeAnswer } from "./answerEnd";
 
 export interface EventRelayOptions {
     readonly source: http.IncomingMessage;
@@ -65,7 +65,8 @@
         if (isOver) {
             return;
         }
-        if (!isWholeAnswer(source)) {
+        // A caller that was promised an explicit end must not get one for a source that has none.
+        if (!isWholeAnswer(source) || (caller.useChunkedEncodingByDefault && !hasFraming(source))) {
             closeFailed("cut_short");
             return;
         }
--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -5,7 +5,7 @@
 import type { AttemptFault, ForwardCall, HeaderCodec } from "../calls";
 import type { ForwardEffectOf } from "../effects";
 import type { ForwardEvent } from "../events";
-import { isWholeAnswer } from "./answerEnd";
+import { hasFraming, isWholeAnswer, removeFraming } from "./answerEnd";
 import { createEventRelay, type EventRelay } from "./eventRelay";
 import type { OpenForward, OpenForwards } from "./openForwards";
 import { createTargetAgents } from "./targetAgents";
@@ -184,7 +184,11 @@
     }
 
     function writeHead(open: OpenForward, head: http.IncomingMessage, extra: readonly string[]): void {
-        const closing = isClosing() ? ["Connection", "close"] : [];
+        const isFramed = hasFraming(head);
+        if (!isFramed) {
+            removeFraming(open.response);
+        }
+        const closing = isClosing() || !isFramed ? ["Connection", "close"] : [];
         open.response.writeHead(head.statusCode ?? 502, [...codec.encodeAnswer(head.rawHeaders), ...extra, ...closing]);
     }
 
@@ -204,7 +208,8 @@
             if (entry.answer && !open.response.headersSent) {
                 const { head, body } = entry.answer;
                 const isBodyless = open.method === "HEAD" || head.statusCode === 204 || head.statusCode === 304;
-                writeHead(open, head, isBodyless ? [] : ["Content-Length", String(body.length)]);
+                const hasLength = hasFraming(head) && !isBodyless;
+                writeHead(open, head, hasLength ? ["Content-Length", String(body.length)] : []);
                 open.response.end(body);
                 return;
             }
--- a/src/forward/codec/fleetRows.ts
+++ b/src/forward/codec/fleetRows.ts
@@ -1,11 +1,14 @@
 /** Rows that the processes of the fleet write to the store. */
 import { z } from "zod";
+import type { ModelId, TargetId, VmId } from "../../ids";
+import type { WeightsVersion } from "../ids";
 import type { ForwardMemberRow } from "../tables/members";
 
 /** Prefix of every key that the fleet writes. */
 export const fleetPrefix = "marjoramvane/";
 export const memberPrefix = `${fleetPrefix}members/`;
 export const weightsDutyKey = `${fleetPrefix}duties/weights`;
+export const orderPrefix = `${fleetPrefix}orders/`;
 
 const memberSchema = z.object({
     vm: z.string(),
@@ -14,15 +17,32 @@
     state: z.enum(["live", "leaving"]),
 });
 
-export const encodeMember = (member: ForwardMemberRow): string => JSON.stringify(member);
+const orderSchema = z.object({ vm: z.string(), target: z.string(), model: z.string(), version: z.number() });
 
-/** Decodes the row of a member; undefined when it cannot be read. */
-export function decodeMember(text: string): ForwardMemberRow | undefined {
+/** An order to an engine, recorded before it is sent. */
+export interface OrderRow {
+    readonly vm: VmId;
+    readonly target: TargetId;
+    readonly model: ModelId;
+    readonly version: WeightsVersion;
+}
+
+function parseRow<Row>(schema: z.ZodType, text: string): Row | undefined {
     try {
-        const parsed = memberSchema.safeParse(JSON.parse(text));
-        return parsed.success ? parsed.data as ForwardMemberRow : undefined;
+        const parsed = schema.safeParse(JSON.parse(text));
+        return parsed.success ? parsed.data as Row : undefined;
     }
     catch {
         return undefined;
     }
 }
+
+export const encodeMember = (member: ForwardMemberRow): string => JSON.stringify(member);
+
+/** Decodes the row of a member; undefined when it cannot be read. */
+export const decodeMember = (text: string): ForwardMemberRow | undefined => parseRow(memberSchema, text);
+
+export const encodeOrder = (order: OrderRow): string => JSON.stringify(order);
+
+/** Decodes the record of an order; undefined when it cannot be read. */
+export const decodeOrder = (text: string): OrderRow | undefined => parseRow(orderSchema, text);
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -19,7 +19,8 @@
 export type ForwardStorePurpose =
     | { readonly for: "lease"; readonly step: "grant" | "renew" | "end"; }
     | { readonly for: "member"; }
-    | { readonly for: "duty"; readonly step: "acquire" | "release"; };
+    | { readonly for: "duty"; readonly step: "acquire" | "release"; }
+    | { readonly for: "order"; readonly target: TargetId; };
 
 /** A row that a process of the fleet wrote; `value` is undefined for a deleted one. */
 export interface FleetRow {
--- /dev/null
+++ b/src/forward/policy/usageWindow.ts
@@ -0,0 +1,64 @@
+/** Usage of an account in the last window, counted in slots of equal length. */
+import type { Millis } from "../../ids";
+
+export interface UsageWindow {
+    /** Tokens used in each slot; the slot of a time is its number modulo the length. */
+    readonly slots: number[];
+    readonly slotMs: number;
+    /** Number of the newest slot. */
+    newest: number;
+    total: number;
+}
+
+/** Slots in one window; one more is kept, so that a slot counts until all of it lies outside the window. */
+const slotsPerWindow = 32;
+
+/**
+ * Creates a window that already holds `tokens`, spread evenly: what a process that ran before this one may have used.
+ *
+ * @example
+ * createUsageWindow({ windowMs: 8000, now: toMillis(0) }).total; // 0
+ */
+export function createUsageWindow(
+    { windowMs, now, tokens = 0 }: { readonly windowMs: number; readonly now: Millis; readonly tokens?: number; },
+): UsageWindow {
+    const slotMs = windowMs / slotsPerWindow;
+    const count = slotsPerWindow + 1;
+    return {
+        slots: new Array<number>(count).fill(tokens / count),
+        slotMs,
+        newest: Math.floor(now / slotMs),
+        total: tokens,
+    };
+}
+
+/** Drops the slots that have left the window. */
+export function updateUsageWindow(window: UsageWindow, now: Millis): void {
+    const current = Math.floor(now / window.slotMs);
+    const count = window.slots.length;
+    for (let slot = Math.max(window.newest + 1, current - count + 1); slot <= current; slot += 1) {
+        window.total -= window.slots[slot % count] ?? 0;
+        window.slots[slot % count] = 0;
+    }
+    window.newest = Math.max(window.newest, current);
+}
+
+/** Adds tokens to the newest slot; a negative number gives back what was not used. */
+export function addUsage(window: UsageWindow, tokens: number): void {
+    const index = window.newest % window.slots.length;
+    window.slots[index] = (window.slots[index] ?? 0) + tokens;
+    window.total += tokens;
+}
+
+/** Milliseconds until the usage has fallen by `tokens`. */
+export function computeUsageWait(window: UsageWindow, tokens: number): number {
+    const count = window.slots.length;
+    let freed = 0;
+    for (let age = count - 1; age >= 0; age -= 1) {
+        freed += window.slots[(window.newest - age + count) % count] ?? 0;
+        if (freed >= tokens) {
+            return (count - age) * window.slotMs;
+        }
+    }
+    return count * window.slotMs;
+}
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -29,7 +29,9 @@
         retryMin: z.number().min(0),
         retryWindowMs: milliseconds,
         quotaWindowMs: milliseconds,
-        /** Tokens allowed beyond rate and burst in one window, over the fleet. */
+        /** Part of rate and burst that an account may use on top. */
+        quotaOverage: z.number().min(0),
+        /** Tokens allowed besides in one window, over the fleet. */
         quotaSlackTokens: z.number().min(0),
         /** Two holders of a duty must not act within this time of each other. */
         dutyGuardMs: milliseconds,
--- a/src/forward/systems/admitRequests.ts
+++ b/src/forward/systems/admitRequests.ts
@@ -1,5 +1,5 @@
 /** Admits arriving requests: configuration, route, key, account's share, deadline. */
-import { logInfo, logWarning } from "../../effects";
+import { type LogFields, logInfo, logWarning } from "../../effects";
 import { addMillis, type Millis } from "../../ids";
 import { type RefusalCode } from "../../refusals";
 import type { ForwardArrival } from "../calls";
@@ -7,8 +7,8 @@
 import type { ForwardTick } from "../events";
 import type { ServiceId } from "../ids";
 import { computeShare } from "../policy/share";
+import { addUsage, computeUsageWait, createUsageWindow, updateUsageWindow } from "../policy/usageWindow";
 import type { ForwardRequestRow } from "../tables/requests";
-import type { ShareRow } from "../tables/shares";
 import type { ForwardWorld } from "../world";
 import { isAdmitting } from "./drainNode";
 
@@ -17,14 +17,22 @@
 /** Callers come back to a process without configuration after this time. */
 const startingRetrySeconds = 0.5;
 const drainingRetrySeconds = 0.1;
+/** Part of its share that a process that has just started takes as used by the one before it. */
+const earlierUsage = 0.75;
 /** Time that a caller needs to come back, before it can use tokens that are refilled. */
 const shortestRetrySeconds = 0.05;
 
 type Decision =
-    | { readonly kind: "refuse"; readonly code: RefusalCode; readonly retryAfterSeconds?: number; }
+    | {
+        readonly kind: "refuse";
+        readonly code: RefusalCode;
+        readonly retryAfterSeconds?: number;
+        /** What decided it, for the log. */
+        readonly inputs?: LogFields;
+    }
     | { readonly kind: "admit"; readonly account: ForwardAccount | undefined; readonly route: ForwardRoute; };
 
-const refuse = (code: RefusalCode, retryAfterSeconds?: number): Decision => ({
+const refuse = (code: RefusalCode, retryAfterSeconds?: number): Extract<Decision, { readonly kind: "refuse"; }> => ({
     kind: "refuse",
     code,
     ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }),
@@ -34,41 +42,46 @@
 const computeTokens = (arrival: ForwardArrival, account: ForwardAccount | undefined): number =>
     arrival.hasTokens ? arrival.promptTokens + arrival.maxOutputTokens : account?.plainTokens ?? 0;
 
-function updateShare(world: ForwardWorld, now: Millis, account: ForwardAccount): ShareRow {
+/** What an account that is refused had used, in tokens. */
+interface UsedUp {
+    readonly usedTokens: number;
+    readonly shareTokens: number;
+    readonly members: number;
+    /** Time until the account has tokens again. */
+    readonly waitMs: number;
+}
+
+/** Takes the tokens of the request, unless the account's share is used up. */
+function reserveTokens(world: ForwardWorld, now: Millis, account: ForwardAccount, tokens: number): UsedUp | undefined {
     const { shares, members, node } = world.tables;
+    const { quotaWindowMs, quotaOverage, quotaSlackTokens } = world.settings.bounds;
+    if (account.rate <= 0 || tokens === 0) {
+        return undefined;
+    }
     const share = computeShare({
         rate: account.rate,
         burst: account.burst,
-        slackTokens: world.settings.bounds.quotaSlackTokens,
+        windowMs: quotaWindowMs,
+        overage: quotaOverage,
+        slackTokens: quotaSlackTokens,
         members: members.countLive(),
         isInTouch: now - node.storeHeardAt < outOfTouchMs,
     });
-    const known = shares.rows.get(account.id);
-    // A process that has just started may follow one that had used up its share.
-    const row = known ?? { level: share.capacity / 2, refilledAt: now };
-    shares.rows.set(account.id, row);
-    row.level = Math.min(share.capacity, row.level + (now - row.refilledAt) / 1000 * share.rate);
-    row.refilledAt = now;
-    return row;
-}
-
-/** Takes the tokens of the request; returns the seconds until the account has tokens again if it has none. */
-function reserveTokens(
-    world: ForwardWorld,
-    now: Millis,
-    account: ForwardAccount,
-    tokens: number,
-): number | undefined {
-    if (account.rate <= 0 || tokens === 0) {
-        return undefined;
-    }
-    const row = updateShare(world, now, account);
-    if (row.level > 0) {
-        row.level -= tokens;
+    const usage = shares.rows.get(account.id)
+        ?? createUsageWindow({ windowMs: quotaWindowMs, now, tokens: share * earlierUsage });
+    shares.rows.set(account.id, usage);
+    updateUsageWindow(usage, now);
+    // A request that is larger than what is left may go beyond the share once.
+    if (usage.total < share) {
+        addUsage(usage, tokens);
         return undefined;
     }
-    const members = Math.max(1, world.tables.members.countLive());
-    return Math.max(shortestRetrySeconds, -row.level / (account.rate / members));
+    return {
+        usedTokens: Math.round(usage.total),
+        shareTokens: Math.round(share),
+        members: members.countLive(),
+        waitMs: computeUsageWait(usage, usage.total - share),
+    };
 }
 
 function checkAdmission(world: ForwardWorld, tick: ForwardTick, arrival: ForwardArrival): Decision {
@@ -91,9 +104,10 @@
     if (!account && document.needsKeys && !route.isOpen) {
         return refuse(arrival.keyHash === undefined ? "key_missing" : "key_unknown");
     }
-    const wait = account && reserveTokens(world, tick.now, account, computeTokens(arrival, account));
-    if (wait !== undefined) {
-        return refuse("rate_limited", wait);
+    const usedUp = account && reserveTokens(world, tick.now, account, computeTokens(arrival, account));
+    if (usedUp) {
+        const retryAfterSeconds = Math.max(shortestRetrySeconds, usedUp.waitMs / 1000);
+        return { ...refuse("rate_limited", retryAfterSeconds), inputs: { account: account.id, ...usedUp } };
     }
     return { kind: "admit", account, route };
 }
@@ -138,7 +152,7 @@
 function refuseArrival(
     world: ForwardWorld,
     arrival: ForwardArrival,
-    { code, retryAfterSeconds }: Extract<Decision, { readonly kind: "refuse"; }>,
+    { code, retryAfterSeconds, inputs }: Extract<Decision, { readonly kind: "refuse"; }>,
 ): void {
     world.effects.append({
         kind: "refuseRequest",
@@ -155,6 +169,7 @@
         host: arrival.host,
         path: arrival.path,
         retryAfterSeconds,
+        ...inputs,
         version: world.tables.configuration.version,
         storeAgeMs: Math.round(arrival.arrivedAt - world.tables.node.storeHeardAt),
     });
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -1,16 +1,20 @@
 /** Takes what operators, targets and processes publish in the store. */
 import { logInfo, logWarning } from "../../effects";
 import { addMillis } from "../../ids";
-import { decodeMember, memberPrefix, weightsDutyKey } from "../codec/fleetRows";
+import { decodeMember, decodeOrder, memberPrefix, orderPrefix, weightsDutyKey } from "../codec/fleetRows";
 import type { FleetRow, PublishedChanges, TargetChange } from "../events";
 import type { ForwardTick } from "../events";
 import { getNewestWeights } from "../tables/configuration";
 import type { ForwardWorld } from "../world";
 import { closeForwardTarget } from "./targetEnd";
+import { expectLoading } from "./targetHealth";
 
 /** The store's silence ended this recently: rows that lapsed meanwhile may still come back. */
 const returnMs = 2300;
 
+/** A version that a process finds when it starts is taken to have been named this much earlier. */
+const earlierNamingMs = 5000;
+
 function applyDocument(world: ForwardWorld, { document }: PublishedChanges): void {
     const { configuration } = world.tables;
     if (!document) {
@@ -36,7 +40,7 @@
 }
 
 function applyWeights(world: ForwardWorld, tick: ForwardTick, { weights, revision }: PublishedChanges): void {
-    const { configuration } = world.tables;
+    const { configuration, node } = world.tables;
     for (const { model, version } of weights) {
         const newest = getNewestWeights(configuration, model);
         if (newest && newest.version >= version) {
@@ -44,7 +48,7 @@
         }
         configuration.weights.set(model, [
             ...(configuration.weights.get(model) ?? []),
-            { version, namedAt: tick.now },
+            { version, namedAt: addMillis(tick.now, node.isUnread ? -earlierNamingMs : 0) },
         ]);
         logInfo(world.effects, "place:", "New weights are named.", { model, version, revision });
     }
@@ -54,22 +58,24 @@
     const { targets, node, heldParts } = world.tables;
     if (target) {
         const known = targets.findByName(name);
+        const wasLeaving = known?.registration.isLeaving;
+        const hasNewWeights = [...target.weights].some(([model, version]) => known?.weights.get(model) !== version);
         const replaced = targets.apply(name, target, tick.now);
         if (replaced) {
             closeForwardTarget(world, replaced);
         }
-        if (known?.registration.isLeaving !== target.isLeaving || replaced) {
+        if (known && !replaced && hasNewWeights) {
+            heldParts.removeTarget(target.id);
+            known.loadingUntil = tick.now;
+        }
+        if (wasLeaving !== target.isLeaving || replaced || hasNewWeights) {
             logInfo(world.effects, "target:", "Target is registered.", {
                 target: target.id,
                 service: target.service,
                 state: target.isLeaving ? "leaving" : "ready",
+                weights: [...target.weights].map(([model, version]) => `${model} ${version}`),
             });
         }
-        for (const [model, version] of target.weights) {
-            if (known && known.weights.get(model) !== version) {
-                heldParts.removeTarget(target.id);
-            }
-        }
         return;
     }
     const row = targets.findByName(name);
@@ -108,8 +114,26 @@
     }
 }
 
-function applyRow(world: ForwardWorld, { key, value }: FleetRow): void {
+/** Everybody keeps requests away from an engine that is about to load weights. */
+function applyOrder(world: ForwardWorld, tick: ForwardTick, text: string): void {
+    const { targets, rollouts } = world.tables;
+    const order = decodeOrder(text);
+    const target = order && targets.get(order.target);
+    if (!order || !target) {
+        return;
+    }
+    rollouts.recorded.set(order.target, { vm: order.vm, seenAt: tick.now });
+    if ((target.weights.get(order.model) ?? 0) < order.version) {
+        expectLoading(target, tick.now);
+    }
+}
+
+function applyRow(world: ForwardWorld, tick: ForwardTick, { key, value }: FleetRow): void {
     const { members, node } = world.tables;
+    if (key.startsWith(orderPrefix) && value !== undefined) {
+        applyOrder(world, tick, value);
+        return;
+    }
     if (key === weightsDutyKey) {
         node.duty.holder = value;
         return;
@@ -138,7 +162,7 @@
         applyTarget(world, tick, change);
     }
     for (const row of changes.rows) {
-        applyRow(world, row);
+        applyRow(world, tick, row);
     }
 }
 
@@ -151,7 +175,7 @@
     }
     const keys = new Set(changes.rows.map(row => row.key));
     for (const vm of members.listVms().filter(known => !keys.has(`${memberPrefix}${known}`))) {
-        applyRow(world, { key: `${memberPrefix}${vm}`, value: undefined, createRevision: 0 });
+        applyRow(world, tick, { key: `${memberPrefix}${vm}`, value: undefined, createRevision: 0 });
     }
     if (!keys.has(weightsDutyKey)) {
         node.duty.holder = undefined;
@@ -183,7 +207,10 @@
         recordContact(world, tick, heardAt);
         applyChanges(world, tick, changes);
         removeUnlisted(world, tick, changes);
-        node.isUnread = false;
+        if (node.isUnread) {
+            node.isUnread = false;
+            node.firstReadAt = tick.now;
+        }
     }
     for (const { changes, heardAt } of tick.events.list("publishedChanged")) {
         recordContact(world, tick, heardAt);
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -9,10 +9,8 @@
 import type { ForwardWorld } from "../world";
 import { closeRequest, refuseForward, removeWork } from "./requestEnd";
 import { recordSaltedParts } from "./salts";
-import { recordErrorAnswer, recordForwardFailure, recordForwardSuccess } from "./targetHealth";
+import { expectLoading, recordErrorAnswer, recordForwardFailure, recordForwardSuccess } from "./targetHealth";
 
-/** An engine that refuses while a newer version is named is taken to be loading it for this long. */
-const loadingMs = 700;
 /** A full target gets nothing more for this long. */
 const fullBackOffMs = 60;
 /** Sends of one request that targets may refuse before running it. */
@@ -101,7 +99,7 @@
     if (model) {
         const newest = getNewestWeights(world.tables.configuration, model);
         if (newest && target.weights.get(model) !== newest.version) {
-            target.loadingUntil = addMillis(tick.now, loadingMs);
+            expectLoading(target, tick.now);
             return;
         }
     }
--- a/src/forward/systems/placeWeights.ts
+++ b/src/forward/systems/placeWeights.ts
@@ -1,106 +1,159 @@
 /** Brings engines to the newest named version of their weights; only the holder of the duty does. */
 import { logInfo, logWarning } from "../../effects";
-import { addMillis, type ModelId, type TargetId } from "../../ids";
+import { addMillis, type Millis, type ModelId, type TargetId } from "../../ids";
 import type { WeightsOrderOutcome } from "../calls";
+import { encodeOrder, orderPrefix } from "../codec/fleetRows";
 import type { ForwardTick } from "../events";
 import type { WeightsVersion } from "../ids";
 import { getNewestWeights } from "../tables/configuration";
 import { isForwardLeaseValid } from "../tables/node";
-import type { RolloutRow } from "../tables/rollouts";
+import type { RolloutRow, RolloutState } from "../tables/rollouts";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
+import { expectLoading } from "./targetHealth";
 
-/** Engines that load at the same time, as part of all engines of a model; more of them slow each other down. */
-const parallelFraction = 2 / 7;
+/** Engines that are out of service for a load at the same time, as part of all engines of a model. */
+const parallelFraction = 3 / 7;
 const leastParallel = 2;
 /** Time between the steps of a rollout. */
 const stepMs = 250;
 /** An engine that took an order shows the new version about this much later, at the earliest. */
 const firstReadMs = 700;
-/** An order without an answer may still be carried out; the engine is read again after this time. */
-const unknownWaitMs = 1000;
+/** A rollout that failed is begun again after this time. */
+const failurePauseMs = 1000;
 /** A rollout that shows no end by then is begun again. */
 const longestLoadMs = 6000;
 /** The lease must be valid for this much longer when an order is sent. */
 const leaseMarginMs = 150;
+/** Added to the guard time for orders of another holder that were on their way. */
+const guardMarginMs = 300;
 
-function listModels(world: ForwardWorld): ModelId[] {
-    const services = world.tables.configuration.document?.services.values() ?? [];
-    return [...new Set([...services].flatMap(service => service.engine?.models ?? []))];
+function listEngineServices(world: ForwardWorld) {
+    return [...world.tables.configuration.document?.services.values() ?? []]
+        .flatMap(({ id, engine }) => (engine ? [{ id, engine }] : []));
 }
 
-function listEngines(world: ForwardWorld, model: ModelId): ForwardTargetRow[] {
-    const services = world.tables.configuration.document?.services.values() ?? [];
-    return [...services]
-        .filter(service => service.engine?.models.includes(model))
-        .flatMap(service => world.tables.targets.listService(service.id));
-}
+const listModels = (world: ForwardWorld): ModelId[] => [
+    ...new Set(listEngineServices(world).flatMap(({ engine }) => engine.models)),
+];
+
+const listEngines = (world: ForwardWorld, model: ModelId): ForwardTargetRow[] =>
+    listEngineServices(world)
+        .filter(({ engine }) => engine.models.includes(model))
+        .flatMap(({ id }) => world.tables.targets.listService(id));
 
 const isBehind = (target: ForwardTargetRow, model: ModelId, version: WeightsVersion): boolean =>
     (target.weights.get(model) ?? 0) < version;
 
+/** True while this process holds the duty and its lease is certain. */
+function canAct(world: ForwardWorld, tick: ForwardTick): boolean {
+    const { duty, lease } = world.tables.node;
+    return duty.state === "held"
+        && tick.now >= duty.actsFrom
+        && isForwardLeaseValid(lease, addMillis(tick.now, leaseMarginMs), tick.wallNow + leaseMarginMs);
+}
+
+/** Another process must not have ordered the engine within the guard time. */
+function isGuarded(world: ForwardWorld, tick: ForwardTick, target: TargetId): boolean {
+    const last = world.tables.rollouts.recorded.get(target);
+    return last !== undefined
+        && last.vm !== world.settings.vm
+        && tick.now < addMillis(last.seenAt, world.settings.bounds.dutyGuardMs + guardMarginMs);
+}
+
+function updateState(rollout: RolloutRow, state: RolloutState, now: Millis): void {
+    rollout.state = state;
+    rollout.steppedAt = now;
+}
+
 function readEngine(world: ForwardWorld, tick: ForwardTick, target: ForwardTargetRow, rollout: RolloutRow): void {
     rollout.readAt = tick.now;
-    world.effects.append({
-        kind: "readEngine",
-        target: target.registration.id,
-        address: target.registration.address,
-        instance: target.registration.instance,
-    });
+    const { id, address, instance } = target.registration;
+    world.effects.append({ kind: "readEngine", target: id, address, instance });
+}
+
+/** Engines with the oldest weights go first, and among them those with little work: their runs end sooner. */
+function listNext(world: ForwardWorld, tick: ForwardTick, model: ModelId, version: WeightsVersion): ForwardTargetRow[] {
+    const getVersion = (target: ForwardTargetRow): number => target.weights.get(model) ?? 0;
+    return listEngines(world, model)
+        .filter(target => !target.registration.isLeaving && isBehind(target, model, version))
+        .filter(({ registration }) => !world.tables.rollouts.rows.has(registration.id))
+        .filter(({ registration }) => !isGuarded(world, tick, registration.id))
+        .sort((left, right) => getVersion(left) - getVersion(right) || left.work.size - right.work.size);
 }
 
-/** Engines with little work go first: their runs end sooner. */
 function startRollouts(world: ForwardWorld, tick: ForwardTick, model: ModelId): void {
     const newest = getNewestWeights(world.tables.configuration, model);
     if (!newest) {
         return;
     }
     const { rows } = world.tables.rollouts;
-    const engines = listEngines(world, model);
-    const parallel = Math.max(leastParallel, Math.floor(engines.length * parallelFraction));
-    const waiting = engines
-        .filter(target => !target.registration.isLeaving && isBehind(target, model, newest.version))
-        .filter(target => !rows.has(target.registration.id))
-        .sort((left, right) => left.work.size - right.work.size);
-    for (const target of waiting.slice(0, Math.max(0, parallel - rows.size))) {
+    const running = [...rows.values()].filter(row => row.model === model && row.state !== "failed").length;
+    const parallel = Math.max(leastParallel, Math.floor(listEngines(world, model).length * parallelFraction));
+    for (const target of listNext(world, tick, model, newest.version).slice(0, Math.max(0, parallel - running))) {
         const rollout: RolloutRow = {
             target: target.registration.id,
             model,
-            state: "asked",
+            state: "reading",
             version: newest.version,
+            acceptedOrders: 0,
             steppedAt: tick.now,
             readAt: tick.now,
         };
-        rows.set(target.registration.id, rollout);
+        rows.set(rollout.target, rollout);
         readEngine(world, tick, target, rollout);
     }
 }
 
 function endRollout(world: ForwardWorld, target: TargetId, outcome: string): void {
     const rollout = world.tables.rollouts.rows.get(target);
-    if (rollout) {
-        world.tables.rollouts.rows.delete(target);
-        logInfo(world.effects, "place:", "Rollout of weights ended.", {
-            target,
-            model: rollout.model,
-            weights: rollout.version,
-            outcome,
-        });
-    }
+    world.tables.rollouts.rows.delete(target);
+    logInfo(world.effects, "place:", "Rollout of weights ended.", {
+        target,
+        model: rollout?.model,
+        weights: rollout?.version,
+        outcome,
+    });
+}
+
+function stopRollout(world: ForwardWorld, tick: ForwardTick, rollout: RolloutRow, reason: string): void {
+    updateState(rollout, "failed", tick.now);
+    logWarning(world.effects, "place:", "Rollout of weights is put off.", {
+        target: rollout.target,
+        weights: rollout.version,
+        reason,
+    });
 }
 
-function sendOrder(
-    world: ForwardWorld,
-    tick: ForwardTick,
-    target: ForwardTargetRow,
-    rollout: RolloutRow,
-    acceptedOrders: number,
-): void {
+/** Records the order in the store first, so that the next holder knows which engines have just been ordered. */
+function recordOrder(world: ForwardWorld, tick: ForwardTick, target: ForwardTargetRow, rollout: RolloutRow): void {
+    const { node, configuration } = world.tables;
+    // A version that was named meanwhile is taken at once; the one in between is skipped.
+    rollout.version = getNewestWeights(configuration, rollout.model)?.version ?? rollout.version;
+    updateState(rollout, "recording", tick.now);
+    const { target: id, model, version } = rollout;
+    const value = encodeOrder({ vm: world.settings.vm, target: id, model, version });
+    world.effects.append({
+        kind: "callStore",
+        purpose: { for: "order", target: id },
+        call: {
+            kind: "transaction",
+            compare: [],
+            success: [{
+                kind: "put",
+                key: `${orderPrefix}${target.registration.instance}`,
+                value,
+                ...(node.lease.id === undefined ? {} : { lease: node.lease.id }),
+            }],
+        },
+    });
+}
+
+function sendOrder(world: ForwardWorld, tick: ForwardTick, target: ForwardTargetRow, rollout: RolloutRow): void {
     const { duty, lease } = world.tables.node;
-    rollout.state = "ordered";
-    rollout.steppedAt = tick.now;
     const { id, address, instance } = target.registration;
-    target.loadingUntil = addMillis(tick.now, firstReadMs);
+    updateState(rollout, "ordered", tick.now);
+    expectLoading(target, tick.now);
     world.effects.append({
         kind: "orderWeights",
         target: id,
@@ -111,7 +164,7 @@
             version: rollout.version,
             holder: world.settings.vm,
             fencing: duty.fencing,
-            expectedOrders: acceptedOrders,
+            expectedOrders: rollout.acceptedOrders,
         },
         notAfter: lease.validUntil,
     });
@@ -121,16 +174,31 @@
         model: rollout.model,
         weights: rollout.version,
         fencing: duty.fencing,
+        acceptedOrders: rollout.acceptedOrders,
+        leaseLeftMs: Math.round(lease.validUntil - tick.now),
         work: target.work.size,
     });
 }
 
-/** True while this process may act: it holds the duty, the guard time is over and its lease is certain. */
-function canAct(world: ForwardWorld, tick: ForwardTick): boolean {
-    const { duty, lease } = world.tables.node;
-    return duty.state === "held"
-        && tick.now >= duty.actsFrom
-        && isForwardLeaseValid(lease, addMillis(tick.now, leaseMarginMs), tick.wallNow + leaseMarginMs);
+function handleRecords(world: ForwardWorld, tick: ForwardTick): void {
+    for (const { purpose, outcome } of tick.events.list("storeReplied")) {
+        if (purpose.for !== "order") {
+            continue;
+        }
+        const rollout = world.tables.rollouts.rows.get(purpose.target);
+        const target = world.tables.targets.get(purpose.target);
+        if (!rollout || !target || rollout.state !== "recording") {
+            continue;
+        }
+        const { result } = outcome;
+        const isRecorded = result.ok && result.val.kind === "transaction" && result.val.succeeded;
+        if (isRecorded && canAct(world, tick) && !isGuarded(world, tick, purpose.target)) {
+            sendOrder(world, tick, target, rollout);
+        }
+        else {
+            stopRollout(world, tick, rollout, isRecorded ? "the duty is not certain" : "it was not recorded");
+        }
+    }
 }
 
 function handleReports(world: ForwardWorld, tick: ForwardTick): void {
@@ -141,9 +209,7 @@
             continue;
         }
         if (report.err) {
-            logWarning(world.effects, "place:", "Engine gave no report.", { target: id, message: report.val.message });
-            endRollout(world, id, "no report");
-            target.loadingUntil = addMillis(tick.now, stepMs);
+            stopRollout(world, tick, rollout, report.val.message);
             continue;
         }
         const held = report.val.weights.get(rollout.model);
@@ -152,12 +218,10 @@
             world.tables.heldParts.removeTarget(id);
             target.loadingUntil = tick.now;
             endRollout(world, id, "loaded");
-            continue;
         }
-        if (rollout.state === "asked" && !report.val.isBusy && canAct(world, tick)) {
-            // A version that was named meanwhile is taken at once; the one in between is skipped.
-            rollout.version = getNewestWeights(world.tables.configuration, rollout.model)?.version ?? rollout.version;
-            sendOrder(world, tick, target, rollout, report.val.acceptedOrders);
+        else if (rollout.state === "reading" && !report.val.isBusy && canAct(world, tick)) {
+            rollout.acceptedOrders = report.val.acceptedOrders;
+            recordOrder(world, tick, target, rollout);
         }
     }
 }
@@ -166,31 +230,26 @@
     readonly [Outcome in WeightsOrderOutcome]: (world: ForwardWorld, tick: ForwardTick, rollout: RolloutRow) => void;
 } = {
     started: (_world, tick, rollout) => {
-        rollout.state = "loading";
-        rollout.steppedAt = tick.now;
+        updateState(rollout, "loading", tick.now);
     },
     done: (world, _tick, rollout) => {
         world.tables.targets.get(rollout.target)?.weights.set(rollout.model, rollout.version);
         endRollout(world, rollout.target, "held already");
     },
     conflict: (_world, tick, rollout) => {
-        rollout.state = "asked";
-        rollout.steppedAt = tick.now;
+        updateState(rollout, "reading", tick.now);
     },
     outdated: (world, tick, rollout) => {
-        endRollout(world, rollout.target, "a higher fencing number was seen");
-        world.tables.node.duty.actsFrom = addMillis(tick.now, unknownWaitMs);
+        stopRollout(world, tick, rollout, "the engine has seen a higher fencing number");
     },
-    misdirected: (world, _tick, rollout) => {
-        endRollout(world, rollout.target, "another target has the address");
+    misdirected: (world, tick, rollout) => {
+        stopRollout(world, tick, rollout, "another target has the address");
     },
-    refused: (world, _tick, rollout) => {
-        endRollout(world, rollout.target, "refused");
+    refused: (world, tick, rollout) => {
+        stopRollout(world, tick, rollout, "the engine refused the order");
     },
-    unknown: (_world, tick, rollout) => {
-        rollout.state = "asked";
-        rollout.readAt = addMillis(tick.now, unknownWaitMs - stepMs);
-        rollout.steppedAt = tick.now;
+    unknown: (world, tick, rollout) => {
+        stopRollout(world, tick, rollout, "the order was not answered");
     },
 };
 
@@ -215,28 +274,34 @@
         endRollout(world, rollout.target, "registered with the version");
         return;
     }
-    if (tick.now - rollout.steppedAt > longestLoadMs) {
-        endRollout(world, rollout.target, "took too long");
+    const elapsed = tick.now - rollout.steppedAt;
+    if (elapsed > (rollout.state === "failed" ? failurePauseMs : longestLoadMs)) {
+        endRollout(world, rollout.target, rollout.state === "failed" ? "begins again" : "took too long");
         return;
     }
-    const firstAt = addMillis(rollout.steppedAt, rollout.state === "loading" ? firstReadMs : stepMs);
-    if (rollout.state !== "ordered" && tick.now >= firstAt && tick.now - rollout.readAt >= stepMs) {
+    if (rollout.state === "loading") {
+        expectLoading(target, tick.now);
+    }
+    const canRead = rollout.state === "reading" || (rollout.state === "loading" && elapsed >= firstReadMs);
+    if (canRead && tick.now - rollout.readAt >= stepMs) {
         readEngine(world, tick, target, rollout);
     }
 }
 
 /**
  * Reads: configuration, node. Writes: rollouts, targets (weights), held parts.
- * Effects: reports and orders, log lines.
+ * Effects: records in the store, reports and orders, log lines.
  */
 export function placeWeights(world: ForwardWorld, tick: ForwardTick): void {
     const { rollouts, node } = world.tables;
     handleReports(world, tick);
+    handleRecords(world, tick);
     handleAnswers(world, tick);
     if (node.duty.state !== "held") {
         return;
     }
-    if (tick.due.has("rollout")) {
+    const isStep = tick.due.has("rollout");
+    if (isStep) {
         for (const rollout of [...rollouts.rows.values()]) {
             updateRollout(world, tick, rollout);
         }
@@ -246,7 +311,7 @@
             startRollouts(world, tick, model);
         }
     }
-    if (rollouts.rows.size > 0) {
+    if (isStep) {
         world.timers.schedule({ name: "rollout", at: addMillis(tick.now, stepMs) });
     }
 }
--- a/src/forward/systems/requestEnd.ts
+++ b/src/forward/systems/requestEnd.ts
@@ -3,7 +3,8 @@
 import { type RefusalCode, refusalKinds } from "../../refusals";
 import { computeVerdict } from "../../verdict";
 import type { ForwardTick } from "../events";
-import { type ForwardRequestRow } from "../tables/requests";
+import { addUsage } from "../policy/usageWindow";
+import type { ForwardRequestRow } from "../tables/requests";
 import type { ForwardWorld } from "../world";
 
 /** Removes the request from the work of its last target. */
@@ -16,9 +17,9 @@
 
 /** Tokens of a request that did not run go back to the account. */
 function releaseTokens(world: ForwardWorld, row: ForwardRequestRow): void {
-    const share = row.accountId === undefined ? undefined : world.tables.shares.rows.get(row.accountId);
-    if (share) {
-        share.level += row.tokens;
+    const usage = row.accountId === undefined ? undefined : world.tables.shares.rows.get(row.accountId);
+    if (usage) {
+        addUsage(usage, -row.tokens);
     }
 }
 
--- a/src/forward/systems/targetEnd.ts
+++ b/src/forward/systems/targetEnd.ts
@@ -7,5 +7,6 @@
     const { id } = row.registration;
     world.tables.heldParts.removeTarget(id);
     world.tables.rollouts.rows.delete(id);
+    world.tables.rollouts.recorded.delete(id);
     world.effects.append({ kind: "closeTarget", target: id });
 }
--- a/src/forward/systems/targetHealth.ts
+++ b/src/forward/systems/targetHealth.ts
@@ -5,6 +5,13 @@
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 
+/** An engine that has taken an order gets nothing for this long, unless it shows the new weights earlier. */
+const loadingMs = 900;
+
+export function expectLoading(row: ForwardTargetRow, now: Millis): void {
+    row.loadingUntil = addMillis(now, loadingMs);
+}
+
 /** First back-off; doubled with each further failure. */
 const firstBackOffMs = 300;
 const longestBackOffMs = 2000;
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -11,7 +11,7 @@
 export const leaseMs = 2400;
 /** The lease is renewed four times in its length, so that two lost answers do not end it. */
 const renewEveryMs = 600;
-/** A new holder waits this long beyond the guard time, for orders of the holder before it that are on their way. */
+/** Added to the guard time for orders of the holder before that are on their way. */
 const guardMarginMs = 300;
 
 type Purpose<For extends ForwardStorePurpose["for"]> = Extract<ForwardStorePurpose, { readonly for: For; }>;
@@ -119,13 +119,16 @@
             logWarning(world.effects, "member:", "The lease was not renewed.", { step, message: result.val.message });
         }
     },
+    // The system that places weights reads these replies.
+    order: () => undefined,
     member: (world, _tick, _purpose, { result }) => {
         if (result.err || (result.val.kind === "transaction" && !result.val.succeeded)) {
             world.tables.node.isRegistered = false;
         }
     },
     duty: (world, tick, { step }, { result }) => {
-        const { duty, lease } = world.tables.node;
+        const { node } = world.tables;
+        const { duty, lease } = node;
         if (step === "release") {
             return;
         }
@@ -139,7 +142,9 @@
         }
         duty.state = "held";
         duty.fencing = result.val.revision;
-        duty.actsFrom = addMillis(tick.now, world.settings.bounds.dutyGuardMs + guardMarginMs);
+        // Orders that were recorded before this process read the store are not known to it.
+        duty.actsFrom = addMillis(node.firstReadAt, world.settings.bounds.dutyGuardMs + guardMarginMs);
+        world.timers.schedule({ name: "rollout", at: tick.now });
         logInfo(world.effects, "place:", "Duty of orders is taken.", { fencing: duty.fencing });
     },
 };
--- a/src/forward/tables/node.ts
+++ b/src/forward/tables/node.ts
@@ -31,6 +31,8 @@
     isReady: boolean;
     /** True until the store has been read once. */
     isUnread: boolean;
+    /** Time of the first read of the store. */
+    firstReadAt: Millis;
     /** Last time at which the store confirmed the published state. */
     storeHeardAt: Millis;
     /** Since when the store has answered without interruption; undefined while it is silent. */
@@ -47,6 +49,7 @@
         leavingSince: undefined,
         isReady: false,
         isUnread: true,
+        firstReadAt: 0 as Millis,
         storeHeardAt: 0 as Millis,
         storeSteadySince: undefined,
         lease: {
--- a/src/forward/tables/shares.ts
+++ b/src/forward/tables/shares.ts
@@ -1,14 +1,9 @@
-/** Buckets of the accounts: this process's share of each account's rate. */
-import type { AccountId, Millis } from "../../ids";
-
-export interface ShareRow {
-    /** Tokens that may still be used; a large request may take it below zero. */
-    level: number;
-    refilledAt: Millis;
-}
+/** Usage of the accounts by this process in the last window. */
+import type { AccountId } from "../../ids";
+import type { UsageWindow } from "../policy/usageWindow";
 
 export interface SharesTable {
-    readonly rows: Map<AccountId, ShareRow>;
+    readonly rows: Map<AccountId, UsageWindow>;
 }
 
 /** Creates an empty table. */
