--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -17,6 +17,7 @@
 import { createForwardClient } from "./forwardClient";
 import { createFrontServer, openListener } from "./frontServer";
 import { createOpenForwards } from "./openForwards";
+import { createPeerLink } from "./peerLink";
 
 /** Time between steps of the directory's answers that callers keep: a part of the longest time they may. */
 const keepFraction = 0.4;
@@ -60,6 +61,7 @@
     const clock = createProcessClock();
     const world: ForwardWorld = {
         settings,
+        startedAt: clock.getWallNow(),
         hasher: await loadHasher(),
         random: Math.random,
         tables: createForwardTables(),
@@ -76,6 +78,7 @@
     const front = createFrontServer({ address: listen.callers, codec: ports.headers, clock, post, openForwards });
     const client = createForwardClient({ codec: ports.headers, post, openForwards, isClosing: front.isClosing });
     const store = ports.createStore({ clock, post, ...storeSettings });
+    const peers = createPeerLink({ address: listen.peers, post });
     const engines = ports.createEngines({ clock, post });
     const directory = ports.createDirectory({
         clock,
@@ -91,6 +94,7 @@
         front.close();
         client.close();
         store.close();
+        peers.close();
         engines.close();
         directory.close();
         metricsServer.close();
@@ -122,6 +126,8 @@
         orderWeights: engines.order,
         followParts: engines.followParts,
         callStore: store.call,
+        askPeer: peers.ask,
+        answerPeer: peers.answer,
         writeLog: writeLog ?? createLogWriter({
             log,
             vm,
@@ -145,6 +151,7 @@
     });
     await front.start();
     await directory.start();
+    await peers.start();
     await openListener(metricsServer, listen.metrics);
     runner.start();
     store.start();
--- a/src/forward/codec/fleetRows.ts
+++ b/src/forward/codec/fleetRows.ts
@@ -13,6 +13,7 @@
 const memberSchema = z.object({
     vm: z.string(),
     address: z.string(),
+    peerAddress: z.string(),
     dataCentre: z.string(),
     state: z.enum(["live", "leaving"]),
 });
--- a/src/forward/effects.ts
+++ b/src/forward/effects.ts
@@ -1,11 +1,12 @@
 /** Effects of the forwarding mode: what its systems ask the adapters to do. */
 import type { EffectOf, EffectQueue, HandlersOf } from "../effects";
-import type { CallId, Millis, RequestId, TargetId } from "../ids";
+import type { CallId, Millis, RequestId, TargetId, VmId } from "../ids";
 import type { Refusal } from "../refusals";
 import type { StoreCall } from "../store";
 import type { ForwardCall, WeightsOrder } from "./calls";
 import type { CallerLimits } from "./document";
 import type { ForwardStorePurpose } from "./events";
+import type { PeerState } from "./peers";
 
 export type ForwardEffect =
     /* callers */
@@ -47,6 +48,9 @@
     }
     /* store */
     | { readonly kind: "callStore"; readonly purpose: ForwardStorePurpose; readonly call: StoreCall; }
+    /* peers */
+    | { readonly kind: "askPeer"; readonly vm: VmId; readonly address: string; readonly state: PeerState; }
+    | { readonly kind: "answerPeer"; readonly call: CallId; readonly state: PeerState; }
     /* process */
     | EffectOf<"writeLog">
     | EffectOf<"addCount">
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -1,6 +1,6 @@
 /** Events of the forwarding mode: what its adapters observed. */
 import type { Result } from "ts-results";
-import type { CallId, DataCentreId, Millis, ModelId, RequestId, TargetId } from "../ids";
+import type { CallId, DataCentreId, Millis, ModelId, RequestId, TargetId, VmId } from "../ids";
 import { createKindBatch, type KindBatch } from "../kindBatch";
 import type { StoreOutcome } from "../store";
 import type { TickOf } from "../world";
@@ -14,12 +14,13 @@
 } from "./calls";
 import type { ForwardDocument, RegisteredTarget } from "./document";
 import type { WeightsVersion } from "./ids";
+import type { PeerState } from "./peers";
 
 /** Says which decision a store call belongs to. */
 export type ForwardStorePurpose =
     | { readonly for: "lease"; readonly step: "grant" | "renew" | "end"; }
     | { readonly for: "member"; }
-    | { readonly for: "duty"; readonly step: "acquire" | "release"; }
+    | { readonly for: "duty"; }
     | { readonly for: "order"; readonly target: TargetId; };
 
 /** A row that a process of the fleet wrote; `value` is undefined for a deleted one. */
@@ -94,6 +95,13 @@
     | { readonly kind: "publishedChanged"; readonly changes: PublishedChanges; readonly heardAt: Millis; }
     | { readonly kind: "storeSilent"; readonly message: string; }
     | { readonly kind: "storeReplied"; readonly purpose: ForwardStorePurpose; readonly outcome: StoreOutcome; }
+    /* peers */
+    | { readonly kind: "peerAsked"; readonly call: CallId; readonly state: PeerState; }
+    | {
+        readonly kind: "peerReplied";
+        readonly vm: VmId;
+        readonly result: Result<PeerState, { readonly message: string; }>;
+    }
     /* process */
     | { readonly kind: "drainAsked"; }
     | { readonly kind: "reloadAsked"; readonly outcome: string; };
--- /dev/null
+++ b/src/forward/peers.ts
@@ -0,0 +1,17 @@
+/** What the processes of the fleet tell each other. Every message is a full state, so that any of them may be lost. */
+import type { AccountId, ModelId, TargetId, VmId } from "../ids";
+import type { WeightsVersion } from "./ids";
+
+export interface PeerState {
+    readonly vm: VmId;
+    /** Milliseconds since the Unix epoch at the start of the process; tells two runs on one VM apart. */
+    readonly startedAt: number;
+    /** Tokens that the sender has used of each account in the last window. */
+    readonly usage: readonly (readonly [AccountId, number])[];
+    /** The same for an earlier run of the receiver's process, as the sender last heard it. */
+    readonly earlier: readonly (readonly [AccountId, number])[];
+    /** Versions of weights that the sender saw being named, with the milliseconds since then. */
+    readonly named: readonly (readonly [ModelId, WeightsVersion, number])[];
+    /** Engines with work of the sender: prompt tokens that wait there, and requests. */
+    readonly load: readonly (readonly [TargetId, number, number])[];
+}
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -17,6 +17,8 @@
         readiness: ipAndPort,
         directory: ipAndPort,
         metrics: ipAndPort,
+        /** Address for the other processes of the fleet. */
+        peers: ipAndPort,
     }),
     store: z.strictObject({ address: ipAndPort, timeoutMs: milliseconds.default(900) }),
     /** What the operators of the platform allow. Times are in milliseconds. */
--- a/src/forward/systems/admitRequests.ts
+++ b/src/forward/systems/admitRequests.ts
@@ -1,24 +1,19 @@
 /** Admits arriving requests: configuration, route, key, account's share, deadline. */
 import { type LogFields, logInfo, logWarning } from "../../effects";
-import { addMillis, type Millis } from "../../ids";
+import { addMillis } from "../../ids";
 import { type RefusalCode } from "../../refusals";
 import type { ForwardArrival } from "../calls";
 import type { ForwardAccount, ForwardRoute } from "../document";
 import type { ForwardTick } from "../events";
 import type { ServiceId } from "../ids";
-import { computeShare } from "../policy/share";
-import { addUsage, computeUsageWait, createUsageWindow, updateUsageWindow } from "../policy/usageWindow";
 import type { ForwardRequestRow } from "../tables/requests";
 import type { ForwardWorld } from "../world";
 import { isAdmitting } from "./drainNode";
+import { reserveTokens } from "./reserveTokens";
 
-/** The process counts as out of touch when the store has been silent for longer than a lease lasts. */
-const outOfTouchMs = 4000;
 /** Callers come back to a process without configuration after this time. */
 const startingRetrySeconds = 0.5;
 const drainingRetrySeconds = 0.1;
-/** Part of its share that a process that has just started takes as used by the one before it. */
-const earlierUsage = 0.75;
 /** Time that a caller needs to come back, before it can use tokens that are refilled. */
 const shortestRetrySeconds = 0.05;
 
@@ -42,48 +37,6 @@
 const computeTokens = (arrival: ForwardArrival, account: ForwardAccount | undefined): number =>
     arrival.hasTokens ? arrival.promptTokens + arrival.maxOutputTokens : account?.plainTokens ?? 0;
 
-/** What an account that is refused had used, in tokens. */
-interface UsedUp {
-    readonly usedTokens: number;
-    readonly shareTokens: number;
-    readonly members: number;
-    /** Time until the account has tokens again. */
-    readonly waitMs: number;
-}
-
-/** Takes the tokens of the request, unless the account's share is used up. */
-function reserveTokens(world: ForwardWorld, now: Millis, account: ForwardAccount, tokens: number): UsedUp | undefined {
-    const { shares, members, node } = world.tables;
-    const { quotaWindowMs, quotaOverage, quotaSlackTokens } = world.settings.bounds;
-    if (account.rate <= 0 || tokens === 0) {
-        return undefined;
-    }
-    const share = computeShare({
-        rate: account.rate,
-        burst: account.burst,
-        windowMs: quotaWindowMs,
-        overage: quotaOverage,
-        slackTokens: quotaSlackTokens,
-        members: members.countLive(),
-        isInTouch: now - node.storeHeardAt < outOfTouchMs,
-    });
-    const usage = shares.rows.get(account.id)
-        ?? createUsageWindow({ windowMs: quotaWindowMs, now, tokens: share * earlierUsage });
-    shares.rows.set(account.id, usage);
-    updateUsageWindow(usage, now);
-    // A request that is larger than what is left may go beyond the share once.
-    if (usage.total < share) {
-        addUsage(usage, tokens);
-        return undefined;
-    }
-    return {
-        usedTokens: Math.round(usage.total),
-        shareTokens: Math.round(share),
-        members: members.countLive(),
-        waitMs: computeUsageWait(usage, usage.total - share),
-    };
-}
-
 function checkAdmission(world: ForwardWorld, tick: ForwardTick, arrival: ForwardArrival): Decision {
     const { configuration } = world.tables;
     const { document } = configuration;
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -12,8 +12,8 @@
 /** The store's silence ended this recently: rows that lapsed meanwhile may still come back. */
 const returnMs = 2300;
 
-/** A version that a process finds when it starts is taken to have been named this much earlier. */
-const earlierNamingMs = 5000;
+/** A version that a process finds when it starts is taken to have been named this much earlier, until a peer tells. */
+const earlierNamingMs = 6500;
 
 function applyDocument(world: ForwardWorld, { document }: PublishedChanges): void {
     const { configuration } = world.tables;
@@ -48,7 +48,11 @@
         }
         configuration.weights.set(model, [
             ...(configuration.weights.get(model) ?? []),
-            { version, namedAt: addMillis(tick.now, node.isUnread ? -earlierNamingMs : 0) },
+            {
+                version,
+                namedAt: addMillis(tick.now, node.isUnread ? -earlierNamingMs : 0),
+                isSeen: !node.isUnread,
+            },
         ]);
         logInfo(world.effects, "place:", "New weights are named.", { model, version, revision });
     }
--- a/src/forward/systems/drainNode.ts
+++ b/src/forward/systems/drainNode.ts
@@ -1,7 +1,6 @@
 /** Life cycle of this process: ready, leaving, stopped. */
 import { logInfo, logWarning } from "../../effects";
 import { addMillis } from "../../ids";
-import { weightsDutyKey } from "../codec/fleetRows";
 import type { ForwardTick } from "../events";
 import type { ForwardWorld } from "../world";
 
@@ -42,27 +41,6 @@
     const { graceMs } = world.settings.bounds;
     world.timers.schedule({ name: "drain", at: addMillis(tick.now, graceMs * admitPart) });
     world.timers.schedule({ name: "drain", at: addMillis(tick.now, graceMs * exitPart), key: "limit" });
-    releaseDuty(world);
-}
-
-/** Gives the duty up at once, so that the guard time of the next holder begins now. */
-function releaseDuty(world: ForwardWorld): void {
-    const { duty } = world.tables.node;
-    if (duty.state !== "held") {
-        return;
-    }
-    duty.state = "none";
-    world.tables.rollouts.rows.clear();
-    world.effects.append({
-        kind: "callStore",
-        purpose: { for: "duty", step: "release" },
-        call: {
-            kind: "transaction",
-            compare: [{ key: weightsDutyKey, createRevision: duty.fencing }],
-            success: [{ kind: "delete", key: weightsDutyKey }],
-        },
-    });
-    logInfo(world.effects, "place:", "Duty of orders is given up.", { fencing: duty.fencing, reason: "shutdown" });
 }
 
 function stopNode(world: ForwardWorld, tick: ForwardTick): void {
--- /dev/null
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -0,0 +1,160 @@
+/** Exchanges usage of accounts and work at engines with the other processes of the fleet. */
+import { logInfo } from "../../effects";
+import { type AccountId, addMillis } from "../../ids";
+import type { ForwardTick } from "../events";
+import type { PeerState } from "../peers";
+import { updateUsageWindow } from "../policy/usageWindow";
+import type { ForwardMemberRow } from "../tables/members";
+import type { PeerRow } from "../tables/peers";
+import type { ForwardWorld } from "../world";
+
+/** Time between two exchanges with one peer, for each peer: the cost of a process grows slower than the fleet. */
+const everyMsForEach = 75;
+const shortestEveryMs = 300;
+
+/** Versions of each model that are told; older ones matter to no engine any more. */
+const toldVersions = 4;
+
+const computeEveryMs = (world: ForwardWorld): number =>
+    Math.max(shortestEveryMs, everyMsForEach * world.tables.members.countLive());
+
+/** A peer that was not heard for this long may have used all of its share. */
+export const computePeerStaleMs = (world: ForwardWorld): number => 3 * computeEveryMs(world);
+
+/** What a peer's earlier run had used, less what has left the window since. */
+function listEarlier(world: ForwardWorld, tick: ForwardTick, peer: PeerRow | undefined): [AccountId, number][] {
+    if (!peer?.earlier) {
+        return [];
+    }
+    const { usage, heardAt } = peer.earlier;
+    const left = Math.max(0, 1 - (tick.now - heardAt) / world.settings.bounds.quotaWindowMs);
+    return [...usage].map(([account, tokens]) => [account, Math.round(tokens * left)]);
+}
+
+/** The newest versions that this process saw being named. */
+function listNamed(world: ForwardWorld, tick: ForwardTick): PeerState["named"] {
+    return [...world.tables.configuration.weights].flatMap(([model, versions]) =>
+        versions
+            .filter(({ isSeen }) => isSeen)
+            .slice(-toldVersions)
+            .map(({ version, namedAt }) => [model, version, Math.round(tick.now - namedAt)] as const)
+    );
+}
+
+function applyNamed(world: ForwardWorld, tick: ForwardTick, { named }: PeerState): void {
+    for (const [model, version, ageMs] of named) {
+        const known = world.tables.configuration.weights.get(model)?.find(entry => entry.version === version);
+        if (known && !known.isSeen) {
+            known.namedAt = addMillis(tick.now, -ageMs);
+            known.isSeen = true;
+        }
+    }
+}
+
+function buildState(world: ForwardWorld, tick: ForwardTick, peer: PeerRow | undefined): PeerState {
+    const { shares, targets } = world.tables;
+    const usage: [AccountId, number][] = [];
+    for (const [account, window] of shares.rows) {
+        updateUsageWindow(window, tick.now);
+        if (window.total > 0) {
+            usage.push([account, Math.round(window.total)]);
+        }
+    }
+    const load: PeerState["load"][number][] = [];
+    for (const { registration, work } of targets.list()) {
+        if (work.size > 0) {
+            let queued = 0;
+            for (const { hasAnswered, missedTokens } of work.values()) {
+                queued += hasAnswered ? 0 : missedTokens;
+            }
+            load.push([registration.id, queued, work.size]);
+        }
+    }
+    return {
+        vm: world.settings.vm,
+        startedAt: world.startedAt,
+        usage,
+        earlier: listEarlier(world, tick, peer),
+        named: listNamed(world, tick),
+        load,
+    };
+}
+
+function applyState(world: ForwardWorld, tick: ForwardTick, state: PeerState): void {
+    const { peers } = world.tables;
+    peers.apply(state, tick.now);
+    applyNamed(world, tick, state);
+    if (state.earlier.length > 0 && !peers.ownEarlier) {
+        peers.ownEarlier = { usage: new Map(state.earlier), toldAt: tick.now };
+        logInfo(world.effects, "peer:", "A peer told what this VM had used before the restart.", {
+            peer: state.vm,
+            accounts: state.earlier.length,
+        });
+    }
+}
+
+function addPeer(world: ForwardWorld, tick: ForwardTick, { vm }: ForwardMemberRow): PeerRow {
+    const row: PeerRow = {
+        vm,
+        startedAt: 0,
+        heardAt: addMillis(tick.now, -computePeerStaleMs(world)),
+        usage: new Map(),
+        load: new Map(),
+        earlier: undefined,
+        isPending: false,
+    };
+    world.tables.peers.rows.set(vm, row);
+    return row;
+}
+
+/** One of two processes asks and the other one's answer carries its state; names decide which. */
+function requestStates(world: ForwardWorld, tick: ForwardTick): void {
+    const { members, peers } = world.tables;
+    for (const member of members.list()) {
+        const peer = peers.rows.get(member.vm);
+        if (member.vm <= world.settings.vm || peer?.isPending) {
+            continue;
+        }
+        const row = peer ?? addPeer(world, tick, member);
+        row.isPending = true;
+        const state = buildState(world, tick, row);
+        world.effects.append({ kind: "askPeer", vm: member.vm, address: member.peerAddress, state });
+    }
+}
+
+/** A process that has left counts until its usage has left the window. */
+function removeOld(world: ForwardWorld, tick: ForwardTick): void {
+    const { members, peers } = world.tables;
+    for (const [vm, row] of peers.rows) {
+        if (!members.get(vm) && tick.now - row.heardAt > world.settings.bounds.quotaWindowMs) {
+            peers.rows.delete(vm);
+        }
+    }
+}
+
+/**
+ * Reads: members, shares, targets. Writes: peers.
+ * Effects: calls and answers to peers, log lines.
+ */
+export function exchangeWithPeers(world: ForwardWorld, tick: ForwardTick): void {
+    const { peers } = world.tables;
+    for (const { call, state } of tick.events.list("peerAsked")) {
+        applyState(world, tick, state);
+        const own = buildState(world, tick, peers.rows.get(state.vm));
+        world.effects.append({ kind: "answerPeer", call, state: own });
+    }
+    for (const { vm, result } of tick.events.list("peerReplied")) {
+        if (result.ok) {
+            applyState(world, tick, result.val);
+        }
+        const row = peers.rows.get(vm);
+        if (row) {
+            row.isPending = false;
+        }
+    }
+    if (tick.due.has("exchange") || tick.number === 1) {
+        requestStates(world, tick);
+        removeOld(world, tick);
+        world.timers.schedule({ name: "exchange", at: addMillis(tick.now, computeEveryMs(world)) });
+    }
+}
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -4,6 +4,7 @@
 import { answerAddresses } from "./answerAddresses";
 import { applyPublished } from "./applyPublished";
 import { drainNode } from "./drainNode";
+import { exchangeWithPeers } from "./exchangeWithPeers";
 import { expireRequests } from "./expireRequests";
 import { followAttempts } from "./followAttempts";
 import { followParts } from "./followParts";
@@ -14,6 +15,7 @@
 export const forwardSystems: readonly ForwardSystem[] = [
     applyPublished,
     updateMembership,
+    exchangeWithPeers,
     followParts,
     followAttempts,
     expireRequests,
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -12,6 +12,7 @@
 import type { ForwardRequestRow } from "../tables/requests";
 import { canPassBackOff, type ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
+import { computePeerStaleMs } from "./exchangeWithPeers";
 import { refuseForward } from "./requestEnd";
 import { computeHeldTokens, computeSalt } from "./salts";
 
@@ -150,8 +151,35 @@
     return held < sharedTokens ? store.address : undefined;
 }
 
-function computeQueueFacts(tick: ForwardTick, target: ForwardTargetRow): QueueFacts {
+/** Scale of this process's own work for the processes that it has not heard lately. */
+function computeFleetFactor(world: ForwardWorld, tick: ForwardTick): number {
+    const unheard = world.tables.members.list().filter(({ vm }) => {
+        const peer = world.tables.peers.rows.get(vm);
+        return vm !== world.settings.vm && (!peer || tick.now - peer.heardAt > computePeerStaleMs(world));
+    });
+    return 1 + unheard.length * othersWeight;
+}
+
+/** Work of other processes at the target, as they last told. */
+function computePeerLoad(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    target: ForwardTargetRow,
+): { readonly queuedTokens: number; readonly requests: number; } {
     let queuedTokens = 0;
+    let requests = 0;
+    for (const { load, heardAt } of world.tables.peers.rows.values()) {
+        const entry = load.get(target.registration.id);
+        if (entry && tick.now - heardAt <= computePeerStaleMs(world)) {
+            queuedTokens += entry.queuedTokens;
+            requests += entry.requests;
+        }
+    }
+    return { queuedTokens, requests };
+}
+
+function computeQueueFacts(world: ForwardWorld, tick: ForwardTick, target: ForwardTargetRow): QueueFacts {
+    let { queuedTokens } = computePeerLoad(world, tick, target);
     let oldestMs = 0;
     let oldestTokens = 0;
     for (const { hasAnswered, missedTokens, sentAt } of target.work.values()) {
@@ -183,18 +211,17 @@
     });
     const sharedPart = parts.at(-2)?.id ?? parts[0]?.id ?? row.id;
     const ranks = listByRendezvous(world.hasher, sharedPart, able.map(target => target.registration.id));
-    const members = Math.max(1, world.tables.members.countLive());
-    const fleetFactor = 1 + (members - 1) * othersWeight;
+    const fleetFactor = computeFleetFactor(world, tick);
     let best: Choice | undefined;
     for (const engine of engines) {
         const { target, version, held } = engine;
         const source = findSource(world, row, engines, engine);
         const fetchedTokens = source ? source.tokens - held : 0;
-        const queueMs = estimateQueueMs(computeQueueFacts(tick, target), fleetFactor);
+        const queueMs = estimateQueueMs(computeQueueFacts(world, tick, target), fleetFactor);
         const scoreMs = computeEngineScore({
             target: target.registration.id,
             queueMs,
-            runningRequests: target.work.size,
+            runningRequests: target.work.size + computePeerLoad(world, tick, target).requests,
             missedTokens: Math.max(0, promptTokens - held - fetchedTokens),
             fetchedTokens,
             isRemote: target.registration.dataCentre !== world.settings.dataCentre,
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -73,6 +73,7 @@
     const value = encodeMember({
         vm: settings.vm,
         address: settings.listen.callers,
+        peerAddress: settings.listen.peers,
         dataCentre: settings.dataCentre,
         state: node.state === "leaving" ? "leaving" : "live",
     });
@@ -84,14 +85,17 @@
     });
 }
 
-/** Any live process may take the duty when nobody holds it. */
+/**
+ * Any live process may take the duty when nobody holds it. A leaving holder keeps it until the process ends, because
+ * all others may be leaving, too.
+ */
 function claimDuty(world: ForwardWorld, lease: LeaseId): void {
     const { node } = world.tables;
     if (node.duty.state !== "none" || node.duty.holder !== undefined || node.state !== "live") {
         return;
     }
     node.duty.state = "acquiring";
-    requestStore(world, { for: "duty", step: "acquire" }, {
+    requestStore(world, { for: "duty" }, {
         kind: "transaction",
         compare: [{ key: weightsDutyKey, createRevision: 0 }],
         success: [{ kind: "put", key: weightsDutyKey, value: world.settings.vm, lease }],
@@ -126,12 +130,9 @@
             world.tables.node.isRegistered = false;
         }
     },
-    duty: (world, tick, { step }, { result }) => {
+    duty: (world, tick, _purpose, { result }) => {
         const { node } = world.tables;
         const { duty, lease } = node;
-        if (step === "release") {
-            return;
-        }
         if (result.err || result.val.kind !== "transaction" || !result.val.succeeded) {
             duty.state = "none";
             return;
--- a/src/forward/tables/configuration.ts
+++ b/src/forward/tables/configuration.ts
@@ -13,7 +13,9 @@
 /** A version of a model's weights that was named. */
 export interface NamedWeights {
     readonly version: WeightsVersion;
-    readonly namedAt: Millis;
+    namedAt: Millis;
+    /** False when the version was found at the start, so that `namedAt` is assumed. */
+    isSeen: boolean;
 }
 
 export interface ForwardConfigurationTable {
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -5,6 +5,7 @@
 import { createHeldPartsTable, type HeldPartsTable } from "./heldParts";
 import { createForwardMembersTable, type ForwardMembersTable } from "./members";
 import { createForwardNodeRow, type ForwardNodeRow } from "./node";
+import { createPeersTable, type PeersTable } from "./peers";
 import { createForwardRequestsTable, type ForwardRequestsTable } from "./requests";
 import { createRolloutsTable, type RolloutsTable } from "./rollouts";
 import { createSharesTable, type SharesTable } from "./shares";
@@ -15,6 +16,7 @@
     readonly configuration: ForwardConfigurationTable;
     readonly members: ForwardMembersTable;
     readonly targets: ForwardTargetsTable;
+    readonly peers: PeersTable;
     readonly requests: ForwardRequestsTable;
     readonly shares: SharesTable;
     readonly heldParts: HeldPartsTable;
@@ -29,6 +31,7 @@
         configuration: createForwardConfigurationTable(),
         members: createForwardMembersTable(),
         targets: createForwardTargetsTable(),
+        peers: createPeersTable(),
         requests: createForwardRequestsTable(),
         shares: createSharesTable(),
         heldParts: createHeldPartsTable(),
--- a/src/forward/tables/members.ts
+++ b/src/forward/tables/members.ts
@@ -5,6 +5,8 @@
     readonly vm: VmId;
     /** Address for callers. */
     readonly address: string;
+    /** Address for the other processes of the fleet. */
+    readonly peerAddress: string;
     readonly dataCentre: DataCentreId;
     readonly state: "live" | "leaving";
 }
--- /dev/null
+++ b/src/forward/tables/peers.ts
@@ -0,0 +1,49 @@
+/** Other processes of the fleet, as they last described themselves. */
+import type { AccountId, Millis, TargetId, VmId } from "../../ids";
+import type { PeerState } from "../peers";
+
+export interface PeerRow {
+    readonly vm: VmId;
+    startedAt: number;
+    heardAt: Millis;
+    usage: ReadonlyMap<AccountId, number>;
+    load: ReadonlyMap<TargetId, { readonly queuedTokens: number; readonly requests: number; }>;
+    /** Usage of the run before, with the time at which it was last heard. */
+    earlier: { readonly usage: ReadonlyMap<AccountId, number>; readonly heardAt: Millis; } | undefined;
+    isPending: boolean;
+}
+
+export interface PeersTable {
+    readonly rows: Map<VmId, PeerRow>;
+    /** Usage of an earlier run of this process, as a peer told it; undefined until one did. */
+    ownEarlier: { readonly usage: ReadonlyMap<AccountId, number>; readonly toldAt: Millis; } | undefined;
+    apply(state: PeerState, now: Millis): void;
+}
+
+/** Creates an empty table. */
+export function createPeersTable(): PeersTable {
+    const rows = new Map<VmId, PeerRow>();
+    return {
+        rows,
+        ownEarlier: undefined,
+        apply: (state, now) => {
+            const known = rows.get(state.vm);
+            if (known && known.startedAt > state.startedAt) {
+                return;
+            }
+            const isNewRun = known !== undefined && known.startedAt < state.startedAt;
+            rows.set(state.vm, {
+                vm: state.vm,
+                startedAt: state.startedAt,
+                heardAt: now,
+                usage: new Map(state.usage),
+                load: new Map(state.load.map(([target, queuedTokens, requests]) => [
+                    target,
+                    { queuedTokens, requests },
+                ])),
+                earlier: isNewRun ? { usage: known.usage, heardAt: known.heardAt } : known?.earlier,
+                isPending: known?.isPending ?? false,
+            });
+        },
+    };
+}
--- a/src/forward/world.ts
+++ b/src/forward/world.ts
@@ -8,6 +8,8 @@
 
 export interface ForwardWorld {
     settings: ForwardSettings;
+    /** Milliseconds since the Unix epoch at the start of this process. */
+    readonly startedAt: number;
     readonly hasher: Hasher;
     /** Random number in [0, 1), from a seeded generator in tests. */
     readonly random: () => number;
