--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -19,8 +19,8 @@
 import { createOpenForwards } from "./openForwards";
 import { createPeerLink } from "./peerLink";
 
-/** Time between steps of the directory's answers that callers keep: a part of the longest time they may. */
-const keepFraction = 0.4;
+/** Callers keep the list of addresses for this part of the longest time, so that a lost VM is soon left out. */
+const keepFraction = 0.16;
 
 export interface ForwardNodeOptions {
     readonly settings: ForwardSettings;
--- a/src/forward/peers.ts
+++ b/src/forward/peers.ts
@@ -6,10 +6,10 @@
     readonly vm: VmId;
     /** Milliseconds since the Unix epoch at the start of the process; tells two runs on one VM apart. */
     readonly startedAt: number;
-    /** Tokens that the sender has used of each account in the last window. */
+    /** Tokens that the sender has used of each account in the last window, with what an earlier run may have used. */
     readonly usage: readonly (readonly [AccountId, number])[];
-    /** The same for an earlier run of the receiver's process, as the sender last heard it. */
-    readonly earlier: readonly (readonly [AccountId, number])[];
+    /** What an earlier run of the receiver's process had used; absent when the sender cannot know. */
+    readonly earlier?: readonly (readonly [AccountId, number])[] | undefined;
     /** Versions of weights that the sender saw being named, with the milliseconds since then. */
     readonly named: readonly (readonly [ModelId, WeightsVersion, number])[];
     /** Engines with work of the sender: prompt tokens that wait there, and requests. */
--- a/src/forward/policy/allowance.ts
+++ b/src/forward/policy/allowance.ts
@@ -12,13 +12,13 @@
 }
 
 /** Part of the allowance that is given out. The rest covers requests that are larger than what is left. */
-const givenFraction = 0.93;
+const givenFraction = 0.9;
 
 /**
  * Computes the tokens that the whole fleet may use in any window.
  *
  * @example
- * computeAllowance({ rate: 1000, burst: 1000, windowMs: 8000, overage: 0, slackTokens: 0 }); // 8370
+ * computeAllowance({ rate: 1000, burst: 1000, windowMs: 8000, overage: 0, slackTokens: 0 }); // 8100
  */
 export function computeAllowance({ rate, burst, windowMs, overage, slackTokens }: AllowanceOptions): number {
     return ((rate * windowMs / 1000 + burst) * (1 + overage) + slackTokens) * givenFraction;
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -1,36 +1,38 @@
 /** Exchanges usage of accounts and work at engines with the other processes of the fleet. */
 import { logInfo } from "../../effects";
-import { type AccountId, addMillis } from "../../ids";
+import { addMillis } from "../../ids";
 import type { ForwardTick } from "../events";
 import type { PeerState } from "../peers";
-import { updateUsageWindow } from "../policy/usageWindow";
 import type { ForwardMemberRow } from "../tables/members";
 import type { PeerRow } from "../tables/peers";
 import type { ForwardWorld } from "../world";
-
-/** Time between two exchanges with one peer, for each peer: the cost of a process grows slower than the fleet. */
-const everyMsForEach = 75;
-const shortestEveryMs = 300;
+import { computeExchangeEveryMs, computeOwnTokens, computePeerStaleMs } from "./accountUsage";
 
 /** Versions of each model that are told; older ones matter to no engine any more. */
 const toldVersions = 4;
 
-const computeEveryMs = (world: ForwardWorld): number =>
-    Math.max(shortestEveryMs, everyMsForEach * world.tables.members.countLive());
-
-/** A peer that was not heard for this long may have used all of its share. */
-export const computePeerStaleMs = (world: ForwardWorld): number => 3 * computeEveryMs(world);
-
-/** What a peer's earlier run had used, less what has left the window since. */
-function listEarlier(world: ForwardWorld, tick: ForwardTick, peer: PeerRow | undefined): [AccountId, number][] {
+/**
+ * What a peer's earlier run had used, less what has left the window since. A process that has run for a window
+ * without hearing of an earlier run knows that there was none.
+ */
+function listEarlier(world: ForwardWorld, tick: ForwardTick, peer: PeerRow | undefined): PeerState["earlier"] {
+    const { quotaWindowMs } = world.settings.bounds;
     if (!peer?.earlier) {
-        return [];
+        return tick.now - world.tables.node.firstReadAt > quotaWindowMs ? [] : undefined;
     }
     const { usage, heardAt } = peer.earlier;
-    const left = Math.max(0, 1 - (tick.now - heardAt) / world.settings.bounds.quotaWindowMs);
+    const left = Math.max(0, 1 - (tick.now - heardAt) / quotaWindowMs);
     return [...usage].map(([account, tokens]) => [account, Math.round(tokens * left)]);
 }
 
+function listUsage(world: ForwardWorld, tick: ForwardTick): PeerState["usage"] {
+    const accounts = world.tables.configuration.document?.accounts.values() ?? [];
+    return [...accounts].flatMap(account => {
+        const tokens = account.rate > 0 ? Math.round(computeOwnTokens(world, tick.now, account)) : 0;
+        return tokens > 0 ? [[account.id, tokens] as const] : [];
+    });
+}
+
 /** The newest versions that this process saw being named. */
 function listNamed(world: ForwardWorld, tick: ForwardTick): PeerState["named"] {
     return [...world.tables.configuration.weights].flatMap(([model, versions]) =>
@@ -52,14 +54,7 @@
 }
 
 function buildState(world: ForwardWorld, tick: ForwardTick, peer: PeerRow | undefined): PeerState {
-    const { shares, targets } = world.tables;
-    const usage: [AccountId, number][] = [];
-    for (const [account, window] of shares.rows) {
-        updateUsageWindow(window, tick.now);
-        if (window.total > 0) {
-            usage.push([account, Math.round(window.total)]);
-        }
-    }
+    const { targets } = world.tables;
     const load: PeerState["load"][number][] = [];
     for (const { registration, work } of targets.list()) {
         if (work.size > 0) {
@@ -73,7 +68,7 @@
     return {
         vm: world.settings.vm,
         startedAt: world.startedAt,
-        usage,
+        usage: listUsage(world, tick),
         earlier: listEarlier(world, tick, peer),
         named: listNamed(world, tick),
         load,
@@ -84,7 +79,7 @@
     const { peers } = world.tables;
     peers.apply(state, tick.now);
     applyNamed(world, tick, state);
-    if (state.earlier.length > 0 && !peers.ownEarlier) {
+    if (state.earlier && !peers.ownEarlier) {
         peers.ownEarlier = { usage: new Map(state.earlier), toldAt: tick.now };
         logInfo(world.effects, "peer:", "A peer told what this VM had used before the restart.", {
             peer: state.vm,
@@ -155,6 +150,6 @@
     if (tick.due.has("exchange") || tick.number === 1) {
         requestStates(world, tick);
         removeOld(world, tick);
-        world.timers.schedule({ name: "exchange", at: addMillis(tick.now, computeEveryMs(world)) });
+        world.timers.schedule({ name: "exchange", at: addMillis(tick.now, computeExchangeEveryMs(world)) });
     }
 }
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -12,7 +12,7 @@
 import type { ForwardRequestRow } from "../tables/requests";
 import { canPassBackOff, type ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
-import { computePeerStaleMs } from "./exchangeWithPeers";
+import { computePeerStaleMs } from "./accountUsage";
 import { refuseForward } from "./requestEnd";
 import { computeHeldTokens, computeSalt } from "./salts";
 
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -8,9 +8,9 @@
 import type { ForwardWorld } from "../world";
 
 /** Length of the lease: a killed process leaves the directory, and its duty, this much later. */
-export const leaseMs = 2400;
+const leaseMs = 2000;
 /** The lease is renewed four times in its length, so that two lost answers do not end it. */
-const renewEveryMs = 600;
+const renewEveryMs = 500;
 /** Added to the guard time for orders of the holder before that are on their way. */
 const guardMarginMs = 300;
 
--- a/src/forward/tables/peers.ts
+++ b/src/forward/tables/peers.ts
@@ -4,6 +4,7 @@
 
 export interface PeerRow {
     readonly vm: VmId;
+    /** 0 until the peer was heard. */
     startedAt: number;
     heardAt: Millis;
     usage: ReadonlyMap<AccountId, number>;
@@ -31,7 +32,7 @@
             if (known && known.startedAt > state.startedAt) {
                 return;
             }
-            const isNewRun = known !== undefined && known.startedAt < state.startedAt;
+            const isNewRun = known !== undefined && known.startedAt > 0 && known.startedAt < state.startedAt;
             rows.set(state.vm, {
                 vm: state.vm,
                 startedAt: state.startedAt,
