Load weights on fewer engines at once while prompts wait

Under load two of six engines were out of service for loads while crashes had taken two more. The number of engines that load now follows the prompt tokens that wait.

--- a/src/forward/systems/placeWeights.ts
+++ b/src/forward/systems/placeWeights.ts
@@ -4,17 +4,24 @@
 import type { WeightsOrderOutcome } from "../calls";
 import { encodeOrder, orderPrefix } from "../codec/fleetRows";
 import type { ForwardTick } from "../events";
-import type { WeightsVersion } from "../ids";
-import { getNewestWeights } from "../tables/configuration";
+import { toWeightsVersion, type WeightsVersion } from "../ids";
+import { findOutdatedSince, getNewestWeights } from "../tables/configuration";
 import { isForwardLeaseValid } from "../tables/node";
 import type { RolloutRow, RolloutState } from "../tables/rollouts";
-import type { ForwardTargetRow } from "../tables/targets";
+import { canPassBackOff, type ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
+import { computeQueuedTokens } from "./engineLoad";
 import { expectLoading } from "./targetHealth";
 
-/** Engines that are out of service for a load at the same time, as part of all engines of a model. */
-const parallelFraction = 3 / 7;
-const leastParallel = 2;
+/** Engines that load at the same time while little waits, as part of the engines of a model that work. */
+const quietFraction = 3 / 7;
+/** The same under load, when the others need their capacity. */
+const loadedFraction = 2 / 7;
+/** Prompt tokens that wait at each engine on average, up to which little waits. */
+const quietTokens = 5000;
+/** Engines that load at the same time when some have had old weights for this part of the time allowed. */
+const urgentParallel = 2;
+const urgentPart = 0.45;
 /** Time between the steps of a rollout. */
 const stepMs = 250;
 /** An engine that took an order shows the new version about this much later, at the earliest. */
@@ -82,6 +89,21 @@
         .sort((left, right) => getVersion(left) - getVersion(right) || left.work.size - right.work.size);
 }
 
+/** How many engines may load now: each takes its capacity away from requests that wait. */
+function computeParallel(world: ForwardWorld, tick: ForwardTick, model: ModelId): number {
+    const { configuration } = world.tables;
+    const working = listEngines(world, model).filter(target =>
+        !target.registration.isLeaving && canPassBackOff(target, tick.now)
+    );
+    const queued = working.reduce((sum, target) => sum + computeQueuedTokens(world, tick, target), 0);
+    const fraction = queued <= working.length * quietTokens ? quietFraction : loadedFraction;
+    const isUrgent = working.some(target => {
+        const since = findOutdatedSince(configuration, model, target.weights.get(model) ?? toWeightsVersion(0));
+        return since !== undefined && tick.now - since > world.settings.bounds.weightsMs * urgentPart;
+    });
+    return Math.max(isUrgent ? urgentParallel : 1, Math.floor(working.length * fraction));
+}
+
 function startRollouts(world: ForwardWorld, tick: ForwardTick, model: ModelId): void {
     const newest = getNewestWeights(world.tables.configuration, model);
     if (!newest) {
@@ -89,7 +111,7 @@
     }
     const { rows } = world.tables.rollouts;
     const running = [...rows.values()].filter(row => row.model === model && row.state !== "failed").length;
-    const parallel = Math.max(leastParallel, Math.floor(listEngines(world, model).length * parallelFraction));
+    const parallel = computeParallel(world, tick, model);
     for (const target of listNext(world, tick, model, newest.version).slice(0, Math.max(0, parallel - running))) {
         const rollout: RolloutRow = {
             target: target.registration.id,
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -7,12 +7,12 @@
 import type { RouteKind } from "../document";
 import type { ForwardTick } from "../events";
 import type { WeightsVersion } from "../ids";
-import { computeEngineScore, estimateQueueMs, type QueueFacts } from "../policy/engineScore";
+import { computeEngineScore, estimateQueueMs } from "../policy/engineScore";
 import { findOutdatedSince } from "../tables/configuration";
 import type { ForwardRequestRow } from "../tables/requests";
 import { canPassBackOff, type ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
-import { computePeerStaleMs } from "./accountUsage";
+import { computeFleetFactor, computePeerLoad, computeQueueFacts } from "./engineLoad";
 import { refuseForward } from "./requestEnd";
 import { computeHeldTokens, computeSalt } from "./salts";
 
@@ -34,8 +34,6 @@
 const leastFetchTokens = 256;
 /** Prompts with fewer shared tokens are not copied to the store of parts. */
 const leastCopyTokens = 1024;
-/** Work of other processes beside each unit of this process's own, as part of what an equal spread would give. */
-const othersWeight = 0.5;
 
 interface Choice {
     readonly target: ForwardTargetRow;
@@ -151,50 +149,6 @@
     return held < sharedTokens ? store.address : undefined;
 }
 
-/** Scale of this process's own work for the processes that it has not heard lately. */
-function computeFleetFactor(world: ForwardWorld, tick: ForwardTick): number {
-    const unheard = world.tables.members.list().filter(({ vm }) => {
-        const peer = world.tables.peers.rows.get(vm);
-        return vm !== world.settings.vm && (!peer || tick.now - peer.heardAt > computePeerStaleMs(world));
-    });
-    return 1 + unheard.length * othersWeight;
-}
-
-/** Work of other processes at the target, as they last told. */
-function computePeerLoad(
-    world: ForwardWorld,
-    tick: ForwardTick,
-    target: ForwardTargetRow,
-): { readonly queuedTokens: number; readonly requests: number; } {
-    let queuedTokens = 0;
-    let requests = 0;
-    for (const { load, heardAt } of world.tables.peers.rows.values()) {
-        const entry = load.get(target.registration.id);
-        if (entry && tick.now - heardAt <= computePeerStaleMs(world)) {
-            queuedTokens += entry.queuedTokens;
-            requests += entry.requests;
-        }
-    }
-    return { queuedTokens, requests };
-}
-
-function computeQueueFacts(world: ForwardWorld, tick: ForwardTick, target: ForwardTargetRow): QueueFacts {
-    let { queuedTokens } = computePeerLoad(world, tick, target);
-    let oldestMs = 0;
-    let oldestTokens = 0;
-    for (const { hasAnswered, missedTokens, sentAt } of target.work.values()) {
-        if (hasAnswered) {
-            continue;
-        }
-        queuedTokens += missedTokens;
-        if (tick.now - sentAt > oldestMs) {
-            oldestMs = tick.now - sentAt;
-            oldestTokens = missedTokens;
-        }
-    }
-    return { queuedTokens, oldestMs, oldestTokens };
-}
-
 function chooseEngine(
     world: ForwardWorld,
     tick: ForwardTick,
