Test orders and usage of the forwarding mode over virtual fleets

A state now names the run of the receiver that it speaks of, and a process that knows nothing takes its whole share as used.

--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -21,6 +21,7 @@
     vm: z.string(),
     startedAt: z.number(),
     usage: numbers,
+    knownStart: z.number(),
     earlier: numbers.optional(),
     named: z.array(z.tuple([z.string(), z.number(), z.number()])).max(1024),
     load: z.array(z.tuple([z.string(), z.number(), z.number()])).max(16384),
--- a/src/forward/peers.ts
+++ b/src/forward/peers.ts
@@ -8,7 +8,9 @@
     readonly startedAt: number;
     /** Tokens that the sender has used of each account in the last window, with what an earlier run may have used. */
     readonly usage: readonly (readonly [AccountId, number])[];
-    /** What an earlier run of the receiver's process had used; absent when the sender cannot know. */
+    /** Start of the receiver's run that the sender knows of; 0 when it knows none. */
+    readonly knownStart: number;
+    /** What the run before that one had used; absent when the sender cannot know. */
     readonly earlier?: readonly (readonly [AccountId, number])[] | undefined;
     /** Versions of weights that the sender saw being named, with the milliseconds since then. */
     readonly named: readonly (readonly [ModelId, WeightsVersion, number])[];
--- a/src/forward/systems/accountUsage.ts
+++ b/src/forward/systems/accountUsage.ts
@@ -5,8 +5,6 @@
 import { createUsageWindow, updateUsageWindow, type UsageWindow } from "../policy/usageWindow";
 import type { ForwardWorld } from "../world";
 
-/** Part of its share that a process takes as used by the run before it, until a peer says how much it was. */
-const earlierUsage = 0.9;
 /** Time between two exchanges with one peer, for each peer: the cost of a process grows slower than the fleet. */
 const everyMsForEach = 75;
 const shortestEveryMs = 300;
@@ -44,7 +42,10 @@
     return window;
 }
 
-/** What the run before this one may have used and what of it is still in the window. */
+/**
+ * What the run before this one may have used and what of it is still in the window: all of its share, until a peer
+ * says how much it was.
+ */
 function computeEarlierTokens(world: ForwardWorld, now: Millis, account: ForwardAccount): number {
     const { node, peers } = world.tables;
     const { quotaWindowMs } = world.settings.bounds;
@@ -53,7 +54,7 @@
         return (peers.ownEarlier.usage.get(account.id) ?? 0) * left;
     }
     const left = Math.max(0, 1 - (now - node.firstReadAt) / quotaWindowMs);
-    return left === 0 ? 0 : computeShare(world, account) * earlierUsage * left;
+    return left === 0 ? 0 : computeShare(world, account) * left;
 }
 
 /** Tokens that this VM has used, its earlier run included. */
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -69,6 +69,7 @@
         vm: world.settings.vm,
         startedAt: world.startedAt,
         usage: listUsage(world, tick),
+        knownStart: peer?.startedAt ?? 0,
         earlier: listEarlier(world, tick, peer),
         named: listNamed(world, tick),
         load,
@@ -79,7 +80,8 @@
     const { peers } = world.tables;
     peers.apply(state, tick.now);
     applyNamed(world, tick, state);
-    if (state.earlier && !peers.ownEarlier) {
+    // A peer that has not noticed the restart yet speaks of the run before.
+    if (state.earlier && state.knownStart === world.startedAt && !peers.ownEarlier) {
         peers.ownEarlier = { usage: new Map(state.earlier), toldAt: tick.now };
         logInfo(world.effects, "peer:", "A peer told what this VM had used before the restart.", {
             peer: state.vm,
--- /dev/null
+++ b/test/forward/weights.test.ts
@@ -0,0 +1,143 @@
+import { Err, Ok } from "ts-results";
+import { describe, expect, it } from "vitest";
+import { encodeOrder, orderPrefix, weightsDutyKey } from "../../src/forward/codec/fleetRows";
+import type { ForwardEffect } from "../../src/forward/effects";
+import type { ForwardEvent } from "../../src/forward/events";
+import { toWeightsVersion } from "../../src/forward/ids";
+import { toTargetId, toVmId } from "../../src/ids";
+import {
+    buildDocument,
+    buildTarget,
+    createForwardTestNode,
+    createGrantingStore,
+    type ForwardTestNode,
+    listEffects,
+    model,
+} from "../support/forwardNode";
+
+const names = ["e1", "e2", "e3", "e4", "e5", "e6"];
+const version2 = toWeightsVersion(2);
+
+/** Answers reads with version 1 and accepts every order. */
+function answerEngines(effect: ForwardEffect): readonly ForwardEvent[] {
+    if (effect.kind === "readEngine") {
+        const report = { weights: new Map([[model, toWeightsVersion(1)]]), isBusy: false, acceptedOrders: 3 };
+        return [{ kind: "engineReported", target: effect.target, report: Ok(report) }];
+    }
+    if (effect.kind === "orderWeights") {
+        return [{
+            kind: "orderAnswered",
+            target: effect.target,
+            version: effect.order.version,
+            outcome: "started",
+        }];
+    }
+    return [];
+}
+
+function createAnswer(node: ForwardTestNode) {
+    const store = createGrantingStore(node.getNow);
+    return (effect: ForwardEffect) => [...store(effect), ...answerEngines(effect)];
+}
+
+/** A process that has read the store and holds the duty. */
+async function createHolder(): Promise<ForwardTestNode> {
+    const node = await createForwardTestNode();
+    node.run([]);
+    const targets = names.map(name => ({ name, target: buildTarget(name) }));
+    node.runFor(1500, createAnswer(node), [node.read({ document: buildDocument(), targets })]);
+    return node;
+}
+
+describe("orders for new weights", () => {
+    it("waits for the guard time after the first read, because earlier orders are not known", async () => {
+        const node = await createHolder();
+        const named = [node.change({ weights: [{ model, version: version2 }] })];
+        expect(listEffects(node.runFor(1500, createAnswer(node), named), "orderWeights")).toHaveLength(0);
+        expect(listEffects(node.runFor(2000, createAnswer(node)), "orderWeights").length).toBeGreaterThan(0);
+    });
+
+    it("records each order in the store before it is sent", async () => {
+        const node = await createHolder();
+        node.runFor(4000, createAnswer(node));
+        const effects = node.runFor(500, createAnswer(node), [
+            node.change({ weights: [{ model, version: version2 }] }),
+        ]);
+        const order = listEffects(effects, "orderWeights")[0];
+        const recordedAt = effects.findIndex(effect =>
+            effect.kind === "callStore" && effect.purpose.for === "order" && effect.purpose.target === order?.target
+        );
+        expect(order?.order.expectedOrders).toBe(3);
+        expect(recordedAt).toBeGreaterThanOrEqual(0);
+        expect(recordedAt).toBeLessThan(effects.indexOf(order as ForwardEffect));
+    });
+
+    it("leaves an engine alone that another process ordered within the guard time", async () => {
+        const node = await createHolder();
+        node.runFor(4000, createAnswer(node));
+        const rows = names.slice(0, 5).map(name => ({
+            key: `${orderPrefix}${name}`,
+            value: encodeOrder({ vm: toVmId("other"), target: toTargetId(`${name}@1`), model, version: version2 }),
+            createRevision: 1,
+        }));
+        const changes = [node.change({ rows, weights: [{ model, version: version2 }] })];
+        const early = listEffects(node.runFor(2500, createAnswer(node), changes), "orderWeights");
+        expect(new Set(early.map(effect => effect.target))).toEqual(new Set([toTargetId("e6@1")]));
+    });
+
+    it("takes the engine with the oldest weights first", async () => {
+        const node = await createHolder();
+        node.runFor(4000, createAnswer(node));
+        const targets = names.map((name, index) => ({
+            name,
+            target: buildTarget(name, { weights: new Map([[model, toWeightsVersion(index === 4 ? 1 : 2)]]) }),
+        }));
+        node.run([node.change({ targets })]);
+        const effects = node.runFor(200, createAnswer(node), [
+            node.change({ weights: [{ model, version: toWeightsVersion(3) }] }),
+        ]);
+        expect(listEffects(effects, "readEngine")[0]?.target).toBe(toTargetId("e5@1"));
+    });
+
+    it("pauses after an engine that cannot be read, instead of reading it in every tick", async () => {
+        const node = await createHolder();
+        node.runFor(4000, createAnswer(node));
+        const named = [node.change({ weights: [{ model, version: version2 }] })];
+        const store = createGrantingStore(node.getNow);
+        const answerNothing = (effect: ForwardEffect): readonly ForwardEvent[] =>
+            effect.kind === "readEngine"
+                ? [{ kind: "engineReported", target: effect.target, report: Err({ message: "refused" }) }]
+                : store(effect);
+        const reads = listEffects(node.runFor(2000, answerNothing, named), "readEngine");
+        expect(reads.length).toBeLessThanOrEqual(names.length * 3);
+    });
+
+    it("sends nothing after a suspension that the monotonic clock did not count", async () => {
+        const node = await createHolder();
+        node.runFor(4000, createAnswer(node));
+        node.suspend(5000);
+        const effects = node.runFor(100, answerEngines, [
+            node.change({ weights: [{ model, version: version2 }] }),
+        ]);
+        expect(listEffects(effects, "orderWeights")).toHaveLength(0);
+    });
+
+    it("keeps the duty while the process is leaving, since all others may be leaving too", async () => {
+        const node = await createHolder();
+        node.runFor(4000, createAnswer(node));
+        node.run([{ kind: "drainAsked" }]);
+        const effects = node.runFor(500, createAnswer(node), [
+            node.change({ weights: [{ model, version: version2 }] }),
+        ]);
+        expect(listEffects(effects, "orderWeights").length).toBeGreaterThan(0);
+    });
+
+    it("does not take the duty while another process holds it", async () => {
+        const node = await createForwardTestNode();
+        node.run([]);
+        const rows = [{ key: weightsDutyKey, value: "other", createRevision: 5 }];
+        const read = [node.read({ document: buildDocument(), rows })];
+        const calls = listEffects(node.runFor(3000, createAnswer(node), read), "callStore");
+        expect(calls.some(call => call.purpose.for === "duty")).toBe(false);
+    });
+});
--- /dev/null
+++ b/test/support/forwardNode.ts
@@ -0,0 +1,249 @@
+/** Runs the systems of the forwarding mode over worlds with a virtual clock, without adapters. */
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Ok } from "ts-results";
+import { loadHasher } from "../../src/adapters/hasher";
+import { createEffectQueue } from "../../src/effects";
+import type { ForwardArrival } from "../../src/forward/calls";
+import type { ForwardDocument, ForwardRoute, RegisteredTarget } from "../../src/forward/document";
+import type { ForwardEffect, ForwardEffectOf } from "../../src/forward/effects";
+import { createForwardBatch, type ForwardEvent, type PublishedChanges } from "../../src/forward/events";
+import { toPartId, toServiceId, toWeightsVersion } from "../../src/forward/ids";
+import { parseForwardSettings } from "../../src/forward/settings";
+import { forwardSystems } from "../../src/forward/systems";
+import { createForwardTables } from "../../src/forward/tables";
+import type { ForwardWorld } from "../../src/forward/world";
+import {
+    type RouteId,
+    toAccountId,
+    toConfigVersion,
+    toDataCentreId,
+    toKeyHash,
+    toLeaseId,
+    toMillis,
+    toModelId,
+    toRequestId,
+    toTargetId,
+    toVmId,
+} from "../../src/ids";
+import { createTimerService } from "../../src/timers";
+
+export const model = toModelId("model-a");
+export const engineService = toServiceId("engines");
+export const plainService = toServiceId("plain");
+export const account = toAccountId("shop");
+export const key = toKeyHash("a".repeat(64));
+
+const settingsText = (name: string): string => `
+vm = "${name}"
+dataCentre = "dc-0"
+[listen]
+callers = "127.0.0.1:1000"
+readiness = "127.0.0.1:1001"
+directory = "127.0.0.1:1002"
+metrics = "127.0.0.1:1003"
+peers = "127.0.0.1:1004"
+[store]
+address = "127.0.0.1:1"
+[bounds]
+graceMs = 8e3
+retryRatio = 0.2
+retryMin = 50
+retryWindowMs = 10e3
+quotaWindowMs = 8e3
+quotaOverage = 0.1
+quotaSlackTokens = 1000
+dutyGuardMs = 3000
+weightsMs = 10000
+addressesKeepSeconds = 5
+`;
+
+export function buildRoute(route: Partial<ForwardRoute> = {}): ForwardRoute {
+    return {
+        id: "route" as RouteId,
+        kind: "stream",
+        host: "shop.example",
+        prefix: "/a/",
+        services: [{ service: engineService, weight: 1 }],
+        timeoutMs: 4000,
+        objectiveMs: 600,
+        priority: 1,
+        maxTargets: 2,
+        isOpen: false,
+        isResumable: true,
+        ...route,
+    };
+}
+
+export function buildDocument(
+    options: { readonly version?: number; readonly routes?: readonly ForwardRoute[]; readonly rate?: number; } = {},
+): ForwardDocument {
+    const { version = 1, routes = [buildRoute()], rate = 0 } = options;
+    const engine = { models: [model], slots: 8, memoryTokens: 100_000, maxFollowers: 0 };
+    return {
+        version: toConfigVersion(version),
+        routes,
+        services: new Map([
+            [engineService, { id: engineService, maxConnections: 100, engine }],
+            [plainService, { id: plainService, maxConnections: 100, engine: undefined }],
+        ]),
+        accounts: new Map([[account, {
+            id: account,
+            keys: [key],
+            priority: undefined,
+            isIsolated: false,
+            rate,
+            burst: rate,
+            plainTokens: 10,
+        }]]),
+        partStores: [],
+        needsKeys: true,
+        limits: { headerBytes: 16384, bodyBytes: 1 << 20, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+    };
+}
+
+export function buildTarget(name: string, options: Partial<RegisteredTarget> = {}): RegisteredTarget {
+    return {
+        id: toTargetId(`${name}@1`),
+        instance: name,
+        service: engineService,
+        address: "127.0.0.1:9",
+        dataCentre: toDataCentreId("dc-0"),
+        isLeaving: false,
+        slots: 8,
+        weights: new Map([[model, toWeightsVersion(1)]]),
+        ...options,
+    };
+}
+
+export function buildArrival(id: string, options: Partial<ForwardArrival> = {}): ForwardArrival {
+    return {
+        request: toRequestId(id),
+        attemptId: id,
+        keyHash: key,
+        model,
+        promptTokens: 1000,
+        maxOutputTokens: 100,
+        hasTokens: true,
+        parts: [{ id: toPartId(`shared-${id}`), tokens: 600 }, { id: toPartId(`own-${id}`), tokens: 400 }],
+        waitMs: 4000,
+        lastEventId: undefined,
+        host: "shop.example",
+        path: "/a/b",
+        method: "POST",
+        bodyBytes: 10,
+        arrivedAt: toMillis(0),
+        ...options,
+    };
+}
+
+const noChanges: PublishedChanges = { document: undefined, weights: [], targets: [], rows: [], revision: 1 };
+
+export interface ForwardTestNode {
+    readonly world: ForwardWorld;
+    getNow(): number;
+    /** Runs one tick `afterMs` later and returns its effects. */
+    run(events?: readonly ForwardEvent[], afterMs?: number): readonly ForwardEffect[];
+    /** Runs ticks at every due timer until `ms` have passed, the first with the given events; returns all effects. */
+    runFor(
+        ms: number,
+        answer?: (effect: ForwardEffect) => readonly ForwardEvent[],
+        events?: readonly ForwardEvent[],
+    ): readonly ForwardEffect[];
+    /** A read of the whole store. */
+    read(changes: Partial<PublishedChanges>): ForwardEvent;
+    change(changes: Partial<PublishedChanges>): ForwardEvent;
+    /** Moves the wall clock beside the monotonic clock, as a suspension does. */
+    suspend(ms: number): void;
+}
+
+/** Creates a process with the given name; it has read nothing yet. */
+export async function createForwardTestNode(name = "front-1", seed = 1): Promise<ForwardTestNode> {
+    const settings = parseForwardSettings(settingsText(name)).unwrap();
+    const generator = xoroshiro128plus(seed);
+    let now = 100_000;
+    let wallOffset = 1_800_000_000_000;
+    let number = 0;
+    /** Answers to the last tick of `runFor`; its next call delivers them. */
+    let unread: ForwardEvent[] = [];
+    const world: ForwardWorld = {
+        settings,
+        startedAt: wallOffset + now,
+        hasher: await loadHasher(),
+        random: () => (generator.next() >>> 0) / 2 ** 32,
+        tables: createForwardTables(),
+        effects: createEffectQueue<ForwardEffect>(),
+        timers: createTimerService(),
+    };
+
+    function run(events: readonly ForwardEvent[] = [], afterMs = 0): readonly ForwardEffect[] {
+        now += afterMs;
+        number += 1;
+        const at = toMillis(now);
+        const due = world.timers.takeDue(at);
+        const tick = { number, now: at, wallNow: wallOffset + now, events: createForwardBatch(events), due };
+        for (const system of forwardSystems) {
+            system(world, tick);
+        }
+        return world.effects.takeAll();
+    }
+
+    return {
+        world,
+        getNow: () => now,
+        run,
+        runFor: (ms, answer = () => [], events = []) => {
+            const end = now + ms;
+            const effects: ForwardEffect[] = [];
+            let pending = [...unread, ...events];
+            while (now < end) {
+                const next = Math.min(end, pending.length > 0 ? now + 1 : world.timers.getNextDue() ?? end);
+                const appended = run(pending, Math.max(1, next - now));
+                effects.push(...appended);
+                pending = appended.flatMap(answer);
+            }
+            unread = pending;
+            return effects;
+        },
+        read: changes => ({ kind: "publishedRead", changes: { ...noChanges, ...changes }, heardAt: toMillis(now) }),
+        change: changes => ({
+            kind: "publishedChanged",
+            changes: { ...noChanges, ...changes },
+            heardAt: toMillis(now),
+        }),
+        suspend: ms => {
+            wallOffset += ms;
+        },
+    };
+}
+
+export const listEffects = <Kind extends ForwardEffect["kind"]>(
+    effects: readonly ForwardEffect[],
+    kind: Kind,
+): readonly ForwardEffectOf<Kind>[] =>
+    effects.filter((effect): effect is ForwardEffectOf<Kind> => effect.kind === kind);
+
+/** Answers calls to the store as a store would that grants everything; counts revisions. */
+export function createGrantingStore(
+    getNow: () => number,
+): (effect: ForwardEffect) => readonly ForwardEvent[] {
+    let revision = 100;
+    return effect => {
+        if (effect.kind !== "callStore") {
+            return [];
+        }
+        revision += 1;
+        const { call, purpose } = effect;
+        const answer = call.kind === "grantLease" || call.kind === "renewLease"
+            ? { kind: "lease" as const, lease: toLeaseId("7"), ttlSeconds: 2 }
+            : { kind: "transaction" as const, succeeded: true, revision, reads: [] };
+        return [{ kind: "storeReplied", purpose, outcome: { result: Ok(answer), sentAt: toMillis(getNow()) } }];
+    };
+}
+
+export const buildMember = (name: string) => ({
+    vm: toVmId(name),
+    address: `${name}:1`,
+    peerAddress: `${name}:2`,
+    dataCentre: toDataCentreId("dc-0"),
+    state: "live" as const,
+});
