--- /dev/null
+++ b/standins/platformHttp.ts
@@ -0,0 +1,42 @@
+/** Small HTTP helpers of the stand-ins for the users' platform. */
+import type * as http from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** Listens on a free port of the loopback address. */
+export function openServer(server: http.Server): Promise<string> {
+    return new Promise(resolve => {
+        server.listen(0, "127.0.0.1", () => {
+            resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+        });
+    });
+}
+
+export function closeServer(server: http.Server): Promise<void> {
+    return new Promise(resolve => {
+        server.close(() => {
+            resolve();
+        });
+        server.closeAllConnections();
+    });
+}
+
+export async function readBytes(request: http.IncomingMessage): Promise<Buffer> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+}
+
+/** Reads a JSON body; an empty one is undefined. */
+export async function readJson(request: http.IncomingMessage): Promise<unknown> {
+    const text = (await readBytes(request)).toString();
+    return text === "" ? undefined : JSON.parse(text);
+}
+
+export function sendAnswer(response: http.ServerResponse, status: number, body: unknown): void {
+    if (!response.destroyed) {
+        response.writeHead(status, { "content-type": "application/json" });
+        response.end(JSON.stringify(body));
+    }
+}
--- /dev/null
+++ b/standins/platformServer.ts
@@ -0,0 +1,231 @@
+/** Stand-in of a server of the users' platform: a plain service or a model server, with faults. */
+import * as http from "node:http";
+import { closeServer, openServer, readBytes, readJson, sendAnswer } from "./platformHttp";
+
+const names = {
+    attempt: "x-marjoramvane-attempt-id",
+    signature: "x-marjoramvane-response-signature",
+    notRun: "x-marjoramvane-not-executed",
+    instance: "x-marjoramvane-target-instance",
+    version: "x-marjoramvane-expect-version",
+    weights: "x-marjoramvane-weight-versions",
+} as const;
+
+/** A request as the server received it. */
+export interface ReceivedRequest {
+    readonly attempt: string;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: http.IncomingHttpHeaders;
+    readonly body: string;
+    /** False when the server refused it before running. */
+    readonly ran: boolean;
+    /** True once the connection closed before the answer was complete. */
+    cancelled: boolean;
+}
+
+/** What the server does with the next requests. */
+export type ServerBehaviour =
+    | "answer"
+    /** Refuses before running. */
+    | "shed"
+    /** Answers 500 after running. */
+    | "error"
+    /** Never answers. */
+    | "hang"
+    /** Runs the request and closes the connection without an answer. */
+    | "lose"
+    /** Ends a stream after two events without completing it, or a plain answer in the middle. */
+    | "cut"
+    /** Answers without a length and resets the connection in the middle. */
+    | "unframedReset"
+    /** Answers with a success that is not signed. */
+    | "unsigned"
+    /** Sends a second answer after the right one. */
+    | "extra";
+
+export interface PlatformServer {
+    readonly address: string;
+    readonly instance: string;
+    readonly received: ReceivedRequest[];
+    behaviour: ServerBehaviour;
+    /** Version of the weights; orders change it. */
+    version: number;
+    readonly orders: { readonly holder: string; readonly fencing: number; readonly version: number; }[];
+    /** What the server writes to the store. */
+    describe(state?: "ready" | "draining"): Record<string, unknown>;
+    close(): Promise<void>;
+}
+
+export interface PlatformServerOptions {
+    readonly instance: string;
+    readonly service: string;
+    /** Present for a model server. */
+    readonly model?: string;
+    /** Events of a stream. */
+    readonly events?: number;
+    /** Time between the events of a stream. */
+    readonly eventMs?: number;
+    readonly answerText?: string;
+}
+
+const wait = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+
+/** Starts a server on a free port of the loopback address. */
+export async function startPlatformServer(options: PlatformServerOptions): Promise<PlatformServer> {
+    const { instance, service, model, events = 4, eventMs = 5, answerText = "done" } = options;
+    const received: ReceivedRequest[] = [];
+    const orders: PlatformServer["orders"] = [];
+    const epoch = Date.now();
+
+    function buildHeaders(request: http.IncomingMessage): http.OutgoingHttpHeaders {
+        return {
+            [names.attempt]: request.headers[names.attempt] ?? "",
+            [names.signature]: `${instance}.${request.headers[names.attempt] ?? ""}`,
+            ...(model === undefined ? {} : { [names.weights]: server.version }),
+        };
+    }
+
+    function findRefusal(request: http.IncomingMessage): number | undefined {
+        const expected = request.headers[names.instance];
+        const version = request.headers[names.version];
+        if (
+            (expected !== undefined && expected !== instance)
+            || (version ?? `${server.version}`) !== `${server.version}`
+        ) {
+            return 421;
+        }
+        return server.behaviour === "shed" ? 503 : undefined;
+    }
+
+    async function sendStream(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        response.writeHead(200, { ...buildHeaders(request), "content-type": "text/event-stream" });
+        const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+        for (let id = first; id <= events && !response.destroyed; id += 1) {
+            if (server.behaviour === "cut" && id === first + 2) {
+                response.write(`id: ${id}\nda`);
+                response.destroy();
+                return;
+            }
+            response.write(`id: ${id}\ndata: ${instance} ${id}\n\n`);
+            await wait(eventMs);
+        }
+        response.end();
+    }
+
+    function sendPlain(request: http.IncomingMessage, response: http.ServerResponse): void {
+        const headers = buildHeaders(request);
+        const plain: Readonly<Record<ServerBehaviour, () => void>> = {
+            answer: () => {
+                response.writeHead(200, { ...headers, "content-length": answerText.length });
+                response.end(answerText);
+            },
+            shed: () => undefined,
+            hang: () => undefined,
+            error: () => {
+                response.writeHead(500, { ...headers, "content-length": 5 });
+                response.end("error");
+            },
+            lose: () => {
+                request.socket.destroy();
+            },
+            cut: () => {
+                response.writeHead(200, { ...headers, "content-length": answerText.length + 10 });
+                response.write(answerText);
+                setTimeout(() => request.socket.destroy(), eventMs);
+            },
+            unframedReset: () => {
+                const lines = Object.entries(headers).map(([name, value]) => `${name}: ${String(value)}\r\n`);
+                request.socket.write(`HTTP/1.1 200 OK\r\n${lines.join("")}Connection: close\r\n\r\n${answerText}`);
+                setTimeout(() => request.socket.resetAndDestroy(), eventMs);
+            },
+            unsigned: () => {
+                response.writeHead(200, { [names.attempt]: headers[names.attempt], "content-length": 2 });
+                response.end("no");
+            },
+            extra: () => {
+                response.writeHead(200, { ...headers, "content-length": answerText.length });
+                response.end(answerText);
+                const lines = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad";
+                setTimeout(() => request.socket.write(lines), eventMs);
+            },
+        };
+        plain[server.behaviour]();
+    }
+
+    async function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const refusal = findRefusal(request);
+        const entry: ReceivedRequest = {
+            attempt: String(request.headers[names.attempt] ?? ""),
+            method: request.method ?? "",
+            path: request.url ?? "",
+            headers: request.headers,
+            body: (await readBytes(request)).toString(),
+            ran: refusal === undefined,
+            cancelled: false,
+        };
+        received.push(entry);
+        response.on("close", () => {
+            entry.cancelled = !response.writableFinished;
+        });
+        if (refusal !== undefined) {
+            response.writeHead(refusal, { [names.notRun]: "1", "content-length": 0 });
+            response.end();
+            return;
+        }
+        if (model !== undefined && ["answer", "cut"].includes(server.behaviour)) {
+            await sendStream(request, response);
+            return;
+        }
+        sendPlain(request, response);
+    }
+
+    async function handleOrder(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const order = await readJson(request) as { version: number; holder: string; "fencing-token": number; };
+        orders.push({ holder: order.holder, fencing: order["fencing-token"], version: order.version });
+        server.version = order.version;
+        sendAnswer(response, 202, {});
+    }
+
+    const own: Readonly<Record<string, (request: http.IncomingMessage, response: http.ServerResponse) => unknown>> = {
+        "/-/report": (_request, response) => {
+            const models = [{ name: model, version: server.version, adapters: [] }];
+            sendAnswer(response, 200, { stage: "unified", models, busy: false, seq: orders.length });
+        },
+        "/-/order": handleOrder,
+        "/-/kv-events": (_request, response) => {
+            setTimeout(() => {
+                sendAnswer(response, 200, { epoch, next: 0, lost: false, events: [] });
+            }, 200);
+        },
+    };
+
+    const listener = http.createServer((request, response) => {
+        const path = (request.url ?? "").split("?")[0] ?? "";
+        void (own[path] ?? handleRequest)(request, response);
+    });
+    const address = await openServer(listener);
+    const server: PlatformServer = {
+        address,
+        instance,
+        received,
+        behaviour: "answer",
+        version: 1,
+        orders,
+        describe: (state = "ready") => ({
+            service,
+            address,
+            zone: "zone-a",
+            version: "v1",
+            slots: 8,
+            state,
+            "cold-left-ms": 0,
+            stage: "unified",
+            ...(model === undefined ? {} : { models: [{ name: model, version: server.version, adapters: [] }] }),
+            seq: 1,
+            born: epoch,
+        }),
+        close: () => closeServer(listener),
+    };
+    return server;
+}
--- /dev/null
+++ b/standins/platformStore.ts
@@ -0,0 +1,250 @@
+/** Stand-in of the users' store: items with revisions, leases and watches over HTTP with JSON bodies. */
+import * as http from "node:http";
+import { closeServer, openServer, readJson, sendAnswer } from "./platformHttp";
+
+interface Item {
+    readonly key: string;
+    /** Text of the value; it travels as base64. */
+    readonly value: string;
+    readonly revision: number;
+    readonly createRevision: number;
+    readonly lease: number;
+}
+
+interface Change {
+    readonly revision: number;
+    readonly key: string;
+    readonly item: Item | undefined;
+}
+
+/** How the store treats calls; tests change it while it runs. */
+export interface PlatformStoreFaults {
+    /** `busy` answers 503, `reset` closes the connection, `silent` never answers, `lost` applies and never answers. */
+    mode: "none" | "busy" | "reset" | "silent" | "lost";
+}
+
+export interface PlatformStore {
+    readonly address: string;
+    readonly faults: PlatformStoreFaults;
+    /** Number of calls by path. */
+    readonly calls: Map<string, number>;
+    put(key: string, value: unknown): void;
+    putText(key: string, text: string): void;
+    delete(key: string): void;
+    list(prefix: string): readonly { readonly key: string; readonly value: string; }[];
+    /** Drops the history, so that watches must read anew. */
+    compact(): void;
+    close(): Promise<void>;
+}
+
+const encodeItem = ({ key, value, revision, createRevision, lease }: Item) => ({
+    key,
+    "value": Buffer.from(value).toString("base64"),
+    revision,
+    "create-revision": createRevision,
+    lease,
+});
+
+interface TransactionBody {
+    readonly expected: readonly { readonly key: string; readonly revision: number; }[];
+    readonly writes: readonly { readonly key: string; readonly value: string; readonly lease?: number; }[];
+    readonly deletes: readonly string[];
+}
+
+/** Starts a store on a free port of the loopback address. */
+export async function startPlatformStore(): Promise<PlatformStore> {
+    const items = new Map<string, Item>();
+    const leases = new Map<number, { readonly ttlMs: number; timer: NodeJS.Timeout; }>();
+    const calls = new Map<string, number>();
+    const faults: PlatformStoreFaults = { mode: "none" };
+    const waiting = new Set<() => void>();
+    let changes: Change[] = [];
+    let revision = 1;
+    let compactedAt = 0;
+    let nextLease = 1;
+
+    function record(key: string, item: Item | undefined): void {
+        if (item) {
+            items.set(key, item);
+        }
+        else {
+            items.delete(key);
+        }
+        changes.push({ revision, key, item });
+    }
+
+    function answerWatches(): void {
+        for (const wake of [...waiting]) {
+            wake();
+        }
+    }
+
+    function write(key: string, value: string, lease: number): void {
+        const createRevision = items.get(key)?.createRevision ?? revision;
+        record(key, { key, value, revision, createRevision, lease });
+    }
+
+    function endLease(lease: number): boolean {
+        const known = leases.get(lease);
+        clearTimeout(known?.timer);
+        leases.delete(lease);
+        const held = [...items.values()].filter(item => item.lease === lease);
+        if (held.length > 0) {
+            revision += 1;
+            held.forEach(item => record(item.key, undefined));
+            answerWatches();
+        }
+        return known !== undefined;
+    }
+
+    function startLease(lease: number, ttlMs: number): void {
+        clearTimeout(leases.get(lease)?.timer);
+        leases.set(lease, { ttlMs, timer: setTimeout(() => endLease(lease), ttlMs) });
+    }
+
+    function runTransaction({ expected, writes, deletes }: TransactionBody): { status: number; body: unknown; } {
+        const differs = expected.some(({ key, revision: at }) => (items.get(key)?.revision ?? 0) !== at);
+        if (differs) {
+            const rows = expected.flatMap(({ key }) => {
+                const item = items.get(key);
+                return item ? [encodeItem(item)] : [];
+            });
+            return { status: 412, body: { items: rows } };
+        }
+        if (writes.some(({ lease = 0 }) => lease !== 0 && !leases.has(lease))) {
+            return { status: 404, body: {} };
+        }
+        revision += 1;
+        for (const { key, value, lease = 0 } of writes) {
+            write(key, Buffer.from(value, "base64").toString(), lease);
+        }
+        for (const key of deletes.filter(name => items.has(name))) {
+            record(key, undefined);
+        }
+        answerWatches();
+        return { status: 200, body: { revision } };
+    }
+
+    function encodeChanges(prefix: string, after: number): unknown[] {
+        return changes
+            .filter(change => change.revision > after && change.key.startsWith(prefix))
+            .map(change =>
+                change.item
+                    ? encodeItem(change.item)
+                    : { key: change.key, revision: change.revision, tombstone: true }
+            );
+    }
+
+    function answerWatch(url: URL, response: http.ServerResponse): void {
+        const prefix = url.searchParams.get("prefix") ?? "";
+        const after = Number(url.searchParams.get("after"));
+        if (after < compactedAt) {
+            sendAnswer(response, 410, {});
+            return;
+        }
+        const answer = (): void => {
+            waiting.delete(check);
+            clearTimeout(timer);
+            sendAnswer(response, 200, { "events": encodeChanges(prefix, after), "as-of": revision });
+        };
+        const check = (): void => {
+            if (encodeChanges(prefix, after).length > 0) {
+                answer();
+            }
+        };
+        const timer = setTimeout(answer, Number(url.searchParams.get("wait-ms")));
+        response.on("close", () => {
+            waiting.delete(check);
+            clearTimeout(timer);
+        });
+        waiting.add(check);
+        check();
+    }
+
+    async function answer(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const url = new URL(request.url ?? "/", "http://store");
+        const [, , name = "", id = ""] = url.pathname.split("/");
+        calls.set(name, (calls.get(name) ?? 0) + 1);
+        const body = await readJson(request);
+        const handlers: Readonly<Record<string, () => void>> = {
+            "kv-range": () => {
+                const prefix = url.searchParams.get("prefix") ?? "";
+                const found = [...items.values()].filter(item => item.key.startsWith(prefix)).map(encodeItem);
+                sendAnswer(response, 200, { "items": found, "truncated": false, "as-of": revision });
+            },
+            "kv-watch": () => {
+                answerWatch(url, response);
+            },
+            "kv-txn": () => {
+                const result = runTransaction(body as TransactionBody);
+                sendAnswer(response, result.status, result.body);
+            },
+            "kv-lease": () => {
+                const ttlMs = (body as { readonly "ttl-ms": number; })["ttl-ms"];
+                const lease = nextLease;
+                nextLease += 1;
+                startLease(lease, ttlMs);
+                sendAnswer(response, 200, { lease, "ttl-ms": ttlMs });
+            },
+            "kv-keep": () => {
+                const known = leases.get(Number(id));
+                if (known) {
+                    startLease(Number(id), known.ttlMs);
+                }
+                sendAnswer(response, known ? 200 : 404, known ? { "ttl-ms": known.ttlMs } : {});
+            },
+            "kv-lease-end": () => {
+                sendAnswer(response, endLease(Number(id)) ? 200 : 404, {});
+            },
+        };
+        handlers[name]?.();
+    }
+
+    const server = http.createServer((request, response) => {
+        if (faults.mode === "busy") {
+            sendAnswer(response, 503, {});
+            return;
+        }
+        if (faults.mode === "reset") {
+            request.socket.destroy();
+            return;
+        }
+        if (faults.mode === "silent") {
+            return;
+        }
+        void answer(request, faults.mode === "lost" ? new http.ServerResponse(request) : response);
+    });
+
+    return {
+        address: await openServer(server),
+        faults,
+        calls,
+        put: (key, value) => {
+            revision += 1;
+            write(key, JSON.stringify(value), 0);
+            answerWatches();
+        },
+        putText: (key, text) => {
+            revision += 1;
+            write(key, text, 0);
+            answerWatches();
+        },
+        delete: key => {
+            revision += 1;
+            record(key, undefined);
+            answerWatches();
+        },
+        list: prefix => [...items.values()].filter(item => item.key.startsWith(prefix)),
+        compact: () => {
+            changes = [];
+            compactedAt = revision + 1;
+            revision += 1;
+        },
+        close: async () => {
+            leases.forEach(({ timer }) => {
+                clearTimeout(timer);
+            });
+            await closeServer(server);
+        },
+    };
+}
--- a/test/forward/usage.test.ts
+++ b/test/forward/usage.test.ts
@@ -4,8 +4,8 @@
 import { encodeMember, memberPrefix } from "../../src/forward/codec/fleetRows";
 import type { ForwardEffect } from "../../src/forward/effects";
 import type { ForwardEvent } from "../../src/forward/events";
-import { toCallId, toMillis } from "../../src/ids";
 import { addUsage, createUsageWindow, updateUsageWindow } from "../../src/forward/policy/usageWindow";
+import { toCallId, toMillis } from "../../src/ids";
 import {
     buildArrival,
     buildDocument,
@@ -54,7 +54,7 @@
     let now = 0;
     let number = 0;
 
-    function deliver(from: number, effect: ForwardEffect): void {
+    function postToPeers(from: number, effect: ForwardEffect): void {
         if (effect.kind === "askPeer") {
             const to = names.indexOf(effect.vm);
             pending[to]?.push({ kind: "peerAsked", call: toCallId(`${from}`), state: effect.state });
@@ -96,7 +96,7 @@
                     }]);
                 }
                 for (const effect of effects) {
-                    deliver(index, effect);
+                    postToPeers(index, effect);
                 }
             }
         },
--- /dev/null
+++ b/test/forward/wholePath.test.ts
@@ -0,0 +1,280 @@
+import * as http from "node:http";
+import { afterEach, describe, expect, it } from "vitest";
+import {
+    type PlatformFleet,
+    sendRequest,
+    startPlatformFleet,
+    streamHeaders,
+    waitUntil,
+} from "../support/platformFleet";
+
+let fleet: PlatformFleet | undefined;
+
+async function start(options?: Parameters<typeof startPlatformFleet>[0]): Promise<PlatformFleet> {
+    fleet = await startPlatformFleet(options);
+    return fleet;
+}
+
+afterEach(async () => {
+    await fleet?.close();
+    fleet = undefined;
+});
+
+const listRuns = (parts: PlatformFleet["services"]) => parts.flatMap(part => part.received.filter(entry => entry.ran));
+const getCallers = ({ nodes }: PlatformFleet): string => nodes[0]?.callers ?? "";
+
+describe("a request through one process", () => {
+    it("reaches a target with its body, without the key, and comes back whole and signed", async () => {
+        const path = await start();
+        const answer = await sendRequest(getCallers(path), {
+            path: "/issue/7?copies=2",
+            body: "two frames",
+            headers: { "x-marjoramvane-tenant-id": "another", "x-marjoramvane-hold": "1", "kv-from": "x" },
+        });
+        const [run] = listRuns(path.services);
+        expect(answer).toMatchObject({ status: 200, body: "done", isComplete: true });
+        expect(answer.headers["x-marjoramvane-response-signature"]).toMatch(/^s\d\./);
+        expect(run).toMatchObject({ path: "/issue/7?copies=2", body: "two frames" });
+        expect(run?.headers["x-marjoramvane-tenant-id"]).toBe("shop");
+        expect(run?.headers.authorization).toBeUndefined();
+        expect(run?.headers["x-marjoramvane-hold"]).toBeUndefined();
+        expect(run?.headers["kv-from"]).toBeUndefined();
+        expect(Number(run?.headers["x-marjoramvane-deadline-ms"])).toBeLessThanOrEqual(3000);
+    });
+
+    it("streams the events of an engine in order, under a salt of the version", async () => {
+        const path = await start();
+        const answer = await sendRequest(getCallers(path), { path: "/review/1", headers: streamHeaders });
+        const [run] = listRuns(path.engines);
+        expect(answer.isComplete).toBe(true);
+        expect(answer.body.match(/id: \d/g)).toEqual(["id: 1", "id: 2", "id: 3", "id: 4"]);
+        expect(run?.headers["x-marjoramvane-cache-salt"]).toContain(".1.");
+        expect(run?.headers["x-marjoramvane-expect-version"]).toBe("1");
+    });
+
+    it("refuses unknown keys and routes, and serves open routes without a key", async () => {
+        const path = await start();
+        const callers = getCallers(path);
+        expect((await sendRequest(callers, { path: "/lookup/1", key: "wrong" })).status).toBe(401);
+        expect((await sendRequest(callers, { path: "/lookup/1", key: "" })).status).toBe(401);
+        expect((await sendRequest(callers, { path: "/none/1" })).status).toBe(404);
+        expect((await sendRequest(callers, { path: "/open/1", key: "" })).status).toBe(200);
+    });
+});
+
+describe("targets that fail", () => {
+    it("sends a request that was refused before running to another target", async () => {
+        const path = await start();
+        path.services.forEach(service => {
+            service.behaviour = "shed";
+        });
+        const refused = await sendRequest(getCallers(path), { path: "/issue/1" });
+        expect(refused.status).toBe(503);
+        expect(Number(refused.headers["retry-after"])).toBeGreaterThan(0);
+        expect(listRuns(path.services)).toHaveLength(0);
+    });
+
+    it("never says that a request has not run when its answer was lost", async () => {
+        const path = await start();
+        path.services.forEach(service => {
+            service.behaviour = "lose";
+        });
+        const answer = await sendRequest(getCallers(path), { path: "/issue/1" });
+        expect(answer.status).toBe(502);
+        expect(listRuns(path.services)).toHaveLength(1);
+    });
+
+    it("repeats a repeatable request at another target and not at a third", async () => {
+        const path = await start();
+        path.services.forEach(service => {
+            service.behaviour = "lose";
+        });
+        const answer = await sendRequest(getCallers(path), { path: "/lookup/1" });
+        expect(answer.status).toBe(502);
+        expect(listRuns(path.services)).toHaveLength(2);
+    });
+
+    it("answers no success that the target did not sign", async () => {
+        const path = await start();
+        path.services.forEach(service => {
+            service.behaviour = "unsigned";
+        });
+        expect((await sendRequest(getCallers(path), { path: "/issue/1" })).status).toBe(502);
+    });
+
+    it("does not end an answer that was cut in the middle as if it were whole", async () => {
+        const path = await start();
+        for (const behaviour of ["cut", "unframedReset"] as const) {
+            path.services.forEach(service => {
+                service.behaviour = behaviour;
+            });
+            const answer = await sendRequest(getCallers(path), { path: "/issue/1" });
+            expect(answer.status).toBe(502);
+        }
+    });
+
+    it("gives bytes that no request waits for to nobody", async () => {
+        const path = await start();
+        path.services.forEach(service => {
+            service.behaviour = "extra";
+        });
+        for (let request = 0; request < 6; request += 1) {
+            const answer = await sendRequest(getCallers(path), { path: `/issue/${request}` });
+            expect(answer.body).toBe("done");
+            await new Promise(resolve => setTimeout(resolve, 15));
+        }
+    });
+
+    it("goes on with a resumable stream at another engine, each event once", async () => {
+        const path = await start({ engine: { events: 8 } });
+        const [cutting, sound] = path.engines;
+        if (cutting) {
+            cutting.behaviour = "cut";
+        }
+        const expected = [1, 2, 3, 4, 5, 6, 7, 8].map(id => `id: ${id}`);
+        for (let request = 0; request < 20 && cutting?.received.length === 0; request += 1) {
+            const answer = await sendRequest(getCallers(path), {
+                path: `/reply/${request}`,
+                headers: {
+                    ...streamHeaders,
+                    "x-marjoramvane-prompt-prefix": `${request}a:800,${request}b:410,${request}c:250`,
+                },
+            });
+            expect(answer.isComplete).toBe(true);
+            expect(answer.body.match(/id: \d/g)).toEqual(expected);
+        }
+        const resumed = sound?.received.at(-1);
+        expect(resumed?.attempt).toBe(cutting?.received[0]?.attempt);
+        expect(resumed?.headers["last-event-id"]).toBe("2");
+    });
+
+    it("breaks a stream off that may not be resumed, without a second run", async () => {
+        const path = await start();
+        path.engines.forEach(engine => {
+            engine.behaviour = "cut";
+        });
+        const answer = await sendRequest(getCallers(path), { path: "/review/1", headers: streamHeaders });
+        expect(answer.isComplete).toBe(false);
+        expect(listRuns(path.engines)).toHaveLength(1);
+    });
+
+    it("ends the work at a target at once when its caller leaves", async () => {
+        const path = await start({ engine: { events: 200, eventMs: 20 } });
+        await sendRequest(getCallers(path), { path: "/review/1", headers: streamHeaders, leaveAfterMs: 150 })
+            .catch(() => undefined);
+        await waitUntil(() => listRuns(path.engines)[0]?.cancelled === true, 1000);
+    });
+});
+
+describe("what the store publishes", () => {
+    it("takes a new configuration and never an older one", async () => {
+        const path = await start();
+        path.writeConfiguration({ tenants: [{ name: "shop", "api-keys": ["new-key"] }] });
+        await waitUntil(async () =>
+            (await sendRequest(getCallers(path), { path: "/lookup/1", key: "new-key" })).status === 200
+        );
+        expect((await sendRequest(getCallers(path), { path: "/lookup/1" })).status).toBe(401);
+    });
+
+    it("serves on with what it knows while the store is away in any way", async () => {
+        const path = await start();
+        for (const mode of ["busy", "reset", "silent"] as const) {
+            path.store.faults.mode = mode;
+            await new Promise(resolve => setTimeout(resolve, 400));
+            expect((await sendRequest(getCallers(path), { path: "/lookup/1" })).status).toBe(200);
+        }
+        path.store.faults.mode = "none";
+        path.writeConfiguration({ tenants: [{ name: "shop", "api-keys": ["later-key"] }] });
+        await waitUntil(
+            async () => (await sendRequest(getCallers(path), { path: "/lookup/1", key: "later-key" })).status === 200,
+            6000,
+        );
+    });
+
+    it("reads everything anew when the history is gone", async () => {
+        const path = await start();
+        path.writeConfiguration({ tenants: [{ name: "shop", "api-keys": ["newest-key"] }] });
+        path.store.compact();
+        await waitUntil(
+            async () => (await sendRequest(getCallers(path), { path: "/lookup/1", key: "newest-key" })).status === 200,
+            6000,
+        );
+    });
+
+    it("sends nothing to a server that is leaving, and ignores entries that it cannot read", async () => {
+        const path = await start();
+        const [leaving, staying] = path.services;
+        path.store.putText("servers/forged", "{not json");
+        path.store.put("servers/other", { service: "orders", address: 5 });
+        if (leaving) {
+            path.register(leaving, "draining");
+        }
+        await new Promise(resolve => setTimeout(resolve, 500));
+        for (let request = 0; request < 5; request += 1) {
+            expect((await sendRequest(getCallers(path), { path: "/lookup/1" })).status).toBe(200);
+        }
+        expect(leaving?.received).toHaveLength(0);
+        expect(staying?.received.length).toBe(5);
+    });
+
+    it("brings engines to newly named weights by orders of one holder", async () => {
+        const path = await start({ nodes: 2 });
+        path.store.put("op/version/model-a", { model: "model-a", version: 2 });
+        await waitUntil(() => path.engines.every(engine => engine.version === 2), 8000);
+        const orders = path.engines.flatMap(engine => engine.orders);
+        expect(new Set(orders.map(order => `${order.holder} ${order.fencing}`)).size).toBe(1);
+    }, 15_000);
+});
+
+describe("processes", () => {
+    it("tells callers the addresses of all processes, and leaves out one that is stopping", async () => {
+        const path = await start({ nodes: 2 });
+        const [first, second] = path.nodes;
+        const listAddresses = async (): Promise<string[]> => {
+            const answer = await sendRequest(first?.directory ?? "", {
+                path: "/-/resolve?name=shop.example&region=r&zone=zone-a",
+                method: "GET",
+            });
+            return (JSON.parse(answer.body) as { addrs: string[]; }).addrs;
+        };
+        await waitUntil(async () => (await listAddresses()).length === 2);
+        second?.node.drain();
+        await waitUntil(async () => (await listAddresses()).length === 1);
+        expect(await listAddresses()).toEqual([first?.callers]);
+    });
+
+    it("finishes a running stream before it exits, and is not ready from the first moment", async () => {
+        const path = await start({ engine: { events: 30, eventMs: 20 } });
+        const [entry] = path.nodes;
+        const agent = new http.Agent({ keepAlive: true });
+        const running = sendRequest(getCallers(path), { path: "/review/1", headers: streamHeaders, agent });
+        await waitUntil(() => listRuns(path.engines).length === 1);
+        entry?.node.drain();
+        await waitUntil(
+            async () =>
+                (await sendRequest(entry?.readiness ?? "", { path: "/-/readyz", method: "GET" })).status === 503,
+            300,
+        );
+        const answer = await running;
+        expect(answer.isComplete).toBe(true);
+        expect(await entry?.exitCode).toBe(0);
+        agent.destroy();
+    });
+
+    it("serves its counters and histograms on the metrics address", async () => {
+        const path = await start();
+        await sendRequest(getCallers(path), { path: "/lookup/1" });
+        const { body } = await sendRequest(path.nodes[0]?.metrics ?? "", { path: "/metrics", method: "GET" });
+        expect(body).toContain("marjoramvane_requests_total");
+        expect(body).toContain("marjoramvane_request_ms");
+    });
+
+    it("writes a log line for each decision about a request, with its id", async () => {
+        const path = await start();
+        const id = "abcdef0123456789";
+        await sendRequest(getCallers(path), { path: "/lookup/1", headers: { "x-marjoramvane-attempt-id": id } });
+        const lines = path.nodes[0]?.logs.filter(line => line.includes(id)) ?? [];
+        expect(lines.some(line => line.startsWith("route: Request is sent."))).toBe(true);
+        expect(lines.some(line => line.startsWith("stream: Request finished."))).toBe(true);
+    });
+});
--- a/test/support/forwardNode.ts
+++ b/test/support/forwardNode.ts
@@ -33,7 +33,7 @@
 export const account = toAccountId("shop");
 export const key = toKeyHash("a".repeat(64));
 
-const settingsText = (name: string): string => `
+const formatSettings = (name: string): string => `
 vm = "${name}"
 dataCentre = "dc-0"
 [listen]
@@ -158,7 +158,7 @@
 
 /** Creates a process with the given name; it has read nothing yet. */
 export async function createForwardTestNode(name = "front-1", seed = 1): Promise<ForwardTestNode> {
-    const settings = parseForwardSettings(settingsText(name)).unwrap();
+    const settings = parseForwardSettings(formatSettings(name)).unwrap();
     const generator = xoroshiro128plus(seed);
     let now = 100_000;
     let wallOffset = 1_800_000_000_000;
