Expect shared parts at the first engine by rendezvous hash when events are not followed

Processes now expect them at the engine that all prefer. Writes to a caller that has left are skipped; an unexpected failure writes a line before it exits.

--- a/src/cli/commands/forward.ts
+++ b/src/cli/commands/forward.ts
@@ -22,6 +22,13 @@
             printFaults(io, file, settings.val);
             return exitCodes.invalid;
         }
+        process.on("uncaughtException", error => {
+            // Without this line the platform would only see that the process ended.
+            io.write(
+                `${JSON.stringify({ level: "error", message: "drain: Unexpected failure.", stack: error.stack })}\n`,
+            );
+            process.exit(exitCodes.failed);
+        });
         return new Promise<ExitCode>((resolve, reject) => {
             const handleExit = (code: number): void => {
                 resolve(code === 0 ? exitCodes.done : exitCodes.failed);
--- a/src/forward/adapters/eventRelay.ts
+++ b/src/forward/adapters/eventRelay.ts
@@ -38,6 +38,10 @@
     }
 
     function writeToCaller(bytes: Buffer): void {
+        // The caller may have left since the last tick; a write would raise an error.
+        if (caller.destroyed) {
+            return;
+        }
         if (!caller.write(bytes)) {
             // Pausing the target's socket makes a slow reader slow only its own stream.
             source.pause();
--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -202,7 +202,7 @@
         relay: ({ request: id, attempt }) => {
             const entry = running.get(id);
             const open = openForwards.get(id);
-            if (!entry || entry.attempt !== attempt || !open) {
+            if (!entry || entry.attempt !== attempt || !open || open.response.destroyed) {
                 return;
             }
             if (entry.answer && !open.response.headersSent) {
--- a/src/forward/adapters/frontServer.ts
+++ b/src/forward/adapters/frontServer.ts
@@ -94,6 +94,10 @@
 
     function subscribeToEnd(open: OpenForward): void {
         const { id, response } = open;
+        response.on("error", () => {
+            // A write crossed the end of the connection; "close" follows and reports it.
+            response.destroy();
+        });
         response.on("close", () => {
             post(
                 response.writableFinished
--- a/src/forward/systems/placeWeights.ts
+++ b/src/forward/systems/placeWeights.ts
@@ -16,12 +16,12 @@
 /** Engines that load at the same time while little waits, as part of the engines of a model that work. */
 const quietFraction = 3 / 7;
 /** The same under load, when the others need their capacity. */
-const loadedFraction = 2 / 7;
+const loadedFraction = 1 / 3;
 /** Prompt tokens that wait at each engine on average, up to which little waits. */
 const quietTokens = 5000;
 /** Engines that load at the same time when some have had old weights for this part of the time allowed. */
 const urgentParallel = 2;
-const urgentPart = 0.45;
+const urgentPart = 0.3;
 /** Time between the steps of a rollout. */
 const stepMs = 250;
 /** An engine that took an order shows the new version about this much later, at the earliest. */
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -1,6 +1,6 @@
 /** Chooses a target for each waiting request and sends it. */
 import { logInfo } from "../../effects";
-import { addMillis } from "../../ids";
+import { addMillis, type TargetId } from "../../ids";
 import { listByRendezvous } from "../../policy/rendezvous";
 import { createRetryBudget, recordFirstSend } from "../../policy/retryBudget";
 import type { ForwardCall } from "../calls";
@@ -30,6 +30,8 @@
 const outdatedLimit = 0.85;
 /** A target that owes answers and has been silent for this long gets nothing new. */
 const silentMs = 900;
+/** Part of the shared tokens that an engine is expected to hold when it comes first for them. */
+const expectedFraction = 0.7;
 /** Fewer tokens than this are not worth a fetch from another engine. */
 const leastFetchTokens = 256;
 /** Prompts with fewer shared tokens are not copied to the store of parts. */
@@ -103,10 +105,22 @@
 interface EngineState {
     readonly target: ForwardTargetRow;
     readonly version: WeightsVersion | undefined;
-    /** Tokens of the prompt that the engine holds. */
+    /** Tokens of the prompt that the engine holds, as far as is known or expected. */
     readonly held: number;
 }
 
+/**
+ * Tokens that the first engine by rendezvous hash is expected to hold when its events are not followed: other
+ * processes prefer it for the same shared parts.
+ */
+function computeExpectedTokens(world: ForwardWorld, row: ForwardRequestRow, target: TargetId): number {
+    if (world.tables.heldParts.followers.has(target)) {
+        return 0;
+    }
+    const shared = row.arrival.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+    return shared * expectedFraction;
+}
+
 /** The engine, or else the store of parts, that holds most of the prompt under the same salt. */
 function findSource(
     world: ForwardWorld,
@@ -145,8 +159,10 @@
     if (!store || version === undefined || sharedTokens < leastCopyTokens) {
         return undefined;
     }
+    // A large fleet does not know what the store holds and would copy every part many times.
+    const isFollowed = world.tables.heldParts.followers.has(store.id);
     const held = computeHeldTokens(world, store.id, computeSalt(row, version), shared);
-    return held < sharedTokens ? store.address : undefined;
+    return isFollowed && held < sharedTokens ? store.address : undefined;
 }
 
 function chooseEngine(
@@ -156,15 +172,15 @@
     able: readonly ForwardTargetRow[],
 ): Choice | undefined {
     const { model, parts, promptTokens } = row.arrival;
+    const sharedPart = parts.at(-2)?.id ?? parts[0]?.id ?? row.id;
+    const ranks = listByRendezvous(world.hasher, sharedPart, able.map(target => target.registration.id));
     const engines = able.map((target): EngineState => {
+        const { id } = target.registration;
         const version = model && target.weights.get(model);
-        const held = version === undefined
-            ? 0
-            : computeHeldTokens(world, target.registration.id, computeSalt(row, version), parts);
+        const known = version === undefined ? 0 : computeHeldTokens(world, id, computeSalt(row, version), parts);
+        const held = id === ranks[0] ? Math.max(known, computeExpectedTokens(world, row, id)) : known;
         return { target, version, held };
     });
-    const sharedPart = parts.at(-2)?.id ?? parts[0]?.id ?? row.id;
-    const ranks = listByRendezvous(world.hasher, sharedPart, able.map(target => target.registration.id));
     const fleetFactor = computeFleetFactor(world, tick);
     let best: Choice | undefined;
     for (const engine of engines) {
--- /dev/null
+++ b/test/forward/eventRelay.test.ts
@@ -0,0 +1,118 @@
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+import { PassThrough } from "node:stream";
+import { afterEach, describe, expect, it } from "vitest";
+import { createEventRelay } from "../../src/forward/adapters/eventRelay";
+import { createEventCutter } from "../../src/forward/codec/eventStream";
+
+const servers: http.Server[] = [];
+
+afterEach(() => {
+    servers.splice(0).forEach(server => {
+        server.close();
+        server.closeAllConnections();
+    });
+});
+
+/** The response to a caller that is connected. */
+async function openCaller(): Promise<{ readonly response: http.ServerResponse; readonly caller: http.ClientRequest; }> {
+    let handleResponse: (response: http.ServerResponse) => void = () => undefined;
+    const opened = new Promise<http.ServerResponse>(resolve => {
+        handleResponse = resolve;
+    });
+    const server = http.createServer((_request, response) => {
+        handleResponse(response);
+    });
+    servers.push(server);
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const caller = http.get({ host: "127.0.0.1", port: (server.address() as AddressInfo).port });
+    caller.on("error", () => undefined);
+    return { response: await opened, caller };
+}
+
+/** A target's answer whose bytes the test writes. */
+function createSource(): { readonly source: http.IncomingMessage; readonly bytes: PassThrough; } {
+    const bytes = new PassThrough();
+    const source = Object.assign(bytes, {
+        complete: false,
+        headers: { "transfer-encoding": "chunked" },
+        socket: { errored: null },
+    }) as unknown as http.IncomingMessage;
+    return { source, bytes };
+}
+
+const waitForEvents = (): Promise<void> => new Promise(resolve => setTimeout(resolve, 20));
+
+describe("relay of events", () => {
+    it("raises no error when an event arrives after the caller has left", async () => {
+        const { response, caller } = await openCaller();
+        const { source, bytes } = createSource();
+        const errors: Error[] = [];
+        response.on("error", error => errors.push(error));
+        response.writeHead(200);
+        createEventRelay({
+            source,
+            caller: response,
+            lastEventId: undefined,
+            onFirstEvent: () => undefined,
+            onFinished: () => undefined,
+            onFailed: () => undefined,
+        }).start();
+        caller.destroy();
+        await new Promise(resolve => response.on("close", resolve));
+        bytes.write("id: 1\ndata: a\n\n");
+        await waitForEvents();
+        expect(errors).toEqual([]);
+    });
+
+    it("knows the last event that was relayed when the target falls silent", async () => {
+        const { response } = await openCaller();
+        const { source, bytes } = createSource();
+        const relay = createEventRelay({
+            source,
+            caller: response,
+            lastEventId: undefined,
+            onFirstEvent: () => undefined,
+            onFinished: () => undefined,
+            onFailed: () => undefined,
+        });
+        relay.start();
+        bytes.write("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+        await waitForEvents();
+        expect(relay.getLastEventId()).toBe(2);
+    });
+
+    it("fails on a gap and drops an event that the caller has", async () => {
+        const { response } = await openCaller();
+        const { source, bytes } = createSource();
+        const faults: string[] = [];
+        const relay = createEventRelay({
+            source,
+            caller: response,
+            lastEventId: 4,
+            onFirstEvent: () => undefined,
+            onFinished: () => undefined,
+            onFailed: fault => faults.push(fault),
+        });
+        relay.start();
+        bytes.write("id: 4\ndata: d\n\nid: 5\ndata: e\n\nid: 7\ndata: g\n\n");
+        await waitForEvents();
+        expect(relay.getLastEventId()).toBe(5);
+        expect(faults).toEqual(["mismatched"]);
+    });
+});
+
+describe("event cutter", () => {
+    it("finds the ends of events that arrive in pieces of any size", () => {
+        const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ntail";
+        for (let size = 1; size <= text.length; size += 1) {
+            const cutter = createEventCutter();
+            const events = [];
+            for (let start = 0; start < text.length; start += size) {
+                events.push(...cutter.add(Buffer.from(text.slice(start, start + size))));
+            }
+            expect(events.map(event => event.id)).toEqual([1, 2]);
+            expect(cutter.getRest().toString()).toBe("tail");
+        }
+    });
+});
--- a/test/forward/wholePath.test.ts
+++ b/test/forward/wholePath.test.ts
@@ -166,6 +166,20 @@
     });
 });
 
+describe("callers that leave", () => {
+    it("do not end the process when events arrive as they close their connections", async () => {
+        const path = await start({ engine: { events: 200, eventMs: 0 } });
+        const leaving = Array.from({ length: 40 }, (_, index) =>
+            sendRequest(getCallers(path), {
+                path: `/review/${index}`,
+                headers: streamHeaders,
+                leaveAfterMs: 5 + index * 3,
+            }).catch(() => undefined));
+        await Promise.all(leaving);
+        expect((await sendRequest(getCallers(path), { path: "/lookup/1" })).status).toBe(200);
+    });
+});
+
 describe("what the store publishes", () => {
     it("takes a new configuration and never an older one", async () => {
         const path = await start();
