--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -4,7 +4,7 @@
 import { hasRetry, reserveRetry } from "../../policy/retryBudget";
 import type { ForwardEventOf, ForwardTick } from "../events";
 import { getNewestWeights } from "../tables/configuration";
-import { findOpenAttempt, type ForwardAttempt, type ForwardRequestRow } from "../tables/requests";
+import { findOpenAttempt, type ForwardAttempt, type ForwardRequestRow, parseAttemptKey } from "../tables/requests";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { closeRequest, refuseForward, removeWork } from "./requestEnd";
@@ -258,10 +258,11 @@
  * is busy, not dead, and its queue is waited for.
  */
 function retrySilent(world: ForwardWorld, tick: ForwardTick): void {
-    for (const id of tick.due.listKeys("attemptSilence")) {
-        const row = world.tables.requests.get(id as ForwardRequestRow["id"]);
-        const attempt = row?.attempts.at(-1);
-        if (!row || !attempt?.isOpen || attempt.evidence.answer !== "none" || row.state !== "running") {
+    for (const key of tick.due.listKeys("attemptSilence")) {
+        const { request, attempt: number } = parseAttemptKey(key);
+        const row = world.tables.requests.get(request);
+        const attempt = row && findOpenAttempt(row, number);
+        if (!row || !attempt || attempt.evidence.answer !== "none") {
             continue;
         }
         const target = world.tables.targets.get(attempt.target);
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -9,7 +9,7 @@
 import type { WeightsVersion } from "../ids";
 import { computeEngineScore, estimateQueueMs } from "../policy/engineScore";
 import { findOutdatedSince } from "../tables/configuration";
-import type { ForwardRequestRow } from "../tables/requests";
+import { formatAttemptKey, type ForwardRequestRow } from "../tables/requests";
 import { canPassBackOff, type ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { computeFleetFactor, computePeerLoad, computeQueueFacts } from "./engineLoad";
@@ -313,7 +313,8 @@
     world.tables.requests.updateState(row, "running");
     const call = buildCall(tick, row, choice);
     if (call.silentMs !== undefined) {
-        world.timers.schedule({ name: "attemptSilence", at: addMillis(tick.now, call.silentMs), key: row.id });
+        const at = addMillis(tick.now, call.silentMs);
+        world.timers.schedule({ name: "attemptSilence", at, key: formatAttemptKey(row.id, number) });
     }
     world.effects.append({ kind: "sendRequest", request: row.id, attempt: number, call });
     logInfo(world.effects, "route:", "Request is sent.", {
--- a/src/forward/tables/requests.ts
+++ b/src/forward/tables/requests.ts
@@ -1,5 +1,5 @@
 /** Requests of this process, from arrival to the end of the answer. */
-import type { AccountId, Millis, RequestId, TargetId } from "../../ids";
+import { type AccountId, type Millis, type RequestId, type TargetId, toRequestId } from "../../ids";
 import type { AttemptEvidence } from "../../verdict";
 import type { ForwardArrival } from "../calls";
 import type { ForwardAccount, ForwardRoute } from "../document";
@@ -93,3 +93,12 @@
     const last = row.attempts.at(-1);
     return last?.number === number && last.isOpen ? last : undefined;
 }
+
+/** Key of a timer that belongs to one attempt; a later attempt must not be ended by it. */
+export const formatAttemptKey = (request: RequestId, attempt: number): string => `${attempt} ${request}`;
+
+/** Reverses `formatAttemptKey`. */
+export function parseAttemptKey(key: string): { readonly request: RequestId; readonly attempt: number; } {
+    const space = key.indexOf(" ");
+    return { request: toRequestId(key.slice(space + 1)), attempt: Number(key.slice(0, space)) };
+}
--- /dev/null
+++ b/test/forward/routing.test.ts
@@ -0,0 +1,266 @@
+import { Ok } from "ts-results";
+import { describe, expect, it } from "vitest";
+import { encodeMember, memberPrefix } from "../../src/forward/codec/fleetRows";
+import { toPartId, toWeightsVersion } from "../../src/forward/ids";
+import { toCallId, toDataCentreId, toMillis, toRequestId, toTargetId } from "../../src/ids";
+import {
+    buildArrival,
+    buildDocument,
+    buildMember,
+    buildRoute,
+    buildTarget,
+    createForwardTestNode,
+    createGrantingStore,
+    type ForwardTestNode,
+    listEffects,
+    model,
+    plainService,
+} from "../support/forwardNode";
+
+const plainRoute = buildRoute({
+    kind: "repeatable",
+    objectiveMs: 100,
+    timeoutMs: 600,
+    services: [{ service: plainService, weight: 1 }],
+});
+const plainTargets = ["s1", "s2"].map(name => ({ name, target: buildTarget(name, { service: plainService }) }));
+
+async function createReadyNode(
+    changes: Parameters<ForwardTestNode["read"]>[0] = {
+        document: buildDocument({ routes: [plainRoute] }),
+        targets: plainTargets,
+    },
+): Promise<ForwardTestNode> {
+    const node = await createForwardTestNode();
+    node.run([]);
+    node.runFor(20, createGrantingStore(node.getNow), [node.read(changes)]);
+    return node;
+}
+
+function sendArrival(node: ForwardTestNode, id: string, options: Parameters<typeof buildArrival>[1] = {}) {
+    const arrival = buildArrival(id, { arrivedAt: toMillis(node.getNow()), ...options });
+    return node.run([{ kind: "requestArrived", arrival }]);
+}
+
+const plain = { parts: [], model: undefined, hasTokens: false, promptTokens: 0, maxOutputTokens: 0, waitMs: 600 };
+const facts = { isSigned: true, isNotRun: false, isMisdirected: false, weights: undefined };
+
+describe("attempts", () => {
+    it("gives the second attempt its own time, not the rest of the first one's", async () => {
+        const node = await createReadyNode();
+        sendArrival(node, "r1", plain);
+        const request = toRequestId("r1");
+        const error = { ...facts, attemptId: "r1" };
+        node.run([{ kind: "attemptBytesHanded", request, attempt: 1 }], 1);
+        const second = node.run([{
+            kind: "attemptAnswered",
+            request,
+            attempt: 1,
+            status: 500,
+            facts: error,
+            isOpenStream: false,
+        }], 190);
+        expect(listEffects(second, "sendRequest")).toHaveLength(1);
+        node.run([{ kind: "attemptBytesHanded", request, attempt: 2 }], 1);
+        expect(listEffects(node.runFor(100), "refuseRequest")).toHaveLength(0);
+    });
+
+    it("refuses with a code that promises nothing once the request may have run", async () => {
+        const route = { ...plainRoute, kind: "single" as const, maxTargets: 1 };
+        const node = await createReadyNode({ document: buildDocument({ routes: [route] }), targets: plainTargets });
+        sendArrival(node, "r1", plain);
+        const request = toRequestId("r1");
+        node.run([{ kind: "attemptBytesHanded", request, attempt: 1 }], 1);
+        const effects = node.run(
+            [{ kind: "attemptFailed", request, attempt: 1, fault: "closed", lastEventId: 0 }],
+            1,
+        );
+        expect(listEffects(effects, "refuseRequest")[0]?.refusal).toMatchObject({
+            code: "target_failed",
+            verdict: "may_have_run",
+        });
+    });
+
+    it("sends a single request again only when nothing was handed to a socket", async () => {
+        const route = { ...plainRoute, kind: "single" as const, maxTargets: 1 };
+        const node = await createReadyNode({ document: buildDocument({ routes: [route] }), targets: plainTargets });
+        sendArrival(node, "r1", plain);
+        const request = toRequestId("r1");
+        const effects = node.run(
+            [{ kind: "attemptFailed", request, attempt: 1, fault: "connect", lastEventId: 0 }],
+            1,
+        );
+        expect(listEffects(effects, "sendRequest")).toHaveLength(1);
+    });
+
+    it("does not pass a target's 503 on, since it would promise that the request has not run", async () => {
+        const route = { ...plainRoute, kind: "single" as const, maxTargets: 1 };
+        const node = await createReadyNode({ document: buildDocument({ routes: [route] }), targets: plainTargets });
+        sendArrival(node, "r1", plain);
+        const request = toRequestId("r1");
+        const effects = node.run([{ kind: "attemptBytesHanded", request, attempt: 1 }, {
+            kind: "attemptAnswered",
+            request,
+            attempt: 1,
+            status: 503,
+            facts: { ...facts, attemptId: "r1" },
+            isOpenStream: false,
+        }], 1);
+        expect(listEffects(effects, "relayAnswer")).toHaveLength(0);
+        expect(listEffects(effects, "refuseRequest")[0]?.refusal.code).toBe("target_failed");
+    });
+
+    it("relays no answer of another request", async () => {
+        const route = { ...plainRoute, kind: "single" as const, maxTargets: 1 };
+        const node = await createReadyNode({ document: buildDocument({ routes: [route] }), targets: plainTargets });
+        sendArrival(node, "r1", plain);
+        const effects = node.run([{
+            kind: "attemptAnswered",
+            request: toRequestId("r1"),
+            attempt: 1,
+            status: 200,
+            facts: { ...facts, attemptId: "other" },
+            isOpenStream: false,
+        }], 1);
+        expect(listEffects(effects, "relayAnswer")).toHaveLength(0);
+    });
+});
+
+describe("admission", () => {
+    it("answers 503 and never 401 or 404 without a configuration", async () => {
+        const node = await createForwardTestNode();
+        node.run([]);
+        expect(listEffects(sendArrival(node, "r1"), "refuseRequest")[0]?.refusal.code).toBe("configuration_missing");
+    });
+
+    it("never goes back to an older configuration", async () => {
+        const node = await createReadyNode({ document: buildDocument({ version: 5 }) });
+        node.run([node.change({ document: buildDocument({ version: 3, routes: [] }) })]);
+        expect(node.world.tables.configuration.version).toBe(5);
+    });
+
+    it("chooses the route with the longest prefix of the host", async () => {
+        const routes = [buildRoute(), buildRoute({ id: "longer" as never, prefix: "/a/b/" })];
+        const node = await createReadyNode({ document: buildDocument({ routes }) });
+        const { findRoute } = node.world.tables.configuration;
+        expect(findRoute("shop.example", "/a/b/c")?.id).toBe("longer");
+        expect(findRoute("shop.example", "/a/c")?.id).toBe("route");
+        expect(findRoute("other.example", "/a/c")).toBeUndefined();
+    });
+});
+
+describe("engines", () => {
+    const engines = (count: number, version = 1) =>
+        Array.from({ length: count }, (_, index) => ({
+            name: `e${index}`,
+            target: buildTarget(`e${index}`, { weights: new Map([[model, toWeightsVersion(version)]]) }),
+        }));
+
+    it("refuses before sending when every engine's queue is longer than the objective", async () => {
+        const node = await createReadyNode({ document: buildDocument(), targets: engines(1) });
+        const codes = Array.from(
+            { length: 60 },
+            (_, index) =>
+                listEffects(sendArrival(node, `r${index}`, { promptTokens: 5000 }), "refuseRequest")[0]?.refusal,
+        );
+        const refused = codes.filter(refusal => refusal !== undefined);
+        expect(refused.length).toBeGreaterThan(0);
+        expect(refused.every(({ code, verdict }) => code === "overloaded" && verdict === "not_run")).toBe(true);
+        expect(refused[0]?.retryAfterSeconds).toBeGreaterThan(0);
+    });
+
+    it("sends nothing to an engine whose weights are too old", async () => {
+        const node = await createReadyNode({ document: buildDocument(), targets: engines(1) });
+        node.run([node.change({ weights: [{ model, version: toWeightsVersion(2) }] })]);
+        expect(listEffects(sendArrival(node, "r1"), "sendRequest")).toHaveLength(1);
+        node.runFor(9000, createGrantingStore(node.getNow));
+        expect(listEffects(sendArrival(node, "r2"), "sendRequest")).toHaveLength(0);
+    });
+
+    it("fetches shared parts from the engine that holds them", async () => {
+        const node = await createReadyNode({ document: buildDocument(), targets: engines(2) });
+        const parts = [{ id: toPartId("catalogue"), tokens: 5000 }, { id: toPartId("own"), tokens: 500 }];
+        const first = listEffects(sendArrival(node, "r1", { parts, promptTokens: 5500 }), "sendRequest")[0];
+        const request = toRequestId("r1");
+        node.run([{ kind: "attemptBytesHanded", request, attempt: 1 }, {
+            kind: "attemptFirstEvent",
+            request,
+            attempt: 1,
+        }], 200);
+        const again = [{ id: toPartId("catalogue"), tokens: 5000 }, { id: toPartId("own-2"), tokens: 500 }];
+        const calls = Array.from(
+            { length: 12 },
+            (_, index) =>
+                listEffects(sendArrival(node, `again${index}`, { parts: again, promptTokens: 5500 }), "sendRequest")[0]
+                    ?.call,
+        );
+        const elsewhere = calls.find(call => call && call.target !== first?.call.target);
+        expect(elsewhere?.engine?.fetchFrom).toBe("127.0.0.1:9");
+    });
+
+    it("keeps accounts that are isolated and versions apart by the salt", async () => {
+        const document = buildDocument();
+        const isolated = new Map([...document.accounts].map(([id, entry]) => [id, { ...entry, isIsolated: true }]));
+        const node = await createReadyNode({ document: { ...document, accounts: isolated }, targets: engines(1) });
+        const salt = listEffects(sendArrival(node, "r1"), "sendRequest")[0]?.call.engine?.salt;
+        expect(salt).toBe("model-a.1.shop");
+    });
+});
+
+describe("targets in an outage of the store", () => {
+    it("keeps a target whose row lapsed until the store has been back for a while", async () => {
+        const node = await createReadyNode();
+        node.run([{ kind: "storeSilent", message: "closed" }], 100);
+        node.run([node.change({ targets: [{ name: "s1", target: undefined }] })], 100);
+        expect(node.world.tables.targets.get(toTargetId("s1@1"))).toBeDefined();
+        node.runFor(2500, createGrantingStore(node.getNow));
+        expect(node.world.tables.targets.get(toTargetId("s1@1"))).toBeUndefined();
+    });
+
+    it("keeps a target for good when its row comes back", async () => {
+        const node = await createReadyNode();
+        node.run([{ kind: "storeSilent", message: "closed" }], 100);
+        node.run([node.change({ targets: [{ name: "s1", target: undefined }] })], 100);
+        node.run([node.change({ targets: plainTargets })], 500);
+        node.runFor(2500, createGrantingStore(node.getNow));
+        expect(node.world.tables.targets.get(toTargetId("s1@1"))).toBeDefined();
+    });
+
+    it("drops a target at once while the store is steady", async () => {
+        const node = await createReadyNode();
+        node.runFor(3000, createGrantingStore(node.getNow));
+        node.run([node.change({ targets: [{ name: "s1", target: undefined }] })]);
+        expect(node.world.tables.targets.get(toTargetId("s1@1"))).toBeUndefined();
+    });
+});
+
+describe("addresses for callers", () => {
+    const rows = ["front-1", "front-2", "front-3"].map(name => ({
+        key: `${memberPrefix}${name}`,
+        value: encodeMember(buildMember(name)),
+        createRevision: 1,
+    }));
+    const ask = { kind: "addressesAsked", call: toCallId("c"), dataCentre: toDataCentreId("dc-0") } as const;
+
+    it("leave out a member that no exchange reaches, before its lease ends", async () => {
+        const node = await createReadyNode({ document: buildDocument(), rows });
+        node.runFor(2000, effect =>
+            effect.kind === "askPeer" && effect.vm === "front-2"
+                ? [{
+                    kind: "peerReplied",
+                    vm: effect.vm,
+                    result: Ok({ ...effect.state, vm: effect.vm, startedAt: 1 }),
+                }]
+                : createGrantingStore(node.getNow)(effect));
+        const [answer] = listEffects(node.run([ask]), "answerAddresses");
+        expect(answer?.addresses).toContain("front-2:1");
+        expect(answer?.addresses).not.toContain("front-3:1");
+    });
+
+    it("name all members when no peer is heard, as the fault may be this process's own", async () => {
+        const node = await createReadyNode({ document: buildDocument(), rows });
+        node.runFor(2000, createGrantingStore(node.getNow));
+        const [answer] = listEffects(node.run([ask]), "answerAddresses");
+        expect(answer?.addresses).toEqual(expect.arrayContaining(["front-2:1", "front-3:1"]));
+    });
+});
