--- a/src/forward/adapters/frontServer.ts
+++ b/src/forward/adapters/frontServer.ts
@@ -27,6 +27,8 @@
     readonly clock: Clock;
     readonly post: (event: ForwardEvent) => void;
     readonly openForwards: OpenForwards;
+    /** Called for a request that ended before it was read whole. */
+    readonly onUnread: (reason: string) => void;
 }
 
 export interface FrontServer {
@@ -82,7 +84,8 @@
     (request.headers.host ?? "").replace(/:\d+$/, "").toLowerCase();
 
 /** Creates the server for callers. */
-export function createFrontServer({ address, codec, clock, post, openForwards }: FrontServerOptions): FrontServer {
+export function createFrontServer(options: FrontServerOptions): FrontServer {
+    const { address, codec, clock, post, openForwards, onUnread } = options;
     let maxBodyBytes = initialBodyBytes;
     let isClosing = false;
 
@@ -148,8 +151,9 @@
     }
 
     const server = http.createServer({ maxHeaderSize: parserHeaderBytes }, (request, response) => {
-        handleRequest(request, response).catch(() => {
+        handleRequest(request, response).catch((error: unknown) => {
             // The caller closed the connection while its request was read.
+            onUnread(error instanceof Error ? error.message : String(error));
             response.destroy();
         });
     });
--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -75,7 +75,19 @@
     const metricsServer = createMetricsServer(metrics);
     const openForwards = createOpenForwards();
     const { listen, store: storeSettings, bounds, log, vm } = settings;
-    const front = createFrontServer({ address: listen.callers, codec: ports.headers, clock, post, openForwards });
+    const write = writeLog
+        ?? createLogWriter({ log, vm, stream: "stdout", infoLinesPerSecond: log.infoLinesPerSecond });
+    const front = createFrontServer({
+        address: listen.callers,
+        codec: ports.headers,
+        clock,
+        post,
+        openForwards,
+        onUnread: reason => {
+            const message = "Request was not read whole.";
+            write({ kind: "writeLog", level: "info", prefix: "admit:", message, fields: { reason } });
+        },
+    });
     const client = createForwardClient({ codec: ports.headers, post, openForwards, isClosing: front.isClosing });
     const store = ports.createStore({ clock, post, ...storeSettings });
     const peers = createPeerLink({ address: listen.peers, post });
@@ -128,12 +140,7 @@
         callStore: store.call,
         askPeer: peers.ask,
         answerPeer: peers.answer,
-        writeLog: writeLog ?? createLogWriter({
-            log,
-            vm,
-            stream: "stdout",
-            infoLinesPerSecond: log.infoLinesPerSecond,
-        }),
+        writeLog: write,
         addCount: metrics.addCount,
         recordValue: metrics.recordValue,
         closeListeners: front.close,
--- a/src/forward/document.ts
+++ b/src/forward/document.ts
@@ -31,8 +31,6 @@
 
 export interface EngineFacts {
     readonly models: readonly ModelId[];
-    /** Requests that an engine runs at once. */
-    readonly slots: number;
     /** Tokens that fit into an engine's memory. */
     readonly memoryTokens: number;
     /** Processes that may follow one engine's cache events at the same time. */
@@ -41,8 +39,6 @@
 
 export interface ForwardService {
     readonly id: ServiceId;
-    /** Connections that one target accepts from all callers together. */
-    readonly maxConnections: number;
     /** Present for services of engines. */
     readonly engine: EngineFacts | undefined;
 }
@@ -70,7 +66,6 @@
 }
 
 export interface CallerLimits {
-    readonly headerBytes: number;
     readonly bodyBytes: number;
     readonly headerTimeoutMs: number;
     readonly idleTimeoutMs: number;
@@ -97,7 +92,6 @@
     readonly address: string;
     readonly dataCentre: DataCentreId;
     readonly isLeaving: boolean;
-    readonly slots: number;
     /** Version of the weights of each model that the target holds. */
     readonly weights: ReadonlyMap<ModelId, WeightsVersion>;
 }
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -44,6 +44,8 @@
     readonly weights: readonly { readonly model: ModelId; readonly version: WeightsVersion; }[];
     readonly targets: readonly TargetChange[];
     readonly rows: readonly FleetRow[];
+    /** Keys of rows whose values could not be read. */
+    readonly unreadable: readonly string[];
     readonly revision: number;
 }
 
--- a/src/forward/policy/engineScore.ts
+++ b/src/forward/policy/engineScore.ts
@@ -1,8 +1,5 @@
 /** Routing score of an engine: expected time to the first event, with what a miss costs the others. */
-import type { TargetId } from "../../ids";
-
 export interface EngineChoice {
-    readonly target: TargetId;
     /** Time until the engine begins to compute a prompt that is sent now. */
     readonly queueMs: number;
     /** Requests of this process that run there. */
--- a/src/forward/systems/admitRequests.ts
+++ b/src/forward/systems/admitRequests.ts
@@ -98,7 +98,6 @@
         isRelaying: false,
         lastEventId: arrival.lastEventId ?? 0,
         hasFirstEvent: false,
-        notBefore: arrival.arrivedAt,
     };
 }
 
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -162,6 +162,12 @@
 function applyChanges(world: ForwardWorld, tick: ForwardTick, changes: PublishedChanges): void {
     applyDocument(world, changes);
     applyWeights(world, tick, changes);
+    for (const key of changes.unreadable) {
+        logWarning(world.effects, "store:", "A row of the store cannot be read and is ignored.", {
+            key,
+            revision: changes.revision,
+        });
+    }
     for (const change of changes.targets) {
         applyTarget(world, tick, change);
     }
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -64,7 +64,6 @@
     if (budget) {
         reserveRetry(budget);
     }
-    row.notBefore = tick.now;
     world.tables.requests.updateState(row, "queued");
     world.effects.append({ kind: "addCount", name: "retries_total", value: 1, labels: { outcome } });
     logInfo(world.effects, "stream:", "Request is sent again.", {
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -189,7 +189,6 @@
         const fetchedTokens = source ? source.tokens - held : 0;
         const queueMs = estimateQueueMs(computeQueueFacts(world, tick, target), fleetFactor);
         const scoreMs = computeEngineScore({
-            target: target.registration.id,
             queueMs,
             runningRequests: target.work.size + computePeerLoad(world, tick, target).requests,
             missedTokens: Math.max(0, promptTokens - held - fetchedTokens),
@@ -306,7 +305,6 @@
     }
     target.work.set(row.id, {
         missedTokens: Math.max(0, row.arrival.promptTokens - choice.heldTokens),
-        tokens: row.arrival.promptTokens + row.arrival.maxOutputTokens,
         sentAt: tick.now,
         hasAnswered: false,
     });
--- a/src/forward/tables/requests.ts
+++ b/src/forward/tables/requests.ts
@@ -35,8 +35,6 @@
     /** Last event that was relayed; a resumed stream goes on after it. */
     lastEventId: number;
     hasFirstEvent: boolean;
-    /** Not routed before this time, after a failed attempt. */
-    notBefore: Millis;
 }
 
 export interface ForwardRequestsTable {
--- a/src/forward/tables/targets.ts
+++ b/src/forward/tables/targets.ts
@@ -7,8 +7,6 @@
 export interface ForwardWork {
     /** Prompt tokens that the target still has to compute before the first event. */
     missedTokens: number;
-    /** Tokens of the whole request, for the memory that it occupies. */
-    readonly tokens: number;
     readonly sentAt: Millis;
     hasAnswered: boolean;
 }
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -150,14 +150,14 @@
 });
 
 describe("engines", () => {
-    const engines = (count: number, version = 1) =>
+    const buildEngines = (count: number, version = 1) =>
         Array.from({ length: count }, (_, index) => ({
             name: `e${index}`,
             target: buildTarget(`e${index}`, { weights: new Map([[model, toWeightsVersion(version)]]) }),
         }));
 
     it("refuses before sending when every engine's queue is longer than the objective", async () => {
-        const node = await createReadyNode({ document: buildDocument(), targets: engines(1) });
+        const node = await createReadyNode({ document: buildDocument(), targets: buildEngines(1) });
         const codes = Array.from(
             { length: 60 },
             (_, index) =>
@@ -170,7 +170,7 @@
     });
 
     it("sends nothing to an engine whose weights are too old", async () => {
-        const node = await createReadyNode({ document: buildDocument(), targets: engines(1) });
+        const node = await createReadyNode({ document: buildDocument(), targets: buildEngines(1) });
         node.run([node.change({ weights: [{ model, version: toWeightsVersion(2) }] })]);
         expect(listEffects(sendArrival(node, "r1"), "sendRequest")).toHaveLength(1);
         node.runFor(9000, createGrantingStore(node.getNow));
@@ -178,7 +178,7 @@
     });
 
     it("fetches shared parts from the engine that holds them", async () => {
-        const node = await createReadyNode({ document: buildDocument(), targets: engines(2) });
+        const node = await createReadyNode({ document: buildDocument(), targets: buildEngines(2) });
         const parts = [{ id: toPartId("catalogue"), tokens: 5000 }, { id: toPartId("own"), tokens: 500 }];
         const first = listEffects(sendArrival(node, "r1", { parts, promptTokens: 5500 }), "sendRequest")[0];
         const request = toRequestId("r1");
@@ -201,7 +201,7 @@
     it("keeps accounts that are isolated and versions apart by the salt", async () => {
         const document = buildDocument();
         const isolated = new Map([...document.accounts].map(([id, entry]) => [id, { ...entry, isIsolated: true }]));
-        const node = await createReadyNode({ document: { ...document, accounts: isolated }, targets: engines(1) });
+        const node = await createReadyNode({ document: { ...document, accounts: isolated }, targets: buildEngines(1) });
         const salt = listEffects(sendArrival(node, "r1"), "sendRequest")[0]?.call.engine?.salt;
         expect(salt).toBe("model-a.1.shop");
     });
--- a/test/support/forwardNode.ts
+++ b/test/support/forwardNode.ts
@@ -78,13 +78,13 @@
     options: { readonly version?: number; readonly routes?: readonly ForwardRoute[]; readonly rate?: number; } = {},
 ): ForwardDocument {
     const { version = 1, routes = [buildRoute()], rate = 0 } = options;
-    const engine = { models: [model], slots: 8, memoryTokens: 100_000, maxFollowers: 0 };
+    const engine = { models: [model], memoryTokens: 100_000, maxFollowers: 0 };
     return {
         version: toConfigVersion(version),
         routes,
         services: new Map([
-            [engineService, { id: engineService, maxConnections: 100, engine }],
-            [plainService, { id: plainService, maxConnections: 100, engine: undefined }],
+            [engineService, { id: engineService, engine }],
+            [plainService, { id: plainService, engine: undefined }],
         ]),
         accounts: new Map([[account, {
             id: account,
@@ -97,7 +97,7 @@
         }]]),
         partStores: [],
         needsKeys: true,
-        limits: { headerBytes: 16384, bodyBytes: 1 << 20, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+        limits: { bodyBytes: 1 << 20, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
     };
 }
 
@@ -109,7 +109,6 @@
         address: "127.0.0.1:9",
         dataCentre: toDataCentreId("dc-0"),
         isLeaving: false,
-        slots: 8,
         weights: new Map([[model, toWeightsVersion(1)]]),
         ...options,
     };
@@ -136,7 +135,14 @@
     };
 }
 
-const noChanges: PublishedChanges = { document: undefined, weights: [], targets: [], rows: [], revision: 1 };
+const noChanges: PublishedChanges = {
+    document: undefined,
+    weights: [],
+    targets: [],
+    rows: [],
+    unreadable: [],
+    revision: 1,
+};
 
 export interface ForwardTestNode {
     readonly world: ForwardWorld;
