--- a/src/cli/commandLine.ts
+++ b/src/cli/commandLine.ts
@@ -37,9 +37,10 @@
 
 const helpOption: CommandOption = { type: "boolean", help: "print this help" };
 
-function formatOverview(): string {
-    const width = Math.max(...Object.keys(commands).map(name => name.length));
-    const lines = Object.entries(commands).map(([name, { summary }]) => `  ${name.padEnd(width)}  ${summary}\n`);
+function formatOverview(group = ""): string {
+    const listed = Object.entries(commands).filter(([name]) => name.startsWith(group));
+    const width = Math.max(...listed.map(([name]) => name.length));
+    const lines = listed.map(([name, { summary }]) => `  ${name.padEnd(width)}  ${summary}\n`);
     return `usage: ${programName} COMMAND [OPTIONS]\n\n${lines.join("")}\n`
         + `Run "${programName} COMMAND --help" for the options of a command.\n`;
 }
@@ -94,6 +95,11 @@
         io.write(formatOverview());
         return exitCodes.done;
     }
+    const [group = "", option] = args;
+    if (option === "--help" && Object.keys(commands).some(name => name.startsWith(`${group} `))) {
+        io.write(formatOverview(`${group} `));
+        return exitCodes.done;
+    }
     const found = findCommand(args);
     if (!found) {
         io.writeError(formatOverview());
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -36,6 +36,7 @@
         before,
         routes: document.routes.length,
         accounts: document.accounts.size,
+        keys: [...document.accounts.values()].reduce((sum, { keys }) => sum + keys.length, 0),
     });
 }
 
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -31,6 +31,26 @@
 }
 
 describe("command line without a process", () => {
+    it("lists the commands of a group instead of failing on its help", async () => {
+        for (const group of ["config", "key"]) {
+            const { code, out, err } = await runCli([group, "--help"]);
+            expect(code).toBe(0);
+            expect(out).toContain(`${group} `);
+            expect(out).not.toContain("serve");
+            expect(err).toBe("");
+        }
+    });
+
+    it("names every fault of the settings of the forwarding mode with exit code 2", async () => {
+        const bad = writeText("forward.toml", "vm = \"\"\n[listen]\ncallers = \"here\"\n");
+        const { code, err } = await runCli(["forward", "--settings", bad]);
+        expect(code).toBe(2);
+        for (const name of ["vm", "dataCentre", "listen.callers", "listen.peers", "store", "bounds"]) {
+            expect(err).toContain(`${bad}: ${name}: `);
+        }
+        expect((await runCli(["forward"])).code).toBe(2);
+    });
+
     it("names every fault of a settings file with exit code 2, and repeats no secret", async () => {
         const bad = writeText(
             "bad.toml",
