--- /dev/null
+++ b/test/forward/platform.test.ts
@@ -0,0 +1,134 @@
+import { describe, expect, it } from "vitest";
+import { decodeConfiguration, decodeTarget, decodeWeights } from "../../platform/documents";
+import { platformHeaders } from "../../platform/headers";
+import { toCacheSalt, toWeightsVersion } from "../../src/forward/ids";
+import { toTargetId } from "../../src/ids";
+
+const call = {
+    target: toTargetId("i-1@5"),
+    address: "127.0.0.1:1",
+    instance: "i-1",
+    account: "shop",
+    waitMs: 250,
+    isStream: true,
+    silentMs: undefined,
+    resumeAfter: undefined,
+};
+
+function toMap(flat: readonly string[]): Map<string, string> {
+    const map = new Map<string, string>();
+    for (let index = 0; index < flat.length; index += 2) {
+        map.set((flat[index] ?? "").toLowerCase(), flat[index + 1] ?? "");
+    }
+    return map;
+}
+
+describe("headers of the platform", () => {
+    it("pass on what the caller sent, but no key, no header of one connection and none that only the system sets", () => {
+        const sent = [
+            ["Host", "shop.example"],
+            ["Authorization", "Token secret"],
+            ["Connection", "keep-alive, X-Hop"],
+            ["X-Hop", "1"],
+            ["X-Own", "kept"],
+            ["Transfer-Encoding", "chunked"],
+            ["X-Marjoramvane-Attempt-Id", "9c41"],
+            ["X-Marjoramvane-Tenant-Id", "another"],
+            ["X-Marjoramvane-Cache-Salt", "stolen"],
+            ["X-Marjoramvane-Hold", "1"],
+            ["X-Marjoramvane-Pin-Ms", "1"],
+            ["X-Marjoramvane-Kv-Backup", "1"],
+            ["X-Marjoramvane-Kv-Source", "10.0.0.1:1"],
+            ["Kv-From", "x"],
+            ["X-Marjoramvane-Deadline-Ms", "9000"],
+        ].flat();
+        const headers = toMap(platformHeaders.encodeRequest(sent, call));
+        expect(Object.fromEntries(headers)).toEqual({
+            "host": "shop.example",
+            "x-own": "kept",
+            "x-marjoramvane-attempt-id": "9c41",
+            "x-marjoramvane-tenant-id": "shop",
+            "x-marjoramvane-target-instance": "i-1",
+            "x-marjoramvane-deadline-ms": "250",
+        });
+    });
+
+    it("tell an engine the salt, the expected weights and where to fetch parts", () => {
+        const engine = {
+            salt: toCacheSalt("m.2."),
+            version: toWeightsVersion(2),
+            priority: 3,
+            fetchFrom: "10.0.0.2:8080",
+            copyTo: undefined,
+        };
+        const headers = toMap(platformHeaders.encodeRequest([], { ...call, resumeAfter: 7, engine }));
+        expect(headers.get("x-marjoramvane-cache-salt")).toBe("m.2.");
+        expect(headers.get("x-marjoramvane-expect-version")).toBe("2");
+        expect(headers.get("x-marjoramvane-kv-source")).toBe("10.0.0.2:8080");
+        expect(headers.has("x-marjoramvane-kv-target")).toBe(false);
+        expect(headers.get("last-event-id")).toBe("7");
+    });
+
+    it("say what a request asks for", () => {
+        const facts = platformHeaders.decodeRequest({
+            "authorization": "Token secret",
+            "x-marjoramvane-attempt-id": "9c41",
+            "x-marjoramvane-token-usage": "1460,80",
+            "x-marjoramvane-prompt-prefix": "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+            "x-marjoramvane-deadline-ms": "5000",
+        });
+        expect(facts).toMatchObject({ attemptId: "9c41", key: "secret", promptTokens: 1460, maxOutputTokens: 80 });
+        expect(facts.parts.map(part => part.tokens)).toEqual([800, 410, 250]);
+        expect(facts.waitMs).toBe(5000);
+    });
+
+    it("take a key only in the platform's form", () => {
+        expect(platformHeaders.decodeRequest({ authorization: "Bearer secret" }).key).toBeUndefined();
+    });
+});
+
+describe("documents of the platform", () => {
+    const server = { service: "s", address: "10.0.0.1:80", zone: "z", version: "v1", slots: 4, state: "ready" };
+
+    it("name no target when a field is missing, of another type, or unknown", () => {
+        const forged: unknown[] = [
+            undefined,
+            [],
+            { ...server, address: 5 },
+            { ...server, address: "nowhere" },
+            { ...server, state: "perhaps" },
+            { ...server, slots: "4" },
+            { ...server, born: 1.5 },
+            { ...server, zone: undefined },
+        ];
+        for (const entry of forged) {
+            expect(decodeTarget("i-1", JSON.stringify(entry) ?? "{")).toBeUndefined();
+        }
+        expect(decodeTarget("i-1", JSON.stringify(server))).toBeDefined();
+    });
+
+    it("tell two runs under one name apart", () => {
+        const first = decodeTarget("i-1", JSON.stringify({ ...server, born: 1 }));
+        const second = decodeTarget("i-1", JSON.stringify({ ...server, born: 2 }));
+        expect(first?.id).not.toBe(second?.id);
+        expect(first?.instance).toBe(second?.instance);
+    });
+
+    it("keep keys only as hashes", () => {
+        const text = JSON.stringify({
+            version: 3,
+            routes: [],
+            services: [],
+            tenants: [{ "name": "shop", "api-keys": ["secret"], "isolated": true }],
+        });
+        const document = decodeConfiguration(text);
+        expect(JSON.stringify([...document?.accounts.values() ?? []])).not.toContain("secret");
+        expect([...document?.accounts.values() ?? []][0]?.isIsolated).toBe(true);
+    });
+
+    it("reject what cannot be read", () => {
+        expect(decodeConfiguration("{")).toBeUndefined();
+        expect(decodeWeights("{\"model\":1}")).toBeUndefined();
+        expect(decodeWeights("{\"model\":\"m\",\"version\":2}")).toEqual({ model: "m", version: 2 });
+    });
+});
