Compute the age of weights and the guard time once; remove what nothing reads

Found on reading the whole change: two functions computed how long weights had been replaced, the guard time stood in two systems, an option of the usage window and a field of the calls to targets had no reader. No behaviour changes.

--- a/src/forward/calls.ts
+++ b/src/forward/calls.ts
@@ -46,7 +46,6 @@
     readonly account: string | undefined;
     /** Time left for the target. */
     readonly waitMs: number;
-    readonly isStream: boolean;
     /** Silence within an answer after which the attempt fails; undefined when it may last until the deadline. */
     readonly silentMs: number | undefined;
     /** Events up to this number have been relayed; the target goes on after it. */
--- a/src/forward/policy/usageWindow.ts
+++ b/src/forward/policy/usageWindow.ts
@@ -14,21 +14,20 @@
 const slotsPerWindow = 32;
 
 /**
- * Creates a window that already holds `tokens`, spread evenly: what a process that ran before this one may have used.
+ * Creates an empty window.
  *
  * @example
  * createUsageWindow({ windowMs: 8000, now: toMillis(0) }).total; // 0
  */
 export function createUsageWindow(
-    { windowMs, now, tokens = 0 }: { readonly windowMs: number; readonly now: Millis; readonly tokens?: number; },
+    { windowMs, now }: { readonly windowMs: number; readonly now: Millis; },
 ): UsageWindow {
     const slotMs = windowMs / slotsPerWindow;
-    const count = slotsPerWindow + 1;
     return {
-        slots: new Array<number>(count).fill(tokens / count),
+        slots: new Array<number>(slotsPerWindow + 1).fill(0),
         slotMs,
         newest: Math.floor(now / slotMs),
-        total: tokens,
+        total: 0,
     };
 }
 
--- a/src/forward/systems/placeWeights.ts
+++ b/src/forward/systems/placeWeights.ts
@@ -12,6 +12,7 @@
 import type { ForwardWorld } from "../world";
 import { computeQueuedTokens } from "./engineLoad";
 import { expectLoading } from "./targetHealth";
+import { computeDutyGuardMs } from "./updateMembership";
 
 /** Engines that load at the same time while little waits, as part of the engines of a model that work. */
 const quietFraction = 3 / 7;
@@ -32,8 +33,6 @@
 const longestLoadMs = 6000;
 /** The lease must be valid for this much longer when an order is sent. */
 const leaseMarginMs = 150;
-/** Added to the guard time for orders of another holder that were on their way. */
-const guardMarginMs = 300;
 
 function listEngineServices(world: ForwardWorld) {
     return [...world.tables.configuration.document?.services.values() ?? []]
@@ -65,7 +64,7 @@
     const last = world.tables.rollouts.recorded.get(target);
     return last !== undefined
         && last.vm !== world.settings.vm
-        && tick.now < addMillis(last.seenAt, world.settings.bounds.dutyGuardMs + guardMarginMs);
+        && tick.now < addMillis(last.seenAt, computeDutyGuardMs(world));
 }
 
 function updateState(rollout: RolloutRow, state: RolloutState, now: Millis): void {
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -58,16 +58,29 @@
     return false;
 }
 
-function isOutdated(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, target: ForwardTargetRow): boolean {
+/** Milliseconds for which the target's weights have been replaced by newer ones; 0 while they are the newest. */
+function computeOutdatedAge(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    target: ForwardTargetRow,
+): number {
     const { model } = row.arrival;
     const version = model && target.weights.get(model);
     if (!model || version === undefined) {
-        return false;
+        return 0;
     }
     const since = findOutdatedSince(world.tables.configuration, model, version);
-    return since !== undefined && tick.now - since > world.settings.bounds.weightsMs * outdatedLimit;
+    return since === undefined ? 0 : tick.now - since;
 }
 
+const isOutdated = (
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    target: ForwardTargetRow,
+): boolean => computeOutdatedAge(world, tick, row, target) > world.settings.bounds.weightsMs * outdatedLimit;
+
 function canTake(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, target: ForwardTargetRow): boolean {
     return !target.registration.isLeaving
         && tick.now >= target.loadingUntil
@@ -83,20 +96,6 @@
     return untried.length > 0 ? untried : able;
 }
 
-function computeOutdatedMs(
-    world: ForwardWorld,
-    tick: ForwardTick,
-    row: ForwardRequestRow,
-    version: WeightsVersion | undefined,
-): number {
-    const { model } = row.arrival;
-    if (!model || version === undefined) {
-        return 0;
-    }
-    const since = findOutdatedSince(world.tables.configuration, model, version);
-    return since !== undefined && tick.now - since > outdatedAfterMs ? outdatedPenaltyMs : 0;
-}
-
 interface Source {
     readonly address: string;
     readonly tokens: number;
@@ -195,7 +194,7 @@
             fetchedTokens,
             isRemote: target.registration.dataCentre !== world.settings.dataCentre,
             rank: ranks.indexOf(target.registration.id),
-            outdatedMs: computeOutdatedMs(world, tick, row, version),
+            outdatedMs: computeOutdatedAge(world, tick, row, target) > outdatedAfterMs ? outdatedPenaltyMs : 0,
             failureShare: target.failureShare,
         }, fleetFactor);
         if (!best || scoreMs < best.scoreMs) {
@@ -253,7 +252,6 @@
         instance: registration.instance,
         account: row.accountId,
         waitMs: Math.max(1, Math.floor(row.deadline - tick.now)),
-        isStream: row.route.kind === "stream",
         silentMs: computeSilentMs(tick, row),
         resumeAfter: row.lastEventId > 0 ? row.lastEventId : undefined,
     };
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -14,6 +14,9 @@
 /** Added to the guard time for orders of the holder before that are on their way. */
 const guardMarginMs = 300;
 
+/** Time for which an order of one holder keeps other holders from the same engine. */
+export const computeDutyGuardMs = (world: ForwardWorld): number => world.settings.bounds.dutyGuardMs + guardMarginMs;
+
 type Purpose<For extends ForwardStorePurpose["for"]> = Extract<ForwardStorePurpose, { readonly for: For; }>;
 
 function requestStore(world: ForwardWorld, purpose: ForwardStorePurpose, call: StoreCall): void {
@@ -144,7 +147,7 @@
         duty.state = "held";
         duty.fencing = result.val.revision;
         // Orders that were recorded before this process read the store are not known to it.
-        duty.actsFrom = addMillis(node.firstReadAt, world.settings.bounds.dutyGuardMs + guardMarginMs);
+        duty.actsFrom = addMillis(node.firstReadAt, computeDutyGuardMs(world));
         world.timers.schedule({ name: "rollout", at: tick.now });
         logInfo(world.effects, "place:", "Duty of orders is taken.", { fencing: duty.fencing });
     },
--- a/test/forward/platform.test.ts
+++ b/test/forward/platform.test.ts
@@ -10,7 +10,6 @@
     instance: "i-1",
     account: "shop",
     waitMs: 250,
-    isStream: true,
     silentMs: undefined,
     resumeAfter: undefined,
 };
