--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -2,8 +2,10 @@
  * Stand-in of a model engine over HTTP: OpenAI-compatible completions, a limited prefix cache, prefill that takes
  * time for each missed token, continuous batching, lagged load reports, late and gappy cache events, orders.
  */
-import { createHash, randomUUID } from "node:crypto";
+import { randomUUID } from "node:crypto";
 import type * as http from "node:http";
+import { type CompletionBody, computePrompt, computeToken, createChoice, createUsage } from "./engineAnswers";
+import { sendStream, type StreamLog } from "./engineStreams";
 import { sendJson, type StandinCall, startStandinServer } from "./httpServer";
 import { type CacheChange, createPrefixCache } from "./prefixCache";
 
@@ -69,35 +71,8 @@
     stop(): Promise<void>;
 }
 
-interface CompletionBody {
-    readonly model: string;
-    readonly stream?: boolean;
-    readonly max_tokens?: number;
-    readonly cache_salt?: string;
-    readonly prompt?: string | string[];
-    readonly messages?: readonly { readonly role: string; readonly content?: unknown; }[];
-}
-
-interface StreamLog {
-    readonly events: string[];
-    isDone: boolean;
-    readonly listeners: Set<() => void>;
-}
-
 const wait = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds));
 
-function computePrompt(body: CompletionBody): string {
-    if (body.messages) {
-        return body.messages.map(message => `${message.role}\n${String(message.content)}`).join("\n");
-    }
-    return Array.isArray(body.prompt) ? body.prompt.join("") : body.prompt ?? "";
-}
-
-/** Text of the n-th generated token: depends on the prompt, so that answers can be checked. */
-export function computeToken(prompt: string, index: number): string {
-    return ` ${createHash("sha256").update(`${prompt}#${index}`).digest("hex").slice(0, 4)}`;
-}
-
 /** Starts an engine on loopback. */
 export async function startEngine(options: EngineOptions): Promise<Engine> {
     const {
@@ -214,26 +189,6 @@
         };
     }
 
-    function createUsage(run: EngineRun, completionTokens: number): Record<string, unknown> {
-        return {
-            prompt_tokens: run.promptTokens,
-            completion_tokens: completionTokens,
-            total_tokens: run.promptTokens + completionTokens,
-            prompt_tokens_details: { cached_tokens: run.cachedTokens },
-        };
-    }
-
-    function createChoice(isChat: boolean, isStream: boolean, text: string, reason: string | null): unknown {
-        if (!isChat) {
-            return { index: 0, text, finish_reason: reason };
-        }
-        return {
-            index: 0,
-            [isStream ? "delta" : "message"]: { role: "assistant", content: text },
-            finish_reason: reason,
-        };
-    }
-
     async function handleCompletion(call: StandinCall, isChat: boolean): Promise<void> {
         const parsed = JSON.parse(call.body) as CompletionBody;
         if (faults.refuseWith > 0) {
@@ -298,7 +253,7 @@
         }
         const log: StreamLog = { events: [], isDone: false, listeners: new Set() };
         streams.set(run.request, log);
-        sendStream(call.response, log, 0, faults.breakAfterEvents);
+        sendStream(call.response, log, { after: 0, breakAfter: faults.breakAfterEvents, skipAt: chooseSkip(0) });
         for (let index = 0; index < count && born === incarnation; index += 1) {
             await wait(decodeMs);
             const reason = index === count - 1 ? "stop" : null;
@@ -327,34 +282,13 @@
         });
     }
 
-    /** Sends the events of a stream after the given one, and those to come. */
-    function sendStream(response: http.ServerResponse, log: StreamLog, after: number, breakAfter: number): void {
-        let next = after;
-        let skipAt = faults.skipEvents > 0 ? after + 2 : -1;
-        faults.skipEvents -= skipAt >= 0 ? 1 : 0;
-        response.writeHead(200, { "content-type": "text/event-stream" });
-        const sendNew = (): void => {
-            while (next < log.events.length && !response.destroyed) {
-                const data = log.events[next] ?? "";
-                next += 1;
-                if (next === skipAt) {
-                    skipAt = -1;
-                    continue;
-                }
-                response.write(`id: ${next}\ndata: ${data}\n\n`);
-                if (breakAfter > 0 && next - after >= breakAfter) {
-                    response.destroy();
-                }
-            }
-            if (log.isDone && next >= log.events.length && !response.destroyed) {
-                response.end();
-            }
-        };
-        log.listeners.add(sendNew);
-        response.on("close", () => {
-            log.listeners.delete(sendNew);
-        });
-        sendNew();
+    /** Number of the event that a stream leaves out, if that fault is due. */
+    function chooseSkip(after: number): number {
+        if (faults.skipEvents === 0) {
+            return 0;
+        }
+        faults.skipEvents -= 1;
+        return after + 2;
     }
 
     function handleResume({ request, response, url }: StandinCall): void {
@@ -364,7 +298,8 @@
             sendJson(response, 404, { error: { message: "No such stream." } });
             return;
         }
-        sendStream(response, log, Number(request.headers["last-event-id"] ?? 0), 0);
+        const after = Number(request.headers["last-event-id"] ?? 0);
+        sendStream(response, log, { after, breakAfter: 0, skipAt: chooseSkip(after) });
     }
 
     function handleOrder({ response, body }: StandinCall): void {
--- /dev/null
+++ b/standins/engineStreams.ts
@@ -0,0 +1,50 @@
+/** Streams of the engine stand-in: what was generated, and the connections that it is sent to. */
+import type * as http from "node:http";
+
+export interface StreamLog {
+    readonly events: string[];
+    isDone: boolean;
+    readonly listeners: Set<() => void>;
+}
+
+interface StreamOptions {
+    /** Number of the last event that the caller has. */
+    readonly after: number;
+    /** Events after which the connection is broken off; 0 means never. */
+    readonly breakAfter: number;
+    /** Number of the event that is left out; 0 means none. */
+    readonly skipAt: number;
+}
+
+/** Sends the events of a stream after the given one, and those to come. */
+export function sendStream(
+    response: http.ServerResponse,
+    log: StreamLog,
+    { after, breakAfter, skipAt: firstSkip }: StreamOptions,
+): void {
+    let next = after;
+    let skipAt = firstSkip;
+    response.writeHead(200, { "content-type": "text/event-stream" });
+    const sendNew = (): void => {
+        while (next < log.events.length && !response.destroyed) {
+            const data = log.events[next] ?? "";
+            next += 1;
+            if (next === skipAt) {
+                skipAt = -1;
+                continue;
+            }
+            response.write(`id: ${next}\ndata: ${data}\n\n`);
+            if (breakAfter > 0 && next - after >= breakAfter) {
+                response.destroy();
+            }
+        }
+        if (log.isDone && next >= log.events.length && !response.destroyed) {
+            response.end();
+        }
+    };
+    log.listeners.add(sendNew);
+    response.on("close", () => {
+        log.listeners.delete(sendNew);
+    });
+    sendNew();
+}
--- a/standins/loadClient.ts
+++ b/standins/loadClient.ts
@@ -1,6 +1,6 @@
 /** A caller as the router's clients are: asks for entries, keeps the answer, connects itself, checks every answer. */
 import { createEventParser } from "../src/codec/sse";
-import { computeToken } from "./engine";
+import { computeToken } from "./engineAnswers";
 
 export interface CompletionCall {
     /** IP:PORT of the entry. */
--- /dev/null
+++ b/standins/virtualTime.ts
@@ -0,0 +1,147 @@
+/** Virtual time for simulations: actions in order of time, on a heap. */
+import { toMillis } from "../src/ids";
+import type { Clock } from "../src/runner";
+
+interface ScheduledAction {
+    readonly at: number;
+    readonly order: number;
+    readonly action: () => void;
+}
+
+const isBefore = (left: ScheduledAction, right: ScheduledAction): boolean =>
+    left.at < right.at || (left.at === right.at && left.order < right.order);
+
+function addAction(heap: ScheduledAction[], entry: ScheduledAction): void {
+    let index = heap.length;
+    heap.push(entry);
+    while (index > 0) {
+        const parent = (index - 1) >> 1;
+        const above = heap[parent] as ScheduledAction;
+        if (!isBefore(entry, above)) {
+            break;
+        }
+        heap[index] = above;
+        index = parent;
+    }
+    heap[index] = entry;
+}
+
+function removeFirst(heap: ScheduledAction[]): ScheduledAction {
+    const first = heap[0] as ScheduledAction;
+    const last = heap.pop() as ScheduledAction;
+    if (heap.length === 0) {
+        return first;
+    }
+    let index = 0;
+    for (;;) {
+        let child = 2 * index + 1;
+        if (child >= heap.length) {
+            break;
+        }
+        const right = child + 1;
+        if (right < heap.length && isBefore(heap[right] as ScheduledAction, heap[child] as ScheduledAction)) {
+            child = right;
+        }
+        if (!isBefore(heap[child] as ScheduledAction, last)) {
+            break;
+        }
+        heap[index] = heap[child] as ScheduledAction;
+        index = child;
+    }
+    heap[index] = last;
+    return first;
+}
+
+export interface VirtualTime {
+    /** Milliseconds since the start of the simulation. */
+    getNow(): number;
+    /** Time of the next action; undefined when none is left. */
+    getNext(): number | undefined;
+    /**
+     * Runs the action at the time, at once if that is past. Actions of the same time run in the order in which they
+     * were scheduled. The time is absolute: adding a difference to now can round to just before a timer and loop.
+     */
+    scheduleAt(at: number, action: () => void): void;
+    schedule(delayMs: number, action: () => void): void;
+    /** Runs the next action at its time. */
+    runNext(): void;
+    /** Runs actions in order of time until none is left before `end`, then stands at `end`; or until the check holds. */
+    runUntil(end: number, isDone?: () => boolean): void;
+}
+
+/** Creates a virtual time that begins at 0. */
+export function createVirtualTime(): VirtualTime {
+    const heap: ScheduledAction[] = [];
+    let now = 0;
+    let order = 0;
+
+    function scheduleAt(at: number, action: () => void): void {
+        order += 1;
+        addAction(heap, { at: Math.max(now, at), order, action });
+    }
+
+    function runNext(): void {
+        const { at, action } = removeFirst(heap);
+        now = at;
+        action();
+    }
+
+    return {
+        getNow: () => now,
+        getNext: () => heap[0]?.at,
+        scheduleAt,
+        schedule: (delayMs, action) => {
+            scheduleAt(now + delayMs, action);
+        },
+        runNext,
+        runUntil: (end, isDone = () => false) => {
+            while (!isDone()) {
+                const next = heap[0];
+                if (next === undefined || next.at > end) {
+                    now = Math.max(now, end);
+                    return;
+                }
+                runNext();
+            }
+        },
+    };
+}
+
+export interface VirtualClockOptions {
+    readonly time: VirtualTime;
+    /** Monotonic time of the process that reads the clock, from virtual time; the same by default. */
+    readonly toOwnTime?: (at: number) => number;
+    readonly getWallNow?: () => number;
+    /** Runs what the process does at a virtual time; a process that is stopped or paused does it later or never. */
+    readonly runAt?: (at: number, action: () => void) => void;
+}
+
+/** Lateness of wake-ups of a process whose time has another start: rounding must not wake it too early, for ever. */
+const wakeLateMs = 0.01;
+
+/** Creates the clock that the runner of one simulated process uses. */
+export function createVirtualClock(
+    { time, toOwnTime = at => at, getWallNow = time.getNow, runAt = time.scheduleAt }: VirtualClockOptions,
+): Clock {
+    let wakeNumber = 0;
+    return {
+        getNow: () => toMillis(toOwnTime(time.getNow())),
+        getWallNow,
+        scheduleWake: (at, wake) => {
+            wakeNumber += 1;
+            const number = wakeNumber;
+            const delayMs = Math.max(0, at - toOwnTime(time.getNow()));
+            runAt(time.getNow() + delayMs + wakeLateMs, () => {
+                if (number === wakeNumber) {
+                    wake();
+                }
+            });
+        },
+        scheduleSoon: wake => {
+            runAt(time.getNow(), wake);
+        },
+        cancelWake: () => {
+            wakeNumber += 1;
+        },
+    };
+}
--- a/test/support/claimNodes.ts
+++ b/test/support/claimNodes.ts
@@ -9,7 +9,7 @@
 import type { Hasher } from "../../src/policy/prefix";
 import type { Refusal } from "../../src/refusals";
 import type { AnswerRecord } from "../../src/requests";
-import { type Clock, createRunner, type Runner } from "../../src/runner";
+import { createRunner, type Runner } from "../../src/runner";
 import type { StoreAnswer, StoreFailure } from "../../src/store";
 import { admitRequests } from "../../src/systems/admitRequests";
 import { claimRequests } from "../../src/systems/claimRequests";
@@ -23,6 +23,7 @@
 import type { System, World } from "../../src/world";
 import { createKeyValueStore } from "../../standins/keyValueStore";
 import { runStoreCall } from "../../standins/storeCalls";
+import { createVirtualClock, createVirtualTime } from "../../standins/virtualTime";
 import { hashKey } from "./fleet";
 
 export type StoreFault = "none" | "requestLost" | "answerLost" | "late" | "refused";
@@ -84,14 +85,13 @@
 export function createClaimNodes({ seed, hasher }: { readonly seed: number; readonly hasher: Hasher; }) {
     const generator = xoroshiro128plus(seed);
     const getRandom = (): number => uniformFloat64(generator);
-    const queue: { readonly at: number; readonly order: number; readonly run: () => void; }[] = [];
+    const time = createVirtualTime();
+    const { schedule } = time;
     const nodes = new Map<string, Node>();
     const runs: SimulatedRun[] = [];
     const outcomes = new Map<RequestId, Outcome>();
     const keys = new Map<RequestId, string>();
-    let now = 0;
-    let order = 0;
-    const store = createKeyValueStore({ getNow: () => now });
+    const store = createKeyValueStore({ getNow: time.getNow });
     const faults = {
         chooseStore: (): StoreFault => "none",
         chooseTarget: (): TargetFault => "none",
@@ -99,46 +99,8 @@
         wallOffsetMs: 1_800_000_000_000,
     };
 
-    function schedule(delay: number, run: () => void): void {
-        order += 1;
-        queue.push({ at: now + delay, order, run });
-    }
-
-    /** Runs until nothing is left before the time, or until the check holds. */
-    function runUntil(end: number, check: () => boolean = () => false): void {
-        while (!check()) {
-            queue.sort((left, right) => left.at - right.at || left.order - right.order);
-            if (queue[0] === undefined || queue[0].at > end) {
-                now = Math.max(now, end);
-                return;
-            }
-            const next = queue.shift();
-            now = next?.at ?? now;
-            next?.run();
-        }
-    }
-
-    function createClock(getNode: () => Node): Clock {
-        let wake = 0;
-        return {
-            getNow: () => toMillis(now),
-            getWallNow: () => faults.wallOffsetMs + now,
-            scheduleWake: (at, run) => {
-                wake += 1;
-                const mine = wake;
-                schedule(Math.max(0, at - now), () => (mine === wake ? run() : undefined));
-            },
-            scheduleSoon: run => {
-                schedule(Math.max(0, getNode().pausedUntil - now), run);
-            },
-            cancelWake: () => {
-                wake += 1;
-            },
-        };
-    }
-
     function handleStoreCall(node: Node, { purpose, call }: EffectOf<"callStore">): void {
-        const sentAt = toMillis(now);
+        const sentAt = toMillis(time.getNow());
         const postReply = (delay: number, result: Result<StoreAnswer, StoreFailure>): void => {
             schedule(delay, () => {
                 node.runner.post({ kind: "storeReplied", purpose, outcome: { result, sentAt } });
@@ -289,7 +251,20 @@
         const allHandlers = new Proxy(handlers, {
             get: (known, kind) => known[kind as keyof EffectHandlers] ?? handleNothing,
         }) as EffectHandlers;
-        const clock = createClock(() => node);
+        const clock = createVirtualClock({
+            time,
+            getWallNow: () => faults.wallOffsetMs + time.getNow(),
+            runAt: function runAt(at, action) {
+                time.scheduleAt(at, () => {
+                    if (node.pausedUntil > time.getNow()) {
+                        runAt(node.pausedUntil, action);
+                    }
+                    else {
+                        action();
+                    }
+                });
+            },
+        });
         const node: Node = {
             runner: createRunner({ world, systems, handlers: allHandlers, clock }),
             attempts,
@@ -322,7 +297,7 @@
                 bodyHash: hashKey(body),
                 idempotencyKey: id,
                 timeoutMs,
-                arrivedAt: toMillis(now),
+                arrivedAt: toMillis(time.getNow()),
             },
         });
         return request;
@@ -336,10 +311,10 @@
         keys,
         random: getRandom,
         schedule,
-        runUntil,
+        runUntil: time.runUntil,
         startNode,
         sendCall,
-        getNow: () => now,
+        getNow: time.getNow,
         /** Stops a VM at once, with all that it has not handed to a socket. */
         stopNode: (vm: string) => {
             const node = nodes.get(vm);
@@ -352,7 +327,7 @@
         pauseNode: (vm: string, milliseconds: number) => {
             const node = nodes.get(vm);
             if (node) {
-                node.pausedUntil = now + milliseconds;
+                node.pausedUntil = time.getNow() + milliseconds;
             }
         },
     };
--- a/test/support/rateFleet.ts
+++ b/test/support/rateFleet.ts
@@ -18,6 +18,7 @@
 import type { World } from "../../src/world";
 import { createKeyValueStore } from "../../standins/keyValueStore";
 import { runStoreCall } from "../../standins/storeCalls";
+import { createVirtualClock, createVirtualTime } from "../../standins/virtualTime";
 
 /** One admission: tokens reserved at a time, and those that the engine really computed. */
 export interface Admission {
@@ -63,12 +64,12 @@
 /** Creates a fleet. Probabilities in `faults` are for each way of a message between peers. */
 export function createRateFleet({ hasher, seed, size, account, rates = {} }: RateFleetOptions) {
     const random = createRandom(seed);
-    const queue: { readonly at: number; readonly run: () => void; }[] = [];
-    let now = 0;
+    const time = createVirtualTime();
+    const { getNow, scheduleAt: schedule } = time;
     let count = 0;
     const faults = { lost: 0, repeated: 0, late: 0, storeDown: false, storeLosesAnswers: false };
     const engine = { usedPart: 0.7, longestMs: 4000 };
-    const store = createKeyValueStore({ getNow: () => now });
+    const store = createKeyValueStore({ getNow });
     const processes: RateProcess[] = [];
     const admissions: Admission[] = [];
     const refusals: EffectOf<"refuseRequest">["refusal"][] = [];
@@ -81,19 +82,10 @@
         routes: { route: { kind: "model", model: "model", version: "v1" } },
     }).unwrap();
 
-    function schedule(at: number, run: () => void): void {
-        let [low, high] = [0, queue.length];
-        while (low < high) {
-            const middle = (low + high) >> 1;
-            [low, high] = (queue[middle]?.at ?? 0) <= at ? [middle + 1, high] : [low, middle];
-        }
-        queue.splice(low, 0, { at, run });
-    }
-
     /** Runs something inside a process, once it is no longer paused. */
     function scheduleIn(process: RateProcess, at: number, run: () => void): void {
         schedule(at, () => {
-            if (process.pausedUntil > now) {
+            if (process.pausedUntil > getNow()) {
                 scheduleIn(process, process.pausedUntil, run);
             }
             else if (!process.isDead) {
@@ -111,7 +103,7 @@
     function listArrivals(): number[] {
         const copies = random() < faults.lost ? 0 : random() < faults.repeated ? 2 : 1;
         const computeDelay = (): number => random() < faults.late ? random() * longestDelayMs : 1 + random();
-        return Array.from({ length: copies }, () => now + computeDelay());
+        return Array.from({ length: copies }, () => getNow() + computeDelay());
     }
 
     function sendToPeer(from: RateProcess, { purpose, address, request }: EffectOf<"askPeer">): void {
@@ -119,9 +111,9 @@
         calls.peer += request.kind === "exchange" ? 0 : 1;
         const answerCall = (result: EventOf<"peerReplied">["result"]): void => {
             isAnswered = true;
-            post(from, now, { kind: "peerReplied", purpose, address, result });
+            post(from, getNow(), { kind: "peerReplied", purpose, address, result });
         };
-        schedule(now + timeoutMs, () => isAnswered || answerCall(Err({ message: "No answer in time." })));
+        schedule(getNow() + timeoutMs, () => isAnswered || answerCall(Err({ message: "No answer in time." })));
         const to = processes.find(process => process.address === address && !process.isDead);
         for (const at of to ? listArrivals() : []) {
             const call = toCallId(`call-${count += 1}`);
@@ -134,13 +126,13 @@
     }
 
     function sendToStore(process: RateProcess, { purpose, call }: EffectOf<"callStore">): void {
-        const sentAt = toOwnTime(process, now);
+        const sentAt = toOwnTime(process, getNow());
         calls.store += 1;
-        schedule(now + 1 + random() * 3, () => {
+        schedule(getNow() + 1 + random() * 3, () => {
             const answer = faults.storeDown ? undefined : runStoreCall(store, call);
             const isLost = faults.storeDown || faults.storeLosesAnswers;
             const result = isLost || !answer ? Err({ effect: "unknown", message: "No answer." } as const) : answer;
-            post(process, now + (isLost ? timeoutMs : 1), {
+            post(process, getNow() + (isLost ? timeoutMs : 1), {
                 kind: "storeReplied",
                 purpose,
                 outcome: { result, sentAt },
@@ -150,7 +142,7 @@
 
     /** An engine that computes the prompt at once and then part of the tokens that were reserved. */
     function runEngine(process: RateProcess, row: RequestRow): void {
-        const admission = { at: now, used: row.promptTokens, reservations: row.reservations };
+        const admission = { at: getNow(), used: row.promptTokens, reservations: row.reservations };
         admissions.push(admission);
         const base = { request: row.id, attempt: 1 };
         const total = Math.floor(row.maxTokens * engine.usedPart);
@@ -160,13 +152,13 @@
             schedule(at, () => {
                 if (row.state === "running" && !process.isDead) {
                     admission.used += tokens;
-                    post(process, now, event);
+                    post(process, getNow(), event);
                 }
             });
-        scheduleTokens(now + lengthMs / 4, 0, { kind: "attemptFirstToken", ...base, usage });
-        scheduleTokens(now + lengthMs / 2, total >> 1, { kind: "attemptProgressed", ...base, tokens: total >> 1 });
-        scheduleTokens(now + lengthMs, total - (total >> 1), { kind: "attemptFinished", ...base, usage });
-        schedule(now + lengthMs + 1, () => post(process, now, { kind: "answerDelivered", request: row.id }));
+        scheduleTokens(getNow() + lengthMs / 4, 0, { kind: "attemptFirstToken", ...base, usage });
+        scheduleTokens(getNow() + lengthMs / 2, total >> 1, { kind: "attemptProgressed", ...base, tokens: total >> 1 });
+        scheduleTokens(getNow() + lengthMs, total - (total >> 1), { kind: "attemptFinished", ...base, usage });
+        schedule(getNow() + lengthMs + 1, () => post(process, getNow(), { kind: "answerDelivered", request: row.id }));
     }
 
     function sendQueued(process: RateProcess): void {
@@ -216,19 +208,13 @@
         tables.configuration.freshness = "fresh";
         const process = { vm, address, world, pausedUntil: 0, isDead: false } as RateProcess;
         processes.push(process);
-        let wakes = 0;
-        const clock = {
-            getNow: () => toOwnTime(process, now),
-            getWallNow: () => now,
-            scheduleWake: (at: number, wake: () => void) => {
-                const number = wakes += 1;
-                // Slightly late: a wake that rounding puts before its time would be set again at the same time.
-                const wakeAt = now + Math.max(0, at - toOwnTime(process, now)) + 0.01;
-                scheduleIn(process, wakeAt, () => number === wakes && wake());
+        const clock = createVirtualClock({
+            time,
+            toOwnTime: at => toOwnTime(process, at),
+            runAt: (at, action) => {
+                scheduleIn(process, at, action);
             },
-            scheduleSoon: (wake: () => void) => scheduleIn(process, now, wake),
-            cancelWake: () => undefined,
-        };
+        });
         const order = systems.filter(system => system !== applyConfiguration)
             .map(system => (system === routeRequests ? () => sendQueued(process) : system));
         const runner = createRunner({ world, systems: order, handlers: createHandlers(process), clock });
@@ -251,7 +237,7 @@
         random,
         schedule,
         startProcess,
-        getNow: () => now,
+        getNow,
         listAlive: () => processes.filter(process => !process.isDead),
         sendRequest: (process: RateProcess, promptTokens: number, maxTokens: number): void => {
             const arrival = {
@@ -261,17 +247,12 @@
                 routeName: "route",
                 prompt: new Uint8Array(promptTokens),
                 maxTokens,
-                arrivedAt: toOwnTime(process, now),
+                arrivedAt: toOwnTime(process, getNow()),
             };
-            post(process, now, { kind: "requestArrived", arrival: arrival as unknown as RequestArrival });
+            post(process, getNow(), { kind: "requestArrived", arrival: arrival as unknown as RequestArrival });
         },
         run: (until: number): void => {
-            for (let next = queue[0]; next && next.at <= until; next = queue[0]) {
-                queue.shift();
-                now = Math.max(now, next.at);
-                next.run();
-            }
-            now = until;
+            time.runUntil(until);
         },
     };
 }
--- a/test/support/virtualFleet.ts
+++ b/test/support/virtualFleet.ts
@@ -8,7 +8,7 @@
 import { createEffectQueue, type EffectHandlers, type EffectOf } from "../../src/effects";
 import type { Event } from "../../src/events";
 import { type Millis, toIncarnation, toMillis } from "../../src/ids";
-import { type Clock, createRunner } from "../../src/runner";
+import { createRunner } from "../../src/runner";
 import { computePrefixEnd } from "../../src/store";
 import { systems } from "../../src/systems";
 import { createTables } from "../../src/tables";
@@ -16,6 +16,7 @@
 import type { World } from "../../src/world";
 import { createKeyValueStore, type KeyValueStore, type Watcher } from "../../standins/keyValueStore";
 import { runStoreCall } from "../../standins/storeCalls";
+import { createVirtualClock, createVirtualTime, type VirtualTime } from "../../standins/virtualTime";
 import type { SimulatedEngine } from "./simulatedEngine";
 
 /** Milliseconds that a message takes. */
@@ -25,6 +26,7 @@
     readonly store: KeyValueStore;
     readonly engines: Map<string, SimulatedEngine>;
     readonly faults: { isStoreDown: boolean; };
+    readonly time: VirtualTime;
     getNow(): Millis;
     schedule(delayMs: number, action: () => void): void;
     runFor(durationMs: number): void;
@@ -36,53 +38,36 @@
 
 /** Creates a simulation at time 0. Actions at the same time run in the order in which they were scheduled. */
 export function createSimulation(): Simulation {
-    let now = 0;
-    let sequence = 0;
-    const actions: { readonly at: number; readonly sequence: number; readonly action: () => void; }[] = [];
-    const store = createKeyValueStore({ getNow: () => now });
+    const time = createVirtualTime();
+    const store = createKeyValueStore({ getNow: time.getNow });
     const faults = { isStoreDown: false };
     const engines = new Map<string, SimulatedEngine>();
     let lastDocument = emptyDocument;
 
-    function schedule(delayMs: number, action: () => void): void {
-        const entry = { at: now + Math.max(0, delayMs), sequence, action };
-        sequence += 1;
-        let index = actions.length;
-        while (index > 0 && (actions[index - 1]?.at ?? 0) > entry.at) {
-            index -= 1;
-        }
-        actions.splice(index, 0, entry);
-    }
-
-    function runFor(durationMs: number): void {
-        const end = now + durationMs;
-        while ((actions[0]?.at ?? Infinity) <= end) {
-            const next = actions.shift();
-            now = next?.at ?? now;
-            next?.action();
-        }
-        now = end;
-    }
-
     function expireLeases(): void {
         if (!faults.isStoreDown) {
             store.expireLeases();
         }
-        schedule(100, expireLeases);
+        time.schedule(100, expireLeases);
     }
     expireLeases();
 
+    function runFor(durationMs: number): void {
+        time.runUntil(time.getNow() + durationMs);
+    }
+
     return {
         store,
         engines,
         faults,
-        getNow: () => toMillis(now),
-        schedule,
+        time,
+        getNow: () => toMillis(time.getNow()),
+        schedule: time.schedule,
         runFor,
         runUntil: (check, limitMs = 120_000) => {
-            const end = now + limitMs;
+            const end = time.getNow() + limitMs;
             while (!check()) {
-                if (now >= end) {
+                if (time.getNow() >= end) {
                     throw new Error("The condition was not reached.");
                 }
                 runFor(10);
@@ -153,7 +138,6 @@
     let isPaused = false;
     let isStopped = false;
     let waiting: (() => void)[] = [];
-    let wakeNumber = 0;
     const runWhenAwake = (action: () => void): void => {
         if (isPaused) {
             waiting.push(action);
@@ -162,27 +146,14 @@
             action();
         }
     };
-    const clock: Clock = {
-        getNow: simulation.getNow,
-        getWallNow: () => simulation.getNow(),
-        scheduleWake: (at, wake) => {
-            wakeNumber += 1;
-            const number = wakeNumber;
-            simulation.schedule(at - simulation.getNow(), () => {
-                if (number === wakeNumber) {
-                    runWhenAwake(wake);
-                }
+    const clock = createVirtualClock({
+        time: simulation.time,
+        runAt: (at, action) => {
+            simulation.time.scheduleAt(at, () => {
+                runWhenAwake(action);
             });
         },
-        scheduleSoon: wake => {
-            simulation.schedule(0, () => {
-                runWhenAwake(wake);
-            });
-        },
-        cancelWake: () => {
-            wakeNumber += 1;
-        },
-    };
+    });
     const logs: EffectOf<"writeLog">[] = [];
     const refusals: EffectOf<"refuseRequest">[] = [];
     const exits: number[] = [];
--- a/test/wholePath.test.ts
+++ b/test/wholePath.test.ts
@@ -1,6 +1,7 @@
 /** The whole path: a caller with a key gets a streamed answer from the right engine through any process. */
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { computeToken, type Engine, startEngine } from "../standins/engine";
+import { type Engine, startEngine } from "../standins/engine";
+import { computeToken } from "../standins/engineAnswers";
 import { type Fleet, hashKey, probeRoute, startFleet, waitForTokens, waitUntil, waitUntilReady } from "./support/fleet";
 
 const key = "sk-test-shop-one";
