Move resumable streams away from engines that are to load weights

Everybody sees the recorded order; 300 ms after it each process ends its resumable streams there and resumes them elsewhere, ahead of new requests. Ruled out: resetting by the order itself (earlier trial, the other processes did not know of the drain).

--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -27,6 +27,7 @@
     send(effect: ForwardEffectOf<"sendRequest">): void;
     relay(effect: ForwardEffectOf<"relayAnswer">): void;
     cancel(effect: ForwardEffectOf<"cancelAttempt">): void;
+    move(effect: ForwardEffectOf<"moveAttempt">): void;
     forget(request: RequestId): void;
     closeTarget(target: TargetId): void;
     close(): void;
@@ -224,6 +225,14 @@
         cancel: ({ request }) => {
             closeAttempt(request);
         },
+        move: ({ request: id, attempt }) => {
+            const entry = running.get(id);
+            if (entry?.attempt === attempt && !entry.isOver) {
+                postFailure(id, entry, "moved");
+                entry.relay?.stop();
+                entry.request.destroy();
+            }
+        },
         forget: id => {
             const entry = running.get(id);
             if (entry?.isOver) {
--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -131,6 +131,7 @@
         },
         sendRequest: client.send,
         cancelAttempt: client.cancel,
+        moveAttempt: client.move,
         closeTarget: ({ target }) => {
             client.closeTarget(target);
         },
--- a/src/forward/calls.ts
+++ b/src/forward/calls.ts
@@ -94,6 +94,8 @@
     | "closed"
     /** Nothing came for too long. */
     | "silent"
+    /** This process ended the call so that the stream goes on elsewhere. */
+    | "moved"
     /** The answer ended early. */
     | "cut_short"
     /** The answer belongs to another request, or is no answer. */
--- a/src/forward/effects.ts
+++ b/src/forward/effects.ts
@@ -27,6 +27,8 @@
         readonly call: ForwardCall;
     }
     | { readonly kind: "cancelAttempt"; readonly request: RequestId; readonly attempt: number; }
+    /** Ends the call of the attempt and reports the last event that was relayed. */
+    | { readonly kind: "moveAttempt"; readonly request: RequestId; readonly attempt: number; }
     | { readonly kind: "closeTarget"; readonly target: TargetId; }
     /* engines */
     | { readonly kind: "readEngine"; readonly target: TargetId; readonly address: string; readonly instance: string; }
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -119,6 +119,9 @@
     }
 }
 
+/** Short runs have ended by then; longer ones would hold the load up for seconds. */
+const moveAfterMs = 300;
+
 /** Everybody keeps requests away from an engine that is about to load weights. */
 function applyOrder(world: ForwardWorld, tick: ForwardTick, text: string): void {
     const { targets, rollouts } = world.tables;
@@ -130,6 +133,7 @@
     rollouts.recorded.set(order.target, { vm: order.vm, seenAt: tick.now });
     if ((target.weights.get(order.model) ?? 0) < order.version) {
         expectLoading(target, tick.now);
+        world.timers.schedule({ name: "streamMove", at: addMillis(tick.now, moveAfterMs), key: order.target });
     }
 }
 
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -64,6 +64,10 @@
     if (budget) {
         reserveRetry(budget);
     }
+    requeueRequest(world, row, outcome);
+}
+
+function requeueRequest(world: ForwardWorld, row: ForwardRequestRow, outcome: string): void {
     world.tables.requests.updateState(row, "queued");
     world.effects.append({ kind: "addCount", name: "retries_total", value: 1, labels: { outcome } });
     logInfo(world.effects, "stream:", "Request is sent again.", {
@@ -215,11 +219,16 @@
     event: ForwardEventOf<"attemptFailed">,
 ): void {
     const target = world.tables.targets.get(attempt.target);
+    row.lastEventId = Math.max(row.lastEventId, event.lastEventId);
+    closeAttempt(world, row, attempt, event.fault);
+    if (event.fault === "moved") {
+        // Its place in the retry budget was reserved when the move began.
+        requeueRequest(world, row, event.fault);
+        return;
+    }
     if (target) {
         recordForwardFailure(world, tick, target, event.fault);
     }
-    row.lastEventId = Math.max(row.lastEventId, event.lastEventId);
-    closeAttempt(world, row, attempt, event.fault);
     if (row.isRelaying && !row.route.isResumable) {
         refuseForward(world, tick, row, "stream_interrupted");
         return;
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -9,6 +9,7 @@
 import { followAttempts } from "./followAttempts";
 import { followParts } from "./followParts";
 import { placeWeights } from "./placeWeights";
+import { resumeElsewhere } from "./resumeElsewhere";
 import { routeRequests } from "./routeRequests";
 import { updateMembership } from "./updateMembership";
 
@@ -18,6 +19,7 @@
     exchangeWithPeers,
     followParts,
     followAttempts,
+    resumeElsewhere,
     expireRequests,
     admitRequests,
     routeRequests,
--- /dev/null
+++ b/src/forward/systems/resumeElsewhere.ts
@@ -0,0 +1,61 @@
+/** Moves streams away from engines that wait for their runs to end before they load weights. */
+import { logInfo } from "../../effects";
+import { type TargetId, toTargetId } from "../../ids";
+import { reserveRetry } from "../../policy/retryBudget";
+import type { ForwardTick } from "../events";
+import { findOpenAttempt, type ForwardRequestRow } from "../tables/requests";
+import { canPassBackOff } from "../tables/targets";
+import type { ForwardWorld } from "../world";
+
+/** Part of the retry budget's burst that moves leave for requests that fail. */
+const moveReserve = 0.2;
+
+/** True when another engine can go on with the stream now. */
+function hasOther(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, from: TargetId): boolean {
+    return world.tables.targets.listService(row.service).some(target =>
+        target.registration.id !== from
+        && !target.registration.isLeaving
+        && tick.now >= target.loadingUntil
+        && canPassBackOff(target, tick.now)
+    );
+}
+
+/** A stream that has begun and may be resumed; each move uses up one of its targets and the retry budget. */
+function canMove(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, from: TargetId): boolean {
+    const budget = world.tables.retryBudgets.get(row.service);
+    return row.route.isResumable
+        && row.hasFirstEvent
+        && row.attempts.length < row.route.maxTargets
+        && (budget === undefined || budget.level >= Math.max(1, budget.burst * moveReserve))
+        && hasOther(world, tick, row, from);
+}
+
+/**
+ * Reads: configuration, targets, requests. Writes: retry budgets; the attempts end by the events that follow.
+ * Effects: attempts that end, log lines.
+ */
+export function resumeElsewhere(world: ForwardWorld, tick: ForwardTick): void {
+    for (const key of tick.due.listKeys("streamMove")) {
+        const target = world.tables.targets.get(toTargetId(key));
+        if (!target || tick.now >= target.loadingUntil) {
+            continue;
+        }
+        for (const id of target.work.keys()) {
+            const row = world.tables.requests.get(id);
+            const attempt = row && findOpenAttempt(row, row.attempts.length);
+            if (row && attempt && canMove(world, tick, row, target.registration.id)) {
+                const budget = world.tables.retryBudgets.get(row.service);
+                if (budget) {
+                    reserveRetry(budget);
+                }
+                world.effects.append({ kind: "moveAttempt", request: id, attempt: attempt.number });
+                logInfo(world.effects, "stream:", "Stream leaves an engine that loads weights.", {
+                    request: id,
+                    target: target.registration.id,
+                    attempt: attempt.number,
+                    budgetLeft: budget?.level,
+                });
+            }
+        }
+    }
+}
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -238,6 +238,8 @@
     return Math.max(1, Math.min(left * silentFraction, row.route.objectiveMs * silentObjectives[row.route.kind]));
 }
 
+/** A caller waits in the middle of a stream that is resumed. */
+const resumedPriority = 0;
 /** Most urgent and least urgent priority that this process gives to requests; engines know 0 to 9. */
 const firstPriority = 1;
 const lastPriority = 9;
@@ -258,7 +260,9 @@
     if (choice.version === undefined) {
         return call;
     }
-    const priority = firstPriority + (row.account?.priority ?? 0) * routePriorities + row.route.priority;
+    const priority = row.lastEventId > 0
+        ? resumedPriority
+        : firstPriority + (row.account?.priority ?? 0) * routePriorities + row.route.priority;
     return {
         ...call,
         engine: {
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -25,6 +25,7 @@
     | "rollout"
     | "slotRenewal"
     | "slotSearch"
+    | "streamMove"
     | "targetReports"
     | "targetReturn"
     | "vmList"
--- /dev/null
+++ b/test/forward/movedStreams.test.ts
@@ -0,0 +1,108 @@
+import { describe, expect, it } from "vitest";
+import { encodeOrder, orderPrefix } from "../../src/forward/codec/fleetRows";
+import type { ForwardRoute } from "../../src/forward/document";
+import type { ForwardEffect } from "../../src/forward/effects";
+import { toWeightsVersion } from "../../src/forward/ids";
+import { toMillis, toRequestId, toVmId } from "../../src/ids";
+import {
+    buildArrival,
+    buildDocument,
+    buildRoute,
+    buildTarget,
+    createForwardTestNode,
+    type ForwardTestNode,
+    listEffects,
+    model,
+} from "../support/forwardNode";
+
+const version2 = toWeightsVersion(2);
+
+/** Sends requests to the only engine and starts their streams; then a second engine appears. */
+async function createStreams(ids: readonly string[], route: Partial<ForwardRoute> = {}): Promise<ForwardTestNode> {
+    const node = await createForwardTestNode();
+    node.run([node.read({
+        document: buildDocument({ routes: [buildRoute(route)] }),
+        targets: [{ name: "e1", target: buildTarget("e1") }],
+    })]);
+    const arrivedAt = toMillis(node.getNow());
+    node.run(ids.map(id => ({
+        kind: "requestArrived",
+        arrival: buildArrival(id, { arrivedAt, promptTokens: 10 }),
+    })));
+    const facts = { attemptId: undefined, isSigned: true, isNotRun: false, isMisdirected: false, weights: undefined };
+    node.run(
+        ids.flatMap(id => [
+            { kind: "attemptBytesHanded" as const, request: toRequestId(id), attempt: 1 },
+            {
+                kind: "attemptAnswered" as const,
+                request: toRequestId(id),
+                attempt: 1,
+                status: 200,
+                facts,
+                isOpenStream: true,
+            },
+            { kind: "attemptFirstEvent" as const, request: toRequestId(id), attempt: 1 },
+        ]),
+        10,
+    );
+    node.run([node.change({ targets: [{ name: "e2", target: buildTarget("e2") }] })], 10);
+    return node;
+}
+
+function buildOrderRow(node: ForwardTestNode, name: string) {
+    const target = buildTarget(name).id;
+    return node.change({
+        rows: [{
+            key: `${orderPrefix}${name}`,
+            value: encodeOrder({ vm: toVmId("other"), target, model, version: version2 }),
+            createRevision: 1,
+        }],
+        weights: [{ model, version: version2 }],
+    });
+}
+
+/** Ends moved calls as the client does, after event 4. */
+const answerMoves = (effect: ForwardEffect) =>
+    effect.kind === "moveAttempt"
+        ? [{
+            kind: "attemptFailed" as const,
+            request: effect.request,
+            attempt: effect.attempt,
+            fault: "moved" as const,
+            lastEventId: 4,
+        }]
+        : [];
+
+describe("an engine that was ordered to load weights", () => {
+    it("hands a resumable stream to another engine, which goes on after the last relayed event", async () => {
+        const node = await createStreams(["r1"]);
+        const effects = node.runFor(800, answerMoves, [buildOrderRow(node, "e1")]);
+        expect(listEffects(effects, "moveAttempt")).toHaveLength(1);
+        const [sent] = listEffects(effects, "sendRequest");
+        expect(sent?.call.target).toBe(buildTarget("e2").id);
+        expect(sent?.call.resumeAfter).toBe(4);
+        expect(node.world.tables.targets.get(buildTarget("e1").id)?.failures).toBe(0);
+    });
+
+    it("keeps streams that may not be resumed, since a second run would be a fault", async () => {
+        const node = await createStreams(["r1"], { isResumable: false });
+        expect(listEffects(node.runFor(800, answerMoves, [buildOrderRow(node, "e1")]), "moveAttempt")).toEqual([]);
+    });
+
+    it("keeps its streams while no other engine can go on with them", async () => {
+        const node = await createStreams(["r1"]);
+        node.run([node.change({ targets: [{ name: "e2", target: buildTarget("e2", { isLeaving: true }) }] })], 10);
+        expect(listEffects(node.runFor(800, answerMoves, [buildOrderRow(node, "e1")]), "moveAttempt")).toEqual([]);
+    });
+
+    it("sends every moved stream on: moves beyond the retry budget would break their answers off", async () => {
+        const ids = Array.from({ length: 60 }, (_, index) => `r${index}`);
+        const node = await createStreams(ids);
+        const effects = node.runFor(800, answerMoves, [buildOrderRow(node, "e1")]);
+        const moves = listEffects(effects, "moveAttempt").length;
+        expect(moves).toBeGreaterThan(0);
+        expect(moves).toBeLessThan(ids.length);
+        expect(listEffects(effects, "sendRequest")).toHaveLength(moves);
+        expect(listEffects(effects, "interruptAnswer")).toEqual([]);
+    });
+});
