Estimate untold usage over the age of what peers told; spread the exchange

Processes of a fleet of 35 exchanged every 2.6 s and counted only half a second of their own usage as untold by each peer; one request of an account there is more than a process sends in that time, so the own usage is no sample either. Now the growth that each peer told, and what leaves its window, is extended over the age of its state; the own usage counts as well, by less in large fleets. Peers are asked a few at a time, so that what is told has all ages, and every 50 ms for each peer instead of 75. The link between peers uses the product's HTTP client and tRPC's caller instead of the fetch adapters of tRPC, which load undici and build fetch objects per call.

--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -1,11 +1,12 @@
 /** tRPC server and client between the processes of the fleet. */
-import { createTRPCClient, httpLink } from "@trpc/client";
-import { initTRPC } from "@trpc/server";
-import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { createTRPCClient, TRPCClientError, type TRPCLink } from "@trpc/client";
+import { initTRPC, TRPCError } from "@trpc/server";
+import { observable } from "@trpc/server/observable";
 import { randomUUID } from "node:crypto";
 import * as http from "node:http";
 import { Err, Ok } from "ts-results";
 import { z } from "zod";
+import { readBody, sendJson } from "../../adapters/callerServer";
 import { createKeepAliveAgent, sendHttpCall } from "../../adapters/httpClient";
 import { type CallId, toCallId } from "../../ids";
 import type { ForwardEffectOf } from "../effects";
@@ -15,6 +16,8 @@
 
 /** A peer that does not answer within this time is asked again at the next exchange. */
 const callTimeoutMs = 600;
+/** Longest state that is read. */
+const maxStateBytes = 4 * 1024 * 1024;
 
 const numbers = z.array(z.tuple([z.string(), z.number()])).max(4096);
 const stateSchema = z.object({
@@ -37,6 +40,33 @@
     exchange: procedure.input(stateSchema).mutation(({ ctx, input }) => ctx.ask(input as unknown as PeerState)),
 });
 
+/**
+ * Link over the product's own HTTP client. The HTTP adapters of tRPC build fetch requests and answers for each call,
+ * which costs more processor time than the exchange itself.
+ */
+function createPeerCallLink(peer: string, agent: http.Agent): TRPCLink<typeof peerRouter> {
+    return () => ({ op }) =>
+        observable(observer => {
+            sendHttpCall({
+                method: "POST",
+                address: peer,
+                path: `/${op.path}`,
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify(op.input),
+                timeoutMs: callTimeoutMs,
+                agent,
+            }).then(({ status, text }) => {
+                if (status !== 200) {
+                    throw new Error(`The peer answered ${status}.`);
+                }
+                observer.next({ result: { type: "data", data: JSON.parse(text) as unknown } });
+                observer.complete();
+            }).catch((error: unknown) => {
+                observer.error(TRPCClientError.from(error instanceof Error ? error : new Error(String(error))));
+            });
+        });
+}
+
 type PeerClient = ReturnType<typeof createTRPCClient<typeof peerRouter>>;
 
 export interface PeerLink {
@@ -54,46 +84,46 @@
     const agent = createKeepAliveAgent();
     const clients = new Map<string, PeerClient>();
 
-    const handler = createHTTPHandler({
-        router: peerRouter,
-        createContext: () => ({
-            ask: state =>
-                new Promise<PeerState>((resolve, reject) => {
-                    const call = toCallId(randomUUID());
-                    const timer = setTimeout(() => {
-                        waiting.delete(call);
-                        reject(new Error("No answer in time."));
-                    }, callTimeoutMs);
-                    waiting.set(call, own => {
-                        clearTimeout(timer);
-                        waiting.delete(call);
-                        resolve(own);
-                    });
-                    post({ kind: "peerAsked", call, state });
-                }),
-        }),
+    function waitForAnswer(state: PeerState): Promise<PeerState> {
+        return new Promise((resolve, reject) => {
+            const call = toCallId(randomUUID());
+            const timer = setTimeout(() => {
+                waiting.delete(call);
+                reject(new Error("No answer in time."));
+            }, callTimeoutMs);
+            waiting.set(call, own => {
+                clearTimeout(timer);
+                waiting.delete(call);
+                resolve(own);
+            });
+            post({ kind: "peerAsked", call, state });
+        });
+    }
+
+    const caller = peerRouter.createCaller({ ask: waitForAnswer });
+
+    async function handleCall(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        let answer: { readonly status: number; readonly body: unknown; };
+        try {
+            const bytes = await readBody(request, maxStateBytes);
+            const input: unknown = JSON.parse(bytes?.toString() ?? "");
+            answer = { status: 200, body: await caller.exchange(input as never) };
+        }
+        catch (error) {
+            const isWrong = error instanceof SyntaxError
+                || (error instanceof TRPCError && error.code === "BAD_REQUEST");
+            const message = error instanceof Error ? error.message : String(error);
+            answer = { status: isWrong ? 400 : 504, body: { message } };
+        }
+        sendJson(response, answer.status, answer.body);
+    }
+
+    const server = http.createServer((request, response) => {
+        void handleCall(request, response);
     });
-    const server = http.createServer(handler);
 
     function createClient(peer: string): PeerClient {
-        return createTRPCClient<typeof peerRouter>({
-            links: [httpLink({
-                url: `http://${peer}`,
-                fetch: async (input, init) => {
-                    const url = new URL(String(input));
-                    const answer = await sendHttpCall({
-                        method: init?.method ?? "GET",
-                        address: peer,
-                        path: `${url.pathname}${url.search}`,
-                        headers: init?.headers as Record<string, string>,
-                        body: String(init?.body ?? ""),
-                        timeoutMs: callTimeoutMs,
-                        agent,
-                    });
-                    return new Response(answer.text, { status: answer.status });
-                },
-            })],
-        });
+        return createTRPCClient<typeof peerRouter>({ links: [createPeerCallLink(peer, agent)] });
     }
 
     function getClient(peer: string): PeerClient {
--- a/src/forward/policy/usageWindow.ts
+++ b/src/forward/policy/usageWindow.ts
@@ -49,6 +49,18 @@
     window.total += tokens;
 }
 
+/** Tokens used in the last `ms` milliseconds; a slot that is only partly within counts in proportion. */
+export function computeRecentUsage(window: UsageWindow, now: Millis, ms: number): number {
+    const { slots, slotMs, newest } = window;
+    let left = ms - (now - newest * slotMs);
+    let tokens = slots[newest % slots.length] ?? 0;
+    for (let slot = newest - 1; left > 0 && slot > newest - slots.length; slot -= 1) {
+        tokens += (slots[slot % slots.length] ?? 0) * Math.min(1, left / slotMs);
+        left -= slotMs;
+    }
+    return tokens;
+}
+
 /** Milliseconds until the usage has fallen by `tokens`. */
 export function computeUsageWait(window: UsageWindow, tokens: number): number {
     const count = window.slots.length;
--- a/src/forward/systems/accountUsage.ts
+++ b/src/forward/systems/accountUsage.ts
@@ -2,11 +2,12 @@
 import type { AccountId, Millis } from "../../ids";
 import type { ForwardAccount } from "../document";
 import { computeAllowance } from "../policy/allowance";
-import { createUsageWindow, updateUsageWindow, type UsageWindow } from "../policy/usageWindow";
+import { computeRecentUsage, createUsageWindow, updateUsageWindow, type UsageWindow } from "../policy/usageWindow";
+import type { PeerRow } from "../tables/peers";
 import type { ForwardWorld } from "../world";
 
 /** Time between two exchanges with one peer, for each peer: the cost of a process grows slower than the fleet. */
-const everyMsForEach = 75;
+const everyMsForEach = 50;
 const shortestEveryMs = 300;
 /** Exchanges without an answer after which a peer counts as unheard. */
 const missedExchanges = 3;
@@ -61,17 +62,51 @@
 export const computeOwnTokens = (world: ForwardWorld, now: Millis, account: ForwardAccount): number =>
     getUsageWindow(world, now, account.id).total + computeEarlierTokens(world, now, account);
 
+/** Time that a told state is on its way. */
+const transportMs = 60;
+/** Part that the age of a told state is taken to be longer, for states that come late. */
+const lateFraction = 0.2;
+/** Up to this many peers, the own usage says what each of them uses; beyond, one request is too small a sample. */
+const sampledPeers = 8;
+
+/**
+ * What peers have used since they told: as much as this process, or as what they told grew and leaves the window,
+ * whichever is more.
+ */
+function computeUntoldTokens(world: ForwardWorld, now: Millis, account: AccountId, peers: readonly PeerRow[]): number {
+    const own = getUsageWindow(world, now, account);
+    const { quotaWindowMs } = world.settings.bounds;
+    let asOwn = 0;
+    let asTold = 0;
+    for (const { growth, heardAt, usage } of peers) {
+        const untoldMs = (now - heardAt) * (1 + lateFraction) + transportMs;
+        asOwn += computeRecentUsage(own, now, untoldMs);
+        asTold += Math.max(growth.get(account) ?? 0, (usage.get(account) ?? 0) / quotaWindowMs) * untoldMs;
+    }
+    return Math.max(asTold, asOwn * Math.min(1, sampledPeers / Math.max(1, peers.length)));
+}
+
 /** Tokens that the other processes have used. One that has not been heard may have used all of its share. */
 export function computePeerTokens(world: ForwardWorld, now: Millis, account: ForwardAccount): number {
     const { peers, members } = world.tables;
     const staleMs = computePeerStaleMs(world);
     const share = computeShare(world, account);
+    const heard: PeerRow[] = [];
     let tokens = 0;
-    for (const { vm, heardAt, usage } of peers.rows.values()) {
-        const known = usage.get(account.id) ?? 0;
-        const isKnown = now - heardAt <= staleMs || !members.get(vm);
-        tokens += isKnown ? known : Math.max(known, share);
+    for (const peer of peers.rows.values()) {
+        const known = peer.usage.get(account.id) ?? 0;
+        if (!members.get(peer.vm)) {
+            tokens += known;
+        }
+        else if (now - peer.heardAt > staleMs) {
+            tokens += Math.max(known, share);
+        }
+        else {
+            tokens += known;
+            heard.push(peer);
+        }
     }
+    tokens += computeUntoldTokens(world, now, account.id, heard);
     const unknown = members.list().filter(({ vm }) => vm !== world.settings.vm && !peers.rows.has(vm));
     return tokens + unknown.length * share;
 }
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -1,6 +1,6 @@
 /** Exchanges usage of accounts and work at engines with the other processes of the fleet. */
 import { logInfo } from "../../effects";
-import { addMillis } from "../../ids";
+import { addMillis, toMillis } from "../../ids";
 import type { ForwardTick } from "../events";
 import type { PeerState } from "../peers";
 import type { ForwardMemberRow } from "../tables/members";
@@ -8,6 +8,8 @@
 import type { ForwardWorld } from "../world";
 import { computeExchangeEveryMs, computeOwnTokens, computePeerStaleMs } from "./accountUsage";
 
+/** Time between two groups of peers that are asked. */
+const stepMs = 100;
 /** Versions of each model that are told; older ones matter to no engine any more. */
 const toldVersions = 4;
 
@@ -96,24 +98,33 @@
         startedAt: 0,
         heardAt: addMillis(tick.now, -computePeerStaleMs(world)),
         usage: new Map(),
+        growth: new Map(),
         load: new Map(),
         earlier: undefined,
         isPending: false,
+        askedAt: toMillis(0),
     };
     world.tables.peers.rows.set(vm, row);
     return row;
 }
 
 /** One of two processes asks and the other one's answer carries its state; names decide which. */
-function requestStates(world: ForwardWorld, tick: ForwardTick): void {
+function listAsked(world: ForwardWorld, tick: ForwardTick): { readonly member: ForwardMemberRow; row: PeerRow; }[] {
     const { members, peers } = world.tables;
-    for (const member of members.list()) {
-        const peer = peers.rows.get(member.vm);
-        if (member.vm <= world.settings.vm || peer?.isPending) {
-            continue;
-        }
-        const row = peer ?? addPeer(world, tick, member);
+    return members.list()
+        .filter(({ vm }) => vm > world.settings.vm)
+        .map(member => ({ member, row: peers.rows.get(member.vm) ?? addPeer(world, tick, member) }));
+}
+
+/** Asks a few peers at a time: what is told then has all ages, and no burst of calls holds up streams. */
+function requestStates(world: ForwardWorld, tick: ForwardTick): void {
+    const everyMs = computeExchangeEveryMs(world);
+    const asked = listAsked(world, tick);
+    const due = asked.filter(({ row }) => !row.isPending && tick.now - row.askedAt >= everyMs)
+        .sort((left, right) => left.row.askedAt - right.row.askedAt);
+    for (const { member, row } of due.slice(0, Math.ceil(asked.length * stepMs / everyMs))) {
         row.isPending = true;
+        row.askedAt = tick.now;
         const state = buildState(world, tick, row);
         world.effects.append({ kind: "askPeer", vm: member.vm, address: member.peerAddress, state });
     }
@@ -152,6 +163,6 @@
     if (tick.due.has("exchange") || tick.number === 1) {
         requestStates(world, tick);
         removeOld(world, tick);
-        world.timers.schedule({ name: "exchange", at: addMillis(tick.now, computeExchangeEveryMs(world)) });
+        world.timers.schedule({ name: "exchange", at: addMillis(tick.now, stepMs) });
     }
 }
--- a/src/forward/systems/reserveTokens.ts
+++ b/src/forward/systems/reserveTokens.ts
@@ -1,7 +1,7 @@
 /** Limits of accounts: tokens used in the last window over the whole fleet. */
 import type { Millis } from "../../ids";
 import type { ForwardAccount } from "../document";
-import { addUsage, computeUsageWait, type UsageWindow } from "../policy/usageWindow";
+import { addUsage, computeUsageWait } from "../policy/usageWindow";
 import type { ForwardWorld } from "../world";
 import {
     computeAllowedTokens,
@@ -12,8 +12,6 @@
     getUsageWindow,
 } from "./accountUsage";
 
-/** Part of what this process used in the newest slots that each peer is taken to have used without telling yet. */
-const untoldFraction = 0.6;
 /** A process that the store has not answered for this long may be counted as gone by the others. */
 const outOfTouchMs = 4000;
 /** Part of its share that a process uses while it is out of touch and hears no peer. */
@@ -31,12 +29,6 @@
     readonly waitMs: number;
 }
 
-/** Tokens that this process used in the two newest slots; its peers may have used as much since they last told. */
-function computeUntoldTokens({ slots, newest }: UsageWindow, members: number): number {
-    const recent = (slots[newest % slots.length] ?? 0) + (slots[(newest - 1) % slots.length] ?? 0);
-    return recent * (members - 1) * untoldFraction;
-}
-
 function isCutOff(world: ForwardWorld, now: Millis): boolean {
     const { node, peers } = world.tables;
     const staleMs = computePeerStaleMs(world);
@@ -62,7 +54,7 @@
     const allowedTokens = isAlone
         ? computeShare(world, account) * outOfTouchFraction
         : computeAllowedTokens(world, account);
-    const used = ownTokens + peerTokens + computeUntoldTokens(usage, members);
+    const used = ownTokens + peerTokens;
     // A request that is larger than what is left may go beyond the allowance once.
     if (used < allowedTokens) {
         addUsage(usage, tokens);
--- a/src/forward/tables/peers.ts
+++ b/src/forward/tables/peers.ts
@@ -1,5 +1,5 @@
 /** Other processes of the fleet, as they last described themselves. */
-import type { AccountId, Millis, TargetId, VmId } from "../../ids";
+import { type AccountId, type Millis, type TargetId, toMillis, type VmId } from "../../ids";
 import type { PeerState } from "../peers";
 
 export interface PeerRow {
@@ -8,10 +8,14 @@
     startedAt: number;
     heardAt: Millis;
     usage: ReadonlyMap<AccountId, number>;
+    /** Tokens a millisecond by which the usage grew between the last two states; accounts that did not grow lack. */
+    growth: ReadonlyMap<AccountId, number>;
     load: ReadonlyMap<TargetId, { readonly queuedTokens: number; readonly requests: number; }>;
     /** Usage of the run before, with the time at which it was last heard. */
     earlier: { readonly usage: ReadonlyMap<AccountId, number>; readonly heardAt: Millis; } | undefined;
     isPending: boolean;
+    /** Last time at which this process asked the peer; 0 before the first. */
+    askedAt: Millis;
 }
 
 export interface PeersTable {
@@ -21,6 +25,18 @@
     apply(state: PeerState, now: Millis): void;
 }
 
+function computeGrowth(known: PeerRow, state: PeerState, now: Millis): ReadonlyMap<AccountId, number> {
+    const elapsedMs = now - known.heardAt;
+    const growth = new Map<AccountId, number>();
+    for (const [account, tokens] of state.usage) {
+        const grown = tokens - (known.usage.get(account) ?? 0);
+        if (grown > 0 && elapsedMs > 0) {
+            growth.set(account, grown / elapsedMs);
+        }
+    }
+    return growth;
+}
+
 /** Creates an empty table. */
 export function createPeersTable(): PeersTable {
     const rows = new Map<VmId, PeerRow>();
@@ -38,12 +54,14 @@
                 startedAt: state.startedAt,
                 heardAt: now,
                 usage: new Map(state.usage),
+                growth: known && known.startedAt === state.startedAt ? computeGrowth(known, state, now) : new Map(),
                 load: new Map(state.load.map(([target, queuedTokens, requests]) => [
                     target,
                     { queuedTokens, requests },
                 ])),
                 earlier: isNewRun ? { usage: known.usage, heardAt: known.heardAt } : known?.earlier,
                 isPending: known?.isPending ?? false,
+                askedAt: known?.askedAt ?? toMillis(0),
             });
         },
     };
--- a/test/forward/usage.test.ts
+++ b/test/forward/usage.test.ts
@@ -5,6 +5,7 @@
 import type { ForwardEffect } from "../../src/forward/effects";
 import type { ForwardEvent } from "../../src/forward/events";
 import { addUsage, createUsageWindow, updateUsageWindow } from "../../src/forward/policy/usageWindow";
+import type { ForwardSettings } from "../../src/forward/settings";
 import { toCallId, toMillis } from "../../src/ids";
 import {
     buildArrival,
@@ -19,7 +20,11 @@
 const windowMs = 8000;
 const rate = 10_000;
 const allowed = (rate * 8 + rate) * 1.1 + 1000;
-const names = ["front-1", "front-2", "front-3", "front-4"];
+const smallFleet = 4;
+/** Processes of this fleet exchange every 2.6 s. */
+const largeFleet = 35;
+
+const listNames = (size: number) => Array.from({ length: size }, (_, index) => `front-${100 + index}`);
 
 interface Fleet {
     readonly nodes: (ForwardTestNode | undefined)[];
@@ -29,14 +34,29 @@
     restart(index: number): Promise<void>;
 }
 
-const rows = names.map(name => ({
-    key: `${memberPrefix}${name}`,
-    value: encodeMember(buildMember(name)),
-    createRevision: 1,
-}));
+interface FleetOptions {
+    readonly size?: number;
+    readonly rate?: number;
+    readonly slackTokens?: number;
+    readonly promptTokens?: number;
+}
 
-async function startNode(index: number): Promise<ForwardTestNode> {
+async function startNode(
+    names: readonly string[],
+    index: number,
+    { rate, slackTokens }: Required<FleetOptions>,
+): Promise<ForwardTestNode> {
+    const rows = names.map(name => ({
+        key: `${memberPrefix}${name}`,
+        value: encodeMember(buildMember(name)),
+        createRevision: 1,
+    }));
     const node = await createForwardTestNode(names[index], index + 1);
+    const { settings } = node.world;
+    (node.world as { settings: ForwardSettings; }).settings = {
+        ...settings,
+        bounds: { ...settings.bounds, quotaSlackTokens: slackTokens },
+    };
     node.run([]);
     node.run([
         node.read({ document: buildDocument({ rate }), rows, targets: [{ name: "e", target: buildTarget("e") }] }),
@@ -47,8 +67,12 @@
 const stepMs = 50;
 
 /** A fleet whose exchanges reach each other within one step. */
-async function createFleet(): Promise<Fleet> {
-    const nodes: (ForwardTestNode | undefined)[] = await Promise.all(names.map((_, index) => startNode(index)));
+async function createFleet(options: FleetOptions = {}): Promise<Fleet> {
+    const fleet = { size: smallFleet, rate, slackTokens: 1000, promptTokens: 1000, ...options };
+    const names = listNames(fleet.size);
+    const nodes: (ForwardTestNode | undefined)[] = await Promise.all(
+        names.map((_, index) => startNode(names, index, fleet)),
+    );
     const pending: ForwardEvent[][] = names.map(() => []);
     const admitted: { at: number; tokens: number; }[] = [];
     let now = 0;
@@ -66,7 +90,7 @@
             }
         }
         else if (effect.kind === "sendRequest") {
-            admitted.push({ at: now, tokens: 1100 });
+            admitted.push({ at: now, tokens: fleet.promptTokens + 100 });
         }
     }
 
@@ -83,7 +107,10 @@
                 const count = arrivals.filter(target => target === index).length;
                 for (let request = 0; request < count; request += 1) {
                     number += 1;
-                    const arrival = buildArrival(`r${number}`, { arrivedAt: toMillis(node.getNow() + stepMs) });
+                    const arrival = buildArrival(`r${number}`, {
+                        arrivedAt: toMillis(node.getNow() + stepMs),
+                        promptTokens: fleet.promptTokens,
+                    });
                     events.push({ kind: "requestArrived", arrival });
                 }
                 const effects = [...node.run(events, stepMs)];
@@ -101,7 +128,7 @@
             }
         },
         restart: async index => {
-            nodes[index] = await startNode(index);
+            nodes[index] = await startNode(names, index, fleet);
             pending[index]?.splice(0);
             const node = nodes[index];
             if (node) {
@@ -129,6 +156,19 @@
         expect(findLargestWindow(fleet.admitted)).toBeLessThanOrEqual(allowed);
     });
 
+    it("keeps within the allowance in a large fleet, whose processes tell each other late", async () => {
+        const [largeRate, slackTokens, promptTokens] = [29_000, 110_000, 9090];
+        const fleet = await createFleet({ size: largeFleet, rate: largeRate, slackTokens, promptTokens });
+        // Four times the rate, from one moment to the next: about 13 requests a second over the whole fleet.
+        for (let step = 0; step < 500; step += 1) {
+            const count = step < 200 ? Number(step % 12 === 0) : Number(step % 3 !== 0);
+            await fleet.step(count === 0 ? [] : [step * 11 % largeFleet]);
+        }
+        const most = findLargestWindow(fleet.admitted);
+        expect(most).toBeLessThanOrEqual((largeRate * 8 + largeRate) * 1.1 + slackTokens);
+        expect(most).toBeGreaterThan(largeRate * 8);
+    });
+
     it("gives one process nearly the whole allowance when the others are idle", async () => {
         const fleet = await createFleet();
         for (let step = 0; step < 400; step += 1) {
@@ -141,7 +181,7 @@
         const fleet = await createFleet();
         for (let step = 0; step < 400; step += 1) {
             if (step === 240) {
-                await Promise.all(names.map((_, index) => fleet.restart(index)));
+                await Promise.all(fleet.nodes.map((_, index) => fleet.restart(index)));
             }
             await fleet.step([0, 1, 2, 3, 0, 1]);
         }
