Follow engines for the fleet and tell peers; keep moved streams open; pace the store feed

Cause 1: in fleets larger than an engine's followers no process knew what engines hold. A stream of which the caller has a part now waits for the budget and for an engine. Test failed first.

--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -139,6 +139,7 @@
         orderWeights: engines.order,
         followParts: engines.followParts,
         callStore: store.call,
+        paceStore: store.pace,
         askPeer: peers.ask,
         answerPeer: peers.answer,
         writeLog: write,
--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -28,6 +28,9 @@
     earlier: numbers.optional(),
     named: z.array(z.tuple([z.string(), z.number(), z.number()])).max(1024),
     load: z.array(z.tuple([z.string(), z.number(), z.number()])).max(16384),
+    partsHeard: z.number(),
+    partsTold: z.number(),
+    parts: z.array(z.tuple([z.string(), z.array(z.tuple([z.string(), z.number()])).max(16384)])).max(4096),
 });
 
 interface PeerContext {
--- a/src/forward/effects.ts
+++ b/src/forward/effects.ts
@@ -50,6 +50,8 @@
     }
     /* store */
     | { readonly kind: "callStore"; readonly purpose: ForwardStorePurpose; readonly call: StoreCall; }
+    /** Pause in milliseconds between two deliveries of changes; each delivery costs the fleet a call for each process. */
+    | { readonly kind: "paceStore"; readonly pauseMs: number; }
     /* peers */
     | { readonly kind: "askPeer"; readonly vm: VmId; readonly address: string; readonly state: PeerState; }
     | { readonly kind: "answerPeer"; readonly call: CallId; readonly state: PeerState; }
--- a/src/forward/peers.ts
+++ b/src/forward/peers.ts
@@ -1,6 +1,6 @@
 /** What the processes of the fleet tell each other. Every message is a full state, so that any of them may be lost. */
 import type { AccountId, ModelId, TargetId, VmId } from "../ids";
-import type { WeightsVersion } from "./ids";
+import type { CachedPartKey, WeightsVersion } from "./ids";
 
 export interface PeerState {
     readonly vm: VmId;
@@ -16,4 +16,13 @@
     readonly named: readonly (readonly [ModelId, WeightsVersion, number])[];
     /** Engines with work of the sender: prompt tokens that wait there, and requests. */
     readonly load: readonly (readonly [TargetId, number, number])[];
+    /** Number of the newest change of held parts that the sender has from the receiver; 0 for none. */
+    readonly partsHeard: number;
+    /** Number of the newest change of held parts that the sender tells with this state. */
+    readonly partsTold: number;
+    /** What targets that the sender follows for the fleet hold, as far as it changed. */
+    readonly parts: readonly TargetPartChanges[];
 }
+
+/** Changes of one target: tokens by part. A part without a key says that the target is learned anew. */
+export type TargetPartChanges = readonly [TargetId, readonly (readonly [CachedPartKey | "", number])[]];
--- a/src/forward/ports.ts
+++ b/src/forward/ports.ts
@@ -8,6 +8,8 @@
     /** Begins to read and watch what is published; the outcome is posted as events. */
     start(): void;
     call(effect: ForwardEffectOf<"callStore">): void;
+    /** Sets the pause between two deliveries of changes. */
+    pace(effect: ForwardEffectOf<"paceStore">): void;
     close(): void;
 }
 
--- a/src/forward/systems/admitRequests.ts
+++ b/src/forward/systems/admitRequests.ts
@@ -98,6 +98,7 @@
         isRelaying: false,
         lastEventId: arrival.lastEventId ?? 0,
         hasFirstEvent: false,
+        owesRetry: false,
     };
 }
 
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -1,7 +1,8 @@
 /** Exchanges usage of accounts and work at engines with the other processes of the fleet. */
 import { logInfo } from "../../effects";
-import { addMillis, toMillis } from "../../ids";
+import { addMillis, type TargetId, toMillis } from "../../ids";
 import type { ForwardTick } from "../events";
+import type { CachedPartKey } from "../ids";
 import type { PeerState } from "../peers";
 import type { ForwardMemberRow } from "../tables/members";
 import type { PeerRow } from "../tables/peers";
@@ -55,6 +56,45 @@
     }
 }
 
+/** Changes of held parts in one state; a peer that lacks more gets the newest. */
+const mostChanges = 600;
+
+/** Changes of held parts that the peer lacks, by target. Targets without a change are named too, as known. */
+function listPartChanges(world: ForwardWorld, acknowledged: number): PeerState["parts"] {
+    const { followers, journal } = world.tables.heldParts;
+    const byTarget = new Map<TargetId, (readonly [CachedPartKey | "", number])[]>();
+    for (const [target, { isForAll }] of followers) {
+        if (isForAll) {
+            byTarget.set(target, []);
+        }
+    }
+    for (const { target, part, tokens } of journal.listAfter(acknowledged).slice(-mostChanges)) {
+        const changes = byTarget.get(target) ?? [];
+        byTarget.set(target, changes);
+        changes.push([part ?? "", tokens]);
+    }
+    return [...byTarget];
+}
+
+/** A target that this process follows by itself is known better than it is told. */
+function applyParts(world: ForwardWorld, tick: ForwardTick, { parts }: PeerState): void {
+    const { heldParts } = world.tables;
+    for (const [target, changes] of parts) {
+        if (heldParts.followers.has(target)) {
+            continue;
+        }
+        heldParts.toldAt.set(target, tick.now);
+        for (const [part, tokens] of changes) {
+            if (part === "") {
+                heldParts.removeTarget(target);
+            }
+            else {
+                heldParts.update(target, part, tokens);
+            }
+        }
+    }
+}
+
 function buildState(world: ForwardWorld, tick: ForwardTick, peer: PeerRow | undefined): PeerState {
     const { targets } = world.tables;
     const load: PeerState["load"][number][] = [];
@@ -75,6 +115,9 @@
         earlier: listEarlier(world, tick, peer),
         named: listNamed(world, tick),
         load,
+        partsHeard: peer?.partsHeard ?? 0,
+        partsTold: world.tables.heldParts.journal.newest,
+        parts: listPartChanges(world, peer?.partsAcknowledged ?? 0),
     };
 }
 
@@ -82,6 +125,7 @@
     const { peers } = world.tables;
     peers.apply(state, tick.now);
     applyNamed(world, tick, state);
+    applyParts(world, tick, state);
     // A peer that has not noticed the restart yet speaks of the run before.
     if (state.earlier && state.knownStart === world.startedAt && !peers.ownEarlier) {
         peers.ownEarlier = { usage: new Map(state.earlier), toldAt: tick.now };
@@ -102,6 +146,8 @@
         load: new Map(),
         earlier: undefined,
         isPending: false,
+        partsHeard: 0,
+        partsAcknowledged: 0,
         askedAt: toMillis(0),
     };
     world.tables.peers.rows.set(vm, row);
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -15,6 +15,8 @@
 const fullBackOffMs = 60;
 /** Sends of one request that targets may refuse before running it. */
 const maxSends = 4;
+/** The same for a stream of which the caller has a part. */
+const maxResumedSends = 8;
 /** Time after which a caller that was refused because targets are busy should come back. */
 const busyRetrySeconds = 0.3;
 
@@ -44,17 +46,27 @@
     row.attempts.filter(attempt => attempt.evidence.bytesHanded && attempt.evidence.answer !== "refused").length;
 
 /** True when another target may get the request: it cannot have run, or it may run again. */
-function canRepeat(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): boolean {
+function isRepeatAllowed(tick: ForwardTick, row: ForwardRequestRow): boolean {
     const runs = computeRuns(row);
     const isAllowed = runs === 0 || (row.isRepeatable && runs < row.route.maxTargets);
-    const budget = world.tables.retryBudgets.get(row.service);
     return isAllowed
-        && row.attempts.length < maxSends
-        && tick.now < row.deadline
-        && (budget === undefined || hasRetry(budget));
+        && row.attempts.length < (row.isRelaying ? maxResumedSends : maxSends)
+        && tick.now < row.deadline;
+}
+
+/** True when the request may be repeated and the budget pays for it. */
+function canRepeat(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): boolean {
+    const budget = world.tables.retryBudgets.get(row.service);
+    return isRepeatAllowed(tick, row) && (budget === undefined || hasRetry(budget));
 }
 
 function retryOrRefuse(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, outcome: string): void {
+    if (row.isRelaying && isRepeatAllowed(tick, row)) {
+        // Its caller has part of the answer: a wait for the budget serves better than an end.
+        row.owesRetry = true;
+        requeueRequest(world, row, outcome);
+        return;
+    }
     if (!canRepeat(world, tick, row)) {
         const isNotRun = computeRuns(row) === 0;
         refuseForward(world, tick, row, isNotRun ? "overloaded" : "target_failed", busyRetrySeconds);
@@ -203,7 +215,7 @@
     if (target) {
         target.heardAt = tick.now;
         recordForwardSuccess(world, target);
-        recordSaltedParts(world, row, attempt);
+        recordSaltedParts(world, tick, row, attempt);
     }
     if (work) {
         work.missedTokens = 0;
--- a/src/forward/systems/followParts.ts
+++ b/src/forward/systems/followParts.ts
@@ -1,6 +1,7 @@
 /** Follows what engines and stores of parts hold. Events are late and some are lost; a wrong row costs a miss. */
 import { logInfo, logWarning } from "../../effects";
 import { addMillis, type TargetId } from "../../ids";
+import { listByRendezvous } from "../../policy/rendezvous";
 import type { ForwardTick } from "../events";
 import type { PartFollower } from "../tables/heldParts";
 import type { ForwardWorld } from "../world";
@@ -34,9 +35,23 @@
     return [...engines, ...configuration.document?.partStores ?? []];
 }
 
-/** A large fleet would take up all the calls that a target holds; its processes rely on their own requests. */
-function canFollow(world: ForwardWorld, { maxFollowers }: Followed): boolean {
-    return world.tables.members.countLive() + spareFollowers <= maxFollowers;
+/** Processes that follow a target for the others, when there is no room for all of them. */
+const sharedFollowers = 2;
+
+/** True when every process follows the target by itself. */
+const hasRoomForAll = (world: ForwardWorld, { maxFollowers }: Followed): boolean =>
+    world.tables.members.countLive() + spareFollowers <= maxFollowers;
+
+/** In a large fleet a few processes follow each target and tell the others, as rendezvous hashing says. */
+function canFollow(world: ForwardWorld, followed: Followed): boolean {
+    if (hasRoomForAll(world, followed)) {
+        return true;
+    }
+    const { members } = world.tables;
+    const live = members.list().filter(({ state }) => state === "live").map(({ vm }) => vm);
+    return listByRendezvous(world.hasher, followed.id, live)
+        .slice(0, Math.min(sharedFollowers, followed.maxFollowers - spareFollowers))
+        .includes(world.settings.vm);
 }
 
 function requestParts(world: ForwardWorld, followed: Followed, follower: PartFollower): void {
@@ -56,18 +71,25 @@
         if (!follower) {
             continue;
         }
+        const isShared = follower.isForAll;
         if (follower.epoch !== undefined && (follower.epoch !== report.epoch || report.hasGap)) {
             logInfo(world.effects, "target:", "What the target holds is learned anew.", {
                 target,
                 reason: report.hasGap ? "events were lost" : "it restarted",
             });
             heldParts.removeTarget(target);
+            if (isShared) {
+                heldParts.journal.add({ target, part: undefined, tokens: 0 });
+            }
         }
         follower.epoch = report.epoch;
         follower.next = report.next;
         follower.isPending = false;
         for (const { part, tokens } of report.changes) {
             heldParts.update(target, part, tokens);
+            if (isShared) {
+                heldParts.journal.add({ target, part, tokens });
+            }
         }
         world.timers.schedule({ name: "partReports", at: addMillis(tick.now, pauseMs), key: target });
     }
@@ -105,7 +127,8 @@
     for (const entry of followed) {
         const known = followers.get(entry.id);
         if (!known) {
-            const follower = { epoch: undefined, next: 0, isPending: false };
+            const isForAll = !hasRoomForAll(world, entry);
+            const follower = { epoch: undefined, next: 0, isPending: false, isForAll };
             followers.set(entry.id, follower);
             requestParts(world, entry, follower);
         }
--- a/src/forward/systems/placeWeights.ts
+++ b/src/forward/systems/placeWeights.ts
@@ -18,6 +18,9 @@
 const quietFraction = 3 / 7;
 /** The same under load, when the others need their capacity. */
 const loadedFraction = 1 / 3;
+/** From this number of engines on a smaller part loads at a time: loads slow each other down, and there is time. */
+const manyEngines = 16;
+const manyFraction = 1 / 4;
 /** Prompt tokens that wait at each engine on average, up to which little waits. */
 const quietTokens = 5000;
 /** Engines that load at the same time when some have had old weights for this part of the time allowed. */
@@ -95,7 +98,8 @@
         !target.registration.isLeaving && canPassBackOff(target, tick.now)
     );
     const queued = working.reduce((sum, target) => sum + computeQueuedTokens(world, tick, target), 0);
-    const fraction = queued <= working.length * quietTokens ? quietFraction : loadedFraction;
+    const fewFraction = queued <= working.length * quietTokens ? quietFraction : loadedFraction;
+    const fraction = working.length < manyEngines ? fewFraction : manyFraction;
     const isUrgent = working.some(target => {
         const since = findOutdatedSince(configuration, model, target.weights.get(model) ?? toWeightsVersion(0));
         return since !== undefined && tick.now - since > world.settings.bounds.weightsMs * urgentPart;
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -2,7 +2,7 @@
 import { logInfo } from "../../effects";
 import { addMillis, type TargetId } from "../../ids";
 import { listByRendezvous } from "../../policy/rendezvous";
-import { createRetryBudget, recordFirstSend } from "../../policy/retryBudget";
+import { createRetryBudget, hasRetry, recordFirstSend, reserveRetry } from "../../policy/retryBudget";
 import type { ForwardCall } from "../calls";
 import type { RouteKind } from "../document";
 import type { ForwardTick } from "../events";
@@ -112,8 +112,13 @@
  * Tokens that the first engine by rendezvous hash is expected to hold when its events are not followed: other
  * processes prefer it for the same shared parts.
  */
-function computeExpectedTokens(world: ForwardWorld, row: ForwardRequestRow, target: TargetId): number {
-    if (world.tables.heldParts.followers.has(target)) {
+function computeExpectedTokens(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    target: TargetId,
+): number {
+    if (world.tables.heldParts.isKnown(target, tick.now)) {
         return 0;
     }
     const shared = row.arrival.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
@@ -149,6 +154,7 @@
 /** Address of the store of parts if it lacks a shared part of the prompt that is worth keeping. */
 function findCopyTarget(
     world: ForwardWorld,
+    tick: ForwardTick,
     row: ForwardRequestRow,
     version: WeightsVersion | undefined,
 ): string | undefined {
@@ -158,10 +164,10 @@
     if (!store || version === undefined || sharedTokens < leastCopyTokens) {
         return undefined;
     }
-    // A large fleet does not know what the store holds and would copy every part many times.
-    const isFollowed = world.tables.heldParts.followers.has(store.id);
+    // Without its events the store would be sent every part many times.
+    const isKnown = world.tables.heldParts.isKnown(store.id, tick.now);
     const held = computeHeldTokens(world, store.id, computeSalt(row, version), shared);
-    return isFollowed && held < sharedTokens ? store.address : undefined;
+    return isKnown && held < sharedTokens ? store.address : undefined;
 }
 
 function chooseEngine(
@@ -177,7 +183,7 @@
         const { id } = target.registration;
         const version = model && target.weights.get(model);
         const known = version === undefined ? 0 : computeHeldTokens(world, id, computeSalt(row, version), parts);
-        const held = id === ranks[0] ? Math.max(known, computeExpectedTokens(world, row, id)) : known;
+        const held = id === ranks[0] ? Math.max(known, computeExpectedTokens(world, tick, row, id)) : known;
         return { target, version, held };
     });
     const fleetFactor = computeFleetFactor(world, tick);
@@ -201,7 +207,7 @@
             best = { target, scoreMs, queueMs, version, heldTokens: held + fetchedTokens, fetchFrom: source?.address };
         }
     }
-    return best && { ...best, copyTo: findCopyTarget(world, row, best.version) };
+    return best && { ...best, copyTo: findCopyTarget(world, tick, row, best.version) };
 }
 
 /** Milliseconds that one request in flight weighs at a plain service. */
@@ -337,7 +343,28 @@
     });
 }
 
+/** Time after which a stream that waits to be resumed is looked at again. */
+const resumeRetryMs = 100;
+
+/** Reserves what a stream that is resumed owes to the retry budget; false while the budget is used up. */
+function reserveOwedRetry(world: ForwardWorld, row: ForwardRequestRow): boolean {
+    const budget = world.tables.retryBudgets.get(row.service);
+    if (!row.owesRetry || !budget) {
+        return true;
+    }
+    if (!hasRetry(budget)) {
+        return false;
+    }
+    reserveRetry(budget);
+    row.owesRetry = false;
+    return true;
+}
+
 function routeRequest(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): void {
+    if (!reserveOwedRetry(world, row)) {
+        world.timers.schedule({ name: "requestRetry", at: addMillis(tick.now, resumeRetryMs), key: row.id });
+        return;
+    }
     const able = listAble(world, tick, row);
     const choice = row.arrival.parts.length > 0
         ? chooseEngine(world, tick, row, able)
@@ -350,6 +377,10 @@
         sendToTarget(world, tick, row, choice);
         return;
     }
+    if (row.isRelaying) {
+        world.timers.schedule({ name: "requestRetry", at: addMillis(tick.now, resumeRetryMs), key: row.id });
+        return;
+    }
     const waitUntil = addMillis(row.arrival.arrivedAt, row.route.objectiveMs * waitFraction);
     if (tick.now < waitUntil) {
         world.timers.schedule({ name: "requestRetry", at: waitUntil, key: row.id });
--- a/src/forward/systems/salts.ts
+++ b/src/forward/systems/salts.ts
@@ -1,6 +1,7 @@
 /** Salts: which requests may share cached parts, and what targets hold under them. */
 import type { TargetId } from "../../ids";
 import type { PromptPart } from "../calls";
+import type { ForwardTick } from "../events";
 import { type CacheSalt, toCachedPartKey, toCacheSalt, type WeightsVersion } from "../ids";
 import type { ForwardAttempt, ForwardRequestRow } from "../tables/requests";
 import type { ForwardWorld } from "../world";
@@ -38,6 +39,7 @@
 /** Records that the engine of the attempt holds the prompt. */
 export function recordSaltedParts(
     world: ForwardWorld,
+    tick: ForwardTick,
     row: ForwardRequestRow,
     attempt: Pick<ForwardAttempt, "target" | "weights">,
 ): void {
@@ -52,7 +54,7 @@
     const memory = configuration.document?.services.get(row.service)?.engine?.memoryTokens;
     if (memory !== undefined) {
         // A process that does not follow the events sees only its own share of what pushes parts out.
-        const seen = heldParts.followers.has(attempt.target) ? 1 : 1 / Math.max(1, members.countLive());
+        const seen = heldParts.isKnown(attempt.target, tick.now) ? 1 : 1 / Math.max(1, members.countLive());
         heldParts.removeBeyond(attempt.target, memory * cachedFraction * seen);
     }
 }
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -11,6 +11,13 @@
 const leaseMs = 2000;
 /** The lease is renewed four times in its length, so that two lost answers do not end it. */
 const renewEveryMs = 500;
+/**
+ * Pause between two deliveries of the store, for each process: the calls of a fleet grow slower than the fleet. The
+ * longest leaves a process that watches a silent connection time to see a configuration within its bound of 3 s.
+ */
+const pauseMsForEach = 20;
+const shortestPauseMs = 300;
+const longestPauseMs = 700;
 /** Added to the guard time for orders of the holder before that are on their way. */
 const guardMarginMs = 300;
 
@@ -170,6 +177,15 @@
     claimDuty(world, node.lease.id);
 }
 
+function updatePace(world: ForwardWorld): void {
+    const { members, node } = world.tables;
+    const pauseMs = Math.min(longestPauseMs, Math.max(shortestPauseMs, pauseMsForEach * members.countLive()));
+    if (pauseMs !== node.storePauseMs) {
+        node.storePauseMs = pauseMs;
+        world.effects.append({ kind: "paceStore", pauseMs });
+    }
+}
+
 /**
  * Reads: members. Writes: node (lease, registration, duty). Effects: calls to the store, log lines.
  */
@@ -182,6 +198,7 @@
     const isFirstRead = !node.isUnread && node.lease.id === undefined && tick.events.list("publishedRead").length > 0;
     if (tick.due.has("leaseRenewal") || isFirstRead) {
         requestLease(world, tick);
+        updatePace(world);
     }
     if (!node.isUnread) {
         checkLease(world, tick);
--- a/src/forward/tables/node.ts
+++ b/src/forward/tables/node.ts
@@ -35,6 +35,8 @@
     firstReadAt: Millis;
     /** Last time at which the store confirmed the published state. */
     storeHeardAt: Millis;
+    /** Pause between two deliveries of the store that was last asked for; 0 before the first. */
+    storePauseMs: number;
     /** Since when the store has answered without interruption; undefined while it is silent. */
     storeSteadySince: Millis | undefined;
     readonly lease: ForwardLease;
@@ -51,6 +53,7 @@
         isUnread: true,
         firstReadAt: 0 as Millis,
         storeHeardAt: 0 as Millis,
+        storePauseMs: 0,
         storeSteadySince: undefined,
         lease: {
             id: undefined,
--- a/src/forward/tables/peers.ts
+++ b/src/forward/tables/peers.ts
@@ -14,6 +14,10 @@
     /** Usage of the run before, with the time at which it was last heard. */
     earlier: { readonly usage: ReadonlyMap<AccountId, number>; readonly heardAt: Millis; } | undefined;
     isPending: boolean;
+    /** Number of the newest change of held parts that the peer told; 0 for none. */
+    partsHeard: number;
+    /** Number of the newest change of held parts that the peer has from this process. */
+    partsAcknowledged: number;
     /** Last time at which this process asked the peer; 0 before the first. */
     askedAt: Millis;
 }
@@ -61,6 +65,8 @@
                 ])),
                 earlier: isNewRun ? { usage: known.usage, heardAt: known.heardAt } : known?.earlier,
                 isPending: known?.isPending ?? false,
+                partsHeard: state.partsTold,
+                partsAcknowledged: state.partsHeard,
                 askedAt: known?.askedAt ?? toMillis(0),
             });
         },
--- a/src/forward/tables/requests.ts
+++ b/src/forward/tables/requests.ts
@@ -35,6 +35,8 @@
     /** Last event that was relayed; a resumed stream goes on after it. */
     lastEventId: number;
     hasFirstEvent: boolean;
+    /** True for a stream that waits to be resumed and whose place in the retry budget is not reserved yet. */
+    owesRetry: boolean;
 }
 
 export interface ForwardRequestsTable {
--- a/test/forward/movedStreams.test.ts
+++ b/test/forward/movedStreams.test.ts
@@ -2,6 +2,7 @@
 import { encodeOrder, orderPrefix } from "../../src/forward/codec/fleetRows";
 import type { ForwardRoute } from "../../src/forward/document";
 import type { ForwardEffect } from "../../src/forward/effects";
+import type { ForwardEvent } from "../../src/forward/events";
 import { toWeightsVersion } from "../../src/forward/ids";
 import { toMillis, toRequestId, toVmId } from "../../src/ids";
 import {
@@ -10,6 +11,7 @@
     buildRoute,
     buildTarget,
     createForwardTestNode,
+    engineService,
     type ForwardTestNode,
     listEffects,
     model,
@@ -17,6 +19,8 @@
 
 const version2 = toWeightsVersion(2);
 
+const facts = { attemptId: undefined, isSigned: true, isNotRun: false, isMisdirected: false, weights: undefined };
+
 /** Sends requests to the only engine and starts their streams; then a second engine appears. */
 async function createStreams(ids: readonly string[], route: Partial<ForwardRoute> = {}): Promise<ForwardTestNode> {
     const node = await createForwardTestNode();
@@ -29,7 +33,6 @@
         kind: "requestArrived",
         arrival: buildArrival(id, { arrivedAt, promptTokens: 10 }),
     })));
-    const facts = { attemptId: undefined, isSigned: true, isNotRun: false, isMisdirected: false, weights: undefined };
     node.run(
         ids.flatMap(id => [
             { kind: "attemptBytesHanded" as const, request: toRequestId(id), attempt: 1 },
@@ -73,6 +76,13 @@
         }]
         : [];
 
+function updateBudget(node: ForwardTestNode, level: number): void {
+    const budget = node.world.tables.retryBudgets.get(engineService);
+    if (budget) {
+        budget.level = level;
+    }
+}
+
 describe("an engine that was ordered to load weights", () => {
     it("hands a resumable stream to another engine, which goes on after the last relayed event", async () => {
         const node = await createStreams(["r1"]);
@@ -105,4 +115,28 @@
         expect(listEffects(effects, "sendRequest")).toHaveLength(moves);
         expect(listEffects(effects, "interruptAnswer")).toEqual([]);
     });
+
+    it("keeps a moved stream open while other engines refuse it and the retry budget is used up", async () => {
+        const node = await createStreams(["r1"]);
+        const refuse = (effect: ForwardEffect): readonly ForwardEvent[] => {
+            if (effect.kind !== "sendRequest") {
+                return answerMoves(effect);
+            }
+            updateBudget(node, 0);
+            return [{
+                kind: "attemptAnswered",
+                request: effect.request,
+                attempt: effect.attempt,
+                status: 503,
+                facts: { ...facts, isSigned: false, isNotRun: true },
+                isOpenStream: false,
+            }];
+        };
+        const effects = node.runFor(800, refuse, [buildOrderRow(node, "e1")]);
+        expect(listEffects(effects, "sendRequest")).toHaveLength(1);
+        expect(listEffects(effects, "interruptAnswer")).toEqual([]);
+        updateBudget(node, 1);
+        const later = node.runFor(300, answerMoves);
+        expect(listEffects(later, "sendRequest")[0]?.call.resumeAfter).toBe(4);
+    });
 });
--- /dev/null
+++ b/test/forward/sharedFollowing.test.ts
@@ -0,0 +1,114 @@
+import { Ok } from "ts-results";
+import { describe, expect, it } from "vitest";
+import { encodeMember, memberPrefix } from "../../src/forward/codec/fleetRows";
+import { toCachedPartKey, toCacheSalt, toPartId } from "../../src/forward/ids";
+import { createPartJournal } from "../../src/forward/tables/partJournal";
+import { toCallId, toTargetId } from "../../src/ids";
+import {
+    buildDocument,
+    buildMember,
+    buildTarget,
+    createForwardTestNode,
+    type ForwardTestNode,
+    listEffects,
+} from "../support/forwardNode";
+
+const names = Array.from({ length: 20 }, (_, index) => `front-${100 + index}`);
+const engines = Array.from({ length: 30 }, (_, index) => `e${index}`);
+const part = toCachedPartKey(toCacheSalt("s"), toPartId("a"));
+const other = toCachedPartKey(toCacheSalt("s"), toPartId("b"));
+
+async function startNodes(): Promise<{ readonly node: ForwardTestNode; readonly followed: ReadonlySet<string>; }[]> {
+    const rows = names.map(name => ({
+        key: `${memberPrefix}${name}`,
+        value: encodeMember(buildMember(name)),
+        createRevision: 1,
+    }));
+    const services = new Map([...buildDocument().services].map(([id, service]) => [
+        id,
+        service.engine ? { ...service, engine: { ...service.engine, maxFollowers: 12 } } : service,
+    ]));
+    return Promise.all(names.map(async name => {
+        const node = await createForwardTestNode(name);
+        node.run([]);
+        const targets = engines.map(engine => ({ name: engine, target: buildTarget(engine) }));
+        const effects = node.runFor(1500, () => [], [
+            node.read({ document: { ...buildDocument(), services }, targets, rows }),
+        ]);
+        return { node, followed: new Set<string>(listEffects(effects, "followParts").map(({ target }) => target)) };
+    }));
+}
+
+const buildReport = (epoch: number, changes: { readonly part: typeof part; readonly tokens: number; }[]) =>
+    Ok({ epoch, next: 1, hasGap: false, changes }).val;
+
+describe("following what engines hold in a fleet that is larger than an engine's followers", () => {
+    it("leaves no engine without followers and none with more than it has room for", async () => {
+        const nodes = await startNodes();
+        for (const engine of engines) {
+            const count = nodes.filter(({ followed }) => followed.has(`${engine}@1`)).length;
+            expect(count).toBe(2);
+        }
+    });
+
+    it("reaches processes that do not follow the engine, also when the engine starts anew", async () => {
+        const nodes = await startNodes();
+        const target = toTargetId("e0@1");
+        const follower = nodes.find(({ followed }) => followed.has(target))?.node;
+        const peer = nodes.find(({ followed }) => !followed.has(target))?.node;
+        if (!follower || !peer) {
+            throw new Error("The fleet has no follower or nobody else.");
+        }
+        const exchange = (): void => {
+            const asked = follower.run([{
+                kind: "peerAsked",
+                call: toCallId("c"),
+                state: listEffects(peer.run([{ kind: "peerAsked", call: toCallId("d"), state }]), "answerPeer")[0]
+                    ?.state ?? state,
+            }]);
+            const told = listEffects(asked, "answerPeer")[0]?.state;
+            peer.run(told ? [{ kind: "peerReplied", vm: told.vm, result: Ok(told) }] : []);
+        };
+        const state = {
+            vm: follower.world.settings.vm,
+            startedAt: 0,
+            usage: [],
+            knownStart: 0,
+            named: [],
+            load: [],
+            partsHeard: 0,
+            partsTold: 0,
+            parts: [],
+        };
+        follower.run([{ kind: "partsReported", target, report: buildReport(1, [{ part, tokens: 800 }]) }]);
+        exchange();
+        expect(peer.world.tables.heldParts.getTokens(target, part)).toBe(800);
+        follower.run([{ kind: "partsReported", target, report: buildReport(2, [{ part: other, tokens: 100 }]) }]);
+        exchange();
+        expect(peer.world.tables.heldParts.getTokens(target, part)).toBe(0);
+        expect(peer.world.tables.heldParts.getTokens(target, other)).toBe(100);
+    });
+});
+
+describe("journal of held parts", () => {
+    it("tells the last state of a part once, after the number that the peer has", () => {
+        const journal = createPartJournal();
+        const target = toTargetId("e0@1");
+        journal.add({ target, part, tokens: 5 });
+        journal.add({ target, part: other, tokens: 7 });
+        const seen = journal.newest;
+        journal.add({ target, part, tokens: 0 });
+        expect(journal.listAfter(0).map(change => [change.part, change.tokens])).toEqual([[other, 7], [part, 0]]);
+        expect(journal.listAfter(seen).map(change => change.tokens)).toEqual([0]);
+        expect(journal.listAfter(journal.newest)).toEqual([]);
+    });
+
+    it("keeps a bounded number of changes", () => {
+        const journal = createPartJournal();
+        const target = toTargetId("e0@1");
+        for (let index = 0; index < 20_000; index += 1) {
+            journal.add({ target, part: toCachedPartKey(toCacheSalt("s"), toPartId(`${index}`)), tokens: 1 });
+        }
+        expect(journal.listAfter(0).length).toBeLessThanOrEqual(8192);
+    });
+});
