--- /dev/null
+++ b/soak/proxy.ts
@@ -0,0 +1,86 @@
+/** TCP proxy on loopback between a process and what it talks to; faults are switched while it runs. */
+import * as net from "node:net";
+import { parseAddress } from "../src/adapters/httpClient";
+
+/**
+ * `pass` forwards; `reset` resets every connection; `silent` forwards nothing; `oneWay` forwards to the server only;
+ * `slow` forwards with a delay.
+ */
+export type ProxyMode = "pass" | "reset" | "silent" | "oneWay" | "slow";
+
+export interface Proxy {
+    readonly address: string;
+    mode: ProxyMode;
+    update(mode: ProxyMode): void;
+    close(): Promise<void>;
+}
+
+/** Delay of the mode `slow`, in each direction. */
+const slowMs = 120;
+
+/** Starts a proxy for the server at the address. */
+export async function startProxy(target: string): Promise<Proxy> {
+    const sockets = new Set<net.Socket>();
+
+    function addSocket(socket: net.Socket, other: net.Socket): void {
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.on("close", () => {
+            sockets.delete(socket);
+            other.destroy();
+        });
+    }
+
+    function openPipe(from: net.Socket, to: net.Socket, isAnswer: boolean): void {
+        from.on("data", bytes => {
+            if (proxy.mode === "silent" || (proxy.mode === "oneWay" && isAnswer)) {
+                return;
+            }
+            setTimeout(() => {
+                if (!to.destroyed) {
+                    to.write(bytes);
+                }
+            }, proxy.mode === "slow" ? slowMs : 0);
+        });
+        from.on("end", () => {
+            setTimeout(() => to.end(), proxy.mode === "slow" ? slowMs : 0);
+        });
+    }
+
+    const server = net.createServer(client => {
+        if (proxy.mode === "reset") {
+            client.on("error", () => undefined);
+            client.resetAndDestroy();
+            return;
+        }
+        const upstream = net.connect(parseAddress(target));
+        addSocket(client, upstream);
+        addSocket(upstream, client);
+        openPipe(client, upstream, false);
+        openPipe(upstream, client, true);
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const proxy: Proxy = {
+        address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`,
+        mode: "pass",
+        update: mode => {
+            proxy.mode = mode;
+            if (mode === "reset") {
+                for (const socket of sockets) {
+                    socket.resetAndDestroy();
+                }
+            }
+        },
+        close: () => {
+            for (const socket of sockets) {
+                socket.destroy();
+            }
+            return new Promise(resolve => {
+                server.close(() => {
+                    resolve();
+                });
+            });
+        },
+    };
+    return proxy;
+}
--- /dev/null
+++ b/standins/platformConfiguration.ts
@@ -0,0 +1,54 @@
+/** Configuration that the stand-in operator of the users' platform publishes. */
+
+export const engineService = "engines";
+export const plainService = "orders";
+export const modelName = "model-a";
+export const keyText = "key-of-the-shop";
+
+export const buildPlatformRoute = (
+    name: string,
+    kind: string,
+    service: string,
+    more: Readonly<Record<string, unknown>> = {},
+) => ({
+    "name": name,
+    "host": "shop.example",
+    "prefix": `/${name}/`,
+    "kind": kind,
+    "timeout-ms": 3000,
+    "target-latency-ms": 500,
+    "priority": 1,
+    "service": service,
+    "max-attempts": 2,
+    "no-auth": false,
+    "resumable": false,
+    ...more,
+});
+
+/** Builds a configuration with an engine service, a plain service and one tenant; `changes` replaces top-level fields. */
+export function buildPlatformConfiguration(changes: Readonly<Record<string, unknown>>): Record<string, unknown> {
+    return {
+        routes: [
+            buildPlatformRoute("review", "streaming", engineService),
+            buildPlatformRoute("reply", "streaming", engineService, { resumable: true }),
+            buildPlatformRoute("issue", "non_idempotent", plainService, { "max-attempts": 1 }),
+            buildPlatformRoute("lookup", "idempotent", plainService),
+            buildPlatformRoute("open", "idempotent", plainService, { "no-auth": true }),
+        ],
+        services: [
+            {
+                "name": engineService,
+                "max-connections": 100,
+                "engine": {
+                    "slots": 8,
+                    "kv-capacity": 100_000,
+                    "max-concurrency": 12,
+                    "models": [{ name: modelName }],
+                },
+            },
+            { "name": plainService, "max-connections": 100 },
+        ],
+        tenants: [{ "name": "shop", "api-keys": [keyText], "rate-per-s": 0, "burst": 0 }],
+        ...changes,
+    };
+}
--- a/test/support/platformFleet.ts
+++ b/test/support/platformFleet.ts
@@ -1,20 +1,19 @@
 /** A whole path on loopback: stand-in store and servers, and processes of the forwarding mode. */
-import { randomUUID } from "node:crypto";
-import * as http from "node:http";
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import { platformPorts } from "../../platform";
-import { parseAddress } from "../../src/adapters/httpClient";
 import { type RunningForwardNode, startForwardNode } from "../../src/forward/adapters/node";
 import { parseForwardSettings } from "../../src/forward/settings";
+import { sendRequest } from "../../standins/platformCaller";
+import {
+    buildPlatformConfiguration,
+    engineService,
+    modelName,
+    plainService,
+} from "../../standins/platformConfiguration";
 import { type PlatformServer, type PlatformServerOptions, startPlatformServer } from "../../standins/platformServer";
 import { type PlatformStore, startPlatformStore } from "../../standins/platformStore";
 
-export const engineService = "engines";
-export const plainService = "orders";
-export const modelName = "model-a";
-export const keyText = "key-of-the-shop";
-
 async function findFreePort(): Promise<number> {
     const server = createServer();
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
@@ -23,6 +22,9 @@
     return port;
 }
 
+export { sendRequest, streamHeaders } from "../../standins/platformCaller";
+export { engineService, keyText, modelName, plainService } from "../../standins/platformConfiguration";
+
 export interface FleetNode {
     readonly node: RunningForwardNode;
     readonly callers: string;
@@ -33,74 +35,6 @@
     readonly exitCode: Promise<number>;
 }
 
-export interface CallerAnswer {
-    readonly status: number;
-    readonly headers: http.IncomingHttpHeaders;
-    readonly body: string;
-    /** False when the connection closed before the answer was complete. */
-    readonly isComplete: boolean;
-}
-
-export interface CallerRequest {
-    readonly path: string;
-    readonly method?: string;
-    readonly headers?: http.OutgoingHttpHeaders;
-    readonly body?: string;
-    readonly key?: string | undefined;
-    readonly agent?: http.Agent;
-    /** Closes the connection after this time. */
-    readonly leaveAfterMs?: number;
-}
-
-/** Sends one request as the platform's callers do. */
-export function sendRequest(address: string, request: CallerRequest): Promise<CallerAnswer> {
-    const { path, method = "POST", headers = {}, body = "", key = keyText, agent, leaveAfterMs } = request;
-    return new Promise((resolve, reject) => {
-        const call = http.request({
-            ...parseAddress(address),
-            method,
-            path,
-            headers: {
-                "host": "shop.example",
-                "x-marjoramvane-attempt-id": randomUUID().replaceAll("-", "").slice(0, 16),
-                "x-marjoramvane-deadline-ms": "3000",
-                ...(key === "" ? {} : { authorization: `Token ${key}` }),
-                ...headers,
-            },
-            ...(agent ? { agent } : {}),
-        });
-        if (leaveAfterMs !== undefined) {
-            setTimeout(() => call.destroy(), leaveAfterMs);
-        }
-        call.on("error", reject);
-        call.on("response", response => {
-            const chunks: Buffer[] = [];
-            const closeAnswer = (isComplete: boolean): void => {
-                resolve({
-                    status: response.statusCode ?? 0,
-                    headers: response.headers,
-                    body: Buffer.concat(chunks).toString(),
-                    isComplete,
-                });
-            };
-            response.on("data", (chunk: Buffer) => chunks.push(chunk));
-            response.on("end", () => {
-                closeAnswer(response.complete);
-            });
-            response.on("error", () => {
-                closeAnswer(false);
-            });
-        });
-        call.end(body);
-    });
-}
-
-export const streamHeaders = {
-    "x-marjoramvane-model": modelName,
-    "x-marjoramvane-token-usage": "1460,80",
-    "x-marjoramvane-prompt-prefix": "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
-};
-
 export interface PlatformFleet {
     readonly store: PlatformStore;
     readonly engines: PlatformServer[];
@@ -125,21 +59,6 @@
     }
 }
 
-const route = (name: string, kind: string, service: string, more: Readonly<Record<string, unknown>> = {}) => ({
-    "name": name,
-    "host": "shop.example",
-    "prefix": `/${name}/`,
-    "kind": kind,
-    "timeout-ms": 3000,
-    "target-latency-ms": 500,
-    "priority": 1,
-    "service": service,
-    "max-attempts": 2,
-    "no-auth": false,
-    "resumable": false,
-    ...more,
-});
-
 /** Starts a store, engines, plain services and processes, and waits until the processes are ready. */
 export async function startPlatformFleet(
     options: { readonly nodes?: number; readonly engine?: Partial<PlatformServerOptions>; } = {},
@@ -166,31 +85,7 @@
         },
         writeConfiguration: (changes = {}) => {
             version += 3;
-            store.put("op/config", {
-                version,
-                routes: [
-                    route("review", "streaming", engineService),
-                    route("reply", "streaming", engineService, { resumable: true }),
-                    route("issue", "non_idempotent", plainService, { "max-attempts": 1 }),
-                    route("lookup", "idempotent", plainService),
-                    route("open", "idempotent", plainService, { "no-auth": true }),
-                ],
-                services: [
-                    {
-                        "name": engineService,
-                        "max-connections": 100,
-                        "engine": {
-                            "slots": 8,
-                            "kv-capacity": 100_000,
-                            "max-concurrency": 12,
-                            "models": [{ name: modelName }],
-                        },
-                    },
-                    { "name": plainService, "max-connections": 100 },
-                ],
-                tenants: [{ "name": "shop", "api-keys": [keyText], "rate-per-s": 0, "burst": 0 }],
-                ...changes,
-            });
+            store.put("op/config", buildPlatformConfiguration({ version, ...changes }));
         },
         startNode: async name => {
             const [callers, readiness, directory, metrics, peers] = await Promise.all(
