--- a/src/forward/policy/allowance.ts
+++ b/src/forward/policy/allowance.ts
@@ -11,8 +11,11 @@
     readonly slackTokens: number;
 }
 
-/** Part of the allowance that is given out. The rest covers requests that are larger than what is left. */
-const givenFraction = 0.9;
+/**
+ * Part of the allowance that is given out. The rest covers requests that are larger than what is left, and what a
+ * killed process had used without telling: 0.9 was exceeded by 11 % when half of a fleet was killed in a flood.
+ */
+const givenFraction = 0.87;
 
 /**
  * Computes the tokens that the whole fleet may use in any window.
--- a/src/forward/systems/accountUsage.ts
+++ b/src/forward/systems/accountUsage.ts
@@ -51,8 +51,8 @@
     const { node, peers } = world.tables;
     const { quotaWindowMs } = world.settings.bounds;
     if (peers.ownEarlier) {
-        const left = Math.max(0, 1 - (now - peers.ownEarlier.toldAt) / quotaWindowMs);
-        return (peers.ownEarlier.usage.get(account.id) ?? 0) * left;
+        const isOver = now - peers.ownEarlier.toldAt > quotaWindowMs;
+        return isOver ? 0 : peers.ownEarlier.usage.get(account.id) ?? 0;
     }
     const left = Math.max(0, 1 - (now - node.firstReadAt) / quotaWindowMs);
     return left === 0 ? 0 : computeShare(world, account) * left;
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -15,7 +15,7 @@
 const toldVersions = 4;
 
 /**
- * What a peer's earlier run had used, less what has left the window since. A process that has run for a window
+ * What a peer's earlier run had used, until all of it has left the window: it may have been used last. A process that has run for a window
  * without hearing of an earlier run knows that there was none.
  */
 function listEarlier(world: ForwardWorld, tick: ForwardTick, peer: PeerRow | undefined): PeerState["earlier"] {
@@ -24,8 +24,9 @@
         return tick.now - world.tables.node.firstReadAt > quotaWindowMs ? [] : undefined;
     }
     const { usage, heardAt } = peer.earlier;
-    const left = Math.max(0, 1 - (tick.now - heardAt) / quotaWindowMs);
-    return [...usage].map(([account, tokens]) => [account, Math.round(tokens * left)]);
+    return tick.now - heardAt > quotaWindowMs
+        ? []
+        : [...usage].map(([account, tokens]) => [account, Math.round(tokens)]);
 }
 
 function listUsage(world: ForwardWorld, tick: ForwardTick): PeerState["usage"] {
--- a/src/forward/tables/peers.ts
+++ b/src/forward/tables/peers.ts
@@ -41,6 +41,15 @@
     return growth;
 }
 
+/** Time between two states of a peer, at most, in which it may have used tokens that it could not tell any more. */
+const longestUntoldMs = 600;
+
+/** What a run had used when it ended: what it told, and what it may have used since. */
+function computeLastUsage({ growth, heardAt, usage }: PeerRow, now: Millis): ReadonlyMap<AccountId, number> {
+    const untoldMs = Math.min(now - heardAt, longestUntoldMs);
+    return new Map([...usage].map(([account, tokens]) => [account, tokens + (growth.get(account) ?? 0) * untoldMs]));
+}
+
 /** Creates an empty table. */
 export function createPeersTable(): PeersTable {
     const rows = new Map<VmId, PeerRow>();
@@ -63,7 +72,7 @@
                     target,
                     { queuedTokens, requests },
                 ])),
-                earlier: isNewRun ? { usage: known.usage, heardAt: known.heardAt } : known?.earlier,
+                earlier: isNewRun ? { usage: computeLastUsage(known, now), heardAt: known.heardAt } : known?.earlier,
                 isPending: known?.isPending ?? false,
                 partsHeard: state.partsTold,
                 partsAcknowledged: state.partsHeard,
--- a/test/forward/usage.test.ts
+++ b/test/forward/usage.test.ts
@@ -188,6 +188,19 @@
         expect(findLargestWindow(fleet.admitted)).toBeLessThanOrEqual(allowed);
     });
 
+    it("keeps within the allowance when half of the processes are killed soon after a flood began", async () => {
+        const fleet = await createFleet();
+        for (let step = 0; step < 500; step += 1) {
+            if (step === 280) {
+                await fleet.restart(0);
+                await fleet.restart(1);
+            }
+            // What the killed processes used came late in the window and stays in it for long.
+            await fleet.step(step < 200 ? [] : [0, 1, 2, 3, 0, 1]);
+        }
+        expect(findLargestWindow(fleet.admitted)).toBeLessThanOrEqual(allowed);
+    });
+
     it("keeps within the allowance over generated floods and restarts", async () => {
         const event = fc.record({ index: fc.nat(3), at: fc.integer({ min: 170, max: 330 }) });
         const property = fc.asyncProperty(
