--- a/src/forward/systems/expireRequests.ts
+++ b/src/forward/systems/expireRequests.ts
@@ -3,7 +3,7 @@
 import type { RequestId } from "../../ids";
 import type { ForwardTick } from "../events";
 import type { ForwardWorld } from "../world";
-import { refuseForward } from "./requestEnd";
+import { isKeyWithdrawn, refuseForward } from "./requestEnd";
 
 function expireOverdue(world: ForwardWorld, tick: ForwardTick): void {
     for (const id of tick.due.listKeys("requestDeadline")) {
@@ -16,10 +16,8 @@
 
 /** A key that was withdrawn ends what waits; what runs was sent while the key was valid and goes on. */
 function expireWithdrawn(world: ForwardWorld, tick: ForwardTick): void {
-    const { configuration, requests } = world.tables;
-    for (const row of requests.list("queued")) {
-        const { keyHash } = row.arrival;
-        if (row.accountId !== undefined && keyHash !== undefined && !configuration.findAccount(keyHash)) {
+    for (const row of world.tables.requests.list("queued")) {
+        if (isKeyWithdrawn(world, row)) {
             refuseForward(world, tick, row, "key_unknown");
         }
     }
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -9,10 +9,14 @@
 import type { ForwardWorld } from "../world";
 import { closeRequest, refuseForward, removeWork } from "./requestEnd";
 import { recordSaltedParts } from "./salts";
-import { expectLoading, recordErrorAnswer, recordForwardFailure, recordForwardSuccess } from "./targetHealth";
+import {
+    expectLoading,
+    fullBackOffMs,
+    recordErrorAnswer,
+    recordForwardFailure,
+    recordForwardSuccess,
+} from "./targetHealth";
 
-/** A full target gets nothing more for this long. */
-const fullBackOffMs = 60;
 /** Sends of one request that targets may refuse before running it. */
 const maxSends = 4;
 /** The same for a stream of which the caller has a part. */
--- a/src/forward/systems/requestEnd.ts
+++ b/src/forward/systems/requestEnd.ts
@@ -7,6 +7,13 @@
 import type { ForwardRequestRow } from "../tables/requests";
 import type { ForwardWorld } from "../world";
 
+/** True when the key of the request has been withdrawn since the request came. */
+export function isKeyWithdrawn(world: ForwardWorld, { accountId, arrival }: ForwardRequestRow): boolean {
+    return accountId !== undefined
+        && arrival.keyHash !== undefined
+        && !world.tables.configuration.findAccount(arrival.keyHash);
+}
+
 /** Removes the request from the work of its last target. */
 export function removeWork(world: ForwardWorld, row: ForwardRequestRow): void {
     const attempt = row.attempts.at(-1);
--- a/src/forward/systems/resumeElsewhere.ts
+++ b/src/forward/systems/resumeElsewhere.ts
@@ -6,6 +6,7 @@
 import { findOpenAttempt, type ForwardRequestRow } from "../tables/requests";
 import { canPassBackOff } from "../tables/targets";
 import type { ForwardWorld } from "../world";
+import { isKeyWithdrawn } from "./requestEnd";
 
 /** Part of the retry budget's burst that moves leave for requests that fail. */
 const moveReserve = 0.2;
@@ -26,6 +27,8 @@
     return row.route.isResumable
         && row.hasFirstEvent
         && row.attempts.length < row.route.maxTargets
+        // A request whose key was withdrawn is sent to nobody any more; its stream ends where it runs.
+        && !isKeyWithdrawn(world, row)
         && (budget === undefined || budget.level >= Math.max(1, budget.burst * moveReserve))
         && hasOther(world, tick, row, from);
 }
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -15,6 +15,7 @@
 import { computeFleetFactor, computePeerLoad, computeQueueFacts } from "./engineLoad";
 import { refuseForward } from "./requestEnd";
 import { computeHeldTokens, computeSalt } from "./salts";
+import { fullBackOffMs } from "./targetHealth";
 
 /** A request that finds every target closed waits this part of its objective, then is refused as not run. */
 const waitFraction = 0.125;
@@ -83,15 +84,21 @@
 
 function canTake(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, target: ForwardTargetRow): boolean {
     return !target.registration.isLeaving
-        && tick.now >= target.loadingUntil
         && canPassBackOff(target, tick.now)
         && !isSilent(target, tick)
         && !isOutdated(world, tick, row, target);
 }
 
-/** Targets that can take the request; one that it was sent to before is listed only when there is no other. */
+/**
+ * Targets that can take the request; one that it was sent to before is listed only when there is no other. When all
+ * are expected to load weights they are asked all the same: the orders may be old news of a store that was away.
+ */
 function listAble(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): ForwardTargetRow[] {
-    const able = world.tables.targets.listService(row.service).filter(target => canTake(world, tick, row, target));
+    const working = world.tables.targets.listService(row.service).filter(target => canTake(world, tick, row, target));
+    const notLoading = working.filter(target => tick.now >= target.loadingUntil);
+    const able = notLoading.length > 0 || row.attempts.length > 0
+        ? notLoading
+        : working.filter(target => target.loadingUntil - tick.now > fullBackOffMs);
     const untried = able.filter(target => !row.attempts.some(attempt => attempt.target === target.registration.id));
     return untried.length > 0 ? untried : able;
 }
--- a/src/forward/systems/targetHealth.ts
+++ b/src/forward/systems/targetHealth.ts
@@ -8,6 +8,9 @@
 /** An engine that has taken an order gets nothing for this long, unless it shows the new weights earlier. */
 const loadingMs = 900;
 
+/** A full target gets nothing more for this long. */
+export const fullBackOffMs = 60;
+
 export function expectLoading(row: ForwardTargetRow, now: Millis): void {
     row.loadingUntil = addMillis(now, loadingMs);
 }
--- a/test/forward/movedStreams.test.ts
+++ b/test/forward/movedStreams.test.ts
@@ -99,6 +99,12 @@
         expect(listEffects(node.runFor(800, answerMoves, [buildOrderRow(node, "e1")]), "moveAttempt")).toEqual([]);
     });
 
+    it("keeps a stream whose key was withdrawn, since no target may get it any more", async () => {
+        const node = await createStreams(["r1"]);
+        node.run([node.change({ document: { ...buildDocument({ version: 2 }), accounts: new Map() } })], 10);
+        expect(listEffects(node.runFor(800, answerMoves, [buildOrderRow(node, "e1")]), "moveAttempt")).toEqual([]);
+    });
+
     it("keeps its streams while no other engine can go on with them", async () => {
         const node = await createStreams(["r1"]);
         node.run([node.change({ targets: [{ name: "e2", target: buildTarget("e2", { isLeaving: true }) }] })], 10);
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -1,8 +1,8 @@
 import { Ok } from "ts-results";
 import { describe, expect, it } from "vitest";
-import { encodeMember, memberPrefix } from "../../src/forward/codec/fleetRows";
+import { encodeMember, encodeOrder, memberPrefix, orderPrefix } from "../../src/forward/codec/fleetRows";
 import { toPartId, toWeightsVersion } from "../../src/forward/ids";
-import { toCallId, toDataCentreId, toMillis, toRequestId, toTargetId } from "../../src/ids";
+import { toCallId, toDataCentreId, toMillis, toRequestId, toTargetId, toVmId } from "../../src/ids";
 import {
     buildArrival,
     buildDocument,
@@ -169,6 +169,20 @@
         expect(refused[0]?.retryAfterSeconds).toBeGreaterThan(0);
     });
 
+    it("asks engines that are expected to load when there is no other, as the orders may be old news", async () => {
+        const node = await createReadyNode({
+            document: buildDocument(),
+            targets: [{ name: "e1", target: buildTarget("e1") }],
+        });
+        const id = buildTarget("e1").id;
+        const order = { vm: toVmId("other"), target: id, model, version: toWeightsVersion(2) };
+        node.run([node.change({
+            rows: [{ key: `${orderPrefix}e1`, value: encodeOrder(order), createRevision: 1 }],
+            weights: [{ model, version: toWeightsVersion(2) }],
+        })]);
+        expect(listEffects(sendArrival(node, "r1"), "sendRequest")[0]?.call.target).toBe(id);
+    });
+
     it("sends nothing to an engine whose weights are too old", async () => {
         const node = await createReadyNode({ document: buildDocument(), targets: buildEngines(1) });
         node.run([node.change({ weights: [{ model, version: toWeightsVersion(2) }] })]);
