--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -88,7 +88,7 @@
 
 async function createServer(instance: string, service: string, model?: string): Promise<SoakServer> {
     const server = await startPlatformServer({ instance, service, ...(model === undefined ? {} : { model }) });
-    return { server, proxy: await startProxy(server.address) };
+    return { server, proxy: await startProxy(server.address), registeredVersion: 0 };
 }
 
 /** Writes the next configuration; each one adds a route, so that callers can tell which one is in force. */
@@ -109,6 +109,17 @@
     });
 }
 
+/** Servers register themselves, anew when their weights changed; while the store is away they cannot. */
+export function registerServers({ engines, services, store }: SoakWorld): void {
+    for (const row of store.faults.mode === "none" ? [...engines, ...services] : []) {
+        const { proxy, registeredVersion, server } = row;
+        if (registeredVersion !== server.version) {
+            row.registeredVersion = server.version;
+            store.put(`servers/${server.instance}`, { ...server.describe(), address: proxy.address });
+        }
+    }
+}
+
 async function isReady({ callers }: SoakNode): Promise<boolean> {
     try {
         return (await sendRequest(callers, { path: "/open/1", method: "GET" })).status === 200;
@@ -155,9 +166,7 @@
         lengthMs,
     };
     writeConfiguration(world);
-    for (const { server, proxy } of [...world.engines, ...world.services]) {
-        world.store.put(`servers/${server.instance}`, { ...server.describe(), address: proxy.address });
-    }
+    registerServers(world);
     for (let index = 1; index <= processes; index += 1) {
         world.nodes.push(await createNode(world, `front-${index}`));
     }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -7,7 +7,8 @@
 import { deadlineMs, sendRequests } from "./callers";
 import { checkPromises } from "./checks";
 import { createFaults, runFaults } from "./faults";
-import { startSoakWorld, stopSoakWorld } from "./fleet";
+import { registerServers, startSoakWorld, stopSoakWorld } from "./fleet";
+import { keptSeeds } from "./keptSeeds";
 import { getSoakTime, type SoakWorld } from "./tables";
 
 const tickMs = 25;
@@ -50,6 +51,7 @@
     world.faults.push(...createFaults(world, faultCount));
     for (let tick = 0; getSoakTime(world) < lengthMs; tick += 1) {
         runFaults(world);
+        registerServers(world);
         if (tick % requestEveryTicks === 0) {
             sendRequests(world);
         }
@@ -62,12 +64,22 @@
     return world.findings.size === 0;
 }
 
+interface SeedOptions {
+    readonly first: number;
+    readonly seeds: number;
+    readonly minutes: number;
+    /** Runs the seeds that once broke a promise first. */
+    readonly kept: boolean;
+}
+
 /** Runs seeds one after the other; resolves with those that broke a promise. */
-async function runSeeds(options: { readonly first: number; readonly seeds: number; readonly minutes: number; }) {
-    const end = performance.now() + options.minutes * 60_000;
+async function runSeeds({ first, seeds, minutes, kept }: SeedOptions): Promise<readonly number[]> {
+    const end = performance.now() + minutes * 60_000;
     const broken: number[] = [];
+    const known = kept ? keptSeeds.map(({ seed }) => seed) : [];
     let count = 0;
-    for (let seed = options.first; count < options.seeds || performance.now() < end; seed += 1) {
+    while (count < known.length + seeds || performance.now() < end) {
+        const seed = known[count] ?? first + count - known.length;
         count += 1;
         if (!(await runSeed(seed))) {
             broken.push(seed);
@@ -83,9 +95,15 @@
         seeds: { type: "string", default: "5" },
         seed: { type: "string", default: String(Date.now() % 1_000_000_000) },
         minutes: { type: "string", default: "0" },
+        kept: { type: "boolean", default: false },
     },
 });
-const options = { first: Number(values.seed), seeds: Number(values.seeds), minutes: Number(values.minutes) };
+const options = {
+    first: Number(values.seed),
+    seeds: Number(values.seeds),
+    minutes: Number(values.minutes),
+    kept: values.kept,
+};
 runSeeds(options).then(
     broken => process.exit(broken.length > 0 ? 1 : 0),
     (error: unknown) => {
--- a/soak/tables.ts
+++ b/soak/tables.ts
@@ -25,6 +25,8 @@
 export interface SoakServer {
     readonly server: PlatformServer;
     readonly proxy: Proxy;
+    /** Version of the weights that the store shows; 0 before the first registration. */
+    registeredVersion: number;
 }
 
 export type RequestKind = "review" | "reply" | "issue" | "lookup" | "probe";
