Keep signals that come while the program starts

Cause: without a handler SIGTERM, SIGINT and SIGHUP end a process at once, and the handlers were set only after the listeners were open. The inbox is created before the rest of the program is loaded.

--- a/src/cli/commands/forward.ts
+++ b/src/cli/commands/forward.ts
@@ -3,6 +3,7 @@
 import { startForwardNode } from "../../forward/adapters/node";
 import { parseForwardSettings } from "../../forward/settings";
 import { type Command, type ExitCode, exitCodes, getText, printFaults, readTextFile, UsageError } from "../command";
+import { getProcessSignals } from "../signals";
 
 const settingsVariable = "MARJORAMVANE_CONFIG";
 
@@ -34,18 +35,17 @@
                 resolve(code === 0 ? exitCodes.done : exitCodes.failed);
             };
             startForwardNode({ settings: settings.val, ports: platformPorts, onExit: handleExit }).then(node => {
-                for (const signal of ["SIGTERM", "SIGINT"] as const) {
-                    process.on(signal, () => {
-                        node.drain();
-                    });
-                }
-                process.on("SIGHUP", () => {
-                    const next = parseForwardSettings(readTextFile(file));
-                    if (next.ok) {
-                        node.reload(next.val);
-                        return;
-                    }
-                    printFaults(io, file, next.val);
+                getProcessSignals().subscribe({
+                    SIGTERM: node.drain,
+                    SIGINT: node.drain,
+                    SIGHUP: () => {
+                        const next = parseForwardSettings(readTextFile(file));
+                        if (next.ok) {
+                            node.reload(next.val);
+                            return;
+                        }
+                        printFaults(io, file, next.val);
+                    },
                 });
             }, reject);
         });
--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -2,6 +2,7 @@
 import { startNode } from "../../adapters/node";
 import { parseSettingsFile } from "../../config/settings";
 import { type Command, type ExitCode, exitCodes, getRequiredText, printFaults, readTextFile } from "../command";
+import { getProcessSignals } from "../signals";
 
 export const serveCommand: Command = {
     summary: "Runs one process of the router until SIGTERM or SIGINT.",
@@ -19,11 +20,12 @@
                 resolve(code === 0 ? exitCodes.done : exitCodes.failed);
             };
             startNode({ settings: settings.val, onExit: handleExit }).then(node => {
-                for (const signal of ["SIGTERM", "SIGINT"] as const) {
-                    process.once(signal, () => {
-                        node.drain();
-                    });
-                }
+                getProcessSignals().subscribe({
+                    SIGTERM: node.drain,
+                    SIGINT: node.drain,
+                    // Settings of this mode are read once; without a handler the signal would end the process.
+                    SIGHUP: () => undefined,
+                });
             }, reject);
         });
     },
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,4 +1,6 @@
 /** Entry point of the program. */
+// First, so that a signal that comes while the rest is loaded does not end the process.
+import "./signals";
 import { runCommandLine } from "./commandLine";
 
 /** Time for the last log lines and store calls of `serve` and `forward` to leave the process. */
