Test generated histories of single requests, true refusals and the configuration

150 histories of targets that refuse, fail, fall silent, close or answer for another request, and 100 of reads and changes out of order; each bound is the promise itself.

--- /dev/null
+++ b/test/forward/histories.test.ts
@@ -0,0 +1,135 @@
+import * as fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import type { RouteKind } from "../../src/forward/document";
+import type { ForwardEffect } from "../../src/forward/effects";
+import type { ForwardEvent } from "../../src/forward/events";
+import { toMillis } from "../../src/ids";
+import { refusalKinds } from "../../src/refusals";
+import {
+    buildArrival,
+    buildDocument,
+    buildRoute,
+    buildTarget,
+    createForwardTestNode,
+    listEffects,
+    plainService,
+} from "../support/forwardNode";
+
+const facts = { isSigned: true, isNotRun: false, isMisdirected: false, weights: undefined };
+
+/** What a target does with one attempt. */
+const outcomes = {
+    notConnected: { ran: false, handed: false },
+    closedBeforeAnswer: { ran: true, handed: true },
+    silent: { ran: true, handed: true },
+    refused: { ran: false, handed: true },
+    failed: { ran: true, handed: true },
+    answered: { ran: true, handed: true },
+    answeredForAnother: { ran: true, handed: true },
+} as const;
+type Outcome = keyof typeof outcomes;
+
+function buildEvents({ request, attempt }: Extract<ForwardEffect, { kind: "sendRequest"; }>, outcome: Outcome) {
+    const base = { request, attempt };
+    const buildAnswer = (status: number, more: Partial<typeof facts> & { attemptId?: string; }): ForwardEvent => ({
+        kind: "attemptAnswered",
+        ...base,
+        status,
+        facts: { attemptId: request, ...facts, ...more },
+        isOpenStream: false,
+    });
+    const buildFailure = (fault: "connect" | "closed"): ForwardEvent => ({
+        kind: "attemptFailed",
+        ...base,
+        fault,
+        lastEventId: 0,
+    });
+    const ends: Readonly<Record<Outcome, readonly ForwardEvent[]>> = {
+        notConnected: [buildFailure("connect")],
+        closedBeforeAnswer: [buildFailure("closed")],
+        silent: [],
+        refused: [buildAnswer(503, { isNotRun: true })],
+        failed: [buildAnswer(500, {})],
+        answered: [buildAnswer(200, {})],
+        answeredForAnother: [buildAnswer(200, { attemptId: "another" })],
+    };
+    return outcomes[outcome].handed
+        ? [{ kind: "attemptBytesHanded" as const, ...base }, ...ends[outcome]]
+        : ends[outcome];
+}
+
+const anyOutcome = fc.constantFrom(...Object.keys(outcomes) as Outcome[]);
+
+describe("generated histories", () => {
+    it("run a request once that may not be repeated, and promise no run only when there was none", async () => {
+        const property = fc.asyncProperty(
+            fc.constantFrom<RouteKind>("single", "repeatable"),
+            fc.array(anyOutcome, { minLength: 8, maxLength: 40 }),
+            fc.array(fc.integer({ min: 1, max: 400 }), { minLength: 1, maxLength: 8 }),
+            async (kind, planned, gaps) => {
+                const route = buildRoute({
+                    kind,
+                    maxTargets: kind === "single" ? 1 : 3,
+                    services: [{ service: plainService, weight: 1 }],
+                    objectiveMs: 100,
+                    timeoutMs: 600,
+                });
+                const node = await createForwardTestNode();
+                const targets = ["s1", "s2", "s3"].map(name => ({
+                    name,
+                    target: buildTarget(name, { service: plainService }),
+                }));
+                node.run([node.read({ document: buildDocument({ routes: [route] }), targets })]);
+                const runs = new Map<string, number>();
+                const left = [...planned];
+                const answer = (effect: ForwardEffect): readonly ForwardEvent[] => {
+                    if (effect.kind !== "sendRequest") {
+                        return [];
+                    }
+                    const outcome = left.shift() ?? "answered";
+                    runs.set(effect.request, (runs.get(effect.request) ?? 0) + Number(outcomes[outcome].ran));
+                    return buildEvents(effect, outcome);
+                };
+                const effects: ForwardEffect[] = [];
+                for (const [index, gap] of gaps.entries()) {
+                    const arrival = buildArrival(`r${index}`, {
+                        arrivedAt: toMillis(node.getNow()),
+                        parts: [],
+                        model: undefined,
+                        waitMs: 600,
+                    });
+                    effects.push(...node.runFor(gap, answer, [{ kind: "requestArrived", arrival }]));
+                }
+                effects.push(...node.runFor(2000, answer));
+                for (const { refusal, request } of listEffects(effects, "refuseRequest")) {
+                    const isPromise = [429, 503].includes(refusalKinds[refusal.code].status);
+                    expect(isPromise && (runs.get(request) ?? 0) > 0).toBe(false);
+                }
+                for (const count of runs.values()) {
+                    expect(count).toBeLessThanOrEqual(kind === "single" ? 1 : 3);
+                }
+                const ended = new Set([...listEffects(effects, "refuseRequest"), ...listEffects(effects, "relayAnswer")]
+                    .map(({ request }) => request));
+                expect(ended.size).toBe(gaps.length);
+            },
+        );
+        await fc.assert(property, { numRuns: 150, seed: 20261204 });
+    });
+
+    it("never go back to an older configuration, whatever the store shows after gaps", async () => {
+        const property = fc.asyncProperty(
+            fc.array(fc.record({ version: fc.integer({ min: 1, max: 30 }), isRead: fc.boolean() }), { maxLength: 25 }),
+            async steps => {
+                const node = await createForwardTestNode();
+                let newest = 0;
+                for (const { version, isRead } of steps) {
+                    const changes = { document: buildDocument({ version }) };
+                    node.run([isRead ? node.read(changes) : node.change(changes)], 5);
+                    newest = Math.max(newest, version);
+                    expect(Number(node.world.tables.configuration.version ?? 0)).toBe(newest);
+                }
+            },
+        );
+        await fc.assert(property, { numRuns: 100, seed: 20261204 });
+    });
+});
