--- a/src/timers.ts
+++ b/src/timers.ts
@@ -1,4 +1,5 @@
 /** Timer service: parts subscribe to periods and schedule single timers; due timers wake a tick. */
+import { addToHeap, removeFirst } from "./heap";
 import { addMillis, type Millis } from "./ids";
 
 export type TimerName =
@@ -66,46 +67,7 @@
     readonly everyMs: number;
 }
 
-function addToHeap(heap: HeapEntry[], entry: HeapEntry): void {
-    let index = heap.length;
-    heap.push(entry);
-    while (index > 0) {
-        const parent = (index - 1) >> 1;
-        const above = heap[parent] as HeapEntry;
-        if (above.at <= entry.at) {
-            break;
-        }
-        heap[index] = above;
-        index = parent;
-    }
-    heap[index] = entry;
-}
-
-function removeFirst(heap: HeapEntry[]): HeapEntry {
-    const first = heap[0] as HeapEntry;
-    const last = heap.pop() as HeapEntry;
-    if (heap.length === 0) {
-        return first;
-    }
-    let index = 0;
-    for (;;) {
-        const left = 2 * index + 1;
-        if (left >= heap.length) {
-            break;
-        }
-        const right = left + 1;
-        const child = right < heap.length && (heap[right] as HeapEntry).at < (heap[left] as HeapEntry).at
-            ? right
-            : left;
-        if ((heap[child] as HeapEntry).at >= last.at) {
-            break;
-        }
-        heap[index] = heap[child] as HeapEntry;
-        index = child;
-    }
-    heap[index] = last;
-    return first;
-}
+const isBefore = (left: HeapEntry, right: HeapEntry): boolean => left.at < right.at;
 
 /**
  * Creates a timer service. It holds no clock: the runner passes the time in.
@@ -119,20 +81,20 @@
     const heap: HeapEntry[] = [];
     return {
         subscribe: ({ name, everyMs, firstAfterMs = everyMs }, now) => {
-            addToHeap(heap, { at: addMillis(now, firstAfterMs), name, key: "", everyMs });
+            addToHeap(heap, { at: addMillis(now, firstAfterMs), name, key: "", everyMs }, isBefore);
         },
         schedule: ({ name, at, key = "" }) => {
-            addToHeap(heap, { at, name, key, everyMs: 0 });
+            addToHeap(heap, { at, name, key, everyMs: 0 }, isBefore);
         },
         getNextDue: () => heap[0]?.at,
         takeDue: now => {
             const due = new Map<TimerName, string[]>();
             while (heap.length > 0 && (heap[0] as HeapEntry).at <= now) {
-                const entry = removeFirst(heap);
+                const entry = removeFirst(heap, isBefore);
                 due.set(entry.name, [...(due.get(entry.name) ?? []), entry.key]);
                 if (entry.everyMs > 0) {
                     // Counted from now, so that a paused process does not run the periods it missed.
-                    addToHeap(heap, { ...entry, at: addMillis(now, entry.everyMs) });
+                    addToHeap(heap, { ...entry, at: addMillis(now, entry.everyMs) }, isBefore);
                 }
             }
             return { has: name => due.has(name), listKeys: name => due.get(name) ?? [] };
--- a/standins/virtualTime.ts
+++ b/standins/virtualTime.ts
@@ -1,4 +1,5 @@
 /** Virtual time for simulations: actions in order of time, on a heap. */
+import { addToHeap, removeFirst } from "../src/heap";
 import { toMillis } from "../src/ids";
 import type { Clock } from "../src/runner";
 
@@ -11,47 +12,6 @@
 const isBefore = (left: ScheduledAction, right: ScheduledAction): boolean =>
     left.at < right.at || (left.at === right.at && left.order < right.order);
 
-function addAction(heap: ScheduledAction[], entry: ScheduledAction): void {
-    let index = heap.length;
-    heap.push(entry);
-    while (index > 0) {
-        const parent = (index - 1) >> 1;
-        const above = heap[parent] as ScheduledAction;
-        if (!isBefore(entry, above)) {
-            break;
-        }
-        heap[index] = above;
-        index = parent;
-    }
-    heap[index] = entry;
-}
-
-function removeFirst(heap: ScheduledAction[]): ScheduledAction {
-    const first = heap[0] as ScheduledAction;
-    const last = heap.pop() as ScheduledAction;
-    if (heap.length === 0) {
-        return first;
-    }
-    let index = 0;
-    for (;;) {
-        let child = 2 * index + 1;
-        if (child >= heap.length) {
-            break;
-        }
-        const right = child + 1;
-        if (right < heap.length && isBefore(heap[right] as ScheduledAction, heap[child] as ScheduledAction)) {
-            child = right;
-        }
-        if (!isBefore(heap[child] as ScheduledAction, last)) {
-            break;
-        }
-        heap[index] = heap[child] as ScheduledAction;
-        index = child;
-    }
-    heap[index] = last;
-    return first;
-}
-
 export interface VirtualTime {
     /** Milliseconds since the start of the simulation. */
     getNow(): number;
@@ -77,11 +37,11 @@
 
     function scheduleAt(at: number, action: () => void): void {
         order += 1;
-        addAction(heap, { at: Math.max(now, at), order, action });
+        addToHeap(heap, { at: Math.max(now, at), order, action }, isBefore);
     }
 
     function runNext(): void {
-        const { at, action } = removeFirst(heap);
+        const { at, action } = removeFirst(heap, isBefore);
         now = at;
         action();
     }
