--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -47,11 +47,16 @@
     );
 }
 
+/**
+ * The earliest naming that any process saw is the nearest to the truth: one that was suspended meanwhile counts too
+ * little time since then, as its monotonic clock stood still.
+ */
 function applyNamed(world: ForwardWorld, tick: ForwardTick, { named }: PeerState): void {
     for (const [model, version, ageMs] of named) {
         const known = world.tables.configuration.weights.get(model)?.find(entry => entry.version === version);
-        if (known && !known.isSeen) {
-            known.namedAt = addMillis(tick.now, -ageMs);
+        const namedAt = addMillis(tick.now, -ageMs);
+        if (known && (!known.isSeen || namedAt < known.namedAt)) {
+            known.namedAt = namedAt;
             known.isSeen = true;
         }
     }
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -191,6 +191,28 @@
         expect(listEffects(sendArrival(node, "r2"), "sendRequest")).toHaveLength(0);
     });
 
+    it("sends nothing to an engine whose weights are too old by what a peer told, as after a suspension", async () => {
+        const node = await createReadyNode({
+            document: buildDocument(),
+            targets: [{ name: "e1", target: buildTarget("e1") }],
+        });
+        const version = toWeightsVersion(2);
+        node.run([node.change({ weights: [{ model, version }] })], 1000);
+        const state = {
+            vm: toVmId("front-9"),
+            startedAt: 1,
+            usage: [],
+            knownStart: 0,
+            load: [],
+            partsHeard: 0,
+            partsTold: 0,
+            parts: [],
+            named: [[model, version, 9000] as const],
+        };
+        node.run([{ kind: "peerAsked", call: toCallId("c"), state }], 10);
+        expect(listEffects(sendArrival(node, "r1"), "sendRequest")).toHaveLength(0);
+    });
+
     it("fetches shared parts from the engine that holds them", async () => {
         const node = await createReadyNode({ document: buildDocument(), targets: buildEngines(2) });
         const parts = [{ id: toPartId("catalogue"), tokens: 5000 }, { id: toPartId("own"), tokens: 500 }];
