Reserve a spare retry for each moved stream; move none from a leaving process

A moved stream was refused by its next engine, waited for a retry budget that a leaving process no longer refills, and its key was withdrawn meanwhile. A move now needs two retries, the spare one is given back with the first event; resumed streams prefer engines with the newest weights, which are not ordered next.

--- a/src/forward/systems/admitRequests.ts
+++ b/src/forward/systems/admitRequests.ts
@@ -99,6 +99,7 @@
         lastEventId: arrival.lastEventId ?? 0,
         hasFirstEvent: false,
         owesRetry: false,
+        hasSpareRetry: false,
     };
 }
 
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -1,7 +1,7 @@
 /** Follows attempts on targets: answers, first events, ends, failures; relays, resumes and repeats. */
 import { logInfo } from "../../effects";
 import { addMillis } from "../../ids";
-import { hasRetry, reserveRetry } from "../../policy/retryBudget";
+import { hasRetry, releaseRetry, reserveRetry } from "../../policy/retryBudget";
 import type { ForwardEventOf, ForwardTick } from "../events";
 import { getNewestWeights } from "../tables/configuration";
 import { findOpenAttempt, type ForwardAttempt, type ForwardRequestRow, parseAttemptKey } from "../tables/requests";
@@ -67,7 +67,8 @@
 function retryOrRefuse(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, outcome: string): void {
     if (row.isRelaying && isRepeatAllowed(tick, row)) {
         // Its caller has part of the answer: a wait for the budget serves better than an end.
-        row.owesRetry = true;
+        row.owesRetry = !row.hasSpareRetry;
+        row.hasSpareRetry = false;
         requeueRequest(world, row, outcome);
         return;
     }
@@ -221,6 +222,11 @@
         recordForwardSuccess(world, target);
         recordSaltedParts(world, tick, row, attempt);
     }
+    const budget = world.tables.retryBudgets.get(row.service);
+    if (row.hasSpareRetry && budget) {
+        row.hasSpareRetry = false;
+        releaseRetry(budget);
+    }
     if (work) {
         work.missedTokens = 0;
         work.hasAnswered = true;
--- a/src/forward/systems/resumeElsewhere.ts
+++ b/src/forward/systems/resumeElsewhere.ts
@@ -11,6 +11,9 @@
 /** Part of the retry budget's burst that moves leave for requests that fail. */
 const moveReserve = 0.2;
 
+/** Retries that a move reserves: one to be sent on, and one in case that the next engine refuses the stream. */
+const movedRetries = 2;
+
 /** True when another engine can go on with the stream now. */
 function hasOther(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, from: TargetId): boolean {
     return world.tables.targets.listService(row.service).some(target =>
@@ -29,7 +32,7 @@
         && row.attempts.length < row.route.maxTargets
         // A request whose key was withdrawn is sent to nobody any more; its stream ends where it runs.
         && !isKeyWithdrawn(world, row)
-        && (budget === undefined || budget.level >= Math.max(1, budget.burst * moveReserve))
+        && (budget === undefined || budget.level >= Math.max(movedRetries, budget.burst * moveReserve))
         && hasOther(world, tick, row, from);
 }
 
@@ -38,6 +41,10 @@
  * Effects: attempts that end, log lines.
  */
 export function resumeElsewhere(world: ForwardWorld, tick: ForwardTick): void {
+    // A leaving process gets no new requests, which would refill its retry budget.
+    if (world.tables.node.state === "leaving") {
+        return;
+    }
     for (const key of tick.due.listKeys("streamMove")) {
         const target = world.tables.targets.get(toTargetId(key));
         if (!target || tick.now >= target.loadingUntil) {
@@ -50,6 +57,8 @@
                 const budget = world.tables.retryBudgets.get(row.service);
                 if (budget) {
                     reserveRetry(budget);
+                    reserveRetry(budget);
+                    row.hasSpareRetry = true;
                 }
                 world.effects.append({ kind: "moveAttempt", request: id, attempt: attempt.number });
                 logInfo(world.effects, "stream:", "Stream leaves an engine that loads weights.", {
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -5,6 +5,7 @@
 import type { ForwardCall } from "../calls";
 import type { RouteKind } from "../document";
 import type { ForwardTick } from "../events";
+import { getNewestWeights } from "../tables/configuration";
 import { formatAttemptKey, type ForwardRequestRow } from "../tables/requests";
 import { canPassBackOff, type ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
@@ -57,6 +58,12 @@
     const able = notLoading.length > 0 || row.attempts.length > 0
         ? notLoading
         : working.filter(target => target.loadingUntil - tick.now > fullBackOffMs);
+    const newest = row.arrival.model && getNewestWeights(world.tables.configuration, row.arrival.model)?.version;
+    const current = able.filter(target => row.arrival.model && target.weights.get(row.arrival.model) === newest);
+    // An engine with older weights is the next to be ordered, and then refuses the stream or must be left again.
+    if (row.isRelaying && current.length > 0) {
+        return current;
+    }
     const untried = able.filter(target => !row.attempts.some(attempt => attempt.target === target.registration.id));
     return untried.length > 0 ? untried : able;
 }
--- a/src/forward/tables/requests.ts
+++ b/src/forward/tables/requests.ts
@@ -37,6 +37,8 @@
     hasFirstEvent: boolean;
     /** True for a stream that waits to be resumed and whose place in the retry budget is not reserved yet. */
     owesRetry: boolean;
+    /** True for a moved stream that has a second place in the retry budget, in case that its next target refuses it. */
+    hasSpareRetry: boolean;
 }
 
 export interface ForwardRequestsTable {
--- a/src/policy/retryBudget.ts
+++ b/src/policy/retryBudget.ts
@@ -26,3 +26,8 @@
 export function reserveRetry(budget: RetryBudget): void {
     budget.level = Math.max(0, budget.level - 1);
 }
+
+/** Gives back a retry that was reserved and not used. */
+export function releaseRetry(budget: RetryBudget): void {
+    budget.level = Math.min(budget.burst, budget.level + 1);
+}
--- a/test/forward/movedStreams.test.ts
+++ b/test/forward/movedStreams.test.ts
@@ -122,6 +122,33 @@
         expect(listEffects(effects, "interruptAnswer")).toEqual([]);
     });
 
+    it("does not move streams of a leaving process, whose retry budget is no longer refilled", async () => {
+        const node = await createStreams(["r1"]);
+        node.run([{ kind: "drainAsked" }], 10);
+        expect(listEffects(node.runFor(800, answerMoves, [buildOrderRow(node, "e1")]), "moveAttempt")).toEqual([]);
+    });
+
+    it("sends a moved stream on at once when the next engine refuses it, from a retry reserved with the move", async () => {
+        const node = await createStreams(["r1"]);
+        node.run([node.change({ targets: [{ name: "e3", target: buildTarget("e3") }] })], 10);
+        updateBudget(node, 5);
+        let sends = 0;
+        const refuseFirst = (effect: ForwardEffect): readonly ForwardEvent[] => {
+            if (effect.kind !== "sendRequest") {
+                return answerMoves(effect);
+            }
+            sends += 1;
+            updateBudget(node, 0);
+            const { attempt, request } = effect;
+            const refusal = { ...facts, isSigned: false, isNotRun: true };
+            return sends > 1
+                ? []
+                : [{ kind: "attemptAnswered", request, attempt, status: 503, facts: refusal, isOpenStream: false }];
+        };
+        node.runFor(500, refuseFirst, [buildOrderRow(node, "e1")]);
+        expect(sends).toBe(2);
+    });
+
     it("keeps a moved stream open while other engines refuse it and the retry budget is used up", async () => {
         const node = await createStreams(["r1"]);
         const refuse = (effect: ForwardEffect): readonly ForwardEvent[] => {
