Read the change again: one test of a working target, no knowledge of gone targets

isWorking replaces three copies of the same condition; the newest weights are listed only for streams that are resumed; a move is a function of its own; two fields of the soak that nothing read are removed; tests share builders of peers and members; headers say what the modules do now. Found on the way: what peers told of a target that is gone was kept for ever; test first (800 tokens kept), now it is dropped.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -78,7 +78,6 @@
 
 /** A route that one run of a process has served is never unknown to it later. */
 function checkConfiguration(world: SoakWorld): void {
-    const newest = new Map<string, number>();
     const probes = world.requests.filter(({ answer, kind }) => kind === "probe" && answer !== undefined);
     for (const { node, run, version, answer, sentAt, endedAt } of probes) {
         const key = `${node.vm} run ${run}`;
@@ -91,7 +90,6 @@
                 world.findings.add(`${key}: went back behind version ${version} at ${Math.round(endedAt ?? 0)} ms`);
             }
         }
-        newest.set(key, Math.max(newest.get(key) ?? 0, version));
     }
 }
 
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -26,7 +26,6 @@
 /** Starts the program on the VM of the row, again after it has ended. */
 export function startProgram(world: SoakWorld, node: SoakNode): void {
     node.run += 1;
-    node.newestSeen = 0;
     const child = spawn(process.execPath, [program, "forward", "--settings", node.settingsFile], {
         stdio: ["ignore", "pipe", "pipe"],
     });
@@ -80,7 +79,7 @@
             },
         }),
     );
-    const row = { vm, callers, settingsFile, storeProxy, run: 0, isDisturbed: false, newestSeen: 0, log: "" };
+    const row = { vm, callers, settingsFile, storeProxy, run: 0, isDisturbed: false, log: "" };
     const node = row as unknown as SoakNode;
     startProgram(world, node);
     return node;
--- a/soak/tables.ts
+++ b/soak/tables.ts
@@ -17,8 +17,6 @@
     run: number;
     /** Set while a fault stops, kills or pauses the process. */
     isDisturbed: boolean;
-    /** Newest version of the configuration that this run has shown. */
-    newestSeen: number;
     log: string;
 }
 
--- a/src/forward/peers.ts
+++ b/src/forward/peers.ts
@@ -1,4 +1,7 @@
-/** What the processes of the fleet tell each other. Every message is a full state, so that any of them may be lost. */
+/**
+ * What the processes of the fleet tell each other. Every message is a full state, so that any of them may be lost;
+ * only changes of held parts are numbered and told until the receiver has acknowledged them.
+ */
 import type { AccountId, ModelId, TargetId, VmId } from "../ids";
 import type { CachedPartKey, WeightsVersion } from "./ids";
 
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -1,4 +1,4 @@
-/** Exchanges usage of accounts and work at engines with the other processes of the fleet. */
+/** Exchanges usage, work at engines, ages of weights and held parts with the other processes of the fleet. */
 import { logInfo } from "../../effects";
 import { addMillis, type TargetId, toMillis } from "../../ids";
 import type { ForwardTick } from "../events";
@@ -15,8 +15,8 @@
 const toldVersions = 4;
 
 /**
- * What a peer's earlier run had used, until all of it has left the window: it may have been used last. A process that has run for a window
- * without hearing of an earlier run knows that there was none.
+ * What a peer's earlier run had used, until all of it has left the window: it may have been used last. A process
+ * that has run for a window without hearing of an earlier run knows that there was none.
  */
 function listEarlier(world: ForwardWorld, tick: ForwardTick, peer: PeerRow | undefined): PeerState["earlier"] {
     const { quotaWindowMs } = world.settings.bounds;
@@ -82,11 +82,15 @@
     return [...byTarget];
 }
 
-/** A target that this process follows by itself is known better than it is told. */
+/**
+ * A target that this process follows by itself is known better than it is told. One that is not registered is gone,
+ * and what was told of it would never be dropped.
+ */
 function applyParts(world: ForwardWorld, tick: ForwardTick, { parts }: PeerState): void {
-    const { heldParts } = world.tables;
+    const { configuration, heldParts, targets } = world.tables;
     for (const [target, changes] of parts) {
-        if (heldParts.followers.has(target)) {
+        const isRegistered = targets.get(target) !== undefined || configuration.getPartStore()?.id === target;
+        if (!isRegistered || heldParts.followers.has(target)) {
             continue;
         }
         heldParts.toldAt.set(target, tick.now);
--- a/src/forward/systems/followParts.ts
+++ b/src/forward/systems/followParts.ts
@@ -1,4 +1,7 @@
-/** Follows what engines and stores of parts hold. Events are late and some are lost; a wrong row costs a miss. */
+/**
+ * Follows what engines and stores of parts hold, in a large fleet for all processes. Events are late and some are lost;
+ * a wrong row costs a miss.
+ */
 import { logInfo, logWarning } from "../../effects";
 import { addMillis, type TargetId } from "../../ids";
 import { listByRendezvous } from "../../policy/rendezvous";
--- a/src/forward/systems/placeWeights.ts
+++ b/src/forward/systems/placeWeights.ts
@@ -8,7 +8,7 @@
 import { findOutdatedSince, getNewestWeights } from "../tables/configuration";
 import { isForwardLeaseValid } from "../tables/node";
 import type { RolloutRow, RolloutState } from "../tables/rollouts";
-import { canPassBackOff, type ForwardTargetRow } from "../tables/targets";
+import { type ForwardTargetRow, isWorking } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { computeQueuedTokens } from "./engineLoad";
 import { expectLoading } from "./targetHealth";
@@ -94,9 +94,7 @@
 /** How many engines may load now: each takes its capacity away from requests that wait. */
 function computeParallel(world: ForwardWorld, tick: ForwardTick, model: ModelId): number {
     const { configuration } = world.tables;
-    const working = listEngines(world, model).filter(target =>
-        !target.registration.isLeaving && canPassBackOff(target, tick.now)
-    );
+    const working = listEngines(world, model).filter(target => isWorking(target, tick.now));
     const queued = working.reduce((sum, target) => sum + computeQueuedTokens(world, tick, target), 0);
     const fewFraction = queued <= working.length * quietTokens ? quietFraction : loadedFraction;
     const fraction = working.length < manyEngines ? fewFraction : manyFraction;
--- a/src/forward/systems/resumeElsewhere.ts
+++ b/src/forward/systems/resumeElsewhere.ts
@@ -3,8 +3,8 @@
 import { type TargetId, toTargetId } from "../../ids";
 import { reserveRetry } from "../../policy/retryBudget";
 import type { ForwardTick } from "../events";
-import { findOpenAttempt, type ForwardRequestRow } from "../tables/requests";
-import { canPassBackOff } from "../tables/targets";
+import { findOpenAttempt, type ForwardAttempt, type ForwardRequestRow } from "../tables/requests";
+import { isWorking } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { isKeyWithdrawn } from "./requestEnd";
 
@@ -18,9 +18,8 @@
 function hasOther(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, from: TargetId): boolean {
     return world.tables.targets.listService(row.service).some(target =>
         target.registration.id !== from
-        && !target.registration.isLeaving
         && tick.now >= target.loadingUntil
-        && canPassBackOff(target, tick.now)
+        && isWorking(target, tick.now)
     );
 }
 
@@ -36,6 +35,23 @@
         && hasOther(world, tick, row, from);
 }
 
+function startMove(world: ForwardWorld, row: ForwardRequestRow, { number, target }: ForwardAttempt): void {
+    const budget = world.tables.retryBudgets.get(row.service);
+    if (budget) {
+        for (let count = 0; count < movedRetries; count += 1) {
+            reserveRetry(budget);
+        }
+        row.hasSpareRetry = true;
+    }
+    world.effects.append({ kind: "moveAttempt", request: row.id, attempt: number });
+    logInfo(world.effects, "stream:", "Stream leaves an engine that loads weights.", {
+        request: row.id,
+        target,
+        attempt: number,
+        budgetLeft: budget?.level,
+    });
+}
+
 /**
  * Reads: configuration, targets, requests. Writes: retry budgets; the attempts end by the events that follow.
  * Effects: attempts that end, log lines.
@@ -54,19 +70,7 @@
             const row = world.tables.requests.get(id);
             const attempt = row && findOpenAttempt(row, row.attempts.length);
             if (row && attempt && canMove(world, tick, row, target.registration.id)) {
-                const budget = world.tables.retryBudgets.get(row.service);
-                if (budget) {
-                    reserveRetry(budget);
-                    reserveRetry(budget);
-                    row.hasSpareRetry = true;
-                }
-                world.effects.append({ kind: "moveAttempt", request: id, attempt: attempt.number });
-                logInfo(world.effects, "stream:", "Stream leaves an engine that loads weights.", {
-                    request: id,
-                    target: target.registration.id,
-                    attempt: attempt.number,
-                    budgetLeft: budget?.level,
-                });
+                startMove(world, row, attempt);
             }
         }
     }
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -7,7 +7,7 @@
 import type { ForwardTick } from "../events";
 import { getNewestWeights } from "../tables/configuration";
 import { formatAttemptKey, type ForwardRequestRow } from "../tables/requests";
-import { canPassBackOff, type ForwardTargetRow } from "../tables/targets";
+import { type ForwardTargetRow, isWorking } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { chooseEngine, computeOutdatedAge, type TargetChoice } from "./chooseEngine";
 import { refuseForward } from "./requestEnd";
@@ -24,6 +24,7 @@
 const outdatedLimit = 0.85;
 /** A target that owes answers and has been silent for this long gets nothing new. */
 const silentMs = 900;
+
 /** True when the target owes an answer that was sent long enough ago and nothing has come from it since. */
 function isSilent(target: ForwardTargetRow, tick: ForwardTick): boolean {
     for (const { sentAt } of target.work.values()) {
@@ -42,12 +43,24 @@
 ): boolean => computeOutdatedAge(world, tick, row, target) > world.settings.bounds.weightsMs * outdatedLimit;
 
 function canTake(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, target: ForwardTargetRow): boolean {
-    return !target.registration.isLeaving
-        && canPassBackOff(target, tick.now)
+    return isWorking(target, tick.now)
         && !isSilent(target, tick)
         && !isOutdated(world, tick, row, target);
 }
 
+/**
+ * Engines with the newest weights. One with older weights is the next to be ordered, and then refuses a stream that is
+ * resumed there or must be left again.
+ */
+function listCurrent(
+    world: ForwardWorld,
+    { arrival: { model } }: ForwardRequestRow,
+    able: readonly ForwardTargetRow[],
+): ForwardTargetRow[] {
+    const newest = model && getNewestWeights(world.tables.configuration, model)?.version;
+    return able.filter(target => (model && target.weights.get(model)) === newest);
+}
+
 /**
  * Targets that can take the request; one that it was sent to before is listed only when there is no other. When all
  * are expected to load weights they are asked all the same: the orders may be old news of a store that was away.
@@ -58,11 +71,11 @@
     const able = notLoading.length > 0 || row.attempts.length > 0
         ? notLoading
         : working.filter(target => target.loadingUntil - tick.now > fullBackOffMs);
-    const newest = row.arrival.model && getNewestWeights(world.tables.configuration, row.arrival.model)?.version;
-    const current = able.filter(target => row.arrival.model && target.weights.get(row.arrival.model) === newest);
-    // An engine with older weights is the next to be ordered, and then refuses the stream or must be left again.
-    if (row.isRelaying && current.length > 0) {
-        return current;
+    if (row.isRelaying) {
+        const current = listCurrent(world, row, able);
+        if (current.length > 0) {
+            return current;
+        }
     }
     const untried = able.filter(target => !row.attempts.some(attempt => attempt.target === target.registration.id));
     return untried.length > 0 ? untried : able;
--- a/src/forward/systems/targetEnd.ts
+++ b/src/forward/systems/targetEnd.ts
@@ -6,6 +6,7 @@
 export function closeForwardTarget(world: ForwardWorld, row: ForwardTargetRow): void {
     const { id } = row.registration;
     world.tables.heldParts.removeTarget(id);
+    world.tables.heldParts.toldAt.delete(id);
     world.tables.rollouts.rows.delete(id);
     world.tables.rollouts.recorded.delete(id);
     world.effects.append({ kind: "closeTarget", target: id });
--- a/src/forward/tables/heldParts.ts
+++ b/src/forward/tables/heldParts.ts
@@ -1,4 +1,4 @@
-/** Which engine or store of parts holds which part of prompts, by its events and this process's own requests. */
+/** Which engine or store of parts holds which part of prompts, by its events, by peers and by own requests. */
 import type { Millis, TargetId } from "../../ids";
 import type { CachedPartKey } from "../ids";
 import { createPartJournal, type PartJournal } from "./partJournal";
--- a/src/forward/tables/targets.ts
+++ b/src/forward/tables/targets.ts
@@ -113,10 +113,14 @@
 }
 
 /** True when the circuit of the target lets one more request through. */
-export function canPassBackOff(row: ForwardTargetRow, now: Millis): boolean {
+function canPassBackOff(row: ForwardTargetRow, now: Millis): boolean {
     if (row.backOffUntil === 0) {
         return true;
     }
     const isTrialRunning = row.trial !== undefined && row.work.has(row.trial);
     return now >= row.backOffUntil && !isTrialRunning;
 }
+
+/** True when the target is neither leaving nor backed off. It may be loading weights. */
+export const isWorking = (row: ForwardTargetRow, now: Millis): boolean =>
+    !row.registration.isLeaving && canPassBackOff(row, now);
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -7,6 +7,7 @@
     buildArrival,
     buildDocument,
     buildMember,
+    buildPeerState,
     buildRoute,
     buildTarget,
     createForwardTestNode,
@@ -198,17 +199,7 @@
         });
         const version = toWeightsVersion(2);
         node.run([node.change({ weights: [{ model, version }] })], 1000);
-        const state = {
-            vm: toVmId("front-9"),
-            startedAt: 1,
-            usage: [],
-            knownStart: 0,
-            load: [],
-            partsHeard: 0,
-            partsTold: 0,
-            parts: [],
-            named: [[model, version, 9000] as const],
-        };
+        const state = buildPeerState({ named: [[model, version, 9000]] });
         node.run([{ kind: "peerAsked", call: toCallId("c"), state }], 10);
         expect(listEffects(sendArrival(node, "r1"), "sendRequest")).toHaveLength(0);
     });
--- a/test/forward/sharedFollowing.test.ts
+++ b/test/forward/sharedFollowing.test.ts
@@ -1,29 +1,26 @@
 import { Ok } from "ts-results";
 import { describe, expect, it } from "vitest";
-import { encodeMember, memberPrefix } from "../../src/forward/codec/fleetRows";
 import { toCachedPartKey, toCacheSalt, toPartId } from "../../src/forward/ids";
 import { createPartJournal } from "../../src/forward/tables/partJournal";
 import { toCallId, toTargetId } from "../../src/ids";
 import {
     buildDocument,
-    buildMember,
+    buildMemberRows,
+    buildPeerState,
     buildTarget,
     createForwardTestNode,
     type ForwardTestNode,
     listEffects,
+    listNodeNames,
 } from "../support/forwardNode";
 
-const names = Array.from({ length: 20 }, (_, index) => `front-${100 + index}`);
+const names = listNodeNames(20);
 const engines = Array.from({ length: 30 }, (_, index) => `e${index}`);
 const part = toCachedPartKey(toCacheSalt("s"), toPartId("a"));
 const other = toCachedPartKey(toCacheSalt("s"), toPartId("b"));
 
 async function startNodes(): Promise<{ readonly node: ForwardTestNode; readonly followed: ReadonlySet<string>; }[]> {
-    const rows = names.map(name => ({
-        key: `${memberPrefix}${name}`,
-        value: encodeMember(buildMember(name)),
-        createRevision: 1,
-    }));
+    const rows = buildMemberRows(names);
     const services = new Map([...buildDocument().services].map(([id, service]) => [
         id,
         service.engine ? { ...service, engine: { ...service.engine, maxFollowers: 12 } } : service,
@@ -69,17 +66,7 @@
             const told = listEffects(asked, "answerPeer")[0]?.state;
             peer.run(told ? [{ kind: "peerReplied", vm: told.vm, result: Ok(told) }] : []);
         };
-        const state = {
-            vm: follower.world.settings.vm,
-            startedAt: 0,
-            usage: [],
-            knownStart: 0,
-            named: [],
-            load: [],
-            partsHeard: 0,
-            partsTold: 0,
-            parts: [],
-        };
+        const state = buildPeerState({ vm: follower.world.settings.vm, startedAt: 0 });
         follower.run([{ kind: "partsReported", target, report: buildReport(1, [{ part, tokens: 800 }]) }]);
         exchange();
         expect(peer.world.tables.heldParts.getTokens(target, part)).toBe(800);
@@ -88,6 +75,15 @@
         expect(peer.world.tables.heldParts.getTokens(target, part)).toBe(0);
         expect(peer.world.tables.heldParts.getTokens(target, other)).toBe(100);
     });
+
+    it("keeps nothing that is told of a target that is gone, since nobody would ever drop it", async () => {
+        const [first] = await startNodes();
+        const gone = toTargetId("gone@1");
+        const state = buildPeerState({ partsTold: 1, parts: [[gone, [[part, 800]]]] });
+        first?.node.run([{ kind: "peerAsked", call: toCallId("c"), state }]);
+        expect(first?.node.world.tables.heldParts.getTokens(gone, part)).toBe(0);
+        expect(first?.node.world.tables.heldParts.toldAt.has(gone)).toBe(false);
+    });
 });
 
 describe("journal of held parts", () => {
--- a/test/forward/usage.test.ts
+++ b/test/forward/usage.test.ts
@@ -1,7 +1,6 @@
 import * as fc from "fast-check";
 import { Ok } from "ts-results";
 import { describe, expect, it } from "vitest";
-import { encodeMember, memberPrefix } from "../../src/forward/codec/fleetRows";
 import type { ForwardEffect } from "../../src/forward/effects";
 import type { ForwardEvent } from "../../src/forward/events";
 import { addUsage, createUsageWindow, updateUsageWindow } from "../../src/forward/policy/usageWindow";
@@ -10,11 +9,12 @@
 import {
     buildArrival,
     buildDocument,
-    buildMember,
+    buildMemberRows,
     buildTarget,
     createForwardTestNode,
     type ForwardTestNode,
     listEffects,
+    listNodeNames,
 } from "../support/forwardNode";
 
 const windowMs = 8000;
@@ -24,8 +24,6 @@
 /** Processes of this fleet exchange every 2.6 s. */
 const largeFleet = 35;
 
-const listNames = (size: number) => Array.from({ length: size }, (_, index) => `front-${100 + index}`);
-
 interface Fleet {
     readonly nodes: (ForwardTestNode | undefined)[];
     /** Times and tokens of admitted requests. */
@@ -46,11 +44,7 @@
     index: number,
     { rate, slackTokens }: Required<FleetOptions>,
 ): Promise<ForwardTestNode> {
-    const rows = names.map(name => ({
-        key: `${memberPrefix}${name}`,
-        value: encodeMember(buildMember(name)),
-        createRevision: 1,
-    }));
+    const rows = buildMemberRows(names);
     const node = await createForwardTestNode(names[index], index + 1);
     const { settings } = node.world;
     (node.world as { settings: ForwardSettings; }).settings = {
@@ -69,7 +63,7 @@
 /** A fleet whose exchanges reach each other within one step. */
 async function createFleet(options: FleetOptions = {}): Promise<Fleet> {
     const fleet = { size: smallFleet, rate, slackTokens: 1000, promptTokens: 1000, ...options };
-    const names = listNames(fleet.size);
+    const names = listNodeNames(fleet.size);
     const nodes: (ForwardTestNode | undefined)[] = await Promise.all(
         names.map((_, index) => startNode(names, index, fleet)),
     );
--- a/test/support/forwardNode.ts
+++ b/test/support/forwardNode.ts
@@ -4,10 +4,12 @@
 import { loadHasher } from "../../src/adapters/hasher";
 import { createEffectQueue } from "../../src/effects";
 import type { ForwardArrival } from "../../src/forward/calls";
+import { encodeMember, memberPrefix } from "../../src/forward/codec/fleetRows";
 import type { ForwardDocument, ForwardRoute, RegisteredTarget } from "../../src/forward/document";
 import type { ForwardEffect, ForwardEffectOf } from "../../src/forward/effects";
-import { createForwardBatch, type ForwardEvent, type PublishedChanges } from "../../src/forward/events";
+import { createForwardBatch, type FleetRow, type ForwardEvent, type PublishedChanges } from "../../src/forward/events";
 import { toPartId, toServiceId, toWeightsVersion } from "../../src/forward/ids";
+import type { PeerState } from "../../src/forward/peers";
 import { parseForwardSettings } from "../../src/forward/settings";
 import { forwardSystems } from "../../src/forward/systems";
 import { createForwardTables } from "../../src/forward/tables";
@@ -253,3 +255,24 @@
     dataCentre: toDataCentreId("dc-0"),
     state: "live" as const,
 });
+
+/** State of a peer that tells nothing but what the options name. */
+export const buildPeerState = (options: Partial<PeerState> = {}): PeerState => ({
+    vm: toVmId("front-9"),
+    startedAt: 1,
+    usage: [],
+    knownStart: 0,
+    named: [],
+    load: [],
+    partsHeard: 0,
+    partsTold: 0,
+    parts: [],
+    ...options,
+});
+
+export const listNodeNames = (size: number): string[] =>
+    Array.from({ length: size }, (_, index) => `front-${100 + index}`);
+
+/** Rows of the members in the store. */
+export const buildMemberRows = (names: readonly string[]): FleetRow[] =>
+    names.map(name => ({ key: `${memberPrefix}${name}`, value: encodeMember(buildMember(name)), createRevision: 1 }));
