Learn from peers of weights that were replaced before the process started

The sender had been killed and started again; the store shows the newest version only, so it counted an engine on version 2 as outdated since version 4 was named (7.3 s) and not since version 3 (12.5 s).

--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -4,6 +4,7 @@
 import type { ForwardTick } from "../events";
 import type { CachedPartKey } from "../ids";
 import type { PeerState } from "../peers";
+import { recordNaming } from "../tables/configuration";
 import type { ForwardMemberRow } from "../tables/members";
 import type { PeerRow } from "../tables/peers";
 import type { ForwardWorld } from "../world";
@@ -49,16 +50,12 @@
 
 /**
  * The earliest naming that any process saw is the nearest to the truth: one that was suspended meanwhile counts too
- * little time since then, as its monotonic clock stood still.
+ * little time since then, as its monotonic clock stood still. A process that has started does not find versions in the
+ * store that were replaced before; an engine that has not even those is older than the newest naming says.
  */
 function applyNamed(world: ForwardWorld, tick: ForwardTick, { named }: PeerState): void {
     for (const [model, version, ageMs] of named) {
-        const known = world.tables.configuration.weights.get(model)?.find(entry => entry.version === version);
-        const namedAt = addMillis(tick.now, -ageMs);
-        if (known && (!known.isSeen || namedAt < known.namedAt)) {
-            known.namedAt = namedAt;
-            known.isSeen = true;
-        }
+        recordNaming(world.tables.configuration, model, { version, namedAt: addMillis(tick.now, -ageMs) });
     }
 }
 
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from "vitest";
 import { encodeMember, encodeOrder, memberPrefix, orderPrefix } from "../../src/forward/codec/fleetRows";
 import { toPartId, toWeightsVersion } from "../../src/forward/ids";
+import { getNewestWeights } from "../../src/forward/tables/configuration";
 import { toCallId, toDataCentreId, toMillis, toRequestId, toTargetId, toVmId } from "../../src/ids";
 import {
     buildArrival,
@@ -204,6 +205,19 @@
         expect(listEffects(sendArrival(node, "r1"), "sendRequest")).toHaveLength(0);
     });
 
+    it("learns from peers of versions that were named and replaced before it started", async () => {
+        const [version3, version4] = [toWeightsVersion(3), toWeightsVersion(4)];
+        const node = await createReadyNode({
+            document: buildDocument(),
+            targets: [{ name: "e1", target: buildTarget("e1", { weights: new Map([[model, toWeightsVersion(2)]]) }) }],
+            weights: [{ model, version: version4 }],
+        });
+        const state = buildPeerState({ named: [[model, version3, 9000], [model, version4, 1000]] });
+        node.run([{ kind: "peerAsked", call: toCallId("c"), state }], 10);
+        expect(listEffects(sendArrival(node, "r1"), "sendRequest")).toHaveLength(0);
+        expect(getNewestWeights(node.world.tables.configuration, model)?.version).toBe(version4);
+    });
+
     it("fetches shared parts from the engine that holds them", async () => {
         const node = await createReadyNode({ document: buildDocument(), targets: buildEngines(2) });
         const parts = [{ id: toPartId("catalogue"), tokens: 5000 }, { id: toPartId("own"), tokens: 500 }];
