--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -98,9 +98,15 @@
     const tail = world.requests.filter(({ sentAt, key, kind }) =>
         sentAt > world.lengthMs * (1 - quietPart) && key !== secondKey && kind !== "probe"
     );
-    const served = tail.filter(({ answer }) => answer?.status === 200 && answer.isComplete).length;
+    const unserved = tail.filter(({ answer }) => answer?.status !== 200 || !answer.isComplete);
+    const served = tail.length - unserved.length;
     if (tail.length > 0 && served / tail.length < servedAtLeast) {
-        world.findings.add(`only ${served} of ${tail.length} requests were served after the faults`);
+        const list = unserved.map(({ attempt, kind, node, sentAt, answer }) =>
+            `${kind} ${attempt} to ${node.vm} at ${Math.round(sentAt)} ms (${answer?.status ?? "no answer"})`
+        );
+        world.findings.add(
+            `only ${served} of ${tail.length} requests were served after the faults; not ${list.join(", ")}`,
+        );
     }
 }
 
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -7,7 +7,7 @@
 import { getNewestWeights } from "../tables/configuration";
 import type { ForwardWorld } from "../world";
 import { closeForwardTarget } from "./targetEnd";
-import { expectLoading } from "./targetHealth";
+import { endBackOff, expectLoading } from "./targetHealth";
 
 /** The store's silence ended this recently: rows that lapsed meanwhile may still come back. */
 const returnMs = 2300;
@@ -72,6 +72,7 @@
         if (known && !replaced && hasNewWeights) {
             heldParts.removeTarget(target.id);
             known.loadingUntil = tick.now;
+            endBackOff(known, tick.now);
         }
         if (wasLeaving !== target.isLeaving || replaced || hasNewWeights) {
             logInfo(world.effects, "target:", "Target is registered.", {
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -51,11 +51,14 @@
 /**
  * The earliest naming that any process saw is the nearest to the truth: one that was suspended meanwhile counts too
  * little time since then, as its monotonic clock stood still. A process that has started does not find versions in the
- * store that were replaced before; an engine that has not even those is older than the newest naming says.
+ * store that were replaced before, and one that the store does not answer learns of new versions from peers alone.
  */
-function applyNamed(world: ForwardWorld, tick: ForwardTick, { named }: PeerState): void {
+function applyNamed(world: ForwardWorld, tick: ForwardTick, { named, vm }: PeerState): void {
     for (const [model, version, ageMs] of named) {
-        recordNaming(world.tables.configuration, model, { version, namedAt: addMillis(tick.now, -ageMs) });
+        const naming = { version, namedAt: addMillis(tick.now, -ageMs) };
+        if (recordNaming(world.tables.configuration, model, naming)) {
+            logInfo(world.effects, "peer:", "A peer told of named weights.", { model, version, ageMs, peer: vm });
+        }
     }
 }
 
--- a/src/forward/systems/targetHealth.ts
+++ b/src/forward/systems/targetHealth.ts
@@ -40,6 +40,13 @@
     });
 }
 
+/** Lets a trial pass at once. A target that has registered something new works and reaches the store. */
+export function endBackOff(row: ForwardTargetRow, now: Millis): void {
+    if (row.backOffUntil > now) {
+        row.backOffUntil = now;
+    }
+}
+
 /** Records a failed answer of a target that works otherwise; it only loses preference. */
 export function recordErrorAnswer(row: ForwardTargetRow): void {
     row.failureShare += (1 - row.failureShare) * failureWeight;
--- a/src/forward/tables/configuration.ts
+++ b/src/forward/tables/configuration.ts
@@ -75,22 +75,25 @@
     return table.weights.get(model)?.at(-1);
 }
 
-/** Records a naming that a peer saw, unless this process knows an earlier one or no newer version yet. */
+/** Records a naming that a peer saw, unless this process knows an earlier one. Returns true for an unknown version. */
 export function recordNaming(
     table: ForwardConfigurationTable,
     model: ModelId,
     { version, namedAt }: Omit<NamedWeights, "isSeen">,
-): void {
+): boolean {
     const versions = table.weights.get(model) ?? [];
     const known = versions.find(entry => entry.version === version);
-    if (known && (!known.isSeen || namedAt < known.namedAt)) {
+    if (!known) {
+        const next = versions.findIndex(entry => entry.version > version);
+        versions.splice(next < 0 ? versions.length : next, 0, { version, namedAt, isSeen: true });
+        table.weights.set(model, versions);
+        return true;
+    }
+    if (!known.isSeen || namedAt < known.namedAt) {
         known.namedAt = namedAt;
         known.isSeen = true;
     }
-    const next = versions.findIndex(entry => entry.version > version);
-    if (!known && next >= 0) {
-        versions.splice(next, 0, { version, namedAt, isSeen: true });
-    }
+    return false;
 }
 
 /** Time at which a version newer than the given one was first named; undefined when there is none. */
--- a/test/forward/platform.test.ts
+++ b/test/forward/platform.test.ts
@@ -1,8 +1,11 @@
-import { describe, expect, it } from "vitest";
+import { describe, expect, it, vi } from "vitest";
 import { decodeConfiguration, decodeTarget, decodeWeights } from "../../platform/documents";
 import { platformHeaders } from "../../platform/headers";
+import { createStoreFeed } from "../../platform/storeFeed";
+import { createKeepAliveAgent } from "../../src/adapters/httpClient";
 import { toCacheSalt, toWeightsVersion } from "../../src/forward/ids";
-import { toTargetId } from "../../src/ids";
+import { toMillis, toTargetId } from "../../src/ids";
+import { startPlatformStore } from "../../standins/platformStore";
 
 const call = {
     target: toTargetId("i-1@5"),
@@ -131,3 +134,30 @@
         expect(decodeWeights("{\"model\":\"m\",\"version\":2}")).toEqual({ model: "m", version: 2 });
     });
 });
+
+describe("feed of the platform's store", () => {
+    it("notices soon that a silent store is back", async () => {
+        const store = await startPlatformStore();
+        const events: { readonly kind: string; readonly at: number; }[] = [];
+        const feed = createStoreFeed({
+            access: { address: store.address, agent: createKeepAliveAgent(), timeoutMs: 500 },
+            clock: { getNow: () => toMillis(performance.now()) },
+            post: ({ kind }) => {
+                events.push({ kind, at: performance.now() });
+                if (kind === "publishedRead") {
+                    store.faults.mode = "silent";
+                }
+            },
+        });
+        feed.start();
+        await vi.waitUntil(() => events.some(({ kind }) => kind === "storeSilent"), { timeout: 5000 });
+        // The next watch begins while the store is still silent.
+        await new Promise(resolve => setTimeout(resolve, 450));
+        store.faults.mode = "none";
+        const backAt = performance.now();
+        await vi.waitUntil(() => events.at(-1)?.kind === "publishedChanged", { timeout: 5000 });
+        expect(performance.now() - backAt).toBeLessThan(1500);
+        feed.stop();
+        await store.close();
+    }, 10_000);
+});
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -218,6 +218,40 @@
         expect(getNewestWeights(node.world.tables.configuration, model)?.version).toBe(version4);
     });
 
+    it("expects the weights that only a peer saw being named once an engine rejects the older ones", async () => {
+        const node = await createReadyNode({ document: buildDocument(), targets: buildEngines(1) });
+        const state = buildPeerState({ named: [[model, toWeightsVersion(2), 100]] });
+        node.run([{ kind: "peerAsked", call: toCallId("c"), state }], 10);
+        sendArrival(node, "r1");
+        const request = toRequestId("r1");
+        const again = node.run([{ kind: "attemptBytesHanded", request, attempt: 1 }, {
+            kind: "attemptAnswered",
+            request,
+            attempt: 1,
+            status: 421,
+            facts: { ...facts, attemptId: "r1", isSigned: false, isMisdirected: true },
+            isOpenStream: false,
+        }], 1);
+        expect(listEffects(again, "sendRequest")[0]?.call.engine?.version).toBe(2);
+    });
+
+    it("tries an engine at once that was backed off and registers new weights", async () => {
+        const node = await createReadyNode({ document: buildDocument(), targets: buildEngines(1) });
+        sendArrival(node, "r1");
+        const request = toRequestId("r1");
+        const failed = node.run([{
+            kind: "attemptFailed",
+            request,
+            attempt: 1,
+            fault: "connect",
+            lastEventId: 0,
+        }], 1);
+        expect(listEffects(failed, "sendRequest")).toHaveLength(0);
+        const weights = [{ model, version: toWeightsVersion(2) }];
+        const registered = node.run([node.change({ targets: buildEngines(1, 2), weights })], 1);
+        expect(listEffects(registered, "sendRequest")).toHaveLength(1);
+    });
+
     it("fetches shared parts from the engine that holds them", async () => {
         const node = await createReadyNode({ document: buildDocument(), targets: buildEngines(2) });
         const parts = [{ id: toPartId("catalogue"), tokens: 5000 }, { id: toPartId("own"), tokens: 500 }];
