--- a/standins/platformServer.ts
+++ b/standins/platformServer.ts
@@ -42,7 +42,9 @@
     /** Answers with a success that is not signed. */
     | "unsigned"
     /** Sends a second answer after the right one. */
-    | "extra";
+    | "extra"
+    /** Refuses before it has read the body, and closes the connection. */
+    | "early";
 
 export interface PlatformServer {
     readonly address: string;
@@ -51,6 +53,9 @@
     behaviour: ServerBehaviour;
     /** Version of the weights; orders change it. */
     version: number;
+    /** Orders get no answer and are carried out after this time, unless another one came first; 0 at once. */
+    orderDelayMs: number;
+    /** Orders that were carried out. */
     readonly orders: { readonly holder: string; readonly fencing: number; readonly version: number; }[];
     /** What the server writes to the store. */
     describe(state?: "ready" | "draining"): Record<string, unknown>;
@@ -69,6 +74,14 @@
     readonly answerText?: string;
 }
 
+interface OrderBody {
+    readonly version: number;
+    readonly holder: string;
+    readonly "fencing-token": number;
+    /** Number of orders that the sender takes to have been accepted. */
+    readonly expected?: number;
+}
+
 const wait = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
 /** Starts a server on a free port of the loopback address. */
@@ -95,7 +108,7 @@
         ) {
             return 421;
         }
-        return server.behaviour === "shed" ? 503 : undefined;
+        return server.behaviour === "shed" || server.behaviour === "early" ? 503 : undefined;
     }
 
     async function sendStream(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
@@ -121,6 +134,7 @@
                 response.end(answerText);
             },
             shed: () => undefined,
+            early: () => undefined,
             hang: () => undefined,
             error: () => {
                 response.writeHead(500, { ...headers, "content-length": 5 });
@@ -160,7 +174,7 @@
             method: request.method ?? "",
             path: request.url ?? "",
             headers: request.headers,
-            body: (await readBytes(request)).toString(),
+            body: server.behaviour === "early" ? "" : (await readBytes(request)).toString(),
             ran: refusal === undefined,
             cancelled: false,
         };
@@ -169,7 +183,8 @@
             entry.cancelled = !response.writableFinished;
         });
         if (refusal !== undefined) {
-            response.writeHead(refusal, { [names.notRun]: "1", "content-length": 0 });
+            const closing = server.behaviour === "early" ? { connection: "close" } : {};
+            response.writeHead(refusal, { ...closing, [names.notRun]: "1", "content-length": 0 });
             response.end();
             return;
         }
@@ -181,7 +196,15 @@
     }
 
     async function handleOrder(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-        const order = await readJson(request) as { version: number; holder: string; "fencing-token": number; };
+        const order = await readJson(request) as OrderBody;
+        const { orderDelayMs } = server;
+        if (orderDelayMs > 0) {
+            await wait(orderDelayMs);
+        }
+        if (order.expected !== undefined && order.expected !== orders.length) {
+            sendAnswer(response, 409, {});
+            return;
+        }
         orders.push({ holder: order.holder, fencing: order["fencing-token"], version: order.version });
         server.version = order.version;
         sendAnswer(response, 202, {});
@@ -211,6 +234,7 @@
         received,
         behaviour: "answer",
         version: 1,
+        orderDelayMs: 0,
         orders,
         describe: (state = "ready") => ({
             service,
--- a/test/forward/wholePath.test.ts
+++ b/test/forward/wholePath.test.ts
@@ -84,6 +84,19 @@
         expect(listRuns(path.services)).toHaveLength(1);
     });
 
+    it("believes a refusal that comes before the target has read a long body", async () => {
+        const path = await start();
+        path.services.forEach(service => {
+            service.behaviour = "early";
+        });
+        const body = "x".repeat(4 * 1024 * 1024);
+        for (let request = 0; request < 5; request += 1) {
+            const answer = await sendRequest(getCallers(path), { path: `/issue/${request}`, body });
+            expect(answer.status).toBe(503);
+        }
+        expect(listRuns(path.services)).toHaveLength(0);
+    });
+
     it("repeats a repeatable request at another target and not at a third", async () => {
         const path = await start();
         path.services.forEach(service => {
@@ -240,6 +253,34 @@
     }, 15_000);
 });
 
+describe("orders that are carried out late", () => {
+    it("never bring an engine back to older weights, also after their sender is gone", async () => {
+        // Longer than it takes another process to hold the duty and to order the next version.
+        const lateMs = 7000;
+        const path = await start({ nodes: 2 });
+        path.engines.forEach(engine => {
+            engine.orderDelayMs = lateMs;
+        });
+        path.store.put("op/version/model-a", { model: "model-a", version: 2 });
+        const findSender = () =>
+            path.nodes.find(({ logs }) => logs.some(line => line.includes("Engine is ordered to take new weights")));
+        await waitUntil(() => findSender() !== undefined, 8000);
+        const sentBy = Date.now();
+        findSender()?.node.stop();
+        path.engines.forEach(engine => {
+            engine.orderDelayMs = 0;
+        });
+        path.store.put("op/version/model-a", { model: "model-a", version: 3 });
+        await waitUntil(() => path.engines.every(engine => engine.version === 3), 15_000);
+        expect(Date.now() - sentBy).toBeLessThan(lateMs);
+        await new Promise(resolve => setTimeout(resolve, lateMs));
+        for (const { orders } of path.engines) {
+            const versions = orders.map(({ version }) => version);
+            expect(versions).toEqual([...versions].sort((left, right) => left - right));
+        }
+    }, 30_000);
+});
+
 describe("processes", () => {
     it("tells callers the addresses of all processes, and leaves out one that is stopping", async () => {
         const path = await start({ nodes: 2 });
