Keep the first engines with new weights from being sent everything, and call the store less in large fleets

An engine that had just registered got 80,000 prompt tokens of twelve processes in 0.7 s. The preference of new weights (150 ms) exceeded every other difference, and engines after the first by hash were equal to each other, so all processes chose the same idle one before they heard of each other's requests.

Ruled out: the engines' capacity (27.5 million tokens in 35 s, about a fifth of what 63 engines read).

Change: each further rank by hash costs 6 ms more; the preference of new weights is in proportion to the part of the engines that have them.

Tests: routing (74 of 90 prompts went to one engine of twelve before, under 25 now), feed of the store.

--- a/src/forward/policy/engineScore.ts
+++ b/src/forward/policy/engineScore.ts
@@ -30,6 +30,11 @@
 const remoteMs = 4;
 /** Added for engines other than the first by rendezvous hash, so that independent processes agree on ties. */
 const rankMs = 25;
+/**
+ * Added for each further rank. While few engines have new weights, or the first one is full, all processes would
+ * otherwise choose the same idle engine for all prompts before they hear of each other's requests.
+ */
+const rankStepMs = 6;
 /** Added for an engine on which every request fails. */
 const failureMs = 3000;
 
@@ -61,7 +66,7 @@
         + ownMs
         + choice.runningRequests * fleetFactor * runningCostMs
         + (choice.isRemote ? remoteMs : 0)
-        + (choice.rank === 0 ? 0 : rankMs)
+        + (choice.rank === 0 ? 0 : rankMs + (choice.rank - 1) * rankStepMs)
         + choice.outdatedMs
         + choice.failureShare * failureMs;
 }
--- a/src/forward/systems/chooseEngine.ts
+++ b/src/forward/systems/chooseEngine.ts
@@ -13,7 +13,10 @@
 
 /** Answers made on weights that were replaced this long ago lose worth. */
 const outdatedAfterMs = 1200;
-/** Preference of an engine with the newest weights after that time. */
+/**
+ * Preference of an engine with the newest weights after that time, once all others have them. It is in proportion to
+ * their number before: a few engines cannot serve the requests of all.
+ */
 const outdatedPenaltyMs = 150;
 /** Part of the shared tokens that an engine is expected to hold when it comes first for them. */
 const expectedFraction = 0.7;
@@ -58,6 +61,8 @@
 interface EngineState {
     readonly target: ForwardTargetRow;
     readonly version: WeightsVersion | undefined;
+    /** True when its weights were replaced so long ago that its answers lose worth. */
+    readonly isOutdated: boolean;
     /** Tokens of the prompt that the engine holds, as far as is known or expected. */
     readonly held: number;
 }
@@ -139,8 +144,10 @@
         const version = model && target.weights.get(model);
         const known = version === undefined ? 0 : computeHeldTokens(world, id, computeSalt(row, version), parts);
         const held = id === ranks[0] ? Math.max(known, computeExpectedTokens(world, tick, row, id)) : known;
-        return { target, version, held };
+        const isOutdated = computeOutdatedAge(world, tick, row, target) > outdatedAfterMs;
+        return { target, version, isOutdated, held };
     });
+    const currentPart = engines.filter(({ isOutdated }) => !isOutdated).length / Math.max(1, engines.length);
     const fleetFactor = computeFleetFactor(world, tick);
     let best: TargetChoice | undefined;
     for (const engine of engines) {
@@ -155,7 +162,7 @@
             fetchedTokens,
             isRemote: target.registration.dataCentre !== world.settings.dataCentre,
             rank: ranks.indexOf(target.registration.id),
-            outdatedMs: computeOutdatedAge(world, tick, row, target) > outdatedAfterMs ? outdatedPenaltyMs : 0,
+            outdatedMs: engine.isOutdated ? outdatedPenaltyMs * currentPart : 0,
             failureShare: target.failureShare,
         }, fleetFactor);
         if (!best || scoreMs < best.scoreMs) {
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -15,9 +15,9 @@
  * Pause between two deliveries of the store, for each process: the calls of a fleet grow slower than the fleet. The
  * longest leaves a process that watches a silent connection time to see a configuration within its bound of 3 s.
  */
-const pauseMsForEach = 20;
+const pauseMsForEach = 30;
 const shortestPauseMs = 300;
-const longestPauseMs = 700;
+const longestPauseMs = 1000;
 /** Added to the guard time for orders of the holder before that are on their way. */
 const guardMarginMs = 300;
 
--- a/test/forward/platform.test.ts
+++ b/test/forward/platform.test.ts
@@ -136,6 +136,32 @@
 });
 
 describe("feed of the platform's store", () => {
+    it(
+        "calls the store less often with a longer pause, while it changes all the time and while it does not",
+        async () => {
+            for (const changeEveryMs of [50, 10_000]) {
+                const store = await startPlatformStore();
+                const feed = createStoreFeed({
+                    access: { address: store.address, agent: createKeepAliveAgent(), timeoutMs: 500 },
+                    clock: { getNow: () => toMillis(performance.now()) },
+                    post: () => undefined,
+                });
+                feed.pace(1000);
+                feed.start();
+                const changes = setInterval(() => {
+                    store.put("op/other", {});
+                }, changeEveryMs);
+                await new Promise(resolve => setTimeout(resolve, 2700));
+                clearInterval(changes);
+                feed.stop();
+                // A watch every 1 s, or every 1.5 s when nothing changes.
+                expect(store.calls.get("kv-watch")).toBeLessThanOrEqual(3);
+                await store.close();
+            }
+        },
+        10_000,
+    );
+
     it("notices soon that a silent store is back", async () => {
         const store = await startPlatformStore();
         const events: { readonly kind: string; readonly at: number; }[] = [];
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -218,6 +218,30 @@
         expect(getNewestWeights(node.world.tables.configuration, model)?.version).toBe(version4);
     });
 
+    it("sends the first engines with new weights no more than they can serve, also while all of them seem idle", async () => {
+        const newest = toWeightsVersion(2);
+        const names = Array.from({ length: 12 }, (_, index) => `e${index}`);
+        const targets = names.map((name, index) => ({
+            name,
+            target: buildTarget(name, { weights: new Map([[model, index < 3 ? newest : toWeightsVersion(1)]]) }),
+        }));
+        const node = await createReadyNode({ document: buildDocument(), targets });
+        node.run([node.change({ weights: [{ model, version: newest }] })]);
+        node.runFor(1500, createGrantingStore(node.getNow));
+        const counts = new Map<string, number>();
+        for (let index = 0; index < 90; index += 1) {
+            // As every process of a large fleet sees it that has sent nothing there yet.
+            const [call] = listEffects(sendArrival(node, `r${index}`), "sendRequest");
+            counts.set(call?.call.instance ?? "", (counts.get(call?.call.instance ?? "") ?? 0) + 1);
+            node.run([{ kind: "callerGone", request: toRequestId(`r${index}`) }]);
+        }
+        // Three engines of twelve would be sent thirty prompts each if nobody used the others.
+        expect(Math.max(...counts.values())).toBeLessThan(25);
+        for (const name of names.slice(0, 3)) {
+            expect(counts.get(name) ?? 0).toBeGreaterThan(10);
+        }
+    });
+
     it("expects the weights that only a peer saw being named once an engine rejects the older ones", async () => {
         const node = await createReadyNode({ document: buildDocument(), targets: buildEngines(1) });
         const state = buildPeerState({ named: [[model, toWeightsVersion(2), 100]] });
