Limit ranks and the share of new weights to fleets that are slow to tell, and list loads once for each choice

The loads that peers told are added up once for a choice instead of twice for each engine.

Tried and dropped: told work counts for its engine in part (300 ms / time between exchanges) and for the rest as the average of all.

--- a/src/forward/policy/engineScore.ts
+++ b/src/forward/policy/engineScore.ts
@@ -11,6 +11,8 @@
     readonly isRemote: boolean;
     /** Rank of the engine for the prompt by rendezvous hash; 0 is the first. */
     readonly rank: number;
+    /** How much ranks after the second count, 0 to 1: more, the less processes know of each other's requests. */
+    readonly rankTrust: number;
     /** Milliseconds added for weights that a newer version has replaced. */
     readonly outdatedMs: number;
     /** Moving share of failed requests, 0 to 1. */
@@ -31,7 +33,7 @@
 /** Added for engines other than the first by rendezvous hash, so that independent processes agree on ties. */
 const rankMs = 25;
 /**
- * Added for each further rank. While few engines have new weights, or the first one is full, all processes would
+ * Added for each further rank in a large fleet. While few engines have new weights, or the first one is full, all processes would
  * otherwise choose the same idle engine for all prompts before they hear of each other's requests.
  */
 const rankStepMs = 6;
@@ -66,7 +68,7 @@
         + ownMs
         + choice.runningRequests * fleetFactor * runningCostMs
         + (choice.isRemote ? remoteMs : 0)
-        + (choice.rank === 0 ? 0 : rankMs + (choice.rank - 1) * rankStepMs)
+        + (choice.rank === 0 ? 0 : rankMs + (choice.rank - 1) * rankStepMs * choice.rankTrust)
         + choice.outdatedMs
         + choice.failureShare * failureMs;
 }
--- a/src/forward/systems/chooseEngine.ts
+++ b/src/forward/systems/chooseEngine.ts
@@ -8,15 +8,12 @@
 import type { ForwardRequestRow } from "../tables/requests";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
-import { computeFleetFactor, computePeerLoad, computeQueueFacts } from "./engineLoad";
+import { computeFleetFactor, computeLoadTrust, listTargetLoads, type TargetLoad } from "./engineLoad";
 import { computeHeldTokens, computeSalt } from "./salts";
 
 /** Answers made on weights that were replaced this long ago lose worth. */
 const outdatedAfterMs = 1200;
-/**
- * Preference of an engine with the newest weights after that time, once all others have them. It is in proportion to
- * their number before: a few engines cannot serve the requests of all.
- */
+/** Preference of an engine with the newest weights after that time. */
 const outdatedPenaltyMs = 150;
 /** Part of the shared tokens that an engine is expected to hold when it comes first for them. */
 const expectedFraction = 0.7;
@@ -58,8 +55,7 @@
     readonly tokens: number;
 }
 
-interface EngineState {
-    readonly target: ForwardTargetRow;
+interface EngineState extends TargetLoad {
     readonly version: WeightsVersion | undefined;
     /** True when its weights were replaced so long ago that its answers lose worth. */
     readonly isOutdated: boolean;
@@ -129,6 +125,18 @@
     return isKnown && held < sharedTokens ? store.address : undefined;
 }
 
+/**
+ * Preference of engines with new weights. Where processes learn late of each other's requests, it is in proportion to
+ * the part of the engines that have them: a few cannot serve the requests of all.
+ */
+function computeOutdatedPenalty(world: ForwardWorld, engines: readonly EngineState[]): number {
+    if (computeLoadTrust(world) === 1) {
+        return outdatedPenaltyMs;
+    }
+    const current = engines.filter(({ isOutdated }) => !isOutdated).length;
+    return outdatedPenaltyMs * current / Math.max(1, engines.length);
+}
+
 /** Chooses among the engines that can take the request; undefined when there is none. */
 export function chooseEngine(
     world: ForwardWorld,
@@ -139,30 +147,33 @@
     const { model, parts, promptTokens } = row.arrival;
     const sharedPart = parts.at(-2)?.id ?? parts[0]?.id ?? row.id;
     const ranks = listByRendezvous(world.hasher, sharedPart, able.map(target => target.registration.id));
-    const engines = able.map((target): EngineState => {
+    const engines = listTargetLoads(world, tick, able).map((load): EngineState => {
+        const { target } = load;
         const { id } = target.registration;
         const version = model && target.weights.get(model);
         const known = version === undefined ? 0 : computeHeldTokens(world, id, computeSalt(row, version), parts);
         const held = id === ranks[0] ? Math.max(known, computeExpectedTokens(world, tick, row, id)) : known;
         const isOutdated = computeOutdatedAge(world, tick, row, target) > outdatedAfterMs;
-        return { target, version, isOutdated, held };
+        return { ...load, version, isOutdated, held };
     });
-    const currentPart = engines.filter(({ isOutdated }) => !isOutdated).length / Math.max(1, engines.length);
+    const outdatedMs = computeOutdatedPenalty(world, engines);
+    const rankTrust = 1 - computeLoadTrust(world);
     const fleetFactor = computeFleetFactor(world, tick);
     let best: TargetChoice | undefined;
     for (const engine of engines) {
-        const { target, version, held } = engine;
+        const { target, version, held, queue, requests } = engine;
         const source = findSource(world, row, engines, engine);
         const fetchedTokens = source ? source.tokens - held : 0;
-        const queueMs = estimateQueueMs(computeQueueFacts(world, tick, target), fleetFactor);
+        const queueMs = estimateQueueMs(queue, fleetFactor);
         const scoreMs = computeEngineScore({
             queueMs,
-            runningRequests: target.work.size + computePeerLoad(world, tick, target).requests,
+            runningRequests: requests,
             missedTokens: Math.max(0, promptTokens - held - fetchedTokens),
             fetchedTokens,
             isRemote: target.registration.dataCentre !== world.settings.dataCentre,
             rank: ranks.indexOf(target.registration.id),
-            outdatedMs: engine.isOutdated ? outdatedPenaltyMs * currentPart : 0,
+            rankTrust,
+            outdatedMs: engine.isOutdated ? outdatedMs : 0,
             failureShare: target.failureShare,
         }, fleetFactor);
         if (!best || scoreMs < best.scoreMs) {
--- a/src/forward/systems/placeWeights.ts
+++ b/src/forward/systems/placeWeights.ts
@@ -10,7 +10,7 @@
 import type { RolloutRow, RolloutState } from "../tables/rollouts";
 import { type ForwardTargetRow, isWorking } from "../tables/targets";
 import type { ForwardWorld } from "../world";
-import { computeQueuedTokens } from "./engineLoad";
+import { listTargetLoads } from "./engineLoad";
 import { expectLoading } from "./targetHealth";
 import { computeDutyGuardMs } from "./updateMembership";
 
@@ -95,7 +95,8 @@
 function computeParallel(world: ForwardWorld, tick: ForwardTick, model: ModelId): number {
     const { configuration } = world.tables;
     const working = listEngines(world, model).filter(target => isWorking(target, tick.now));
-    const queued = working.reduce((sum, target) => sum + computeQueuedTokens(world, tick, target), 0);
+    const loads = listTargetLoads(world, tick, working);
+    const queued = loads.reduce((sum, { queue }) => sum + queue.queuedTokens, 0);
     const fewFraction = queued <= working.length * quietTokens ? quietFraction : loadedFraction;
     const fraction = working.length < manyEngines ? fewFraction : manyFraction;
     const isUrgent = working.some(target => {
