--- a/src/forward/policy/engineScore.ts
+++ b/src/forward/policy/engineScore.ts
@@ -2,7 +2,7 @@
 export interface EngineChoice {
     /** Time until the engine begins to compute a prompt that is sent now. */
     readonly queueMs: number;
-    /** Requests of this process that run there. */
+    /** Requests of this process, and as its peers told, that run there. */
     readonly runningRequests: number;
     /** Prompt tokens that the engine would have to compute. */
     readonly missedTokens: number;
@@ -12,7 +12,7 @@
     /** Rank of the engine for the prompt by rendezvous hash; 0 is the first. */
     readonly rank: number;
     /** How much ranks after the second count, 0 to 1: more, the less processes know of each other's requests. */
-    readonly rankTrust: number;
+    readonly rankWeight: number;
     /** Milliseconds added for weights that a newer version has replaced. */
     readonly outdatedMs: number;
     /** Moving share of failed requests, 0 to 1. */
@@ -41,7 +41,7 @@
 const failureMs = 3000;
 
 export interface QueueFacts {
-    /** Prompt tokens of this process that the engine has not computed yet. */
+    /** Prompt tokens of this process, and as its peers told, that the engine has not computed yet. */
     readonly queuedTokens: number;
     /** Age of the oldest request of this process that the engine has not answered; 0 when there is none. */
     readonly oldestMs: number;
@@ -68,7 +68,7 @@
         + ownMs
         + choice.runningRequests * fleetFactor * runningCostMs
         + (choice.isRemote ? remoteMs : 0)
-        + (choice.rank === 0 ? 0 : rankMs + (choice.rank - 1) * rankStepMs * choice.rankTrust)
+        + (choice.rank === 0 ? 0 : rankMs + (choice.rank - 1) * rankStepMs * choice.rankWeight)
         + choice.outdatedMs
         + choice.failureShare * failureMs;
 }
--- a/src/forward/systems/chooseEngine.ts
+++ b/src/forward/systems/chooseEngine.ts
@@ -157,7 +157,7 @@
         return { ...load, version, isOutdated, held };
     });
     const outdatedMs = computeOutdatedPenalty(world, engines);
-    const rankTrust = 1 - computeLoadTrust(world);
+    const rankWeight = 1 - computeLoadTrust(world);
     const fleetFactor = computeFleetFactor(world, tick);
     let best: TargetChoice | undefined;
     for (const engine of engines) {
@@ -172,7 +172,7 @@
             fetchedTokens,
             isRemote: target.registration.dataCentre !== world.settings.dataCentre,
             rank: ranks.indexOf(target.registration.id),
-            rankTrust,
+            rankWeight,
             outdatedMs: engine.isOutdated ? outdatedMs : 0,
             failureShare: target.failureShare,
         }, fleetFactor);
