Find the sources of a prompt once for each version of the weights, and look up ranks and ages once

Each engine of a choice searched all others for its source, and asked the store of parts again for the same version; ranks were searched by position, and the age at which a peer is stale was counted anew for each member. All of that grew with the square of the engines or the members. The choices are the same: an engine that holds most itself finds no source that holds enough more. One function adds a named version to its place, for the store's and the peers'.

--- a/src/forward/policy/engineScore.ts
+++ b/src/forward/policy/engineScore.ts
@@ -33,8 +33,8 @@
 /** Added for engines other than the first by rendezvous hash, so that independent processes agree on ties. */
 const rankMs = 25;
 /**
- * Added for each further rank in a large fleet. While few engines have new weights, or the first one is full, all processes would
- * otherwise choose the same idle engine for all prompts before they hear of each other's requests.
+ * Added for each further rank in a large fleet. While few engines have new weights, or the first one is full, all
+ * processes would otherwise choose the same idle engine for all prompts before they hear of each other's requests.
  */
 const rankStepMs = 6;
 /** Added for an engine on which every request fails. */
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -4,7 +4,7 @@
 import { decodeMember, decodeOrder, memberPrefix, orderPrefix, weightsDutyKey } from "../codec/fleetRows";
 import type { FleetRow, PublishedChanges, TargetChange } from "../events";
 import type { ForwardTick } from "../events";
-import { getNewestWeights } from "../tables/configuration";
+import { addVersion, getNewestWeights } from "../tables/configuration";
 import type { ForwardWorld } from "../world";
 import { closeForwardTarget } from "./targetEnd";
 import { endBackOff, expectLoading } from "./targetHealth";
@@ -47,14 +47,11 @@
         if (newest && newest.version >= version) {
             continue;
         }
-        configuration.weights.set(model, [
-            ...(configuration.weights.get(model) ?? []),
-            {
-                version,
-                namedAt: addMillis(tick.now, node.isUnread ? -earlierNamingMs : 0),
-                isSeen: !node.isUnread,
-            },
-        ]);
+        addVersion(configuration, model, {
+            version,
+            namedAt: addMillis(tick.now, node.isUnread ? -earlierNamingMs : 0),
+            isSeen: !node.isUnread,
+        });
         logInfo(world.effects, "place:", "New weights are named.", { model, version, revision });
     }
 }
--- a/src/forward/systems/chooseEngine.ts
+++ b/src/forward/systems/chooseEngine.ts
@@ -61,6 +61,8 @@
     readonly isOutdated: boolean;
     /** Tokens of the prompt that the engine holds, as far as is known or expected. */
     readonly held: number;
+    /** Rank by rendezvous hash for the shared part; 0 is the first. */
+    readonly rank: number;
 }
 
 /**
@@ -80,30 +82,33 @@
     return shared * expectedFraction;
 }
 
-/** The engine, or else the store of parts, that holds most of the prompt under the same salt. */
-function findSource(
+/** For each version of the weights, the engine, or else the store of parts, that holds most of the prompt. */
+function listSources(
     world: ForwardWorld,
     row: ForwardRequestRow,
     engines: readonly EngineState[],
-    chosen: EngineState,
-): Source | undefined {
-    if (chosen.version === undefined) {
-        return undefined;
-    }
-    let best: Source | undefined;
+): ReadonlyMap<WeightsVersion, Source> {
+    const sources = new Map<WeightsVersion, Source>();
     const store = world.tables.configuration.getPartStore();
-    if (store) {
-        const tokens = computeHeldTokens(world, store.id, computeSalt(row, chosen.version), row.arrival.parts);
-        if (tokens > 0) {
-            best = { address: store.address, tokens };
-        }
-    }
     for (const { target, held, version } of engines) {
-        if (version === chosen.version && target !== chosen.target && held > (best?.tokens ?? 0)) {
-            best = { address: target.registration.address, tokens: held };
+        if (version === undefined) {
+            continue;
+        }
+        if (store && !sources.has(version)) {
+            const tokens = computeHeldTokens(world, store.id, computeSalt(row, version), row.arrival.parts);
+            sources.set(version, { address: store.address, tokens });
+        }
+        if (held > (sources.get(version)?.tokens ?? 0)) {
+            sources.set(version, { address: target.registration.address, tokens: held });
         }
     }
-    return best && best.tokens - chosen.held >= leastFetchTokens ? best : undefined;
+    return sources;
+}
+
+/** The source of the engine's version, if it holds enough more than the engine itself. */
+function findSource(sources: ReadonlyMap<WeightsVersion, Source>, { version, held }: EngineState): Source | undefined {
+    const source = version === undefined ? undefined : sources.get(version);
+    return source && source.tokens - held >= leastFetchTokens ? source : undefined;
 }
 
 /** Address of the store of parts if it lacks a shared part of the prompt that is worth keeping. */
@@ -129,8 +134,8 @@
  * Preference of engines with new weights. Where processes learn late of each other's requests, it is in proportion to
  * the part of the engines that have them: a few cannot serve the requests of all.
  */
-function computeOutdatedPenalty(world: ForwardWorld, engines: readonly EngineState[]): number {
-    if (computeLoadTrust(world) === 1) {
+function computeOutdatedPenalty(loadTrust: number, engines: readonly EngineState[]): number {
+    if (loadTrust === 1) {
         return outdatedPenaltyMs;
     }
     const current = engines.filter(({ isOutdated }) => !isOutdated).length;
@@ -146,23 +151,26 @@
 ): TargetChoice | undefined {
     const { model, parts, promptTokens } = row.arrival;
     const sharedPart = parts.at(-2)?.id ?? parts[0]?.id ?? row.id;
-    const ranks = listByRendezvous(world.hasher, sharedPart, able.map(target => target.registration.id));
+    const ids = listByRendezvous(world.hasher, sharedPart, able.map(target => target.registration.id));
+    const ranks = new Map(ids.map((id, rank) => [id, rank]));
     const engines = listTargetLoads(world, tick, able).map((load): EngineState => {
         const { target } = load;
         const { id } = target.registration;
         const version = model && target.weights.get(model);
         const known = version === undefined ? 0 : computeHeldTokens(world, id, computeSalt(row, version), parts);
-        const held = id === ranks[0] ? Math.max(known, computeExpectedTokens(world, tick, row, id)) : known;
+        const rank = ranks.get(id) ?? 0;
+        const held = rank === 0 ? Math.max(known, computeExpectedTokens(world, tick, row, id)) : known;
         const isOutdated = computeOutdatedAge(world, tick, row, target) > outdatedAfterMs;
-        return { ...load, version, isOutdated, held };
+        return { ...load, version, isOutdated, held, rank };
     });
-    const outdatedMs = computeOutdatedPenalty(world, engines);
-    const rankWeight = 1 - computeLoadTrust(world);
+    const sources = listSources(world, row, engines);
+    const loadTrust = computeLoadTrust(world);
+    const outdatedMs = computeOutdatedPenalty(loadTrust, engines);
     const fleetFactor = computeFleetFactor(world, tick);
     let best: TargetChoice | undefined;
     for (const engine of engines) {
-        const { target, version, held, queue, requests } = engine;
-        const source = findSource(world, row, engines, engine);
+        const { target, version, held, queue, rank, requests } = engine;
+        const source = findSource(sources, engine);
         const fetchedTokens = source ? source.tokens - held : 0;
         const queueMs = estimateQueueMs(queue, fleetFactor);
         const scoreMs = computeEngineScore({
@@ -171,8 +179,8 @@
             missedTokens: Math.max(0, promptTokens - held - fetchedTokens),
             fetchedTokens,
             isRemote: target.registration.dataCentre !== world.settings.dataCentre,
-            rank: ranks.indexOf(target.registration.id),
-            rankWeight,
+            rank,
+            rankWeight: 1 - loadTrust,
             outdatedMs: engine.isOutdated ? outdatedMs : 0,
             failureShare: target.failureShare,
         }, fleetFactor);
--- a/src/forward/systems/engineLoad.ts
+++ b/src/forward/systems/engineLoad.ts
@@ -11,9 +11,10 @@
 
 /** Scale of this process's own work for the processes that it has not heard lately. */
 export function computeFleetFactor(world: ForwardWorld, tick: ForwardTick): number {
+    const staleMs = computePeerStaleMs(world);
     const unheard = world.tables.members.list().filter(({ vm }) => {
         const peer = world.tables.peers.rows.get(vm);
-        return vm !== world.settings.vm && (!peer || tick.now - peer.heardAt > computePeerStaleMs(world));
+        return vm !== world.settings.vm && (!peer || tick.now - peer.heardAt > staleMs);
     });
     return 1 + unheard.length * othersWeight;
 }
--- a/src/forward/tables/configuration.ts
+++ b/src/forward/tables/configuration.ts
@@ -75,21 +75,29 @@
     return table.weights.get(model)?.at(-1);
 }
 
+/** Adds a named version in its place; false when it is known. */
+export function addVersion(table: ForwardConfigurationTable, model: ModelId, named: NamedWeights): boolean {
+    const versions = table.weights.get(model) ?? [];
+    if (versions.some(({ version }) => version === named.version)) {
+        return false;
+    }
+    const next = versions.findIndex(({ version }) => version > named.version);
+    versions.splice(next < 0 ? versions.length : next, 0, named);
+    table.weights.set(model, versions);
+    return true;
+}
+
 /** Records a naming that a peer saw, unless this process knows an earlier one. Returns true for an unknown version. */
 export function recordNaming(
     table: ForwardConfigurationTable,
     model: ModelId,
     { version, namedAt }: Omit<NamedWeights, "isSeen">,
 ): boolean {
-    const versions = table.weights.get(model) ?? [];
-    const known = versions.find(entry => entry.version === version);
-    if (!known) {
-        const next = versions.findIndex(entry => entry.version > version);
-        versions.splice(next < 0 ? versions.length : next, 0, { version, namedAt, isSeen: true });
-        table.weights.set(model, versions);
+    if (addVersion(table, model, { version, namedAt, isSeen: true })) {
         return true;
     }
-    if (!known.isSeen || namedAt < known.namedAt) {
+    const known = table.weights.get(model)?.find(entry => entry.version === version);
+    if (known && (!known.isSeen || namedAt < known.namedAt)) {
         known.namedAt = namedAt;
         known.isSeen = true;
     }
