--- a/test/forward/eventRelay.test.ts
+++ b/test/forward/eventRelay.test.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from "node:net";
 import { PassThrough } from "node:stream";
 import { afterEach, describe, expect, it } from "vitest";
-import { createEventRelay } from "../../src/forward/adapters/eventRelay";
+import { createEventRelay, type EventRelay, type EventRelayOptions } from "../../src/forward/adapters/eventRelay";
 import { createEventCutter } from "../../src/forward/codec/eventStream";
 
 const servers: http.Server[] = [];
@@ -41,6 +41,19 @@
     return { source, bytes };
 }
 
+/** Starts a relay whose outcomes nobody follows, but for those in the options. */
+function startRelay(options: Pick<EventRelayOptions, "source" | "caller"> & Partial<EventRelayOptions>): EventRelay {
+    const relay = createEventRelay({
+        lastEventId: undefined,
+        onFirstEvent: () => undefined,
+        onFinished: () => undefined,
+        onFailed: () => undefined,
+        ...options,
+    });
+    relay.start();
+    return relay;
+}
+
 const waitForEvents = (): Promise<void> => new Promise(resolve => setTimeout(resolve, 20));
 
 describe("relay of events", () => {
@@ -50,14 +63,7 @@
         const errors: Error[] = [];
         response.on("error", error => errors.push(error));
         response.writeHead(200);
-        createEventRelay({
-            source,
-            caller: response,
-            lastEventId: undefined,
-            onFirstEvent: () => undefined,
-            onFinished: () => undefined,
-            onFailed: () => undefined,
-        }).start();
+        startRelay({ source, caller: response });
         caller.destroy();
         await new Promise(resolve => response.on("close", resolve));
         bytes.write("id: 1\ndata: a\n\n");
@@ -68,15 +74,7 @@
     it("knows the last event that was relayed when the target falls silent", async () => {
         const { response } = await openCaller();
         const { source, bytes } = createSource();
-        const relay = createEventRelay({
-            source,
-            caller: response,
-            lastEventId: undefined,
-            onFirstEvent: () => undefined,
-            onFinished: () => undefined,
-            onFailed: () => undefined,
-        });
-        relay.start();
+        const relay = startRelay({ source, caller: response });
         bytes.write("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
         await waitForEvents();
         expect(relay.getLastEventId()).toBe(2);
@@ -86,15 +84,12 @@
         const { response } = await openCaller();
         const { source, bytes } = createSource();
         const faults: string[] = [];
-        const relay = createEventRelay({
+        const relay = startRelay({
             source,
             caller: response,
             lastEventId: 4,
-            onFirstEvent: () => undefined,
-            onFinished: () => undefined,
             onFailed: fault => faults.push(fault),
         });
-        relay.start();
         bytes.write("id: 4\ndata: d\n\nid: 5\ndata: e\n\nid: 7\ndata: g\n\n");
         await waitForEvents();
         expect(relay.getLastEventId()).toBe(5);
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -1,6 +1,8 @@
 import { Ok } from "ts-results";
 import { describe, expect, it } from "vitest";
+import type { AnswerFacts } from "../../src/forward/calls";
 import { encodeMember, encodeOrder, memberPrefix, orderPrefix } from "../../src/forward/codec/fleetRows";
+import type { ForwardEvent } from "../../src/forward/events";
 import { toPartId, toWeightsVersion } from "../../src/forward/ids";
 import { getNewestWeights } from "../../src/forward/tables/configuration";
 import { toCallId, toDataCentreId, toMillis, toRequestId, toTargetId, toVmId } from "../../src/ids";
@@ -49,21 +51,23 @@
 const plain = { parts: [], model: undefined, hasTokens: false, promptTokens: 0, maxOutputTokens: 0, waitMs: 600 };
 const facts = { isSigned: true, isNotRun: false, isMisdirected: false, weights: undefined };
 
+/** The answer to the first attempt of the request. */
+const buildAnswer = (id: string, status: number, changes: Partial<AnswerFacts>): ForwardEvent => ({
+    kind: "attemptAnswered",
+    request: toRequestId(id),
+    attempt: 1,
+    status,
+    facts: { ...facts, attemptId: id, ...changes },
+    isOpenStream: false,
+});
+
 describe("attempts", () => {
     it("gives the second attempt its own time, not the rest of the first one's", async () => {
         const node = await createReadyNode();
         sendArrival(node, "r1", plain);
         const request = toRequestId("r1");
-        const error = { ...facts, attemptId: "r1" };
         node.run([{ kind: "attemptBytesHanded", request, attempt: 1 }], 1);
-        const second = node.run([{
-            kind: "attemptAnswered",
-            request,
-            attempt: 1,
-            status: 500,
-            facts: error,
-            isOpenStream: false,
-        }], 190);
+        const second = node.run([buildAnswer("r1", 500, {})], 190);
         expect(listEffects(second, "sendRequest")).toHaveLength(1);
         node.run([{ kind: "attemptBytesHanded", request, attempt: 2 }], 1);
         expect(listEffects(node.runFor(100), "refuseRequest")).toHaveLength(0);
@@ -102,14 +106,7 @@
         const node = await createReadyNode({ document: buildDocument({ routes: [route] }), targets: plainTargets });
         sendArrival(node, "r1", plain);
         const request = toRequestId("r1");
-        const effects = node.run([{ kind: "attemptBytesHanded", request, attempt: 1 }, {
-            kind: "attemptAnswered",
-            request,
-            attempt: 1,
-            status: 503,
-            facts: { ...facts, attemptId: "r1" },
-            isOpenStream: false,
-        }], 1);
+        const effects = node.run([{ kind: "attemptBytesHanded", request, attempt: 1 }, buildAnswer("r1", 503, {})], 1);
         expect(listEffects(effects, "relayAnswer")).toHaveLength(0);
         expect(listEffects(effects, "refuseRequest")[0]?.refusal.code).toBe("target_failed");
     });
@@ -118,14 +115,7 @@
         const route = { ...plainRoute, kind: "single" as const, maxTargets: 1 };
         const node = await createReadyNode({ document: buildDocument({ routes: [route] }), targets: plainTargets });
         sendArrival(node, "r1", plain);
-        const effects = node.run([{
-            kind: "attemptAnswered",
-            request: toRequestId("r1"),
-            attempt: 1,
-            status: 200,
-            facts: { ...facts, attemptId: "other" },
-            isOpenStream: false,
-        }], 1);
+        const effects = node.run([buildAnswer("r1", 200, { attemptId: "other" })], 1);
         expect(listEffects(effects, "relayAnswer")).toHaveLength(0);
     });
 });
@@ -251,14 +241,10 @@
         node.run([{ kind: "peerAsked", call: toCallId("c"), state }], 10);
         sendArrival(node, "r1");
         const request = toRequestId("r1");
-        const again = node.run([{ kind: "attemptBytesHanded", request, attempt: 1 }, {
-            kind: "attemptAnswered",
-            request,
-            attempt: 1,
-            status: 421,
-            facts: { ...facts, attemptId: "r1", isSigned: false, isMisdirected: true },
-            isOpenStream: false,
-        }], 1);
+        const again = node.run([
+            { kind: "attemptBytesHanded", request, attempt: 1 },
+            buildAnswer("r1", 421, { isSigned: false, isMisdirected: true }),
+        ], 1);
         expect(listEffects(again, "sendRequest")[0]?.call.engine?.version).toBe(2);
     });
 
--- a/test/support/orderFleet.ts
+++ b/test/support/orderFleet.ts
@@ -1,10 +1,13 @@
 /** Several processes over one simulated store and engines, in virtual time, to watch who orders what. */
 import { Err, Ok } from "ts-results";
+import { fleetPrefix } from "../../src/forward/codec/fleetRows";
 import type { ForwardEffect, ForwardEffectOf } from "../../src/forward/effects";
 import type { FleetRow, ForwardEvent } from "../../src/forward/events";
 import { toWeightsVersion, type WeightsVersion } from "../../src/forward/ids";
-import { type LeaseId, toLeaseId, toMillis } from "../../src/ids";
-import type { StoreAnswer, StoreCall } from "../../src/store";
+import { toMillis } from "../../src/ids";
+import { computePrefixEnd, type StoreCall, type StoreOutcome } from "../../src/store";
+import { createKeyValueStore } from "../../standins/keyValueStore";
+import { runStoreCall } from "../../standins/storeCalls";
 import { buildDocument, buildTarget, createForwardTestNode, type ForwardTestNode, model } from "./forwardNode";
 
 /**
@@ -34,7 +37,7 @@
     /** Events that reach the process at these times: the first read, and calls that it gives up. */
     unread: { readonly at: number; readonly event: ForwardEvent; }[];
     /** What the watch has delivered. */
-    shown: { revision: number; named: WeightsVersion; at: number; };
+    shown: { changes: number; named: WeightsVersion; at: number; };
 }
 
 export interface OrderFleet {
@@ -58,89 +61,36 @@
 const loadMs = 600;
 const engineNames = ["e1", "e2", "e3"];
 
-interface Row extends FleetRow {
-    readonly lease: LeaseId | undefined;
-    readonly revision: number;
-}
-
-/** Rows with leases that end in virtual time. */
+/** The store stand-in with calls that are carried out late, and its changes in the order in which they came. */
 function createStore(getNow: () => number) {
-    const rows = new Map<string, Row>();
-    const leases = new Map<LeaseId, { readonly ttlMs: number; endsAt: number; }>();
+    const store = createKeyValueStore({ getNow });
+    const changes: FleetRow[] = [];
     const late: { readonly at: number; readonly call: StoreCall; }[] = [];
-    let revision = 100;
-    let nextLease = 1;
-
-    function remove(key: string): void {
-        revision += 1;
-        rows.set(key, { key, value: undefined, createRevision: 0, lease: undefined, revision });
-    }
-
-    function endLeases(): void {
-        for (const [lease, { endsAt }] of leases) {
-            if (getNow() >= endsAt) {
-                leases.delete(lease);
-                [...rows.values()].filter(row => row.lease === lease).forEach(({ key }) => {
-                    remove(key);
-                });
-            }
-        }
-    }
-
-    function updateLease(lease: LeaseId): StoreAnswer {
-        const known = leases.get(lease);
-        if (known) {
-            known.endsAt = getNow() + known.ttlMs;
-        }
-        return { kind: "lease", lease, ttlSeconds: (known?.ttlMs ?? 0) / 1000 };
-    }
-
-    function runTransaction({ compare, success }: Extract<StoreCall, { readonly kind: "transaction"; }>): StoreAnswer {
-        const holds = compare.every(entry =>
-            "createRevision" in entry && (rows.get(entry.key)?.createRevision ?? 0) === entry.createRevision
-        );
-        const puts = success.flatMap(entry => (entry.kind === "put" ? [entry] : []));
-        if (!holds || puts.some(({ lease }) => lease !== undefined && !leases.has(lease))) {
-            return { kind: "transaction", succeeded: false, revision: 0, reads: [] };
-        }
-        revision += 1;
-        for (const { key, value, lease } of puts) {
-            const createRevision = rows.get(key)?.createRevision ?? 0;
-            rows.set(key, { key, value, lease, revision, createRevision: createRevision || revision });
-        }
-        return { kind: "transaction", succeeded: true, revision, reads: [] };
-    }
-
-    function apply(call: StoreCall): StoreAnswer {
-        endLeases();
-        if (call.kind === "grantLease") {
-            const lease = toLeaseId(String(nextLease));
-            nextLease += 1;
-            leases.set(lease, { ttlMs: call.ttlSeconds * 1000, endsAt: 0 });
-            return updateLease(lease);
-        }
-        if (call.kind === "renewLease") {
-            return updateLease(call.lease);
-        }
-        return call.kind === "transaction" ? runTransaction(call) : { kind: "revoked" };
-    }
-
+    store.addWatcher({
+        key: fleetPrefix,
+        end: computePrefixEnd(fleetPrefix),
+        deliver: (_revision, delivered) => {
+            changes.push(...delivered.map(({ row, isDeleted }) => ({
+                key: row.key,
+                value: isDeleted ? undefined : row.value,
+                createRevision: row.createRevision,
+            })));
+        },
+    }, 0);
     return {
-        apply,
-        applyLater: (call: StoreCall) => {
+        changes,
+        run: (call: StoreCall) => runStoreCall(store, call),
+        runLater: (call: StoreCall) => {
             late.push({ at: getNow() + lateMs, call });
         },
-        runLate: () => {
+        /** Carries out late calls and ends leases that are over. */
+        runDue: () => {
             for (const { call } of late.filter(({ at }) => getNow() >= at)) {
-                apply(call);
+                runStoreCall(store, call);
             }
             late.splice(0, late.length, ...late.filter(({ at }) => getNow() < at));
+            store.expireLeases();
         },
-        listAfter: (after: number) => {
-            endLeases();
-            return [...rows.values()].filter(row => row.revision > after);
-        },
-        getRevision: () => revision,
     };
 }
 
@@ -212,22 +162,22 @@
             },
             frozen: undefined,
             unread: [{ at: 0, event: read }],
-            shown: { revision: 0, named, at: 0 },
+            shown: { changes: 0, named, at: 0 },
         };
         return node;
     }
 
     const nodes = await Promise.all(Array.from({ length: size }, (_, index) => createNode(index)));
 
-    const links: Readonly<Record<StoreLink, (call: StoreCall) => StoreAnswer | undefined>> = {
-        open: store.apply,
+    const links: Readonly<Record<StoreLink, (call: StoreCall) => StoreOutcome["result"] | undefined>> = {
+        open: store.run,
         cut: () => undefined,
         lost: call => {
-            store.apply(call);
+            store.run(call);
             return undefined;
         },
         late: call => {
-            store.applyLater(call);
+            store.runLater(call);
             return undefined;
         },
     };
@@ -235,12 +185,12 @@
     function sendToStore(node: SimulatedOrderNode, effect: ForwardEffectOf<"callStore">): readonly ForwardEvent[] {
         const { call, purpose } = effect;
         const sentAt = toMillis(node.test.getNow());
-        const answer = links[node.link](call);
-        if (answer) {
-            return [{ kind: "storeReplied", purpose, outcome: { result: Ok(answer), sentAt } }];
+        const result = links[node.link](call);
+        if (result) {
+            return [{ kind: "storeReplied", purpose, outcome: { result, sentAt } }];
         }
-        const result = Err({ effect: "unknown" as const, message: "no answer" });
-        const event: ForwardEvent = { kind: "storeReplied", purpose, outcome: { result, sentAt } };
+        const silence = Err({ effect: "unknown" as const, message: "no answer" });
+        const event: ForwardEvent = { kind: "storeReplied", purpose, outcome: { result: silence, sentAt } };
         node.unread.push({ at: now + callTimeoutMs, event });
         return [];
     }
@@ -260,9 +210,9 @@
         const events = node.unread.filter(({ at }) => now >= at).map(({ event }) => event);
         node.unread = node.unread.filter(({ at }) => now < at);
         if (node.link === "open" && now - node.shown.at >= watchMs) {
-            const rows = store.listAfter(node.shown.revision);
+            const rows = store.changes.slice(node.shown.changes);
             const weights = named > node.shown.named ? [{ model, version: named }] : [];
-            node.shown = { revision: store.getRevision(), named, at: now };
+            node.shown = { changes: store.changes.length, named, at: now };
             events.push(node.test.change({ rows, weights }));
         }
         return events;
@@ -298,7 +248,7 @@
         run: ms => {
             for (const end = now + ms; now < end; now += stepMs) {
                 engines.runLate();
-                store.runLate();
+                store.runDue();
                 nodes.forEach(runNode);
             }
         },
