Log requests that are lost with their engine, and engines that end

The log named the engine of a lost request but not its prompt parts, and a lost connection could not be told from the end of the engine. One line now gives the shared parts of each lost request and whether its answer had begun; a second line and a counter report an engine whose address refuses connections or that registers as a new run. No decision changes.

--- a/src/adapters/httpClient.ts
+++ b/src/adapters/httpClient.ts
@@ -22,14 +22,20 @@
 /** Error of an HTTP call. `mayHaveBeenSent` is true when the request may have reached the server. */
 export class HttpCallError extends Error {
     readonly mayHaveBeenSent: boolean;
+    /** True when no process listens at the address. */
+    readonly isConnectionRefused: boolean;
 
-    constructor(message: string, mayHaveBeenSent: boolean) {
-        super(message);
+    constructor(cause: Error, mayHaveBeenSent: boolean) {
+        super(cause.message);
         this.name = "HttpCallError";
         this.mayHaveBeenSent = mayHaveBeenSent;
+        this.isConnectionRefused = isConnectionRefused(cause);
     }
 }
 
+/** True when the host refused a connection, since no process listens at the address. */
+export const isConnectionRefused = (error: NodeJS.ErrnoException): boolean => error.code === "ECONNREFUSED";
+
 /** Splits IP:PORT into the options of Node's `http`. */
 export function parseAddress(address: string): { readonly host: string; readonly port: number; } {
     const colon = address.lastIndexOf(":");
@@ -65,7 +71,7 @@
         }, timeoutMs);
         const handleError = (error: Error): void => {
             clearTimeout(timer);
-            reject(new HttpCallError(error.message, mayHaveBeenSent));
+            reject(new HttpCallError(error, mayHaveBeenSent));
         };
         subscribeToFirstWrite(request, () => {
             mayHaveBeenSent = true;
--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -13,6 +13,7 @@
     generated_tokens_total: ["account"],
     store_failures_total: ["call"],
     grants_total: ["outcome"],
+    engine_crashes_total: [],
     orders_total: ["outcome"],
 };
 
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -36,7 +36,8 @@
     | "generated_tokens_total"
     | "store_failures_total"
     | "grants_total"
-    | "orders_total";
+    | "orders_total"
+    | "engine_crashes_total";
 export type HistogramName = "first_token_ms" | "queue_ms" | "request_ms";
 
 export type Effect =
--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -1,6 +1,6 @@
 /** Sends requests to targets, buffers plain responses and relays event streams. */
 import * as http from "node:http";
-import { parseAddress, subscribeToFirstWrite } from "../../adapters/httpClient";
+import { isConnectionRefused, parseAddress, subscribeToFirstWrite } from "../../adapters/httpClient";
 import type { RequestId, TargetId } from "../../ids";
 import type { AttemptFault, ForwardCall, HeaderCodec } from "../calls";
 import type { ForwardEffectOf } from "../effects";
@@ -162,9 +162,10 @@
             post({ kind: "attemptWriteStarted", request: id, attempt });
             request.socket?.setNoDelay(true);
         });
-        request.on("error", () => {
+        request.on("error", (error: NodeJS.ErrnoException) => {
             clearTimeout(connectTimer);
-            postFailure(id, running, mayHaveBeenSent ? "closed" : "connect");
+            const connectFault = isConnectionRefused(error) ? "connection_refused" : "connect";
+            postFailure(id, running, mayHaveBeenSent ? "closed" : connectFault);
         });
         request.on("response", targetResponse => {
             if (attempts.get(id) === running) {
--- a/src/forward/calls.ts
+++ b/src/forward/calls.ts
@@ -94,6 +94,8 @@
 export type AttemptFault =
     /** No connection was established; nothing was sent. */
     | "connect"
+    /** The host refused the connection, since no process listens at the address; nothing was sent. */
+    | "connection_refused"
     /** The connection closed before the response began. */
     | "closed"
     /** No data arrived within the idle timeout. */
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -94,7 +94,13 @@
     /** Cache events of an engine or a part store since the last such report. */
     | { readonly kind: "partsReported"; readonly target: TargetId; readonly report: PartsReport; }
     /** A call for cache events failed. */
-    | { readonly kind: "partsReadFailed"; readonly target: TargetId; readonly message: string; }
+    | {
+        readonly kind: "partsReadFailed";
+        readonly target: TargetId;
+        readonly message: string;
+        /** No process listens at the address of the target. */
+        readonly isConnectionRefused: boolean;
+    }
     /* store */
     /** The whole store was read. The store's contents are known to be current as of `confirmedAt`. */
     | { readonly kind: "publishedRead"; readonly changes: PublishedChanges; readonly confirmedAt: Millis; }
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -7,6 +7,7 @@
 import { addPublishedWeights, getNewestWeights } from "../tables/configuration";
 import type { ForwardWorld } from "../world";
 import { closeForwardTarget } from "./closeTarget";
+import { confirmCrash } from "./followCrashes";
 import { endBackOff, expectLoading } from "./targetHealth";
 
 /**
@@ -68,6 +69,10 @@
         const replaced = targets.apply(name, target, tick.now);
         if (replaced) {
             closeForwardTarget(world, replaced);
+            const crash = world.tables.crashes.get(replaced.registration.id);
+            if (crash) {
+                confirmCrash(world, crash, "it registered as a new run");
+            }
         }
         if (current && !replaced && hasNewWeights) {
             cachedParts.removeTarget(target.id);
@@ -215,7 +220,7 @@
 }
 
 /**
- * Writes: configuration, targets, members, rollouts (last orders), cached parts, node (contact with the store, leader).
+ * Writes: configuration, targets, crashes, members, rollouts (last orders), cached parts, node (contact with the store, leader).
  * Effects: caller limits, closed targets, log lines.
  */
 export function applyPublished(world: ForwardWorld, tick: ForwardTick): void {
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -8,6 +8,7 @@
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { recordCachedParts } from "./cacheSalts";
+import { recordLostAttempt } from "./followCrashes";
 import { closeRequest, refuseForwardRequest, removeInFlight } from "./requestEnd";
 import {
     expectLoading,
@@ -215,6 +216,7 @@
 ): void {
     const target = world.tables.targets.get(attempt.target);
     const inFlightRequest = target?.inFlight.get(row.id);
+    attempt.firstEventAt = tick.now;
     if (!row.hasFirstEvent) {
         row.hasFirstEvent = true;
         const firstMs = tick.now - row.arrival.arrivedAt;
@@ -254,6 +256,9 @@
     if (target) {
         recordForwardFailure(world, tick, target, event.fault);
     }
+    if (event.fault === "closed" || event.fault === "cut_short") {
+        recordLostAttempt(world, tick, row, attempt);
+    }
     if (row.isRelaying && !row.route.isResumable) {
         refuseForwardRequest(world, tick, row, "stream_interrupted");
         return;
@@ -315,7 +320,7 @@
 }
 
 /**
- * Reads: configuration. Writes: requests, targets, cached parts, retry budgets, usage windows.
+ * Reads: configuration. Writes: requests, targets, crashes, cached parts, retry budgets, usage windows.
  * Effects: relays, cancelled attempts, refusals, counts, log lines.
  */
 export function followAttempts(world: ForwardWorld, tick: ForwardTick): void {
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -7,6 +7,7 @@
 import { exchangeWithPeers } from "./exchangeWithPeers";
 import { expireRequests } from "./expireRequests";
 import { followAttempts } from "./followAttempts";
+import { followCrashes } from "./followCrashes";
 import { followParts } from "./followParts";
 import { placeWeights } from "./placeWeights";
 import { resumeOnOtherEngines } from "./resumeOnOtherEngines";
@@ -18,6 +19,7 @@
     updateMembership,
     exchangeWithPeers,
     followParts,
+    followCrashes,
     followAttempts,
     resumeOnOtherEngines,
     expireRequests,
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -185,6 +185,7 @@
         weights: version,
         evidence: { hasWrittenBytes: false, answer: "none" },
         isOpen: true,
+        firstEventAt: undefined,
         outcome: "",
     });
     if (target.backOffUntil > 0) {
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -3,6 +3,7 @@
 import type { ServiceId } from "../ids";
 import { type CachedPartsTable, createCachedPartsTable } from "./cachedParts";
 import { createForwardConfigurationTable, type ForwardConfigurationTable } from "./configuration";
+import { type CrashesTable, createCrashesTable } from "./crashes";
 import { createForwardMembersTable, type ForwardMembersTable } from "./members";
 import { createForwardNodeRow, type ForwardNodeRow } from "./node";
 import { createPeersTable, type PeersTable } from "./peers";
@@ -20,6 +21,7 @@
     readonly requests: ForwardRequestsTable;
     readonly usageWindows: UsageWindowsTable;
     readonly cachedParts: CachedPartsTable;
+    readonly crashes: CrashesTable;
     readonly rollouts: RolloutsTable;
     readonly retryBudgets: Map<ServiceId, RetryBudget>;
 }
@@ -35,6 +37,7 @@
         requests: createForwardRequestsTable(),
         usageWindows: createUsageWindowsTable(),
         cachedParts: createCachedPartsTable(),
+        crashes: createCrashesTable(),
         rollouts: createRolloutsTable(),
         retryBudgets: new Map(),
     };
--- a/src/forward/tables/requests.ts
+++ b/src/forward/tables/requests.ts
@@ -14,6 +14,8 @@
     readonly weights: WeightsVersion | undefined;
     evidence: AttemptEvidence;
     isOpen: boolean;
+    /** Time of the first event that the target sent in this attempt. */
+    firstEventAt: Millis | undefined;
     outcome: string;
 }
 
