Quarantine prompt parts under which engines crash

No process linked the end of an engine with the contents of the requests that it held, and nothing that one process saw reached the others.

Each process now records, for an engine that ended, the shared parts of the requests whose answers had not or only just begun. The processes exchange these records and what clears a part (an answer shortly before or after a crash). A part that is a suspect in three separate crashes is quarantined: of several, the one answered longest ago or never, then the deepest in the prompt, as the parts before it are suspects in the same crashes. The row lies in the store, so that a process that starts later reads it before it serves; until the store has it, peers report it. Requests with the part are refused at once as not run, with the time left as Retry-After; running ones whose answers have not begun are withdrawn. After 60 s (doubling with each offence) the rollout leader sends one request as a trial: an answer ends the quarantine, a crash renews it.

--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -14,6 +14,7 @@
     store_failures_total: ["call"],
     grants_total: ["outcome"],
     engine_crashes_total: [],
+    quarantines_total: ["reason"],
     orders_total: ["outcome"],
 };
 
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -21,7 +21,8 @@
     | "place:"
     | "peer:"
     | "drain:"
-    | "store:";
+    | "store:"
+    | "quarantine:";
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined | readonly string[]>>;
 
@@ -37,7 +38,8 @@
     | "store_failures_total"
     | "grants_total"
     | "orders_total"
-    | "engine_crashes_total";
+    | "engine_crashes_total"
+    | "quarantines_total";
 export type HistogramName = "first_token_ms" | "queue_ms" | "request_ms";
 
 export type Effect =
--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -31,6 +31,11 @@
     partsHeard: z.number(),
     partsTold: z.number(),
     parts: z.array(z.tuple([z.string(), z.array(z.tuple([z.string(), z.number()])).max(16384)])).max(4096),
+    crashes: z.array(
+        z.tuple([z.string(), z.number(), z.boolean(), z.array(z.tuple([z.string(), z.number()])).max(1024)]),
+    ).max(256).optional(),
+    answered: tokenCounts.optional(),
+    quarantined: z.array(z.tuple([z.string(), z.number(), z.number()])).max(1024).optional(),
 });
 
 interface PeerContext {
--- a/src/forward/codec/fleetRows.ts
+++ b/src/forward/codec/fleetRows.ts
@@ -1,7 +1,7 @@
 /** Keys and values that the processes of the fleet write to the store. */
 import { z } from "zod";
 import type { ModelId, TargetId, VmId } from "../../ids";
-import type { WeightsVersion } from "../ids";
+import type { PartId, WeightsVersion } from "../ids";
 import type { ForwardMemberRow } from "../tables/members";
 
 /** Prefix of all keys that the fleet writes. */
@@ -10,6 +10,8 @@
 /** Key of the rollout leader, the process that orders engines to load new weights. */
 export const rolloutLeaderKey = `${fleetPrefix}duties/weights`;
 export const orderPrefix = `${fleetPrefix}orders/`;
+/** Prefix of the prompt parts in quarantine; the rest of the key is the part's id. */
+export const quarantinePrefix = `${fleetPrefix}quarantine/`;
 
 const memberSchema = z.object({
     vm: z.string(),
@@ -21,6 +23,17 @@
 
 const orderSchema = z.object({ vm: z.string(), target: z.string(), model: z.string(), version: z.number() });
 
+const quarantineSchema = z.object({ part: z.string(), endsAt: z.number(), offences: z.number().int().min(1).max(64) });
+
+/** Quarantine of a prompt part. */
+export interface StoredQuarantine {
+    readonly part: PartId;
+    /** End of the quarantine in milliseconds since the Unix epoch. */
+    readonly endsAt: number;
+    /** Number of quarantines of the part, this one included. */
+    readonly offences: number;
+}
+
 /** Record of an order to an engine, written before the order is sent. */
 export interface OrderRow {
     readonly vm: VmId;
@@ -48,3 +61,8 @@
 
 /** Decodes the record of an order; undefined when the text is invalid. */
 export const decodeOrder = (text: string): OrderRow | undefined => parseJsonAs(orderSchema, text);
+
+export const encodeQuarantine = (row: StoredQuarantine): string => JSON.stringify(row);
+
+/** Decodes a quarantine; undefined when the text is invalid. */
+export const decodeQuarantine = (text: string): StoredQuarantine | undefined => parseJsonAs(quarantineSchema, text);
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -13,7 +13,7 @@
     WeightsOrderOutcome,
 } from "./calls";
 import type { ForwardDocument, RegisteredTarget } from "./document";
-import type { WeightsVersion } from "./ids";
+import type { PartId, WeightsVersion } from "./ids";
 import type { PeerState } from "./peers";
 
 /** Purpose of a store call, by which its reply reaches the right system. */
@@ -21,7 +21,8 @@
     | { readonly for: "lease"; readonly step: "grant" | "renew" | "end"; }
     | { readonly for: "member"; }
     | { readonly for: "leadership"; }
-    | { readonly for: "order"; readonly target: TargetId; };
+    | { readonly for: "order"; readonly target: TargetId; }
+    | { readonly for: "quarantine"; readonly part: PartId; };
 
 /** A key of the store that a process of the fleet wrote; `value` is undefined for a deleted one. */
 export interface FleetRow {
--- a/src/forward/peers.ts
+++ b/src/forward/peers.ts
@@ -4,7 +4,7 @@
  * acknowledges them.
  */
 import type { AccountId, ModelId, TargetId, VmId } from "../ids";
-import type { CachedPartKey, WeightsVersion } from "./ids";
+import type { CachedPartKey, PartId, WeightsVersion } from "./ids";
 
 export interface PeerState {
     readonly vm: VmId;
@@ -38,6 +38,15 @@
      * whole fleet. A target without changes is listed with an empty list.
      */
     readonly parts: readonly TargetPartChanges[];
+    /**
+     * Engines that have ended or may have: age of the first sign in milliseconds, whether it is certain, and the
+     * suspected prompt parts with their depth. Absent when there are none, as are the two fields that follow.
+     */
+    readonly crashes?: readonly (readonly [TargetId, number, boolean, readonly (readonly [PartId, number])[]])[];
+    /** Suspected parts that the sender has seen answered, with the milliseconds since then. */
+    readonly answered?: readonly (readonly [PartId, number])[];
+    /** Parts in quarantine that the store does not hold yet: end in Unix milliseconds, and number of offences. */
+    readonly quarantined?: readonly (readonly [PartId, number, number])[];
 }
 
 /** Changes of one target: stored tokens by part. An empty key invalidates all earlier entries of the target. */
--- a/src/forward/systems/admitRequests.ts
+++ b/src/forward/systems/admitRequests.ts
@@ -10,6 +10,7 @@
 import type { ForwardWorld } from "../world";
 import { isAdmitting } from "./drainNode";
 import { reserveTokens } from "./reserveTokens";
+import { findQuarantine } from "./updateQuarantine";
 
 /** Retry delay sent by a process that has no configuration yet. */
 const startingRetryAfterSeconds = 0.5;
@@ -57,6 +58,11 @@
     if (!account && document.needsKeys && !route.isOpen) {
         return refuse(arrival.keyHash === undefined ? "key_missing" : "key_unknown");
     }
+    const quarantined = findQuarantine(world, tick, { arrival });
+    if (quarantined) {
+        const { part, retryAfterSeconds } = quarantined;
+        return { ...refuse("prompt_quarantined", retryAfterSeconds), inputs: { part } };
+    }
     const exceeded = account && reserveTokens(world, tick.now, account, computeTokens(arrival, account));
     if (exceeded) {
         const retryAfterSeconds = Math.max(minRetryAfterSeconds, exceeded.waitMs / 1000);
@@ -130,7 +136,7 @@
 }
 
 /**
- * Reads: configuration, members, peers, node. Writes: requests, usage windows.
+ * Reads: configuration, members, peers, node, quarantine. Writes: requests, usage windows.
  * Effects: refusals, deadline timers, counts, log lines.
  */
 export function admitRequests(world: ForwardWorld, tick: ForwardTick): void {
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -1,14 +1,22 @@
 /** Applies what operators, targets and other processes publish in the store. */
 import { logInfo, logWarning } from "../../effects";
 import { addMillis } from "../../ids";
-import { decodeMember, decodeOrder, memberPrefix, orderPrefix, rolloutLeaderKey } from "../codec/fleetRows";
+import {
+    decodeMember,
+    decodeOrder,
+    memberPrefix,
+    orderPrefix,
+    quarantinePrefix,
+    rolloutLeaderKey,
+} from "../codec/fleetRows";
 import type { FleetRow, PublishedChanges, TargetChange } from "../events";
 import type { ForwardTick } from "../events";
 import { addPublishedWeights, getNewestWeights } from "../tables/configuration";
 import type { ForwardWorld } from "../world";
 import { closeForwardTarget } from "./closeTarget";
-import { confirmCrash } from "./followCrashes";
+import { confirmRecordedCrash } from "./followCrashes";
 import { endBackOff, expectLoading } from "./targetHealth";
+import { applyQuarantineRow } from "./updateQuarantine";
 
 /**
  * A target whose row disappears within this time after a store outage is kept for this long: its lease may have expired
@@ -69,10 +77,7 @@
         const replaced = targets.apply(name, target, tick.now);
         if (replaced) {
             closeForwardTarget(world, replaced);
-            const crash = world.tables.crashes.get(replaced.registration.id);
-            if (crash) {
-                confirmCrash(world, crash, "it registered as a new run");
-            }
+            confirmRecordedCrash(world, tick, replaced.registration.id, "it registered as a new run");
         }
         if (current && !replaced && hasNewWeights) {
             cachedParts.removeTarget(target.id);
@@ -108,13 +113,16 @@
         );
         return;
     }
-    removeTarget(world, name);
+    removeTarget(world, tick, name);
 }
 
-function removeTarget(world: ForwardWorld, name: string): void {
+function removeTarget(world: ForwardWorld, tick: ForwardTick, name: string): void {
     const { targets } = world.tables;
     const row = targets.findByName(name);
     if (row) {
+        if (!row.registration.isLeaving) {
+            confirmRecordedCrash(world, tick, row.registration.id, "its registration was removed");
+        }
         targets.remove(name);
         closeForwardTarget(world, row);
         logInfo(world.effects, "target:", "Target was removed; it gets no further requests.", {
@@ -127,7 +135,7 @@
     for (const name of tick.due.listKeys("missingTarget")) {
         const row = world.tables.targets.findByName(name);
         if (row?.missingUntil !== undefined && tick.now >= row.missingUntil) {
-            removeTarget(world, name);
+            removeTarget(world, tick, name);
         }
     }
 }
@@ -160,6 +168,10 @@
         node.rolloutLeadership.holder = value;
         return;
     }
+    if (key.startsWith(quarantinePrefix)) {
+        applyQuarantineRow(world, tick, key, value);
+        return;
+    }
     if (!key.startsWith(memberPrefix)) {
         return;
     }
@@ -194,9 +206,9 @@
     }
 }
 
-/** Removes targets, members and the rollout leader that a full read of the store no longer contains. */
+/** Removes targets, members, quarantines and the rollout leader that a full read of the store no longer contains. */
 function removeUnpublished(world: ForwardWorld, tick: ForwardTick, changes: PublishedChanges): void {
-    const { targets, members, node } = world.tables;
+    const { targets, members, node, quarantine } = world.tables;
     const names = new Set(changes.targets.map(change => change.name));
     for (const name of targets.listNames().filter(registered => !names.has(registered))) {
         applyTarget(world, tick, { name, target: undefined });
@@ -205,6 +217,11 @@
     for (const vm of members.listVms().filter(member => !keys.has(`${memberPrefix}${member}`))) {
         applyFleetRow(world, tick, { key: `${memberPrefix}${vm}`, value: undefined, createRevision: 0 });
     }
+    for (
+        const { part } of quarantine.list().filter(row => row.isStored && !keys.has(`${quarantinePrefix}${row.part}`))
+    ) {
+        applyFleetRow(world, tick, { key: `${quarantinePrefix}${part}`, value: undefined, createRevision: 0 });
+    }
     if (!keys.has(rolloutLeaderKey)) {
         node.rolloutLeadership.holder = undefined;
     }
@@ -220,7 +237,7 @@
 }
 
 /**
- * Writes: configuration, targets, crashes, members, rollouts (last orders), cached parts, node (contact with the store, leader).
+ * Writes: configuration, targets, crashes, quarantine, members, rollouts (last orders), cached parts, node (contact with the store, leader).
  * Effects: caller limits, closed targets, log lines.
  */
 export function applyPublished(world: ForwardWorld, tick: ForwardTick): void {
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -9,6 +9,7 @@
 import type { PeerRow } from "../tables/peers";
 import type { ForwardWorld } from "../world";
 import { computeExchangeIntervalMs, computeOwnTokens, computePeerStaleMs } from "./accountUsage";
+import { applyCrashReports, buildCrashReports } from "./crashReports";
 
 /** Interval at which a group of peers is called. */
 const exchangeStepMs = 100;
@@ -137,6 +138,7 @@
         partsHeard: peer?.receivedPartChange ?? 0,
         partsTold: world.tables.cachedParts.journal.newestNumber,
         parts: listPartChanges(world, peer?.acknowledgedPartChange ?? 0),
+        ...buildCrashReports(world, tick),
     };
 }
 
@@ -145,6 +147,7 @@
     peers.apply(state, tick.now);
     applyPublishedWeights(world, tick, state);
     applyParts(world, tick, state);
+    applyCrashReports(world, tick, state);
     // `knownStart` differs when the peer has not noticed the restart yet; its report is then about another run.
     if (state.earlier && state.knownStart === world.startedAt && !peers.ownPreviousRun) {
         peers.ownPreviousRun = { usage: new Map(state.earlier), reportedAt: tick.now };
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -8,7 +8,7 @@
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { recordCachedParts } from "./cacheSalts";
-import { recordLostAttempt } from "./followCrashes";
+import { recordAnsweredParts, recordLostAttempt } from "./followCrashes";
 import { closeRequest, refuseForwardRequest, removeInFlight } from "./requestEnd";
 import {
     expectLoading,
@@ -273,6 +273,7 @@
     attemptAnswered: handleAnswer,
     attemptFirstEvent: handleFirstEvent,
     attemptFinished: (world, tick, row, attempt) => {
+        recordAnsweredParts(world, row, tick.now);
         endRequest(world, tick, row, attempt, 200);
     },
     attemptFailed: handleFailure,
--- a/src/forward/systems/followCrashes.ts
+++ b/src/forward/systems/followCrashes.ts
@@ -1,10 +1,11 @@
 /** Follows engines that end while they run requests, and records which prompt parts may have caused it. */
 import { logWarning } from "../../effects";
-import type { Millis, TargetId } from "../../ids";
+import { addMillis, type Millis, type TargetId, toMillis } from "../../ids";
 import type { ForwardTick } from "../events";
 import { addSuspect, type CrashRow } from "../tables/crashes";
-import type { ForwardAttempt, ForwardRequestRow } from "../tables/requests";
+import { findOpenAttempt, type ForwardAttempt, type ForwardRequestRow, listSharedParts } from "../tables/requests";
 import type { ForwardWorld } from "../world";
+import { computeExchangeIntervalMs } from "./accountUsage";
 
 /**
  * An engine that answered a request for this long before it ended did not end because of that request: a prompt that
@@ -13,15 +14,45 @@
 const begunAnswerMs = 200;
 /** A response that arrives later than this after a request was lost shows that the engine has not ended. */
 const lateResponseMs = 50;
-/** An unconfirmed row is dropped after this time: the next calls to an engine that ended are refused sooner. */
-const maxUnconfirmedMs = 3000;
+/** An unconfirmed row is dropped after this time: by then the registration of an engine that ended has expired. */
+const maxUnconfirmedMs = 8000;
 
 /** True when the answer began long enough ago to show that the prompt does not crash its engine. */
 export const hasBegunSafely = ({ firstEventAt }: ForwardAttempt, now: Millis): boolean =>
     firstEventAt !== undefined && now - firstEventAt > begunAnswerMs;
 
-/** Ids of the parts that the prompt may share with others: all but the last. */
-const listSharedParts = ({ arrival }: ForwardRequestRow) => arrival.parts.slice(0, -1).map(({ id }) => id);
+/** Records the parts of a prompt as answered. */
+export function recordAnsweredParts(world: ForwardWorld, row: ForwardRequestRow, answeredAt: Millis): void {
+    for (const part of listSharedParts(row)) {
+        world.tables.answeredParts.record(part, answeredAt);
+    }
+}
+
+/** Records the parts of running requests whose answers have begun and did not crash their engines. */
+export function recordBegunAnswers(world: ForwardWorld, tick: ForwardTick): void {
+    for (const row of world.tables.requests.list("running")) {
+        const attempt = findOpenAttempt(row, row.attempts.length);
+        if (attempt?.firstEventAt !== undefined && hasBegunSafely(attempt, tick.now)) {
+            recordAnsweredParts(world, row, attempt.firstEventAt);
+        }
+    }
+}
+
+/** Exchanges with a peer after which both know each other's reports of a crash and what clears its suspects. */
+const settleExchanges = 2;
+const settleMarginMs = 50;
+/** In a large fleet crashes are judged before all processes have reported, so that fewer engines end meanwhile. */
+const maxSettleMs = 1000;
+
+/** Time after a crash in which the other processes report their lost requests. */
+export const computeSettleMs = (world: ForwardWorld): number =>
+    Math.min(maxSettleMs, settleExchanges * computeExchangeIntervalMs(world) + settleMarginMs);
+
+/** Schedules the judgement of the crash for the time when all processes have reported. */
+export function scheduleCrashEvaluation(world: ForwardWorld, tick: ForwardTick, { failedAt }: CrashRow): void {
+    const settledAt = addMillis(failedAt, computeSettleMs(world));
+    world.timers.schedule({ name: "crashEvaluation", at: toMillis(Math.max(tick.now, settledAt)) });
+}
 
 /**
  * Records a request whose connection ended without a complete answer. Requests to targets that are leaving or gone are
@@ -47,19 +78,25 @@
         isSuspect: !hasBegun,
     });
     const crash = world.tables.crashes.add(attempt.target, tick.now);
-    if (!hasBegun) {
-        parts.forEach((part, depth) => {
-            addSuspect(crash, part, depth);
-        });
+    if (hasBegun && attempt.firstEventAt !== undefined) {
+        recordAnsweredParts(world, row, attempt.firstEventAt);
+        return;
+    }
+    parts.forEach((part, depth) => {
+        addSuspect(crash, part, depth);
+    });
+    if (crash.isConfirmed) {
+        scheduleCrashEvaluation(world, tick, crash);
     }
 }
 
 /** Marks the engine's end as certain. */
-export function confirmCrash(world: ForwardWorld, crash: CrashRow, evidence: string): void {
+export function confirmCrash(world: ForwardWorld, tick: ForwardTick, crash: CrashRow, evidence: string): void {
     if (crash.isConfirmed) {
         return;
     }
     crash.isConfirmed = true;
+    scheduleCrashEvaluation(world, tick, crash);
     world.effects.append({ kind: "addCount", name: "engine_crashes_total", value: 1, labels: {} });
     logWarning(world.effects, "target:", "An engine has ended unexpectedly.", {
         target: crash.target,
@@ -68,12 +105,20 @@
     });
 }
 
+/** Confirms the end of an engine of which requests were lost or connections refused, if any. */
+export function confirmRecordedCrash(world: ForwardWorld, tick: ForwardTick, target: TargetId, evidence: string): void {
+    const crash = world.tables.crashes.get(target);
+    if (crash) {
+        confirmCrash(world, tick, crash, evidence);
+    }
+}
+
 /** A refused connection shows that the process at the address has ended, unless its end was planned. */
 function recordRefusedConnection(world: ForwardWorld, tick: ForwardTick, id: TargetId): void {
     const target = world.tables.targets.get(id);
     const isEngine = (target?.registration.weights.size ?? 0) > 0;
     if (target && isEngine && !target.registration.isLeaving) {
-        confirmCrash(world, world.tables.crashes.add(id, tick.now), "its address refused a connection");
+        confirmCrash(world, tick, world.tables.crashes.add(id, tick.now), "its address refused a connection");
     }
 }
 
@@ -90,7 +135,7 @@
 }
 
 /**
- * Reads: targets. Writes: crashes.
+ * Reads: targets, requests. Writes: crashes, answered parts.
  * Effects: counts, log lines.
  */
 export function followCrashes(world: ForwardWorld, tick: ForwardTick): void {
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -13,6 +13,7 @@
 import { resumeOnOtherEngines } from "./resumeOnOtherEngines";
 import { routeRequests } from "./routeRequests";
 import { updateMembership } from "./updateMembership";
+import { updateQuarantine } from "./updateQuarantine";
 
 export const forwardSystems: readonly ForwardSystem[] = [
     applyPublished,
@@ -21,6 +22,7 @@
     followParts,
     followCrashes,
     followAttempts,
+    updateQuarantine,
     resumeOnOtherEngines,
     expireRequests,
     admitRequests,
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -13,6 +13,7 @@
 import { chooseEngine, computeOutdatedAge, type TargetChoice } from "./chooseEngine";
 import { refuseForwardRequest } from "./requestEnd";
 import { overloadBackOffMs } from "./targetHealth";
+import { findQuarantine, recordTrial } from "./updateQuarantine";
 
 /** A request without an eligible target waits this fraction of its route's objective, then is refused as not run. */
 const maxTargetWaitFraction = 0.125;
@@ -177,6 +178,7 @@
 function sendToTarget(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, choice: TargetChoice): void {
     const { target, version } = choice;
     recordSend(world, row);
+    recordTrial(world, row);
     const number = row.attempts.length + 1;
     row.attempts.push({
         number,
@@ -241,6 +243,11 @@
 }
 
 function routeRequest(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): void {
+    const quarantined = findQuarantine(world, tick, row);
+    if (quarantined) {
+        refuseForwardRequest(world, tick, row, "prompt_quarantined", quarantined.retryAfterSeconds);
+        return;
+    }
     if (!reservePendingRetry(world, row)) {
         world.timers.schedule({ name: "requestRetry", at: addMillis(tick.now, resumeRetryDelayMs), key: row.id });
         return;
@@ -270,7 +277,7 @@
 }
 
 /**
- * Reads: configuration, members, cached parts. Writes: requests, targets (requests in flight), retry budgets.
+ * Reads: configuration, members, cached parts, quarantine. Writes: requests, targets (requests in flight), retry budgets.
  * Effects: requests to targets, refusals, log lines.
  */
 export function routeRequests(world: ForwardWorld, tick: ForwardTick): void {
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -146,6 +146,8 @@
     },
     // Handled by `placeWeights`.
     order: () => undefined,
+    // Handled by `updateQuarantine`.
+    quarantine: () => undefined,
     member: (world, _tick, _purpose, { result }) => {
         if (result.err || (result.val.kind === "transaction" && !result.val.succeeded)) {
             world.tables.node.isRegistered = false;
--- a/src/forward/tables/crashes.ts
+++ b/src/forward/tables/crashes.ts
@@ -15,8 +15,8 @@
     readonly suspects: Map<PartId, number>;
 }
 
-/** Older rows are dropped: the engine has long been replaced. */
-const maxAgeMs = 60_000;
+/** Older rows are dropped. Shorter than any quarantine, so that a crash counts for one only. */
+const maxAgeMs = 30_000;
 /** Maximum number of rows; the oldest is dropped for a new one. */
 const maxRows = 64;
 /** Maximum number of suspects of one row; further ones are not recorded. */
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -1,12 +1,14 @@
 /** All tables of one process in the forwarding mode. */
 import type { RetryBudget } from "../../policy/retryBudget";
 import type { ServiceId } from "../ids";
+import { type AnsweredPartsTable, createAnsweredPartsTable } from "./answeredParts";
 import { type CachedPartsTable, createCachedPartsTable } from "./cachedParts";
 import { createForwardConfigurationTable, type ForwardConfigurationTable } from "./configuration";
 import { type CrashesTable, createCrashesTable } from "./crashes";
 import { createForwardMembersTable, type ForwardMembersTable } from "./members";
 import { createForwardNodeRow, type ForwardNodeRow } from "./node";
 import { createPeersTable, type PeersTable } from "./peers";
+import { createQuarantineTable, type QuarantineTable } from "./quarantine";
 import { createForwardRequestsTable, type ForwardRequestsTable } from "./requests";
 import { createRolloutsTable, type RolloutsTable } from "./rollouts";
 import { createForwardTargetsTable, type ForwardTargetsTable } from "./targets";
@@ -22,6 +24,8 @@
     readonly usageWindows: UsageWindowsTable;
     readonly cachedParts: CachedPartsTable;
     readonly crashes: CrashesTable;
+    readonly answeredParts: AnsweredPartsTable;
+    readonly quarantine: QuarantineTable;
     readonly rollouts: RolloutsTable;
     readonly retryBudgets: Map<ServiceId, RetryBudget>;
 }
@@ -38,6 +42,8 @@
         usageWindows: createUsageWindowsTable(),
         cachedParts: createCachedPartsTable(),
         crashes: createCrashesTable(),
+        answeredParts: createAnsweredPartsTable(),
+        quarantine: createQuarantineTable(),
         rollouts: createRolloutsTable(),
         retryBudgets: new Map(),
     };
--- a/src/forward/tables/requests.ts
+++ b/src/forward/tables/requests.ts
@@ -3,7 +3,7 @@
 import type { AttemptEvidence } from "../../verdict";
 import type { ForwardArrival } from "../calls";
 import type { ForwardAccount, ForwardRoute } from "../document";
-import type { ServiceId, WeightsVersion } from "../ids";
+import type { PartId, ServiceId, WeightsVersion } from "../ids";
 
 export type ForwardRequestState = "queued" | "running" | "done";
 
@@ -107,3 +107,10 @@
     const space = key.indexOf(" ");
     return { request: toRequestId(key.slice(space + 1)), attempt: Number(key.slice(0, space)) };
 }
+
+/** Parts with longer ids are not tracked; ids are hashes, and the key of a row in the store is limited. */
+const maxTrackedIdLength = 64;
+
+/** Ids of the parts that the prompt may share with others: all but the last. */
+export const listSharedParts = ({ arrival }: Pick<ForwardRequestRow, "arrival">): PartId[] =>
+    arrival.parts.slice(0, -1).map(({ id }) => id).filter(id => id.length <= maxTrackedIdLength);
--- a/src/refusals.ts
+++ b/src/refusals.ts
@@ -24,6 +24,10 @@
     rate_limited: { status: 429, message: "The client account has used up its token rate." },
     too_large_for_burst: { status: 413, message: "The request needs more tokens than the client account's burst." },
     overloaded: { status: 503, message: "Too many requests are waiting." },
+    prompt_quarantined: {
+        status: 503,
+        message: "Engines crash under a part of this prompt. It is refused for a time.",
+    },
     no_target: { status: 503, message: "No target can take this request now." },
     deadline_exceeded: { status: 504, message: "The deadline of the request passed." },
     target_failed: { status: 502, message: "The target failed before it gave a full answer." },
--- a/test/forward/crashingParts.test.ts
+++ b/test/forward/crashingParts.test.ts
@@ -1,4 +1,6 @@
 import { describe, expect, it } from "vitest";
+import { quarantinePrefix } from "../../src/forward/codec/fleetRows";
+import { toPartId } from "../../src/forward/ids";
 import { type CrashFleet, startCrashFleet } from "../support/crashFleet";
 
 const crashingPart = "crashing";
@@ -22,6 +24,17 @@
     }
 }
 
+const crashingPartKey = `${quarantinePrefix}${crashingPart}`;
+const isQuarantineKey = (key: string): boolean => key.startsWith(quarantinePrefix);
+
+/** Parts in quarantine, by process. */
+const listQuarantined = ({ nodes }: CrashFleet): string[][] =>
+    nodes.map(({ test }) =>
+        test.world.tables.quarantine.list()
+            .filter(({ activeUntil }) => activeUntil > test.getNow())
+            .map(({ part }) => part)
+    );
+
 const listCrashingAttempts = ({ attempts }: CrashFleet, after = 0) =>
     attempts.filter(({ parts, at }) => parts.includes(crashingPart) && at > after);
 
@@ -33,4 +46,161 @@
         const fifthCrash = fleet.crashes[4] ?? Infinity;
         expect(listCrashingAttempts(fleet, fifthCrash + boundMs).length).toBeLessThanOrEqual(allowedAttempts);
     });
+
+    // Guards against sound requests that are refused because they share other parts with the crashing ones.
+    it("is the only part that is blamed, and requests without it are served", async () => {
+        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        sendTraffic(fleet, 6000);
+        const firstAttempt = fleet.attempts.length;
+        sendTraffic(fleet, 6000);
+        expect(fleet.listRowKeys().filter(isQuarantineKey)).toEqual([crashingPartKey]);
+        expect(listQuarantined(fleet)).toEqual([[crashingPart], [crashingPart], [crashingPart], [crashingPart]]);
+        expect(fleet.attempts.length - firstAttempt).toBe(90);
+    });
+
+    it("is refused at once as not run, until the quarantine ends", async () => {
+        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        sendTraffic(fleet, 8000);
+        fleet.send(1, "late", ["another root", crashingPart]);
+        fleet.run(100);
+        const refusal = fleet.refusals.find(({ request }) => request === "late")?.refusal;
+        expect(refusal).toMatchObject({ code: "prompt_quarantined", verdict: "not_run" });
+        expect(refusal?.retryAfterSeconds).toBeGreaterThan(50);
+        expect(refusal?.retryAfterSeconds).toBeLessThanOrEqual(60);
+    });
+
+    // Guards against a request that an engine has queued and that would crash it after the part was blamed.
+    it("is withdrawn from engines that have not begun to answer it, and not reported as not run", async () => {
+        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        sendTraffic(fleet, 8000);
+        const crashCount = fleet.crashes.length;
+        fleet.deleteRow(crashingPartKey);
+        fleet.run(100);
+        fleet.send(0, "queued", ["root", crashingPart]);
+        fleet.run(40);
+        fleet.writeRow(crashingPartKey, { part: crashingPart, endsAt: fleet.getWallNow() + 60_000, offences: 1 });
+        fleet.run(1000);
+        expect(fleet.crashes).toHaveLength(crashCount);
+        const refusal = fleet.refusals.find(({ request }) => request === "queued")?.refusal;
+        expect(refusal).toMatchObject({ code: "target_failed", verdict: "may_have_run" });
+        expect(refusal?.retryAfterSeconds).toBeUndefined();
+    });
+
+    // Guards against a restarted process that sends the part again because only its earlier run knew of it.
+    it("is known to a process that starts later, before it sends its first request", async () => {
+        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        sendTraffic(fleet, 8000);
+        const crashCount = fleet.crashes.length;
+        await fleet.restartNode(2);
+        fleet.send(2, "after restart", ["root", crashingPart]);
+        fleet.run(1000);
+        expect(fleet.crashes).toHaveLength(crashCount);
+    });
+
+    // Guards against knowledge that spreads through the store alone.
+    it("is blamed by all processes while the store answers none of them", async () => {
+        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        fleet.nodes.forEach((_, index) => {
+            fleet.cutFromStore(index);
+        });
+        sendTraffic(fleet, 12_000);
+        expect(listQuarantined(fleet)).toEqual([[crashingPart], [crashingPart], [crashingPart], [crashingPart]]);
+        expect(fleet.crashes.length).toBeLessThanOrEqual(8);
+    });
+
+    it("is blamed by a process that reaches no other, which then tells them through the store", async () => {
+        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        fleet.cutFromPeers(0);
+        for (let number = 0; number < 8; number += 1) {
+            fleet.send(0, `r${number}`, ["root", "file", crashingPart]);
+            fleet.send(0, `sound${number}`, ["root", "file"]);
+            fleet.run(800);
+        }
+        fleet.run(4000);
+        expect(listQuarantined(fleet)).toEqual([[crashingPart], [crashingPart], [crashingPart], [crashingPart]]);
+    });
+
+    it("is sent again after an operator has cleared it, and blamed again only for new crashes", async () => {
+        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        sendTraffic(fleet, 8000);
+        fleet.deleteRow(crashingPartKey);
+        fleet.run(2000);
+        expect(listQuarantined(fleet)).toEqual([[], [], [], []]);
+        const crashCount = fleet.crashes.length;
+        sendTraffic(fleet, 6000);
+        expect(fleet.crashes.length).toBeGreaterThanOrEqual(crashCount + 3);
+        expect(listQuarantined(fleet)).toEqual([[crashingPart], [crashingPart], [crashingPart], [crashingPart]]);
+    });
+
+    // Guards against a crash on every process when a quarantine ends.
+    it("is tried with one request of the fleet when its quarantine ends; a crash then begins a longer one", async () => {
+        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        fleet.writeRow(crashingPartKey, { part: crashingPart, endsAt: fleet.getWallNow() + 3000, offences: 2 });
+        fleet.run(3500);
+        for (let node = 0; node < 8; node += 1) {
+            fleet.send(node % 4, `again ${node}`, ["root", crashingPart]);
+        }
+        fleet.run(6000);
+        expect(listCrashingAttempts(fleet)).toHaveLength(1);
+        expect(fleet.crashes).toHaveLength(1);
+        expect(fleet.refusals.filter(({ refusal }) => refusal.code === "prompt_quarantined")).toHaveLength(7);
+        fleet.nodes.forEach(({ test }) => {
+            expect(test.world.tables.quarantine.get(toPartId(crashingPart))?.offences).toBe(3);
+        });
+    });
+
+    // Guards against a sound part that stays refused because no request can prove that it is sound.
+    it("is served again by all processes once a trial was answered", async () => {
+        const fleet = await startCrashFleet();
+        fleet.writeRow(crashingPartKey, { part: crashingPart, endsAt: fleet.getWallNow() + 1000, offences: 1 });
+        fleet.run(1500);
+        for (let node = 0; node < 4; node += 1) {
+            fleet.send(node, `trial ${node}`, ["root", crashingPart]);
+        }
+        fleet.run(1000);
+        expect(fleet.listRowKeys().filter(isQuarantineKey)).toEqual([]);
+        for (let node = 0; node < 4; node += 1) {
+            fleet.send(node, `after ${node}`, ["root", crashingPart]);
+        }
+        fleet.run(1000);
+        expect(listCrashingAttempts(fleet)).toHaveLength(5);
+    });
+});
+
+describe("engines that end for other reasons", () => {
+    // Guards against popular parts that are blamed because requests with them run on every engine.
+    it("let no part be blamed when they end one after the other", async () => {
+        const fleet = await startCrashFleet({ engines: 12 });
+        for (let crash = 0; crash < 12; crash += 1) {
+            sendTraffic(fleet, 500, false);
+            fleet.crashEngine(crash);
+        }
+        sendTraffic(fleet, 4000, false);
+        expect(fleet.crashes.length).toBeGreaterThan(8);
+        expect(listQuarantined(fleet)).toEqual([[], [], [], []]);
+    });
+
+    it("let no part be blamed when most of them end at the same moment", async () => {
+        const fleet = await startCrashFleet();
+        for (const files of [["file-1"], ["file-1"], ["file-1"], ["file-1"]]) {
+            files.forEach((file, index) => {
+                fleet.send(index, `rare-${fleet.getNow()}`, ["rare root", file]);
+            });
+            fleet.run(20);
+        }
+        [0, 1, 2, 3, 4, 5].forEach(fleet.crashEngine);
+        fleet.run(5000);
+        expect(listQuarantined(fleet)).toEqual([[], [], [], []]);
+    });
+
+    it("let no part be blamed for connections that are lost while the engine answers others", async () => {
+        const fleet = await startCrashFleet();
+        for (let lost = 0; lost < 6; lost += 1) {
+            fleet.send(0, `r${lost}`, ["root", "file"]);
+            fleet.run(40);
+            fleet.loseRequest(0, `r${lost}`);
+            sendTraffic(fleet, 1000, false);
+        }
+        expect(listQuarantined(fleet)).toEqual([[], [], [], []]);
+    });
 });
--- a/test/support/crashFleet.ts
+++ b/test/support/crashFleet.ts
@@ -8,7 +8,7 @@
 import type { ForwardEvent, TargetChange } from "../../src/forward/events";
 import { toPartId } from "../../src/forward/ids";
 import type { PeerState } from "../../src/forward/peers";
-import { type RequestId, type TargetId, toCallId, toMillis, toTargetId } from "../../src/ids";
+import { type RequestId, type TargetId, toCallId, toMillis, toRequestId, toTargetId } from "../../src/ids";
 import {
     buildArrival,
     buildDocument,
@@ -61,6 +61,8 @@
     readonly crashes: readonly number[];
     readonly refusals: readonly (ForwardEffectOf<"refuseRequest"> & { readonly node: number; readonly at: number; })[];
     getNow(): number;
+    /** Milliseconds since the Unix epoch. */
+    getWallNow(): number;
     /** Sends a request whose prompt has the given shared parts; the last part is its own. */
     send(node: number, id: string, parts: readonly string[], options?: Partial<ForwardArrival>): void;
     /** Ends the run of an engine for another reason than a request. */
@@ -69,6 +71,9 @@
     restartNode(index: number): Promise<void>;
     cutFromStore(index: number): void;
     cutFromPeers(index: number): void;
+    /** Ends the connection of a request of this process, while its engine goes on. */
+    loseRequest(node: number, id: string): void;
+    writeRow(key: string, value: unknown): void;
     /** Deletes a row of the store, as an operator does. */
     deleteRow(key: string): void;
     listRowKeys(): readonly string[];
@@ -299,6 +304,7 @@
         crashes,
         refusals,
         getNow: () => now,
+        getWallNow: () => (nodes[0] as SimulatedNode).test.getWallNow(),
         send: (index, id, parts, changes = {}) => {
             const node = nodes[index] as SimulatedNode;
             const arrival = buildArrival(id, {
@@ -323,6 +329,17 @@
         cutFromPeers: index => {
             (nodes[index] as SimulatedNode).isCutFromPeers = true;
         },
+        loseRequest: (index, id) => {
+            const request = toRequestId(id);
+            engines.forEach(engine => {
+                engine.attempts = engine.attempts.filter(running => running.request !== request);
+            });
+            nodes[index]?.events.push({ kind: "attemptFailed", request, attempt: 1, fault: "closed", lastEventId: 0 });
+        },
+        writeRow: (key, value) => {
+            const put = { kind: "put" as const, key, value: JSON.stringify(value) };
+            store.run({ kind: "transaction", compare: [], success: [put] });
+        },
         deleteRow: key => {
             store.run({ kind: "transaction", compare: [], success: [{ kind: "delete", key }] });
         },
--- a/test/support/forwardNode.ts
+++ b/test/support/forwardNode.ts
@@ -149,6 +149,8 @@
 export interface ForwardTestNode {
     readonly world: ForwardWorld;
     getNow(): number;
+    /** Milliseconds since the Unix epoch. */
+    getWallNow(): number;
     /** Advances the clock by `afterMs`, runs one tick and returns its effects. */
     run(events?: readonly ForwardEvent[], afterMs?: number): readonly ForwardEffect[];
     /**
@@ -206,6 +208,7 @@
     return {
         world,
         getNow: () => now,
+        getWallNow: () => wallOffset + now,
         run,
         runFor: (ms, answer = () => [], events = []) => {
             const end = now + ms;
