Treat a stream that ends inside an event as broken off

A caller received the bytes of half an event and the end of its stream as if the answer were complete, when an engine closed its connection inside an event; a resumable stream was not resumed. The relay passed on what followed the last complete event and finished. It now fails the attempt, so that the stream is resumed or interrupted; line ends after the last event are still accepted.

Both cases of the new test (with and without framing) failed before.

--- a/src/forward/adapters/eventRelay.ts
+++ b/src/forward/adapters/eventRelay.ts
@@ -21,6 +21,9 @@
     getLastEventId(): number;
 }
 
+/** True when the bytes after the last event hold nothing but line ends; otherwise the stream ended inside an event. */
+const isBlank = (bytes: Buffer): boolean => /^[\r\n]*$/.test(bytes.toString("latin1"));
+
 /** Creates the relay of one attempt. */
 export function createEventRelay(options: EventRelayOptions): EventRelay {
     const { source, caller, onFirstEvent, onFinished, onFailed } = options;
@@ -69,14 +72,15 @@
         if (isOver) {
             return;
         }
+        const remainder = splitter.getRemainder();
         // A chunked response to the caller must not be ended normally when the source has no framing: nothing then
         // shows that the source is complete.
-        if (!isCompleteResponse(source) || (caller.useChunkedEncodingByDefault && !hasFraming(source))) {
+        const isEndUncertain = caller.useChunkedEncodingByDefault && !hasFraming(source);
+        if (!isCompleteResponse(source) || isEndUncertain || !isBlank(remainder)) {
             endWithFault("cut_short");
             return;
         }
         isOver = true;
-        const remainder = splitter.getRemainder();
         caller.end(remainder.length > 0 ? remainder : undefined);
         onFinished();
     }
--- a/test/forward/eventRelay.test.ts
+++ b/test/forward/eventRelay.test.ts
@@ -30,12 +30,14 @@
     return { response: await opened, caller };
 }
 
-/** Creates a target's answer whose bytes the test writes. */
-function createSource(): { readonly source: http.IncomingMessage; readonly bytes: PassThrough; } {
+/** Creates a target's answer whose bytes the test writes. A complete one has arrived with its framing, if any. */
+function createSource(
+    { isComplete = false, isFramed = true }: { readonly isComplete?: boolean; readonly isFramed?: boolean; } = {},
+): { readonly source: http.IncomingMessage; readonly bytes: PassThrough; } {
     const bytes = new PassThrough();
     const source = Object.assign(bytes, {
-        complete: false,
-        headers: { "transfer-encoding": "chunked" },
+        complete: isComplete,
+        headers: isFramed ? { "transfer-encoding": "chunked" } : {},
         socket: { errored: null },
     }) as unknown as http.IncomingMessage;
     return { source, bytes };
@@ -80,6 +82,37 @@
         expect(relay.getLastEventId()).toBe(2);
     });
 
+    // Guards against a broken stream that is relayed as a complete one and never resumed.
+    it.each([
+        { framing: "a length or chunks", isFramed: true },
+        { framing: "neither a length nor chunks", isFramed: false },
+    ])("fails when a stream with $framing ends inside an event", async ({ isFramed }) => {
+        const { response } = await openCaller();
+        const { source, bytes } = createSource({ isComplete: true, isFramed });
+        response.useChunkedEncodingByDefault = isFramed;
+        const outcomes: string[] = [];
+        const relay = startRelay({
+            source,
+            caller: response,
+            onFailed: fault => outcomes.push(fault),
+            onFinished: () => outcomes.push("finished"),
+        });
+        bytes.end("id: 1\ndata: a\n\nid: 2\nda");
+        await waitForEvents();
+        expect(outcomes).toEqual(["cut_short"]);
+        expect(relay.getLastEventId()).toBe(1);
+    });
+
+    it("finishes a stream that ends with empty lines after its last event", async () => {
+        const { response } = await openCaller();
+        const { source, bytes } = createSource({ isComplete: true });
+        const outcomes: string[] = [];
+        startRelay({ source, caller: response, onFinished: () => outcomes.push("finished") });
+        bytes.end("id: 1\ndata: a\n\n\n");
+        await waitForEvents();
+        expect(outcomes).toEqual(["finished"]);
+    });
+
     it("fails on a gap in event ids and drops an event that the caller already has", async () => {
         const { response } = await openCaller();
         const { source, bytes } = createSource();
