Count the end of a stream without framing as a possible crash

An engine that ends as it begins an answer with neither a length nor chunks closes the connection as if the answer were complete. The request then counted as answered, which cleared its parts, so that the part was never blamed and engines went on crashing. Only an answer with framing now clears the parts of its prompt; the end of any other connection makes the request a suspect, until the engine answers again.

--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -123,7 +123,8 @@
             },
             onFinished: () => {
                 running.isOver = true;
-                post({ kind: "attemptFinished", request: id, attempt: running.attempt });
+                const isEndCertain = hasFraming(targetResponse);
+                post({ kind: "attemptFinished", request: id, attempt: running.attempt, isEndCertain });
             },
             onFailed: fault => {
                 postFailure(id, running, fault);
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -71,7 +71,13 @@
         readonly isOpenStream: boolean;
     }
     | { readonly kind: "attemptFirstEvent"; readonly request: RequestId; readonly attempt: number; }
-    | { readonly kind: "attemptFinished"; readonly request: RequestId; readonly attempt: number; }
+    | {
+        readonly kind: "attemptFinished";
+        readonly request: RequestId;
+        readonly attempt: number;
+        /** False when only the end of the connection showed the end of the stream, as it does when the target crashes. */
+        readonly isEndCertain: boolean;
+    }
     | {
         readonly kind: "attemptFailed";
         readonly request: RequestId;
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -8,7 +8,7 @@
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { recordCachedParts } from "./cacheSalts";
-import { recordAnsweredParts, recordLostAttempt } from "./followCrashes";
+import { recordAnsweredParts, recordConnectionEnd, recordLostAttempt } from "./followCrashes";
 import { closeRequest, refuseForwardRequest, removeInFlight } from "./requestEnd";
 import {
     expectLoading,
@@ -272,8 +272,13 @@
     },
     attemptAnswered: handleAnswer,
     attemptFirstEvent: handleFirstEvent,
-    attemptFinished: (world, tick, row, attempt) => {
-        recordAnsweredParts(world, row, tick.now);
+    attemptFinished: (world, tick, row, attempt, { isEndCertain }) => {
+        if (isEndCertain) {
+            recordAnsweredParts(world, row, tick.now);
+        }
+        else {
+            recordConnectionEnd(world, tick, row, attempt);
+        }
         endRequest(world, tick, row, attempt, 200);
     },
     attemptFailed: handleFailure,
--- a/src/forward/systems/followCrashes.ts
+++ b/src/forward/systems/followCrashes.ts
@@ -54,35 +54,28 @@
     world.timers.schedule({ name: "crashEvaluation", at: toMillis(Math.max(tick.now, settledAt)) });
 }
 
-/**
- * Records a request whose connection ended without a complete answer. Requests to targets that are leaving or gone are
- * expected to be cut.
- */
-export function recordLostAttempt(
+/** True when the end of the target would be unexpected and the request shares parts with others. */
+function canBeSuspect(world: ForwardWorld, row: ForwardRequestRow, { target: id }: ForwardAttempt): boolean {
+    const target = world.tables.targets.get(id);
+    return target !== undefined && !target.registration.isLeaving && listSharedParts(row).length > 0;
+}
+
+/** Records that the connection of a request ended, which may be because its engine did. */
+export function recordConnectionEnd(
     world: ForwardWorld,
     tick: ForwardTick,
     row: ForwardRequestRow,
     attempt: ForwardAttempt,
 ): void {
-    const target = world.tables.targets.get(attempt.target);
-    const parts = listSharedParts(row);
-    if (!target || target.registration.isLeaving || parts.length === 0) {
+    if (!canBeSuspect(world, row, attempt)) {
         return;
     }
-    const hasBegun = hasBegunSafely(attempt, tick.now);
-    logWarning(world.effects, "target:", "A request was lost with its connection to an engine.", {
-        request: row.id,
-        target: attempt.target,
-        sharedParts: parts,
-        answerMs: attempt.firstEventAt === undefined ? undefined : Math.round(tick.now - attempt.firstEventAt),
-        isSuspect: !hasBegun,
-    });
     const crash = world.tables.crashes.add(attempt.target, tick.now);
-    if (hasBegun && attempt.firstEventAt !== undefined) {
+    if (attempt.firstEventAt !== undefined && hasBegunSafely(attempt, tick.now)) {
         recordAnsweredParts(world, row, attempt.firstEventAt);
         return;
     }
-    parts.forEach((part, depth) => {
+    listSharedParts(row).forEach((part, depth) => {
         addSuspect(crash, part, depth);
     });
     if (crash.isConfirmed) {
@@ -90,6 +83,26 @@
     }
 }
 
+/** Records a request whose connection ended without a complete answer. */
+export function recordLostAttempt(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    attempt: ForwardAttempt,
+): void {
+    if (!canBeSuspect(world, row, attempt)) {
+        return;
+    }
+    logWarning(world.effects, "target:", "A request was lost with its connection to an engine.", {
+        request: row.id,
+        target: attempt.target,
+        sharedParts: listSharedParts(row),
+        answerMs: attempt.firstEventAt === undefined ? undefined : Math.round(tick.now - attempt.firstEventAt),
+        isSuspect: !hasBegunSafely(attempt, tick.now),
+    });
+    recordConnectionEnd(world, tick, row, attempt);
+}
+
 /** Marks the engine's end as certain. */
 export function confirmCrash(world: ForwardWorld, tick: ForwardTick, crash: CrashRow, evidence: string): void {
     if (crash.isConfirmed) {
--- a/test/forward/crashingParts.test.ts
+++ b/test/forward/crashingParts.test.ts
@@ -47,6 +47,15 @@
         expect(listCrashingAttempts(fleet, fifthCrash + boundMs).length).toBeLessThanOrEqual(allowedAttempts);
     });
 
+    // Guards against a crash that is taken for the end of an answer, since the answer has no length and no chunks.
+    it("is blamed when engines end as they begin an answer without framing", async () => {
+        const fleet = await startCrashFleet({ crashingParts: [crashingPart], isUnframed: true });
+        sendTraffic(fleet, 12_000);
+        const fifthCrash = fleet.crashes[4] ?? Infinity;
+        expect(listCrashingAttempts(fleet, fifthCrash + boundMs).length).toBeLessThanOrEqual(allowedAttempts);
+        expect(listQuarantined(fleet)).toEqual([[crashingPart], [crashingPart], [crashingPart], [crashingPart]]);
+    });
+
     // Guards against sound requests that are refused because they share other parts with the crashing ones.
     it("is the only part that is blamed, and requests without it are served", async () => {
         const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
--- a/test/support/crashFleet.ts
+++ b/test/support/crashFleet.ts
@@ -52,6 +52,8 @@
     readonly engines?: number;
     /** Parts under which engines crash. */
     readonly crashingParts?: readonly string[];
+    /** Streams have neither a length nor chunks, so that the end of an engine looks like the end of the answer. */
+    readonly isUnframed?: boolean;
 }
 
 export interface CrashFleet {
@@ -101,7 +103,7 @@
 
 /** Creates processes that have read the store and know the engines. */
 export async function startCrashFleet(options: CrashFleetOptions = {}): Promise<CrashFleet> {
-    const { nodes: nodeCount = 4, engines: engineCount = 6, crashingParts = [] } = options;
+    const { nodes: nodeCount = 4, engines: engineCount = 6, crashingParts = [], isUnframed = false } = options;
     let now = 0;
     const store = createVirtualStore(() => now);
     const nodes: SimulatedNode[] = [];
@@ -124,7 +126,10 @@
         crashes.push(now);
         engine.downUntil = now + restartMs;
         for (const { node, request, attempt, stage } of engine.attempts) {
-            if (stage !== "cancelled") {
+            if (stage === "answering" && isUnframed) {
+                nodes[node]?.events.push({ kind: "attemptFinished", request, attempt, isEndCertain: false });
+            }
+            else if (stage !== "cancelled") {
                 const fault = stage === "answering" ? "cut_short" : "closed";
                 nodes[node]?.events.push({ kind: "attemptFailed", request, attempt, fault, lastEventId: 0 });
             }
@@ -177,7 +182,7 @@
             stage === "answering" && now - at >= readingMs + answeringMs
         );
         for (const { node, request, attempt } of finished) {
-            nodes[node]?.events.push({ kind: "attemptFinished", request, attempt });
+            nodes[node]?.events.push({ kind: "attemptFinished", request, attempt, isEndCertain: !isUnframed });
         }
         engine.attempts = engine.attempts.filter(running =>
             !finished.includes(running) && running.stage !== "cancelled"
