Blame no part for a crash that a part in quarantine explains

A request with the crashing part had been withdrawn from its engine 66 ms before it ended that engine, so the crash had no suspect in quarantine, and two explained crashes counted as well.

A withdrawn request now stays a suspect on its engine, and a crash with a suspect in quarantine counts against no other part.

--- a/src/forward/policy/crashingPart.ts
+++ b/src/forward/policy/crashingPart.ts
@@ -33,8 +33,6 @@
 interface Candidate extends CrashingPart {
     readonly depth: number;
     readonly countedAt: Millis;
-    /** True when no part in quarantine explains the newest crash. */
-    readonly isUnexplained: boolean;
 }
 
 function countCrash(
@@ -43,7 +41,7 @@
     depth: number,
     answeredAt: Millis | undefined,
     { failedAt }: CrashEvidence,
-): Omit<Candidate, "isUnexplained"> {
+): Candidate {
     const isSeparate = !candidate || failedAt - candidate.countedAt >= minSeparationMs;
     return {
         part,
@@ -77,18 +75,17 @@
     { crashes, getAnsweredAt, isQuarantined, getRequiredCrashes }: CrashingPartInput,
 ): CrashingPart | undefined {
     const candidates = new Map<PartId, Candidate>();
-    for (const crash of [...crashes].sort((left, right) => left.failedAt - right.failedAt)) {
-        const isUnexplained = ![...crash.suspects.keys()].some(isQuarantined);
+    const unexplained = crashes.filter(({ suspects }) => ![...suspects.keys()].some(isQuarantined));
+    for (const crash of unexplained.sort((left, right) => left.failedAt - right.failedAt)) {
         for (const [part, depth] of crash.suspects) {
             const answeredAt = getAnsweredAt(part);
             if (answeredAt === undefined || answeredAt < crash.failedAt - answeredMemoryMs) {
-                const counted = countCrash(candidates.get(part), part, depth, answeredAt, crash);
-                candidates.set(part, { ...counted, isUnexplained });
+                candidates.set(part, countCrash(candidates.get(part), part, depth, answeredAt, crash));
             }
         }
     }
     return [...candidates.values()]
-        .filter(({ part, crashes: count, isUnexplained }) => isUnexplained && count >= getRequiredCrashes(part))
+        .filter(({ part, crashes: count }) => count >= getRequiredCrashes(part))
         .reduce<Candidate | undefined>(
             (best, candidate) => best && !isMoreSuspect(candidate, best) ? best : candidate,
             undefined,
--- a/src/forward/systems/updateQuarantine.ts
+++ b/src/forward/systems/updateQuarantine.ts
@@ -11,7 +11,7 @@
 import { isQuarantined, type QuarantineRow } from "../tables/quarantine";
 import { findOpenAttempt, type ForwardRequestRow, listSharedParts } from "../tables/requests";
 import type { ForwardWorld } from "../world";
-import { computeSettleMs, hasBegunSafely, recordBegunAnswers } from "./followCrashes";
+import { computeSettleMs, hasBegunSafely, recordBegunAnswers, recordConnectionEnd } from "./followCrashes";
 import { refuseForwardRequest } from "./requestEnd";
 
 /** Separate crashes after which a part is blamed; two may share a part by chance. */
@@ -265,13 +265,15 @@
         const attempt = findOpenAttempt(row, row.attempts.length);
         const found = findQuarantine(world, tick, row);
         if (found && attempt && !hasBegunSafely(attempt, tick.now)) {
+            // The request may still end its engine, which must then not be held against other parts.
+            recordConnectionEnd(world, tick, row, attempt);
             refuseForwardRequest(world, tick, row, "prompt_quarantined", found.retryAfterSeconds);
         }
     }
 }
 
 /**
- * Reads: targets, node. Writes: quarantine, answered parts, requests, usage windows.
+ * Reads: targets, node. Writes: quarantine, answered parts, crashes, requests, usage windows.
  * Effects: calls to the store, refusals, cancelled attempts, counts, log lines.
  */
 export function updateQuarantine(world: ForwardWorld, tick: ForwardTick): void {
--- a/test/forward/crashingParts.test.ts
+++ b/test/forward/crashingParts.test.ts
@@ -95,6 +95,18 @@
         expect(refusal?.retryAfterSeconds).toBeUndefined();
     });
 
+    // Guards against sound parts that are blamed for the crash of an engine from which the request was withdrawn late.
+    it("stays a suspect on the engine from which it was withdrawn", async () => {
+        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        fleet.send(0, "queued", ["root", crashingPart]);
+        fleet.run(40);
+        fleet.writeRow(crashingPartKey, { part: crashingPart, endsAt: fleet.getWallNow() + 60_000, offences: 1 });
+        fleet.run(100);
+        const target = fleet.attempts[0]?.target;
+        const crash = target && fleet.nodes[0]?.test.world.tables.crashes.get(target);
+        expect(crash?.suspects.has(toPartId(crashingPart))).toBe(true);
+    });
+
     // Guards against a restarted process that sends the part again because only its earlier run knew of it.
     it("is known to a process that starts later, before it sends its first request", async () => {
         const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
