Log limits that targets name on their requests

A target in need names in its answers how many requests a second it takes from all processes together. The header was passed on to callers and no log line mentioned it. Answers are now decoded for it, a line reports each change, and the line of each send gives the limit of its target. No decision changes.

--- a/src/forward/calls.ts
+++ b/src/forward/calls.ts
@@ -77,6 +77,8 @@
     readonly isMisdirected: boolean;
     /** Version of the weights that the target reports with its response. */
     readonly weightsVersion: WeightsVersion | undefined;
+    /** Requests a second that the target takes from the whole fleet; undefined when it names no limit. */
+    readonly requestsPerSecond: number | undefined;
 }
 
 /** Decodes and encodes the platform's headers. */
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -10,6 +10,7 @@
 import { recordCachedParts } from "./cacheSalts";
 import { recordAnsweredParts, recordConnectionEnd, recordLostAttempt } from "./followCrashes";
 import { closeRequest, refuseForwardRequest, removeInFlight } from "./requestEnd";
+import { recordNamedLimit } from "./requestLimits";
 import {
     expectLoading,
     overloadBackOffMs,
@@ -158,6 +159,7 @@
     attempt.evidence = { hasWrittenBytes: true, answer: isRefusal ? "refused" : "answered" };
     if (target) {
         target.lastResponseAt = tick.now;
+        recordNamedLimit(world, tick, target, attempt, headerFields.requestsPerSecond);
     }
     if (isRefusal) {
         if (target) {
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -220,6 +220,7 @@
         sharedTokens: row.arrival.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0),
         weights: version,
         work: target.inFlight.size,
+        limitPerSecond: target.requestLimit?.perSecond,
         version: world.tables.configuration.version,
         storeAgeMs: Math.round(tick.now - world.tables.node.storeConfirmedAt),
     });
--- a/src/forward/tables/targets.ts
+++ b/src/forward/tables/targets.ts
@@ -11,6 +11,13 @@
     hasAnswered: boolean;
 }
 
+/** Limit on the requests that a target takes from the whole fleet. */
+export interface RequestLimit {
+    readonly perSecond: number;
+    /** Time of the last answer that named it. */
+    readonly namedAt: Millis;
+}
+
 export interface ForwardTargetRow {
     registration: RegisteredTarget;
     readonly inFlight: Map<RequestId, InFlightRequest>;
@@ -27,6 +34,8 @@
     lastResponseAt: Millis;
     /** The target gets no requests until this time, because it is loading weights or overloaded. */
     unavailableUntil: Millis;
+    /** Undefined while the target names no limit. */
+    requestLimit: RequestLimit | undefined;
     /** Time of removal of a target whose row disappeared around a store outage, unless it registers again. */
     missingUntil: Millis | undefined;
 }
@@ -104,6 +113,7 @@
                 failureShare: 0,
                 lastResponseAt: now,
                 unavailableUntil: 0 as Millis,
+                requestLimit: undefined,
                 missingUntil: undefined,
             });
             updateServices();
--- a/test/forward/crashingParts.test.ts
+++ b/test/forward/crashingParts.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "vitest";
 import { quarantinePrefix } from "../../src/forward/codec/fleetRows";
 import { toPartId } from "../../src/forward/ids";
-import { type CrashFleet, startCrashFleet } from "../support/crashFleet";
+import { type EngineFleet, startEngineFleet } from "../support/engineFleet";
 
 const crashingPart = "crashing";
 /** Time after the fifth crash by which processes that reach the store and each other must have stopped. */
@@ -13,7 +13,7 @@
  * Sends requests to all processes in turn: sound ones, which share the first part and one of four files, and every
  * tenth with the crashing part under the same first part and file as a sound one.
  */
-function sendTraffic(fleet: CrashFleet, ms: number, shouldCrash = true): void {
+function sendTraffic(fleet: EngineFleet, ms: number, shouldCrash = true): void {
     const intervalMs = 60;
     for (let elapsed = 0; elapsed < ms; elapsed += intervalMs) {
         const number = Math.round(fleet.getNow() / intervalMs);
@@ -28,20 +28,20 @@
 const isQuarantineKey = (key: string): boolean => key.startsWith(quarantinePrefix);
 
 /** Parts in quarantine, by process. */
-const listQuarantined = ({ nodes }: CrashFleet): string[][] =>
+const listQuarantined = ({ nodes }: EngineFleet): string[][] =>
     nodes.map(({ test }) =>
         test.world.tables.quarantine.list()
             .filter(({ activeUntil }) => activeUntil > test.getNow())
             .map(({ part }) => part)
     );
 
-const listCrashingAttempts = ({ attempts }: CrashFleet, after = 0) =>
+const listCrashingAttempts = ({ attempts }: EngineFleet, after = 0) =>
     attempts.filter(({ parts, at }) => parts.includes(crashingPart) && at > after);
 
 describe("a prompt part under which engines crash", () => {
     // Guards against engines that end one after the other, because no process links their end to the part.
     it("is not sent to engines any more within the bound after the fifth crash", async () => {
-        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        const fleet = await startEngineFleet({ crashingParts: [crashingPart] });
         sendTraffic(fleet, 12_000);
         const fifthCrash = fleet.crashes[4] ?? Infinity;
         expect(listCrashingAttempts(fleet, fifthCrash + boundMs).length).toBeLessThanOrEqual(allowedAttempts);
@@ -49,7 +49,7 @@
 
     // Guards against a crash that is taken for the end of an answer, since the answer has no length and no chunks.
     it("is blamed when engines end as they begin an answer without framing", async () => {
-        const fleet = await startCrashFleet({ crashingParts: [crashingPart], isUnframed: true });
+        const fleet = await startEngineFleet({ crashingParts: [crashingPart], isUnframed: true });
         sendTraffic(fleet, 12_000);
         const fifthCrash = fleet.crashes[4] ?? Infinity;
         expect(listCrashingAttempts(fleet, fifthCrash + boundMs).length).toBeLessThanOrEqual(allowedAttempts);
@@ -58,7 +58,7 @@
 
     // Guards against sound requests that are refused because they share other parts with the crashing ones.
     it("is the only part that is blamed, and requests without it are served", async () => {
-        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        const fleet = await startEngineFleet({ crashingParts: [crashingPart] });
         sendTraffic(fleet, 6000);
         const firstAttempt = fleet.attempts.length;
         sendTraffic(fleet, 6000);
@@ -68,7 +68,7 @@
     });
 
     it("is refused at once as not run, until the quarantine ends", async () => {
-        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        const fleet = await startEngineFleet({ crashingParts: [crashingPart] });
         sendTraffic(fleet, 8000);
         fleet.send(1, "late", ["another root", crashingPart]);
         fleet.run(100);
@@ -80,7 +80,7 @@
 
     // Guards against a request that an engine has queued and that would crash it after the part was blamed.
     it("is withdrawn from engines that have not begun to answer it, and not reported as not run", async () => {
-        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        const fleet = await startEngineFleet({ crashingParts: [crashingPart] });
         sendTraffic(fleet, 8000);
         const crashCount = fleet.crashes.length;
         fleet.deleteRow(crashingPartKey);
@@ -97,7 +97,7 @@
 
     // Guards against sound parts that are blamed for the crash of an engine from which the request was withdrawn late.
     it("stays a suspect on the engine from which it was withdrawn", async () => {
-        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        const fleet = await startEngineFleet({ crashingParts: [crashingPart] });
         fleet.send(0, "queued", ["root", crashingPart]);
         fleet.run(40);
         fleet.writeRow(crashingPartKey, { part: crashingPart, endsAt: fleet.getWallNow() + 60_000, offences: 1 });
@@ -109,7 +109,7 @@
 
     // Guards against a restarted process that sends the part again because only its earlier run knew of it.
     it("is known to a process that starts later, before it sends its first request", async () => {
-        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        const fleet = await startEngineFleet({ crashingParts: [crashingPart] });
         sendTraffic(fleet, 8000);
         const crashCount = fleet.crashes.length;
         await fleet.restartNode(2);
@@ -120,7 +120,7 @@
 
     // Guards against knowledge that spreads through the store alone.
     it("is blamed by all processes while the store answers none of them", async () => {
-        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        const fleet = await startEngineFleet({ crashingParts: [crashingPart] });
         fleet.nodes.forEach((_, index) => {
             fleet.cutFromStore(index);
         });
@@ -130,7 +130,7 @@
     });
 
     it("is blamed by a process that reaches no other, which then tells them through the store", async () => {
-        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        const fleet = await startEngineFleet({ crashingParts: [crashingPart] });
         fleet.cutFromPeers(0);
         for (let number = 0; number < 8; number += 1) {
             fleet.send(0, `r${number}`, ["root", "file", crashingPart]);
@@ -142,7 +142,7 @@
     });
 
     it("is sent again after an operator has cleared it, and blamed again only for new crashes", async () => {
-        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        const fleet = await startEngineFleet({ crashingParts: [crashingPart] });
         sendTraffic(fleet, 8000);
         fleet.deleteRow(crashingPartKey);
         fleet.run(2000);
@@ -155,7 +155,7 @@
 
     // Guards against a crash on every process when a quarantine ends.
     it("is tried with one request of the fleet when its quarantine ends; a crash then begins a longer one", async () => {
-        const fleet = await startCrashFleet({ crashingParts: [crashingPart] });
+        const fleet = await startEngineFleet({ crashingParts: [crashingPart] });
         fleet.writeRow(crashingPartKey, { part: crashingPart, endsAt: fleet.getWallNow() + 3000, offences: 2 });
         fleet.run(3500);
         for (let node = 0; node < 8; node += 1) {
@@ -172,7 +172,7 @@
 
     // Guards against a sound part that stays refused because no request can prove that it is sound.
     it("is served again by all processes once a trial was answered", async () => {
-        const fleet = await startCrashFleet();
+        const fleet = await startEngineFleet();
         fleet.writeRow(crashingPartKey, { part: crashingPart, endsAt: fleet.getWallNow() + 1000, offences: 1 });
         fleet.run(1500);
         for (let node = 0; node < 4; node += 1) {
@@ -191,7 +191,7 @@
 describe("engines that end for other reasons", () => {
     // Guards against popular parts that are blamed because requests with them run on every engine.
     it("let no part be blamed when they end one after the other", async () => {
-        const fleet = await startCrashFleet({ engines: 12 });
+        const fleet = await startEngineFleet({ engines: 12 });
         for (let crash = 0; crash < 12; crash += 1) {
             sendTraffic(fleet, 500, false);
             fleet.crashEngine(crash);
@@ -202,7 +202,7 @@
     });
 
     it("let no part be blamed when most of them end at the same moment", async () => {
-        const fleet = await startCrashFleet();
+        const fleet = await startEngineFleet();
         for (const files of [["file-1"], ["file-1"], ["file-1"], ["file-1"]]) {
             files.forEach((file, index) => {
                 fleet.send(index, `rare-${fleet.getNow()}`, ["rare root", file]);
@@ -215,7 +215,7 @@
     });
 
     it("let no part be blamed for connections that are lost while the engine answers others", async () => {
-        const fleet = await startCrashFleet();
+        const fleet = await startEngineFleet();
         for (let lost = 0; lost < 6; lost += 1) {
             fleet.send(0, `r${lost}`, ["root", "file"]);
             fleet.run(40);
--- a/test/forward/movedStreams.test.ts
+++ b/test/forward/movedStreams.test.ts
@@ -25,6 +25,7 @@
     isNotRun: false,
     isMisdirected: false,
     weightsVersion: undefined,
+    requestsPerSecond: undefined,
 };
 
 /** Starts streams at the only engine; then a second engine registers. */
--- a/test/forward/requestHistories.test.ts
+++ b/test/forward/requestHistories.test.ts
@@ -15,7 +15,13 @@
     plainService,
 } from "../support/forwardNode";
 
-const headerFields = { isSigned: true, isNotRun: false, isMisdirected: false, weightsVersion: undefined };
+const headerFields = {
+    isSigned: true,
+    isNotRun: false,
+    isMisdirected: false,
+    weightsVersion: undefined,
+    requestsPerSecond: undefined,
+};
 
 /** Outcomes of an attempt: whether the target ran the request, and whether bytes were written to the socket. */
 const outcomes = {
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -56,7 +56,13 @@
     maxOutputTokens: 0,
     callerTimeoutMs: 600,
 };
-const headerFields = { isSigned: true, isNotRun: false, isMisdirected: false, weightsVersion: undefined };
+const headerFields = {
+    isSigned: true,
+    isNotRun: false,
+    isMisdirected: false,
+    weightsVersion: undefined,
+    requestsPerSecond: undefined,
+};
 
 /** Builds the answer to the first attempt of the request. */
 const buildAnswer = (id: string, status: number, changes: Partial<ResponseHeaderFields>): ForwardEvent => ({
--- a/test/support/crashFleet.ts
+++ b/test/support/engineFleet.ts
@@ -47,7 +47,7 @@
     isCutFromPeers: boolean;
 }
 
-export interface CrashFleetOptions {
+export interface EngineFleetOptions {
     readonly nodes?: number;
     readonly engines?: number;
     /** Parts under which engines crash. */
@@ -56,7 +56,7 @@
     readonly isUnframed?: boolean;
 }
 
-export interface CrashFleet {
+export interface EngineFleet {
     readonly nodes: readonly { readonly test: ForwardTestNode; }[];
     readonly attempts: readonly EngineAttempt[];
     /** Times at which engines crashed. */
@@ -91,7 +91,13 @@
 /** Delay of calls between processes. */
 const callDelayMs = 20;
 
-const headerFields = { isSigned: true, isNotRun: false, isMisdirected: false, weightsVersion: undefined };
+const headerFields = {
+    isSigned: true,
+    isNotRun: false,
+    isMisdirected: false,
+    weightsVersion: undefined,
+    requestsPerSecond: undefined,
+};
 
 const buildEngineChange = ({ name, runNumber }: SimulatedEngine): TargetChange => {
     const instance = `${name}-${runNumber}`;
@@ -102,14 +108,14 @@
 const buildReceivedState = (state: PeerState): PeerState => JSON.parse(JSON.stringify(state)) as PeerState;
 
 /** Creates processes that have read the store and know the engines. */
-export async function startCrashFleet(options: CrashFleetOptions = {}): Promise<CrashFleet> {
+export async function startEngineFleet(options: EngineFleetOptions = {}): Promise<EngineFleet> {
     const { nodes: nodeCount = 4, engines: engineCount = 6, crashingParts = [], isUnframed = false } = options;
     let now = 0;
     const store = createVirtualStore(() => now);
     const nodes: SimulatedNode[] = [];
     const attempts: EngineAttempt[] = [];
     const crashes: number[] = [];
-    const refusals: CrashFleet["refusals"][number][] = [];
+    const refusals: EngineFleet["refusals"][number][] = [];
     const scheduled: { readonly at: number; readonly run: () => void; }[] = [];
     const engines: SimulatedEngine[] = Array.from({ length: engineCount }, (_, index) => ({
         name: `e${index + 1}`,
@@ -303,7 +309,7 @@
     for (let index = 0; index < nodeCount; index += 1) {
         nodes.push(await createNode(index));
     }
-    const fleet: CrashFleet = {
+    const fleet: EngineFleet = {
         nodes,
         attempts,
         crashes,
