--- a/test/support/engineFleet.ts
+++ b/test/support/engineFleet.ts
@@ -1,6 +1,7 @@
 /**
  * Simulates several processes with one store and engines in virtual time. An engine that begins to answer a request
- * with a crashing part ends with all its requests, and starts again as a new run.
+ * with a crashing part ends with all its requests, and starts again as a new run. Engines can name a limit on their
+ * requests; they answer all the same.
  */
 import { Err, Ok } from "ts-results";
 import type { ForwardArrival } from "../../src/forward/calls";
@@ -67,6 +68,8 @@
     getWallNow(): number;
     /** Sends a request whose prompt has the given shared parts; the last part is its own. */
     send(node: number, id: string, parts: readonly string[], options?: Partial<ForwardArrival>): void;
+    /** Makes all engines name the limit in their answers from now on, or none. */
+    limitEngines(perSecond: number | undefined): void;
     /** Ends the run of an engine for another reason than a request. */
     crashEngine(index: number): void;
     /** Starts a process again under its name; it knows only what the store and its peers tell it. */
@@ -115,6 +118,7 @@
     const nodes: SimulatedNode[] = [];
     const attempts: EngineAttempt[] = [];
     const crashes: number[] = [];
+    let requestsPerSecond: number | undefined;
     const refusals: EngineFleet["refusals"][number][] = [];
     const scheduled: { readonly at: number; readonly run: () => void; }[] = [];
     const engines: SimulatedEngine[] = Array.from({ length: engineCount }, (_, index) => ({
@@ -159,7 +163,7 @@
             request,
             attempt,
             status: 200,
-            headerFields: { ...headerFields, attemptId: request },
+            headerFields: { ...headerFields, attemptId: request, requestsPerSecond },
             isOpenStream: true,
         });
         if (parts.some(part => crashingParts.includes(part))) {
@@ -325,6 +329,9 @@
             });
             node.events.push({ kind: "requestArrived", arrival });
         },
+        limitEngines: perSecond => {
+            requestsPerSecond = perSecond;
+        },
         crashEngine: index => {
             const engine = engines[index];
             if (engine?.downUntil === 0) {
