Keep the limits that targets name on their requests

Engines in need named how many requests a second they take from all processes together, and got twice as many: the header was passed on and no decision knew it.

Each process now divides a named limit in proportion to the requests that the processes serve, which they report to each other with the limits, and sends its part from a token bucket; every send counts, first or repeated, to engines and plain services. Where a limit is lower than the number of processes, as many send to the target as it takes requests a second. When all targets are at their limits, requests are refused at once as not run with the time until the next token, each a token later than the one before. Limits count requests of any size, so scarce tokens are left to the requests that take longest elsewhere.

--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -36,6 +36,9 @@
     ).max(256).optional(),
     answered: tokenCounts.optional(),
     quarantined: z.array(z.tuple([z.string(), z.number(), z.number()])).max(1024).optional(),
+    limits: z.array(z.tuple([z.string(), z.number(), z.number()])).max(16384).optional(),
+    endedLimits: z.array(z.tuple([z.string(), z.number()])).max(16384).optional(),
+    requests: tokenCounts.optional(),
 });
 
 interface PeerContext {
--- a/src/forward/peers.ts
+++ b/src/forward/peers.ts
@@ -4,7 +4,7 @@
  * acknowledges them.
  */
 import type { AccountId, ModelId, TargetId, VmId } from "../ids";
-import type { CachedPartKey, PartId, WeightsVersion } from "./ids";
+import type { CachedPartKey, PartId, ServiceId, WeightsVersion } from "./ids";
 
 export interface PeerState {
     readonly vm: VmId;
@@ -47,6 +47,12 @@
     readonly answered?: readonly (readonly [PartId, number])[];
     /** Parts in quarantine that the store does not hold yet: end in Unix milliseconds, and number of offences. */
     readonly quarantined?: readonly (readonly [PartId, number, number])[];
+    /** Limits that targets name: requests a second, and milliseconds since the last answer that named it. */
+    readonly limits?: readonly (readonly [TargetId, number, number])[];
+    /** Targets whose answers no longer name a limit, with the milliseconds since the first such answer. */
+    readonly endedLimits?: readonly (readonly [TargetId, number])[];
+    /** Requests that the sender has admitted in the last seconds, by service; absent when there are none. */
+    readonly requests?: readonly (readonly [ServiceId, number])[];
 }
 
 /** Changes of one target: stored tokens by part. An empty key invalidates all earlier entries of the target. */
--- a/src/forward/policy/engineScore.ts
+++ b/src/forward/policy/engineScore.ts
@@ -17,6 +17,8 @@
     readonly outdatedMs: number;
     /** Moving average of the failure rate, 0 to 1. */
     readonly failureShare: number;
+    /** How much a limit that the engine names leaves to send: 0 for enough or no limit, 1 for nothing. */
+    readonly limitScarcity: number;
 }
 
 /** Prefill rate assumed for every engine; only ratios between engines matter. */
@@ -40,6 +42,12 @@
 /** Added for an engine on which every request fails. */
 const failureCostMs = 3000;
 
+/**
+ * Added for the last request that a limit leaves. A limit counts requests of any size, so it is left to the requests
+ * that would take longer elsewhere.
+ */
+const scarceRequestCostMs = 200;
+
 export interface QueueState {
     /** Prompt tokens that the engine has not computed yet, of this process and as reported by its peers. */
     readonly queuedTokens: number;
@@ -70,5 +78,6 @@
         + (input.isRemote ? remoteCostMs : 0)
         + (input.rank === 0 ? 0 : rankCostMs + (input.rank - 1) * rankStepCostMs * input.rankWeight)
         + input.outdatedMs
-        + input.failureShare * failureCostMs;
+        + input.failureShare * failureCostMs
+        + input.limitScarcity * scarceRequestCostMs;
 }
--- a/src/forward/systems/admitRequests.ts
+++ b/src/forward/systems/admitRequests.ts
@@ -9,6 +9,7 @@
 import type { ForwardRequestRow } from "../tables/requests";
 import type { ForwardWorld } from "../world";
 import { isAdmitting } from "./drainNode";
+import { recordServiceLoad } from "./requestLimits";
 import { reserveTokens } from "./reserveTokens";
 import { findQuarantine } from "./updateQuarantine";
 
@@ -136,7 +137,7 @@
 }
 
 /**
- * Reads: configuration, members, peers, node, quarantine. Writes: requests, usage windows.
+ * Reads: configuration, members, peers, node, quarantine. Writes: requests, usage windows, service loads.
  * Effects: refusals, deadline timers, counts, log lines.
  */
 export function admitRequests(world: ForwardWorld, tick: ForwardTick): void {
@@ -159,6 +160,7 @@
         }
         const row = createRow(world, arrival, decision);
         world.tables.requests.add(row);
+        recordServiceLoad(world, tick, row.service);
         world.timers.schedule({ name: "requestDeadline", at: row.deadline, key: row.id });
         const labels = { route: row.route.id, account: row.accountId ?? "" };
         world.effects.append({ kind: "addCount", name: "requests_total", value: 1, labels });
--- a/src/forward/systems/chooseEngine.ts
+++ b/src/forward/systems/chooseEngine.ts
@@ -10,6 +10,7 @@
 import type { ForwardWorld } from "../world";
 import { computeCachedTokens, computeSalt } from "./cacheSalts";
 import { computeLoadFreshness, computeLoadScale, listTargetLoads, type TargetLoad } from "./engineLoad";
+import { computeLimitScarcity } from "./requestLimits";
 
 /** Answers from weights that were replaced longer ago than this are worth less, so such engines are less preferred. */
 const outdatedAfterMs = 1200;
@@ -191,6 +192,7 @@
             rankWeight: 1 - loadFreshness,
             outdatedMs: engine.isOutdated ? outdatedMs : 0,
             failureShare: target.failureShare,
+            limitScarcity: computeLimitScarcity(target),
         }, loadScale);
         if (!best || scoreMs < best.scoreMs) {
             best = {
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -10,6 +10,7 @@
 import type { ForwardWorld } from "../world";
 import { computeExchangeIntervalMs, computeOwnTokens, computePeerStaleMs } from "./accountUsage";
 import { applyCrashReports, buildCrashReports } from "./crashReports";
+import { applyLimitReports, buildLimitReports } from "./requestLimits";
 
 /** Interval at which a group of peers is called. */
 const exchangeStepMs = 100;
@@ -139,6 +140,7 @@
         partsTold: world.tables.cachedParts.journal.newestNumber,
         parts: listPartChanges(world, peer?.acknowledgedPartChange ?? 0),
         ...buildCrashReports(world, tick),
+        ...buildLimitReports(world, tick),
     };
 }
 
@@ -148,6 +150,7 @@
     applyPublishedWeights(world, tick, state);
     applyParts(world, tick, state);
     applyCrashReports(world, tick, state);
+    applyLimitReports(world, tick, state);
     // `knownStart` differs when the peer has not noticed the restart yet; its report is then about another run.
     if (state.earlier && state.knownStart === world.startedAt && !peers.ownPreviousRun) {
         peers.ownPreviousRun = { usage: new Map(state.earlier), reportedAt: tick.now };
@@ -166,6 +169,7 @@
         usage: new Map(),
         growth: new Map(),
         load: new Map(),
+        serviceLoads: new Map(),
         previousRun: undefined,
         isPending: false,
         receivedPartChange: 0,
--- a/src/forward/systems/resumeOnOtherEngines.ts
+++ b/src/forward/systems/resumeOnOtherEngines.ts
@@ -7,6 +7,7 @@
 import { isWorking } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { isKeyWithdrawn } from "./requestEnd";
+import { hasRequestToken } from "./requestLimits";
 
 /** Fraction of the retry budget's burst that is kept for failed requests and not used by moves. */
 const moveReserveFraction = 0.2;
@@ -20,6 +21,7 @@
         target.registration.id !== from
         && tick.now >= target.unavailableUntil
         && isWorking(target, tick.now)
+        && hasRequestToken(world, tick, target)
     );
 }
 
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -12,6 +12,7 @@
 import { computeSalt } from "./cacheSalts";
 import { chooseEngine, computeOutdatedAge, type TargetChoice } from "./chooseEngine";
 import { refuseForwardRequest } from "./requestEnd";
+import { findFirstToken, hasRequestToken, reserveRequestToken } from "./requestLimits";
 import { overloadBackOffMs } from "./targetHealth";
 import { findQuarantine, recordTrial } from "./updateQuarantine";
 
@@ -43,7 +44,8 @@
     target: ForwardTargetRow,
 ): boolean => computeOutdatedAge(world, tick, row, target) > world.settings.bounds.weightsMs * maxOutdatedFraction;
 
-function isEligible(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, target: ForwardTargetRow): boolean {
+/** True when nothing but a limit that the target names keeps it from taking the request. */
+function isUsable(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, target: ForwardTargetRow): boolean {
     return isWorking(target, tick.now)
         && !isUnresponsive(target, tick)
         && !isOutdated(world, tick, row, target);
@@ -69,7 +71,7 @@
  */
 function listEligible(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): ForwardTargetRow[] {
     const working = world.tables.targets.listService(row.service).filter(target =>
-        isEligible(world, tick, row, target)
+        isUsable(world, tick, row, target) && hasRequestToken(world, tick, target)
     );
     const notLoading = working.filter(target => tick.now >= target.unavailableUntil);
     const eligible = notLoading.length > 0 || row.attempts.length > 0
@@ -179,6 +181,7 @@
     const { target, version } = choice;
     recordSend(world, row);
     recordTrial(world, row);
+    reserveRequestToken(target);
     const number = row.attempts.length + 1;
     row.attempts.push({
         number,
@@ -243,6 +246,32 @@
     return true;
 }
 
+/** Keeps a request that no target can take now for a short time, then refuses it. */
+function waitForTarget(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): void {
+    const waitUntil = addMillis(row.arrival.arrivedAt, row.route.latencyObjectiveMs * maxTargetWaitFraction);
+    const usable = world.tables.targets.listService(row.service).filter(target =>
+        isUsable(world, tick, row, target) && tick.now >= target.unavailableUntil
+    );
+    const token = findFirstToken(world, tick, usable);
+    if (token && addMillis(tick.now, token.waitMs) > waitUntil) {
+        token.limit.bucket.promised += 1;
+        const retryAfterMs = Math.min(row.route.timeoutMs, token.waitMs);
+        refuseForwardRequest(world, tick, row, "overloaded", retryAfterMs / 1000);
+        return;
+    }
+    if (!token && usable.length > 0) {
+        // The limits are so low that only other processes send to these targets.
+        refuseForwardRequest(world, tick, row, "overloaded", noTargetRetryAfterSeconds);
+        return;
+    }
+    if (tick.now < waitUntil) {
+        const at = token ? addMillis(tick.now, Math.max(1, token.waitMs)) : waitUntil;
+        world.timers.schedule({ name: "requestRetry", at, key: row.id });
+        return;
+    }
+    refuseForwardRequest(world, tick, row, "no_target", noTargetRetryAfterSeconds);
+}
+
 function routeRequest(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): void {
     const quarantined = findQuarantine(world, tick, row);
     if (quarantined) {
@@ -269,12 +298,7 @@
         world.timers.schedule({ name: "requestRetry", at: addMillis(tick.now, resumeRetryDelayMs), key: row.id });
         return;
     }
-    const waitUntil = addMillis(row.arrival.arrivedAt, row.route.latencyObjectiveMs * maxTargetWaitFraction);
-    if (tick.now < waitUntil) {
-        world.timers.schedule({ name: "requestRetry", at: waitUntil, key: row.id });
-        return;
-    }
-    refuseForwardRequest(world, tick, row, "no_target", noTargetRetryAfterSeconds);
+    waitForTarget(world, tick, row);
 }
 
 /**
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -1,6 +1,7 @@
 /** All tables of one process in the forwarding mode. */
 import type { RetryBudget } from "../../policy/retryBudget";
 import type { ServiceId } from "../ids";
+import type { UsageWindow } from "../policy/usageWindow";
 import { type AnsweredPartsTable, createAnsweredPartsTable } from "./answeredParts";
 import { type CachedPartsTable, createCachedPartsTable } from "./cachedParts";
 import { createForwardConfigurationTable, type ForwardConfigurationTable } from "./configuration";
@@ -28,6 +29,8 @@
     readonly quarantine: QuarantineTable;
     readonly rollouts: RolloutsTable;
     readonly retryBudgets: Map<ServiceId, RetryBudget>;
+    /** Requests of this process by service, for its share in the limits of targets. */
+    readonly serviceLoads: Map<ServiceId, UsageWindow>;
 }
 
 /** Creates empty tables. */
@@ -46,5 +49,6 @@
         quarantine: createQuarantineTable(),
         rollouts: createRolloutsTable(),
         retryBudgets: new Map(),
+        serviceLoads: new Map(),
     };
 }
--- a/src/forward/tables/peers.ts
+++ b/src/forward/tables/peers.ts
@@ -1,5 +1,6 @@
 /** Other processes of the fleet, with the state that each last reported. */
 import { type AccountId, type Millis, type TargetId, toMillis, type VmId } from "../../ids";
+import type { ServiceId } from "../ids";
 import type { PeerState } from "../peers";
 
 export interface PeerRow {
@@ -11,6 +12,8 @@
     /** Growth of the usage between the last two states, in tokens per millisecond; only accounts whose usage grew. */
     growth: ReadonlyMap<AccountId, number>;
     load: ReadonlyMap<TargetId, { readonly queuedTokens: number; readonly requests: number; }>;
+    /** Requests that the peer admitted in the last seconds, by service. */
+    serviceLoads: ReadonlyMap<ServiceId, number>;
     /** Usage of the peer's previous run, with the time of that run's last state. */
     previousRun: { readonly usage: ReadonlyMap<AccountId, number>; readonly lastStateAt: Millis; } | undefined;
     isPending: boolean;
@@ -77,6 +80,7 @@
                     target,
                     { queuedTokens, requests },
                 ])),
+                serviceLoads: new Map(state.requests ?? []),
                 previousRun: isNewRun
                     ? { usage: computeFinalUsage(previousRow, now), lastStateAt: previousRow.stateReceivedAt }
                     : previousRow?.previousRun,
--- a/src/forward/tables/targets.ts
+++ b/src/forward/tables/targets.ts
@@ -2,6 +2,7 @@
 import type { Millis, ModelId, RequestId, TargetId } from "../../ids";
 import type { RegisteredTarget } from "../document";
 import type { ServiceId, WeightsVersion } from "../ids";
+import type { RequestBucket } from "../policy/requestBucket";
 
 /** A request of this process that is in flight on a target. */
 export interface InFlightRequest {
@@ -13,9 +14,13 @@
 
 /** Limit on the requests that a target takes from the whole fleet. */
 export interface RequestLimit {
-    readonly perSecond: number;
-    /** Time of the last answer that named it. */
-    readonly namedAt: Millis;
+    perSecond: number;
+    /** Time of the last answer that named it, to this process or another. */
+    namedAt: Millis;
+    /** Share of this process in requests a second; 0 when other processes send to the target. */
+    sharePerSecond: number;
+    shareComputedAt: Millis;
+    readonly bucket: RequestBucket;
 }
 
 export interface ForwardTargetRow {
@@ -36,6 +41,8 @@
     unavailableUntil: Millis;
     /** Undefined while the target names no limit. */
     requestLimit: RequestLimit | undefined;
+    /** Time of the answer that ended the last limit; 0 when there was none. */
+    limitEndedAt: Millis;
     /** Time of removal of a target whose row disappeared around a store outage, unless it registers again. */
     missingUntil: Millis | undefined;
 }
@@ -114,6 +121,7 @@
                 lastResponseAt: now,
                 unavailableUntil: 0 as Millis,
                 requestLimit: undefined,
+                limitEndedAt: 0 as Millis,
                 missingUntil: undefined,
             });
             updateServices();
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -133,6 +133,30 @@
     });
 });
 
+describe("a plain service whose targets name a limit", () => {
+    // Guards against limits that are kept for engines only, and against repeats that do not count.
+    it("gets first sends and repeats only as far as the limit allows", async () => {
+        const node = await createReadyNode({
+            document: buildDocument({ routes: [plainRoute] }),
+            targets: plainTargets.slice(0, 1),
+        });
+        let sendCount = 0;
+        for (let request = 0; request < 40; request += 1) {
+            const id = `r${request}`;
+            const sent = listEffects(sendArrival(node, id, plainRequest), "sendRequest");
+            sendCount += sent.length;
+            if (sent.length > 0) {
+                const writeStarted = { kind: "attemptWriteStarted" as const, request: toRequestId(id), attempt: 1 };
+                const effects = node.run([writeStarted, buildAnswer(id, 500, { requestsPerSecond: 2 })], 1);
+                sendCount += listEffects(effects, "sendRequest").length;
+            }
+            node.runFor(100);
+        }
+        expect(sendCount).toBeGreaterThanOrEqual(6);
+        expect(sendCount).toBeLessThanOrEqual(2 * 4 + 2);
+    });
+});
+
 describe("admission", () => {
     it("refuses with `configuration_missing`, not with 401 or 404, before it has a configuration", async () => {
         const node = await createForwardTestNode();
