Bound what a target can make a process buffer

Bytes that are no answer may come without end, in a head or a body. An event that never ended, and informational responses, were read for as long as the request lasted; an event was copied again with each chunk, and a plain body of single bytes kept a block of memory for each of them. Six such responses at once used 110 MB before they ended, and events and informational responses did not end at all.

The connection is closed, and the verdict follows from the bytes that were sent, as for any lost request.

--- a/src/forward/adapters/eventRelay.ts
+++ b/src/forward/adapters/eventRelay.ts
@@ -21,6 +21,9 @@
     getLastEventId(): number;
 }
 
+/** Maximum size of one event; a longer one fails the attempt. */
+const maxEventBytes = 1024 * 1024;
+
 /** True when the bytes after the last event hold nothing but line ends; otherwise the stream ended inside an event. */
 const isBlank = (bytes: Buffer): boolean => /^[\r\n]*$/.test(bytes.toString("latin1"));
 
@@ -93,6 +96,9 @@
                         handleEvent(event);
                     }
                 }
+                if (splitter.getRemainder().length > maxEventBytes) {
+                    endWithFault("too_long");
+                }
             });
             source.on("end", handleSourceEnd);
             source.on("error", () => {
--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -7,6 +7,7 @@
 import type { ForwardEvent } from "../events";
 import { createEventRelay, type EventRelay } from "./eventRelay";
 import type { OpenForwardRequest, OpenForwardRequests } from "./openForwardRequests";
+import { createResponseBuffers } from "./responseBuffers";
 import { hasFraming, isCompleteResponse, removeFraming } from "./responseFraming";
 import { createTargetAgents } from "./targetAgents";
 
@@ -14,6 +15,10 @@
 const connectTimeoutMs = 400;
 /** Maximum size of a plain response, which is buffered whole; a longer one fails the attempt. */
 const maxResponseBytes = 16 * 1024 * 1024;
+/** Maximum size of all plain responses that are being read. */
+const maxBufferedBytes = 32 * 1024 * 1024;
+/** Informational responses (status 1xx) that a target may send before its response. */
+const maxInformationalResponses = 16;
 
 export interface ForwardClientOptions {
     readonly codec: HeaderCodec;
@@ -51,6 +56,7 @@
 export function createForwardClient({ codec, post, openRequests, isClosing }: ForwardClientOptions): ForwardClient {
     const agents = createTargetAgents();
     const attempts = new Map<RequestId, RunningAttempt>();
+    const responseBuffers = createResponseBuffers({ maxBytes: maxResponseBytes, maxTotalBytes: maxBufferedBytes });
 
     function postFailure(id: RequestId, running: RunningAttempt, fault: AttemptFault): void {
         if (!running.isOver && attempts.get(id) === running) {
@@ -78,19 +84,20 @@
     }
 
     function readWholeResponse(id: RequestId, running: RunningAttempt, targetResponse: http.IncomingMessage): void {
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const handleTooLong = (): void => {
+            postFailure(id, running, "too_long");
+            targetResponse.destroy();
+        };
+        const buffer = responseBuffers.open(handleTooLong);
         targetResponse.on("data", (chunk: Buffer) => {
-            chunks.push(chunk);
-            length += chunk.length;
-            if (length > maxResponseBytes) {
-                targetResponse.destroy();
+            if (!buffer.add(chunk)) {
+                handleTooLong();
             }
         });
         targetResponse.on("end", () => {
             if (isCompleteResponse(targetResponse) && !running.isOver && attempts.get(id) === running) {
                 running.isOver = true;
-                running.bufferedResponse = { targetResponse, body: Buffer.concat(chunks) };
+                running.bufferedResponse = { targetResponse, body: buffer.take() };
                 postResponse(id, running, targetResponse, false);
             }
         });
@@ -98,6 +105,7 @@
             postFailure(id, running, "cut_short");
         });
         targetResponse.on("close", () => {
+            buffer.release();
             postFailure(id, running, "cut_short");
         });
     }
@@ -168,6 +176,14 @@
             const connectFault = isConnectionRefused(error) ? "connection_refused" : "connect";
             postFailure(id, running, mayHaveBeenSent ? "closed" : connectFault);
         });
+        let informationalResponses = 0;
+        request.on("information", () => {
+            informationalResponses += 1;
+            if (informationalResponses > maxInformationalResponses) {
+                postFailure(id, running, "too_long");
+                request.destroy();
+            }
+        });
         request.on("response", targetResponse => {
             if (attempts.get(id) === running) {
                 if (call.idleTimeoutMs !== undefined) {
--- a/src/forward/calls.ts
+++ b/src/forward/calls.ts
@@ -106,6 +106,8 @@
     | "moved"
     /** The response ended before it was complete. */
     | "cut_short"
+    /** The response has more informational responses, bytes, or bytes in one event than this process accepts. */
+    | "too_long"
     /** The response carries the id of another attempt, or the ids of its events are not consecutive. */
     | "mismatched"
     /** A response with a 2xx status lacks the target's signature header. */
