Test crashing parts and named limits over real connections

The stand-in server can end when it begins to answer a part, start again as a new run on the same port, and name a limit. Two processes over loopback quarantine the part, a third that starts later refuses it before it sends anything, and two processes together keep a limit.

--- a/standins/platformHttp.ts
+++ b/standins/platformHttp.ts
@@ -2,10 +2,10 @@
 import type * as http from "node:http";
 import type { AddressInfo } from "node:net";
 
-/** Listens on a free port of the loopback address and returns IP:PORT. */
-export function openServer(server: http.Server): Promise<string> {
+/** Listens on a port of the loopback address, by default a free one, and returns IP:PORT. */
+export function openServer(server: http.Server, port = 0): Promise<string> {
     return new Promise(resolve => {
-        server.listen(0, "127.0.0.1", () => {
+        server.listen(port, "127.0.0.1", () => {
             resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`);
         });
     });
--- a/standins/platformServer.ts
+++ b/standins/platformServer.ts
@@ -8,6 +8,8 @@
     notRun: "x-marjoramvane-not-executed",
     instance: "x-marjoramvane-target-instance",
     version: "x-marjoramvane-expect-version",
+    parts: "x-marjoramvane-prompt-prefix",
+    limit: "server-limit",
     weights: "x-marjoramvane-weight-versions",
 } as const;
 
@@ -58,6 +60,12 @@
      * is still applied, unless another one was applied first and the order's `expected` number is outdated.
      */
     orderDelayMs: number;
+    /** The server ends when it begins to answer a prompt with this part; undefined for none. */
+    crashingPart: string | undefined;
+    /** Limit in requests a second that the server names in its answers; undefined for none. */
+    requestLimit: number | undefined;
+    /** Number of times that the server ended because of a part. */
+    readonly crashCount: number;
     /** Orders that were applied. */
     readonly orders: { readonly holder: string; readonly fencingToken: number; readonly version: number; }[];
     /** Builds the registration that the server writes to the store. */
@@ -75,8 +83,13 @@
     /** Time between the events of a stream. */
     readonly eventMs?: number;
     readonly answerText?: string;
+    /** Called when the server listens again, as a new run, after a crash. */
+    readonly onRestart?: (server: PlatformServer) => void;
 }
 
+/** Time until the server listens again after a crash. */
+const restartMs = 400;
+
 interface OrderBody {
     readonly version: number;
     readonly holder: string;
@@ -91,14 +104,17 @@
 export async function startPlatformServer(options: PlatformServerOptions): Promise<PlatformServer> {
     const { instance, service, model, events = 4, eventMs = 5, answerText = "done" } = options;
     const receivedRequests: ReceivedRequest[] = [];
+    let isClosed = false;
     const orders: PlatformServer["orders"] = [];
-    const epoch = Date.now();
+    let epoch = Date.now();
+    let crashCount = 0;
 
     function buildHeaders(request: http.IncomingMessage): http.OutgoingHttpHeaders {
         return {
             [headerNames.attempt]: request.headers[headerNames.attempt] ?? "",
             [headerNames.signature]: `${instance}.${request.headers[headerNames.attempt] ?? ""}`,
             ...(model === undefined ? {} : { [headerNames.weights]: server.version }),
+            ...(server.requestLimit === undefined ? {} : { [headerNames.limit]: server.requestLimit }),
         };
     }
 
@@ -114,8 +130,27 @@
         return server.behaviour === "shed" || server.behaviour === "early" ? 503 : undefined;
     }
 
+    /** Ends all connections and listens on the same port again after a while. */
+    async function endRun(): Promise<void> {
+        crashCount += 1;
+        await closeServer(listener);
+        await wait(restartMs);
+        if (isClosed) {
+            return;
+        }
+        epoch = Date.now();
+        await openServer(listener, Number(address.split(":")[1]));
+        options.onRestart?.(server);
+    }
+
     async function sendStream(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         response.writeHead(200, { ...buildHeaders(request), "content-type": "text/event-stream" });
+        const parts = String(request.headers[headerNames.parts] ?? "").split(",").map(part => part.split(":")[0]);
+        if (server.crashingPart !== undefined && parts.includes(server.crashingPart)) {
+            response.flushHeaders();
+            void endRun();
+            return;
+        }
         const firstEventId = Number(request.headers["last-event-id"] ?? 0) + 1;
         for (let id = firstEventId; id <= events && !response.destroyed; id += 1) {
             if (server.behaviour === "cut" && id === firstEventId + 2) {
@@ -240,6 +275,11 @@
         behaviour: "answer",
         version: 1,
         orderDelayMs: 0,
+        crashingPart: undefined,
+        requestLimit: undefined,
+        get crashCount() {
+            return crashCount;
+        },
         orders,
         buildRegistration: (state = "ready") => ({
             service,
@@ -254,7 +294,10 @@
             seq: 1,
             born: epoch,
         }),
-        close: () => closeServer(listener),
+        close: () => {
+            isClosed = true;
+            return closeServer(listener);
+        },
     };
     return server;
 }
--- a/test/forward/endToEnd.test.ts
+++ b/test/forward/endToEnd.test.ts
@@ -1,6 +1,7 @@
 import * as http from "node:http";
 import { afterEach, describe, expect, it } from "vitest";
 import {
+    type FleetNode,
     type PlatformFleet,
     sendRequest,
     startPlatformFleet,
@@ -63,6 +64,68 @@
     });
 });
 
+describe("engines that end under one part of a prompt", () => {
+    const sendPrompt = (address: string, parts: string): ReturnType<typeof sendRequest> =>
+        sendRequest(address, {
+            path: "/review/1",
+            headers: { ...streamHeaders, "x-marjoramvane-prompt-prefix": parts },
+        });
+
+    // Guards against crashes that only the systems notice, not the connections of real processes.
+    it("end a few times; then all processes refuse the part and serve others, also one that starts later", async () => {
+        const fleet = await startFleet({ nodes: 2 });
+        fleet.engines.forEach(engine => {
+            engine.crashingPart = "bad1";
+        });
+        const countCrashes = (): number => fleet.engines.reduce((sum, { crashCount }) => sum + crashCount, 0);
+        const isRefused = async ({ callerAddress }: FleetNode): Promise<boolean> =>
+            (await sendPrompt(callerAddress, "5c1e07a2:800,bad1:100,e4402b7d:250")).headers["retry-after"] !== undefined
+            && fleet.nodes.every(({ logs }) => logs.some(line => line.includes("quarantine:")));
+        await waitUntil(async () => {
+            const [first, second] = fleet.nodes as [FleetNode, FleetNode];
+            await sendPrompt(first.callerAddress, "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+            return await isRefused(first) && await isRefused(second);
+        }, 20_000);
+        const crashCount = countCrashes();
+        const late = await fleet.startNode("front-3");
+        await waitUntil(async () => {
+            const answer = await sendRequest(late.readinessAddress, { path: "/-/readyz", method: "GET" });
+            return answer.status === 200;
+        });
+        const refused = await sendPrompt(late.callerAddress, "bad1:100,e4402b7d:250");
+        expect(refused.status).toBe(503);
+        expect(refused.body).toContain("\"not_run\"");
+        expect(Number(refused.headers["retry-after"])).toBeGreaterThan(30);
+        await waitUntil(async () => {
+            const served = await sendPrompt(late.callerAddress, "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+            return served.status === 200 && served.isComplete;
+        });
+        expect(countCrashes()).toBe(crashCount);
+    });
+});
+
+describe("a server that names a limit on its requests", () => {
+    it("gets no more from two processes than it names", async () => {
+        const fleet = await startFleet({ nodes: 2 });
+        fleet.services.forEach(service => {
+            service.requestLimit = 2;
+        });
+        const statuses: number[] = [];
+        const startedAt = Date.now();
+        while (Date.now() - startedAt < 4000) {
+            await Promise.all(fleet.nodes.map(async ({ callerAddress }) => {
+                statuses.push((await sendRequest(callerAddress, { path: "/issue/1" })).status);
+            }));
+        }
+        const allowed = 1.5 * 2 * 4 + 5;
+        fleet.services.forEach(service => {
+            expect(listRuns([service]).length).toBeLessThanOrEqual(allowed);
+        });
+        expect(statuses).toContain(503);
+        expect(statuses.every(status => status === 200 || status === 503)).toBe(true);
+    });
+});
+
 describe("targets that fail", () => {
     it("answers 503 with Retry-After when all targets refuse a request before running it", async () => {
         const fleet = await startFleet();
--- a/test/support/platformFleet.ts
+++ b/test/support/platformFleet.ts
@@ -66,7 +66,15 @@
     const store = await startPlatformStore();
     const engines = await Promise.all(
         ["e1", "e2"].map(instance =>
-            startPlatformServer({ instance, service: engineService, model: modelName, ...options.engine })
+            startPlatformServer({
+                instance,
+                service: engineService,
+                model: modelName,
+                onRestart: server => {
+                    fleet.register(server);
+                },
+                ...options.engine,
+            })
         ),
     );
     const services = await Promise.all(
