Let engines crash under a prompt part and name limits in the soak

One in five streams carries the part; it is left out of the check of the recovery, as the part stays in quarantine after its fault.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -3,7 +3,15 @@
 import * as http from "node:http";
 import { sendRequest, streamHeaders } from "../standins/platformCaller";
 import { apiKey } from "../standins/platformConfiguration";
-import { getSoakTime, type RequestKind, secondKey, type SoakRequest, type SoakRouter, type SoakWorld } from "./tables";
+import {
+    crashingPart,
+    getSoakTime,
+    type RequestKind,
+    secondKey,
+    type SoakRequest,
+    type SoakRouter,
+    type SoakWorld,
+} from "./tables";
 
 /** Deadline that callers set for each request. */
 export const deadlineMs = 3000;
@@ -24,6 +32,12 @@
     probe: plainShape,
 };
 const kinds = Object.keys(shapes) as RequestKind[];
+/** Every so many requests, a stream has the crashing part in its prompt. */
+const requestsPerCrashingPart = 5;
+const crashingHeaders = {
+    ...streamHeaders,
+    "x-marjoramvane-prompt-prefix": `5c1e07a2:800,${crashingPart}:410,e4402b7d:250`,
+};
 
 const agent = new http.Agent({ keepAlive: true, maxFreeSockets: 32 });
 
@@ -38,6 +52,7 @@
         sentAt: getSoakTime(world),
         configurationVersion,
         key: world.random() < 0.3 ? secondKey : apiKey,
+        hasCrashingPart: shapes[kind] === streamShape && world.requests.length % requestsPerCrashingPart === 0,
         isDisturbed: router.isDisturbed,
         answer: undefined,
         endedAt: undefined,
@@ -49,7 +64,7 @@
             path: `/${kind === "probe" ? `v${configurationVersion}` : kind}/1`,
             method,
             headers: {
-                ...headers,
+                ...(request.hasCrashingPart ? crashingHeaders : headers),
                 "x-marjoramvane-attempt-id": request.attempt,
                 "x-marjoramvane-deadline-ms": String(deadlineMs),
             },
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -106,8 +106,9 @@
 
 /** After the last fault the fleet must serve requests again. */
 function checkRecovery(world: SoakWorld): void {
-    const tail = world.requests.filter(({ sentAt, key, kind }) =>
-        sentAt > world.durationMs * (1 - faultFreeFraction) && key !== secondKey && kind !== "probe"
+    // The crashing part stays in quarantine after its fault.
+    const tail = world.requests.filter(({ sentAt, key, kind, hasCrashingPart }) =>
+        sentAt > world.durationMs * (1 - faultFreeFraction) && key !== secondKey && kind !== "probe" && !hasCrashingPart
     );
     const unserved = tail.filter(({ answer }) => answer?.status !== 200 || !answer.isComplete);
     const served = tail.length - unserved.length;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -3,7 +3,7 @@
 import type { PlatformStoreFaults } from "../standins/platformStore";
 import { startRouter, writeConfiguration } from "./fleet";
 import type { ProxyMode } from "./proxy";
-import { getSoakTime, type SoakFault, type SoakRouter, type SoakServer, type SoakWorld } from "./tables";
+import { crashingPart, getSoakTime, type SoakFault, type SoakRouter, type SoakServer, type SoakWorld } from "./tables";
 
 /** Starts a fault and returns the function that ends it. */
 type FaultStart = (world: SoakWorld, fault: SoakFault) => () => void;
@@ -145,13 +145,48 @@
     },
 };
 
+/** Requests a second that each engine names as its limit during a fault. */
+const engineLimitPerSecond = 4;
+
+/** Faults of engines that are drawn apart from the others, so that the faults of earlier seeds stay the same. */
+const engineFaultKinds: typeof faultKinds = {
+    "engines end under a prompt part": ({ engines }) => {
+        engines.forEach(({ server }) => {
+            server.crashingPart = crashingPart;
+        });
+        return () => {
+            engines.forEach(({ server }) => {
+                server.crashingPart = undefined;
+            });
+        };
+    },
+    "engines name a limit": ({ engines }) => {
+        engines.forEach(({ server }) => {
+            server.requestLimit = engineLimitPerSecond;
+        });
+        return () => {
+            engines.forEach(({ server }) => {
+                server.requestLimit = undefined;
+            });
+        };
+    },
+};
+
+const startFault = (world: SoakWorld, fault: SoakFault): () => void =>
+    (faultKinds[fault.kind] ?? engineFaultKinds[fault.kind])?.(world, fault) ?? endNothing;
+
 /** Fraction of a run, at its beginning, in which faults start, so that the recovery can be checked at the end. */
 const faultyFraction = 0.6;
 const faultDurationRangeMs = 2500;
 
-/** Draws the faults of a run at random; they can overlap. */
-export function createFaults({ random, durationMs }: SoakWorld, count: number): SoakFault[] {
-    const kinds = Object.keys(faultKinds);
+interface FaultDraw {
+    readonly random: () => number;
+    readonly durationMs: number;
+    readonly count: number;
+    readonly kinds: readonly string[];
+}
+
+function createFaultsOf({ random, durationMs, count, kinds }: FaultDraw): SoakFault[] {
     return Array.from({ length: count }, () => {
         const startsAt = random() * durationMs * faultyFraction;
         return {
@@ -165,6 +200,14 @@
     }).sort((left, right) => left.startsAt - right.startsAt);
 }
 
+/** Draws the faults of a run at random; they can overlap. */
+export const createFaults = ({ random, durationMs }: SoakWorld, count: number): SoakFault[] =>
+    createFaultsOf({ random, durationMs, count, kinds: Object.keys(faultKinds) });
+
+/** Draws the faults of engines with a generator of their own. */
+export const createEngineFaults = (random: () => number, { durationMs }: SoakWorld, count: number): SoakFault[] =>
+    createFaultsOf({ random, durationMs, count, kinds: Object.keys(engineFaultKinds) });
+
 /** Starts and ends the faults that are due. Skips a fault of a process that another fault already disturbs. */
 export function runFaults(world: SoakWorld): void {
     const now = getSoakTime(world);
@@ -173,7 +216,7 @@
             const isOnProcess = fault.kind.startsWith("process");
             const isAlreadyDisturbed = isOnProcess && choose(world.routers, fault.selector).isDisturbed;
             fault.state = isAlreadyDisturbed ? "over" : "running";
-            fault.end = isAlreadyDisturbed ? endNothing : faultKinds[fault.kind]?.(world, fault) ?? endNothing;
+            fault.end = isAlreadyDisturbed ? endNothing : startFault(world, fault);
         }
         else if (fault.state === "running" && now >= fault.endsAt) {
             fault.state = "over";
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -86,8 +86,17 @@
 }
 
 async function createServer(instance: string, service: string, model?: string): Promise<SoakServer> {
-    const server = await startPlatformServer({ instance, service, ...(model === undefined ? {} : { model }) });
-    return { server, proxy: await startProxy(server.address), registeredVersion: 0 };
+    const server = await startPlatformServer({
+        instance,
+        service,
+        ...(model === undefined ? {} : { model }),
+        // The new run registers itself.
+        onRestart: () => {
+            row.registeredVersion = 0;
+        },
+    });
+    const row: SoakServer = { server, proxy: await startProxy(server.address), registeredVersion: 0 };
+    return row;
 }
 
 /** Writes the next configuration. Each version adds a route, by which callers can tell which version a process uses. */
--- a/soak/tables.ts
+++ b/soak/tables.ts
@@ -40,6 +40,8 @@
     /** Version of the configuration that added the route of a probe. */
     readonly configurationVersion: number;
     readonly key: string;
+    /** True for a prompt with the part under which engines end while a fault makes them. */
+    readonly hasCrashingPart: boolean;
     /** True when the process was stopped, killed or paused during the request. */
     isDisturbed: boolean;
     answer: CallerAnswer | undefined;
@@ -76,6 +78,9 @@
     readonly durationMs: number;
 }
 
+/** Prompt part under which engines end during some faults. */
+export const crashingPart = "bad1";
+
 /** Key that is withdrawn during some runs. */
 export const secondKey = "second-key-of-the-shop";
 
