Correct the comment on the answered parts that a process reports

It said that only answers since or shortly before a crash are reported; all are, with their age, and the receiver compares them with the crash.

--- a/src/forward/systems/crashReports.ts
+++ b/src/forward/systems/crashReports.ts
@@ -19,7 +19,7 @@
 const listNewestCrashes = (world: ForwardWorld): readonly CrashRow[] =>
     [...world.tables.crashes.list()].sort((left, right) => right.failedAt - left.failedAt).slice(0, maxReportedCrashes);
 
-/** Parts that are suspects of a known crash and that this process has seen answered since or shortly before. */
+/** Suspects of known crashes that this process has seen answered, with the time since then; the receiver judges it. */
 function listAnswered(
     world: ForwardWorld,
     tick: ForwardTick,
