Assign followers of cache events only when members or targets change

Each poll of cache events ranked all members by rendezvous hash for every target: with 30 processes and 93 targets 2,790 hashes per poll, growing with members times targets. The assignment is now kept in the table of cached parts until a member, a target or the configuration changes, and the number of live members is counted once per change. An engine that accepts fewer followers than are kept free for restarts got nearly all processes as followers (19 of 20 in the test), because the limit became a negative slice; it gets one.

--- a/src/forward/systems/followParts.ts
+++ b/src/forward/systems/followParts.ts
@@ -3,10 +3,10 @@
  * Events arrive late and some are lost; a wrong row costs a cache miss.
  */
 import { logInfo, logWarning } from "../../effects";
-import { addMillis, type TargetId } from "../../ids";
+import { addMillis } from "../../ids";
 import { listByRendezvous } from "../../policy/rendezvous";
 import type { ForwardTick } from "../events";
-import type { PartFollower } from "../tables/cachedParts";
+import type { FollowedTarget, PartFollower } from "../tables/cachedParts";
 import type { ForwardWorld } from "../world";
 
 /** Delay between two calls to one target, so that many events share one call. */
@@ -18,13 +18,7 @@
 /** Interval at which new targets are discovered. */
 const discoveryIntervalMs = 1000;
 
-interface FollowedTarget {
-    readonly id: TargetId;
-    readonly address: string;
-    readonly maxFollowers: number;
-}
-
-function listFollowed(world: ForwardWorld): FollowedTarget[] {
+function listTargets(world: ForwardWorld): FollowedTarget[] {
     const { configuration, targets } = world.tables;
     const engines = [...configuration.document?.services.values() ?? []].flatMap(({ id, engine }) =>
         engine
@@ -53,10 +47,24 @@
     const { members } = world.tables;
     const live = members.list().filter(({ state }) => state === "live").map(({ vm }) => vm);
     return listByRendezvous(world.hasher, followed.id, live)
-        .slice(0, Math.min(followersPerTarget, followed.maxFollowers - reservedFollowers))
+        .slice(0, Math.max(1, Math.min(followersPerTarget, followed.maxFollowers - reservedFollowers)))
         .includes(world.settings.vm);
 }
 
+/**
+ * Targets that this process follows. Ranking all members for each target takes milliseconds in a large fleet, so the
+ * result is kept until a member, a target or the configuration changes.
+ */
+function listFollowed(world: ForwardWorld): readonly FollowedTarget[] {
+    const { cachedParts, configuration, members, targets } = world.tables;
+    const inputs = `${configuration.version} ${targets.revision} ${members.revision}`;
+    if (cachedParts.assignment?.inputs !== inputs) {
+        const followed = listTargets(world).filter(target => canFollow(world, target));
+        cachedParts.assignment = { inputs, followed };
+    }
+    return cachedParts.assignment.followed;
+}
+
 function requestParts(world: ForwardWorld, followed: FollowedTarget, follower: PartFollower): void {
     follower.isPending = true;
     world.effects.append({
@@ -120,7 +128,7 @@
     }
     const { followers } = world.tables.cachedParts;
     const due = new Set(tick.due.listKeys("partReports"));
-    const followed = listFollowed(world).filter(followedTarget => canFollow(world, followedTarget));
+    const followed = listFollowed(world);
     const ids = new Set(followed.map(({ id }) => id));
     for (const id of followers.keys()) {
         if (!ids.has(id)) {
--- a/src/forward/tables/cachedParts.ts
+++ b/src/forward/tables/cachedParts.ts
@@ -13,7 +13,23 @@
     readonly isSharedWithPeers: boolean;
 }
 
+/** A target whose cache events this process reads. */
+export interface FollowedTarget {
+    readonly id: TargetId;
+    readonly address: string;
+    readonly maxFollowers: number;
+}
+
+/** Targets that this process follows, as computed from one state of the configuration, the targets and the members. */
+export interface FollowAssignment {
+    /** Revisions of the rows from which it was computed. */
+    readonly inputs: string;
+    readonly followed: readonly FollowedTarget[];
+}
+
 export interface CachedPartsTable {
+    /** Undefined until it is first computed. */
+    assignment: FollowAssignment | undefined;
     readonly followers: Map<TargetId, PartFollower>;
     /** Targets that peers follow, with the time at which a peer last reported on them. */
     readonly peerReportedAt: Map<TargetId, Millis>;
@@ -53,6 +69,7 @@
     }
 
     return {
+        assignment: undefined,
         followers,
         peerReportedAt,
         journal: createPartJournal(),
--- a/src/forward/tables/members.ts
+++ b/src/forward/tables/members.ts
@@ -18,21 +18,36 @@
     remove(vm: VmId): void;
     listVms(): readonly VmId[];
     countLive(): number;
+    /** Increases with each change of a row; what is computed from the rows holds until then. */
+    readonly revision: number;
 }
 
 /** Creates an empty table. */
 export function createForwardMembersTable(): ForwardMembersTable {
     const rows = new Map<VmId, ForwardMemberRow>();
+    let revision = 0;
+    let liveCount = 0;
+
+    function recordChange(): void {
+        revision += 1;
+        liveCount = [...rows.values()].filter(row => row.state === "live").length;
+    }
+
     return {
+        get revision() {
+            return revision;
+        },
         get: vm => rows.get(vm),
         list: () => [...rows.values()],
         apply: row => {
             rows.set(row.vm, row);
+            recordChange();
         },
         remove: vm => {
             rows.delete(vm);
+            recordChange();
         },
         listVms: () => [...rows.keys()],
-        countLive: () => [...rows.values()].filter(row => row.state === "live").length,
+        countLive: () => liveCount,
     };
 }
--- a/src/forward/tables/targets.ts
+++ b/src/forward/tables/targets.ts
@@ -57,6 +57,8 @@
     findByName(name: string): ForwardTargetRow | undefined;
     listNames(): readonly string[];
     remove(name: string): void;
+    /** Increases with each change of a registration; what is computed from registrations holds until then. */
+    readonly revision: number;
 }
 
 /** Creates an empty table. */
@@ -65,7 +67,10 @@
     const ids = new Map<string, TargetId>();
     const byService = new Map<ServiceId, ForwardTargetRow[]>();
 
+    let revision = 0;
+
     function updateServices(): void {
+        revision += 1;
         byService.clear();
         for (const row of rows.values()) {
             const { service } = row.registration;
@@ -91,6 +96,9 @@
     }
 
     return {
+        get revision() {
+            return revision;
+        },
         get: id => rows.get(id),
         list: () => [...rows.values()],
         listService: service => byService.get(service) ?? [],
--- a/test/forward/cacheEventSharing.test.ts
+++ b/test/forward/cacheEventSharing.test.ts
@@ -19,11 +19,13 @@
 const part = toCachedPartKey(toCacheSalt("s"), toPartId("a"));
 const otherPart = toCachedPartKey(toCacheSalt("s"), toPartId("b"));
 
-async function startNodes(): Promise<{ readonly node: ForwardTestNode; readonly followed: ReadonlySet<string>; }[]> {
+async function startNodes(
+    maxFollowers = 12,
+): Promise<{ readonly node: ForwardTestNode; readonly followed: ReadonlySet<string>; }[]> {
     const rows = buildMemberRows(names);
     const services = new Map([...buildDocument().services].map(([id, service]) => [
         id,
-        service.engine ? { ...service, engine: { ...service.engine, maxFollowers: 12 } } : service,
+        service.engine ? { ...service, engine: { ...service.engine, maxFollowers } } : service,
     ]));
     return Promise.all(names.map(async name => {
         const node = await createForwardTestNode(name);
@@ -48,6 +50,39 @@
         }
     });
 
+    // Guards against followers beyond the limit of an engine that accepts fewer than are kept free for restarts.
+    it("give an engine that accepts three followers one", async () => {
+        const nodes = await startNodes(3);
+        for (const engine of engines) {
+            expect(nodes.filter(({ followed }) => followed.has(`${engine}@1`)).length).toBe(1);
+        }
+    });
+
+    // Guards against processor time per poll that grows with the number of targets times the number of processes.
+    it("are assigned again only when a member, a target or the configuration changes", async () => {
+        const [first] = await startNodes();
+        if (!first) {
+            throw new Error("No node was started.");
+        }
+        const { node } = first;
+        let hashCount = 0;
+        const { hasher } = node.world;
+        Object.assign(node.world, {
+            hasher: {
+                ...hasher,
+                hashText: (text: string, seed: bigint) => {
+                    hashCount += 1;
+                    return hasher.hashText(text, seed);
+                },
+            },
+        });
+        node.runFor(5000);
+        expect(hashCount).toBe(0);
+        node.run([node.buildChangeEvent({ rows: buildMemberRows(["front-200"]) })]);
+        node.runFor(1100);
+        expect(hashCount).toBeGreaterThan(engines.length * names.length);
+    });
+
     it("pass cached parts on to processes that do not follow the engine, also after the engine restarts", async () => {
         const nodes = await startNodes();
         const target = toTargetId("e0@1");
