Let a few processes read the store for a larger fleet

Every process watched the store, and each change of a member, an order or a target ended the watch of all of them.

From 10 processes on, one process for each 32 and a spare read the store, chosen by rendezvous hash, and pass small changes on to the others over a long poll of the exchange. A caller that finds its reader failed, outdated (1.5 s since the store's last confirmation, also by the wall clock) or no reader goes to the store in the next call and asks another reader afterwards. Large values, such as the configuration, are read from the store by every process. Removed registrations are judged by the outages that the reader saw.

--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -89,8 +89,8 @@
         },
     });
     const client = createForwardClient({ codec: ports.headers, post, openRequests, isClosing: front.isClosing });
-    const store = ports.createStore({ clock, post, ...storeSettings });
     const peers = createPeerLink({ address: listen.peers, post });
+    const store = ports.createStore({ clock, post, ...storeSettings, requestChanges: peers.requestChanges });
     const engines = ports.createEngines({ clock, post });
     const directory = ports.createDirectory({
         clock,
@@ -139,9 +139,10 @@
         orderWeights: engines.order,
         followParts: engines.followParts,
         callStore: store.call,
-        updateStorePause: store.updatePause,
+        updateStoreSource: store.updateSource,
         callPeer: peers.call,
         answerPeer: peers.answer,
+        answerRelayCall: peers.answerRelayCall,
         writeLog: write,
         addCount: metrics.addCount,
         recordValue: metrics.recordValue,
--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -12,6 +12,8 @@
 import type { ForwardEffectOf } from "../effects";
 import type { ForwardEvent } from "../events";
 import type { PeerState } from "../peers";
+import type { RequestChanges } from "../ports";
+import type { RelayAnswer } from "../storeChanges";
 import { startListening } from "./frontServer";
 
 /** Timeout of a call, on both sides; a failed call is retried at the next exchange. */
@@ -41,9 +43,35 @@
     requests: tokenCounts.optional(),
 });
 
+/** Time-out of a call for changes of the store, on both sides; the answer waits for a change for up to a second. */
+const changesTimeoutMs = 1500;
+/** Maximum number of changes in one answer. */
+const maxChanges = 4096;
+
+const relayAnswerSchema = z.discriminatedUnion("kind", [
+    z.object({
+        kind: z.literal("changes"),
+        changes: z.object({
+            items: z.array(z.object({
+                key: z.string(),
+                value: z.string().optional(),
+                createRevision: z.number(),
+                revision: z.number(),
+            })).max(maxChanges),
+            revision: z.number(),
+            confirmedAgeMs: z.number().min(0),
+            reachableMs: z.number().min(0),
+        }),
+    }),
+    z.object({ kind: z.literal("readStore") }),
+    z.object({ kind: z.literal("unavailable"), reason: z.enum(["not_a_reader", "outdated"]) }),
+]);
+
 interface PeerContext {
     /** Applies the caller's state and returns the state of this process. */
     readonly exchangeState: (state: PeerState) => Promise<PeerState>;
+    /** Waits for changes of the store after the revision. */
+    readonly waitForChanges: (after: number) => Promise<RelayAnswer>;
 }
 
 const { router, procedure } = initTRPC.context<PeerContext>().create();
@@ -52,8 +80,49 @@
     exchange: procedure.input(stateSchema).mutation(({ ctx, input }) =>
         ctx.exchangeState(input as unknown as PeerState)
     ),
+    changes: procedure.input(z.object({ after: z.number() })).query(({ ctx, input }) =>
+        ctx.waitForChanges(input.after)
+    ),
 });
 
+type PeerProcedure = keyof typeof peerRouter["_def"]["procedures"];
+
+const timeoutsMs: { readonly [Name in PeerProcedure]: number; } = {
+    exchange: callTimeoutMs,
+    changes: changesTimeoutMs,
+};
+const isPeerProcedure = (name: string): name is PeerProcedure => Object.hasOwn(timeoutsMs, name);
+
+interface PendingAnswers<Answer> {
+    /** Posts the event of a call and resolves with its answer; rejects after the time-out. */
+    wait(postCall: (call: CallId) => void): Promise<Answer>;
+    answer(call: CallId, answer: Answer): void;
+}
+
+/** Calls of other processes that the systems have not answered yet. */
+function createPendingAnswers<Answer>(timeoutMs: number): PendingAnswers<Answer> {
+    const pending = new Map<CallId, (answer: Answer) => void>();
+    return {
+        wait: postCall =>
+            new Promise((resolve, reject) => {
+                const call = toCallId(randomUUID());
+                const timer = setTimeout(() => {
+                    pending.delete(call);
+                    reject(new Error("The answer was not ready within the timeout."));
+                }, timeoutMs);
+                pending.set(call, answer => {
+                    clearTimeout(timer);
+                    pending.delete(call);
+                    resolve(answer);
+                });
+                postCall(call);
+            }),
+        answer: (call, answer) => {
+            pending.get(call)?.(answer);
+        },
+    };
+}
+
 /**
  * Creates a tRPC link over `sendHttpCall`. The HTTP adapters of tRPC build fetch requests and responses for each call,
  * which takes more CPU time than the exchange itself.
@@ -67,7 +136,7 @@
                 path: `/${op.path}`,
                 headers: { "content-type": "application/json" },
                 body: JSON.stringify(op.input),
-                timeoutMs: callTimeoutMs,
+                timeoutMs: isPeerProcedure(op.path) ? timeoutsMs[op.path] : callTimeoutMs,
                 agent,
             }).then(({ status, text }) => {
                 if (status !== 200) {
@@ -87,6 +156,8 @@
     start(): Promise<void>;
     call(effect: ForwardEffectOf<"callPeer">): void;
     answer(effect: ForwardEffectOf<"answerPeer">): void;
+    readonly requestChanges: RequestChanges;
+    answerRelayCall(effect: ForwardEffectOf<"answerRelayCall">): void;
     close(): void;
 }
 
@@ -94,34 +165,31 @@
 export function createPeerLink(
     { address, post }: { readonly address: string; readonly post: (event: ForwardEvent) => void; },
 ): PeerLink {
-    const pendingCalls = new Map<CallId, (state: PeerState) => void>();
+    const pendingStates = createPendingAnswers<PeerState>(timeoutsMs.exchange);
+    const pendingChanges = createPendingAnswers<RelayAnswer>(timeoutsMs.changes);
     const agent = createKeepAliveAgent();
     const clients = new Map<string, PeerClient>();
 
-    function requestOwnState(state: PeerState): Promise<PeerState> {
-        return new Promise((resolve, reject) => {
-            const call = toCallId(randomUUID());
-            const timer = setTimeout(() => {
-                pendingCalls.delete(call);
-                reject(new Error("The peer's state was not ready within the timeout."));
-            }, callTimeoutMs);
-            pendingCalls.set(call, ownState => {
-                clearTimeout(timer);
-                pendingCalls.delete(call);
-                resolve(ownState);
-            });
-            post({ kind: "peerCallReceived", call, state });
-        });
-    }
-
-    const localCaller = peerRouter.createCaller({ exchangeState: requestOwnState });
+    const localCaller = peerRouter.createCaller({
+        exchangeState: state =>
+            pendingStates.wait(call => {
+                post({ kind: "peerCallReceived", call, state });
+            }),
+        waitForChanges: after =>
+            pendingChanges.wait(call => {
+                post({ kind: "relayCallReceived", call, after });
+            }),
+    });
 
     async function handleCall(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         let reply: { readonly status: number; readonly body: unknown; };
         try {
+            const name = request.url?.slice(1) ?? "";
             const bytes = await readBody(request, maxStateBytes);
             const input: unknown = JSON.parse(bytes?.toString() ?? "");
-            reply = { status: 200, body: await localCaller.exchange(input as never) };
+            reply = isPeerProcedure(name)
+                ? { status: 200, body: await localCaller[name](input as never) }
+                : { status: 404, body: { message: "There is no such procedure." } };
         }
         catch (error) {
             const isBadRequest = error instanceof SyntaxError
@@ -160,7 +228,17 @@
             );
         },
         answer: ({ call, state }) => {
-            pendingCalls.get(call)?.(state);
+            pendingStates.answer(call, state);
+        },
+        requestChanges: async (peer, after) => {
+            const answer = relayAnswerSchema.safeParse(await getClient(peer).changes.query({ after }));
+            if (!answer.success) {
+                throw new Error("The answer of the store reader is invalid.");
+            }
+            return answer.data as RelayAnswer;
+        },
+        answerRelayCall: ({ call, answer }) => {
+            pendingChanges.answer(call, answer);
         },
         close: () => {
             server.close();
--- a/src/forward/effects.ts
+++ b/src/forward/effects.ts
@@ -7,6 +7,7 @@
 import type { CallerLimits } from "./document";
 import type { ForwardStorePurpose } from "./events";
 import type { PeerState } from "./peers";
+import type { RelayAnswer } from "./storeChanges";
 
 export type ForwardEffect =
     /* callers */
@@ -55,11 +56,20 @@
     }
     /* store */
     | { readonly kind: "callStore"; readonly purpose: ForwardStorePurpose; readonly call: StoreCall; }
-    /** Sets the pause between two watch calls that deliver changes; each change costs a call by every process. */
-    | { readonly kind: "updateStorePause"; readonly pauseMs: number; }
+    /** Sets where changes of the store come from, and the timing of watch calls. */
+    | {
+        readonly kind: "updateStoreSource";
+        /** Process that passes changes on; undefined to watch the store. */
+        readonly relay: { readonly vm: VmId; readonly address: string; } | undefined;
+        /** Pause between two watch calls that deliver changes. */
+        readonly pauseMs: number;
+        /** Longest time from one delivery of changes to the end of the next watch call, including the pause. */
+        readonly cycleMs: number;
+    }
     /* peers */
     | { readonly kind: "callPeer"; readonly vm: VmId; readonly address: string; readonly state: PeerState; }
     | { readonly kind: "answerPeer"; readonly call: CallId; readonly state: PeerState; }
+    | { readonly kind: "answerRelayCall"; readonly call: CallId; readonly answer: RelayAnswer; }
     /* process */
     | EffectOf<"writeLog">
     | EffectOf<"addCount">
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -15,6 +15,7 @@
 import type { ForwardDocument, RegisteredTarget } from "./document";
 import type { PartId, WeightsVersion } from "./ids";
 import type { PeerState } from "./peers";
+import type { StoreItem } from "./storeChanges";
 
 /** Purpose of a store call, by which its reply reaches the right system. */
 export type ForwardStorePurpose =
@@ -49,6 +50,8 @@
     readonly rows: readonly FleetRow[];
     /** Keys whose values could not be decoded. */
     readonly undecodableKeys: readonly string[];
+    /** The changes as the store sent them; empty after a read of the whole store. */
+    readonly items: readonly StoreItem[];
     /** Revision of the store up to which the changes reach. */
     readonly revision: number;
 }
@@ -111,13 +114,25 @@
     /* store */
     /** The whole store was read. The store's contents are known to be current as of `confirmedAt`. */
     | { readonly kind: "publishedRead"; readonly changes: PublishedChanges; readonly confirmedAt: Millis; }
-    /** A watch call ended, with or without changes. `confirmedAt` is as in `publishedRead`. */
-    | { readonly kind: "publishedChanged"; readonly changes: PublishedChanges; readonly confirmedAt: Millis; }
+    /**
+     * A watch call ended, with or without changes. `confirmedAt` is as in `publishedRead`. `reachableMs` is defined when
+     * another process passed the changes on: the time for which the store has answered that process.
+     */
+    | {
+        readonly kind: "publishedChanged";
+        readonly changes: PublishedChanges;
+        readonly confirmedAt: Millis;
+        readonly reachableMs?: number;
+    }
     /** A read or a watch call of the store failed. */
     | { readonly kind: "storeUnreachable"; readonly message: string; }
+    /** The process that passes the store's changes on gave no usable answer. */
+    | { readonly kind: "relayFailed"; readonly vm: VmId; readonly message: string; }
     | { readonly kind: "storeReplied"; readonly purpose: ForwardStorePurpose; readonly outcome: StoreOutcome; }
     /* peers */
     | { readonly kind: "peerCallReceived"; readonly call: CallId; readonly state: PeerState; }
+    /** Another process requests the store's changes after a revision. */
+    | { readonly kind: "relayCallReceived"; readonly call: CallId; readonly after: number; }
     | {
         readonly kind: "peerReplied";
         readonly vm: VmId;
--- a/src/forward/ports.ts
+++ b/src/forward/ports.ts
@@ -3,13 +3,13 @@
 import type { HeaderCodec } from "./calls";
 import type { ForwardEffectOf } from "./effects";
 import type { ForwardEvent } from "./events";
+import type { RelayAnswer } from "./storeChanges";
 
 export interface StorePort {
     /** Starts to read and watch the store; its contents and failures are posted as events. */
     start(): void;
     call(effect: ForwardEffectOf<"callStore">): void;
-    /** Sets the pause between two watch calls that deliver changes. */
-    updatePause(effect: ForwardEffectOf<"updateStorePause">): void;
+    updateSource(effect: ForwardEffectOf<"updateStoreSource">): void;
     close(): void;
 }
 
@@ -31,9 +31,18 @@
     readonly post: (event: ForwardEvent) => void;
 }
 
+/** Requests the store's changes after a revision from another process; rejects when it gives no usable answer. */
+export type RequestChanges = (address: string, after: number) => Promise<RelayAnswer>;
+
 export interface PlatformPorts {
     readonly headers: HeaderCodec;
-    createStore(options: PortOptions & { readonly address: string; readonly timeoutMs: number; }): StorePort;
+    createStore(
+        options: PortOptions & {
+            readonly address: string;
+            readonly timeoutMs: number;
+            readonly requestChanges: RequestChanges;
+        },
+    ): StorePort;
     createEngines(options: PortOptions): EnginePort;
     createDirectory(
         options: PortOptions & {
--- /dev/null
+++ b/src/forward/storeChanges.ts
@@ -0,0 +1,35 @@
+/** Changes of the store as one process passes them on to others. */
+
+/** A key of the store as it was written, or its removal. */
+export interface StoreItem {
+    readonly key: string;
+    /** Value in the encoding of the store; undefined for a deleted key. */
+    readonly value: string | undefined;
+    /** Revision at which the key was created. */
+    readonly createRevision: number;
+    /** Revision of this change. */
+    readonly revision: number;
+}
+
+/** Changes that a store reader passes on, with the age of what it knows. */
+export interface RelayedChanges {
+    readonly items: readonly StoreItem[];
+    /** Revision of the store up to which the changes reach. */
+    readonly revision: number;
+    /** Milliseconds since the store last confirmed the reader's state. */
+    readonly confirmedAgeMs: number;
+    /** Milliseconds for which the store has answered the reader without interruption. */
+    readonly reachableMs: number;
+}
+
+/** `not_a_reader`: the process does not read the store itself; `outdated`: the store has not answered it for too long. */
+export type RelayFault = "not_a_reader" | "outdated";
+
+/**
+ * Answer of a store reader. With `readStore`, the reader is sound but the changes have to be read from the store: they
+ * are too large to be passed on, or the reader does not have all of them.
+ */
+export type RelayAnswer =
+    | { readonly kind: "changes"; readonly changes: RelayedChanges; }
+    | { readonly kind: "readStore"; }
+    | { readonly kind: "unavailable"; readonly reason: RelayFault; };
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -227,11 +227,21 @@
     }
 }
 
-function recordStoreContact(world: ForwardWorld, tick: ForwardTick, confirmedAt: ForwardTick["now"]): void {
+function recordStoreContact(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    confirmedAt: ForwardTick["now"],
+    reachableMs?: number,
+): void {
     const { node } = world.tables;
+    const wasReachable = node.storeReachableSince !== undefined;
     node.storeConfirmedAt = confirmedAt;
-    if (node.storeReachableSince === undefined) {
-        node.storeReachableSince = tick.now;
+    node.storeWallConfirmedAt = tick.wallNow - (tick.now - confirmedAt);
+    // Changes that were passed on are judged by the outages that their reader saw.
+    node.storeReachableSince = reachableMs === undefined
+        ? node.storeReachableSince ?? tick.now
+        : addMillis(tick.now, -reachableMs);
+    if (!wasReachable) {
         logInfo(world.effects, "store:", "The store answers.", {});
     }
 }
@@ -257,8 +267,8 @@
             node.storeFirstReadAt = tick.now;
         }
     }
-    for (const { changes, confirmedAt } of tick.events.list("publishedChanged")) {
-        recordStoreContact(world, tick, confirmedAt);
+    for (const { changes, confirmedAt, reachableMs } of tick.events.list("publishedChanged")) {
+        recordStoreContact(world, tick, confirmedAt, reachableMs);
         applyChanges(world, tick, changes);
     }
     removeMissingTargets(world, tick);
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -10,6 +10,7 @@
 import { followCrashes } from "./followCrashes";
 import { followParts } from "./followParts";
 import { placeWeights } from "./placeWeights";
+import { relayStore } from "./relayStore";
 import { resumeOnOtherEngines } from "./resumeOnOtherEngines";
 import { routeRequests } from "./routeRequests";
 import { updateMembership } from "./updateMembership";
@@ -18,6 +19,7 @@
 export const forwardSystems: readonly ForwardSystem[] = [
     applyPublished,
     updateMembership,
+    relayStore,
     exchangeWithPeers,
     followParts,
     followCrashes,
--- /dev/null
+++ b/src/forward/systems/relayStore.ts
@@ -0,0 +1,172 @@
+/**
+ * Divides the reading of the store in a larger fleet: a few processes watch it and pass the changes on to the others,
+ * so that the number of calls to the store grows by far less than the fleet. A process whose reader fails reads the
+ * store itself until another reader answers.
+ */
+import { logInfo, logWarning } from "../../effects";
+import { addMillis, type VmId } from "../../ids";
+import type { ForwardTick } from "../events";
+import { chooseReader, listReaders } from "../policy/storeReaders";
+import type { RelayAnswer } from "../storeChanges";
+import { computeStoreAgeMs } from "../tables/node";
+import type { RelayCall } from "../tables/storeRelay";
+import type { ForwardWorld } from "../world";
+
+/** Longest time for which a call for changes waits for one. */
+const relayWaitMs = 1000;
+/**
+ * Age of the store's last confirmation from which on a reader passes nothing on. Together with the time-out of a call
+ * to a reader that falls silent, it bounds by how much later a change is seen than with a watch of one's own.
+ */
+const maxRelayedAgeMs = 1500;
+/** Time for which a reader that failed is not asked again. */
+const readerBackOffMs = 5000;
+/** Changes with a longer value are read from the store: a reader would send it to dozens of processes over its link. */
+const maxRelayedValueLength = 8192;
+const maxPendingCalls = 1024;
+
+/** Pause between two deliveries of changes to a process of a small fleet, which reads the store itself. */
+const pauseMsPerProcess = 30;
+const minPauseMs = 300;
+const maxPauseMs = 1000;
+/** Longest time from one confirmation by the store to the next. */
+const cycleMs = 1800;
+/** The same for a process that reads the store for others; less than `maxRelayedAgeMs`. */
+const readerCycleMs = 1000;
+
+function listLiveReaders(world: ForwardWorld): readonly VmId[] {
+    const { members, storeRelay } = world.tables;
+    if (storeRelay.readers?.membersRevision !== members.revision) {
+        const live = members.list().filter(({ state }) => state === "live").map(({ vm }) => vm);
+        storeRelay.readers = { membersRevision: members.revision, vms: listReaders(world.hasher, live) };
+    }
+    return storeRelay.readers.vms;
+}
+
+/** The answer to a call, or undefined while it waits for a change. */
+function findAnswer(world: ForwardWorld, tick: ForwardTick, { after, answerAt }: RelayCall): RelayAnswer | undefined {
+    const { node, storeRelay } = world.tables;
+    const { history } = storeRelay;
+    const ageMs = computeStoreAgeMs(node, tick.now, tick.wallNow);
+    if (storeRelay.source !== undefined) {
+        return { kind: "unavailable", reason: "not_a_reader" };
+    }
+    if (node.storeReachableSince === undefined || ageMs >= maxRelayedAgeMs) {
+        return { kind: "unavailable", reason: "outdated" };
+    }
+    if (history.startRevision === undefined || after < history.startRevision) {
+        return { kind: "readStore" };
+    }
+    const items = history.listAfter(after);
+    if (items.some(({ value = "" }) => value.length > maxRelayedValueLength)) {
+        return { kind: "readStore" };
+    }
+    if (items.length === 0 && tick.now < answerAt) {
+        return undefined;
+    }
+    return {
+        kind: "changes",
+        changes: {
+            items,
+            revision: Math.max(after, history.revision),
+            confirmedAgeMs: ageMs,
+            reachableMs: tick.now - node.storeReachableSince,
+        },
+    };
+}
+
+function recordChanges(world: ForwardWorld, tick: ForwardTick): void {
+    const { history } = world.tables.storeRelay;
+    for (const { changes } of tick.events.list("publishedRead")) {
+        history.restart(changes.revision);
+    }
+    for (const { changes } of tick.events.list("publishedChanged")) {
+        history.add(changes.items, changes.revision);
+    }
+}
+
+function answerCalls(world: ForwardWorld, tick: ForwardTick): void {
+    const { calls } = world.tables.storeRelay;
+    for (const { call, after } of tick.events.list("relayCallReceived")) {
+        const confirmedUntil = addMillis(world.tables.node.storeConfirmedAt, maxRelayedAgeMs);
+        const waitUntil = addMillis(tick.now, calls.size < maxPendingCalls ? relayWaitMs : 0);
+        const answerAt = confirmedUntil < waitUntil ? confirmedUntil : waitUntil;
+        calls.set(call, { call, after, answerAt });
+        world.timers.schedule({ name: "relayCall", at: answerAt });
+    }
+    for (const row of calls.values()) {
+        const answer = findAnswer(world, tick, row);
+        if (answer) {
+            calls.delete(row.call);
+            world.effects.append({ kind: "answerRelayCall", call: row.call, answer });
+        }
+    }
+}
+
+/** The reader to ask; undefined when this process has to read the store itself. */
+function findSource(world: ForwardWorld, tick: ForwardTick): VmId | undefined {
+    const { members, node, storeRelay } = world.tables;
+    const readers = listLiveReaders(world);
+    const { vm } = world.settings;
+    if (node.isStoreUnread || readers.includes(vm) || readers.length === members.countLive()) {
+        return undefined;
+    }
+    const sound = readers.filter(reader => tick.now >= (storeRelay.failedUntil.get(reader) ?? 0));
+    return chooseReader(world.hasher, vm, sound);
+}
+
+function updateSource(world: ForwardWorld, tick: ForwardTick): void {
+    const { members, storeRelay } = world.tables;
+    const source = findSource(world, tick);
+    const relay = source === undefined ? undefined : members.get(source)?.peerAddress;
+    const hasRelays = listLiveReaders(world).length < members.countLive();
+    const pauseMs = hasRelays
+        ? minPauseMs
+        : Math.min(maxPauseMs, Math.max(minPauseMs, pauseMsPerProcess * members.countLive()));
+    const effect = {
+        kind: "updateStoreSource",
+        relay: source !== undefined && relay !== undefined ? { vm: source, address: relay } : undefined,
+        pauseMs,
+        cycleMs: hasRelays ? readerCycleMs : cycleMs,
+    } as const;
+    const requestedSource = JSON.stringify(effect);
+    if (requestedSource === storeRelay.requestedSource) {
+        return;
+    }
+    if (storeRelay.source !== source) {
+        logInfo(world.effects, "store:", "The source of the store's changes changed.", {
+            before: storeRelay.source ?? "store",
+            after: source ?? "store",
+            readers: listLiveReaders(world),
+            members: members.countLive(),
+        });
+    }
+    storeRelay.source = source;
+    storeRelay.requestedSource = requestedSource;
+    world.effects.append(effect);
+}
+
+function recordFailures(world: ForwardWorld, tick: ForwardTick): void {
+    const { failedUntil } = world.tables.storeRelay;
+    for (const { vm, message } of tick.events.list("relayFailed")) {
+        logWarning(world.effects, "store:", "A store reader failed; the store is read directly.", { vm, message });
+        failedUntil.set(vm, addMillis(tick.now, readerBackOffMs));
+        world.timers.schedule({ name: "storeReader", at: addMillis(tick.now, readerBackOffMs) });
+    }
+    for (const [vm, until] of failedUntil) {
+        if (tick.now >= until) {
+            failedUntil.delete(vm);
+        }
+    }
+}
+
+/**
+ * Reads: members, node. Writes: store relay.
+ * Effects: answers to other processes, source of the store's changes, log lines.
+ */
+export function relayStore(world: ForwardWorld, tick: ForwardTick): void {
+    recordChanges(world, tick);
+    recordFailures(world, tick);
+    updateSource(world, tick);
+    answerCalls(world, tick);
+}
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -11,14 +11,6 @@
 const leaseMs = 2000;
 /** Four renewals in the length of the lease, so that it survives two lost answers. */
 const renewIntervalMs = 500;
-/**
- * Pause between two deliveries of changes by the store. It grows with the fleet, so that the number of store calls
- * grows slower than the fleet. With the maximum, a process whose watch connection delivers nothing still sees a
- * configuration within the bound of 3 s.
- */
-const storePauseMsPerProcess = 30;
-const minStorePauseMs = 300;
-const maxStorePauseMs = 1000;
 /** Added to the guard time for orders of the previous leader that have not arrived yet. */
 const guardMarginMs = 300;
 
@@ -195,15 +187,6 @@
     claimLeadership(world, node.lease.id);
 }
 
-function updateStorePause(world: ForwardWorld): void {
-    const { members, node } = world.tables;
-    const pauseMs = Math.min(maxStorePauseMs, Math.max(minStorePauseMs, storePauseMsPerProcess * members.countLive()));
-    if (pauseMs !== node.storePauseMs) {
-        node.storePauseMs = pauseMs;
-        world.effects.append({ kind: "updateStorePause", pauseMs });
-    }
-}
-
 /**
  * Reads: members. Writes: node (lease, registration, rollout leadership). Effects: calls to the store, log lines.
  */
@@ -217,7 +200,6 @@
         && tick.events.list("publishedRead").length > 0;
     if (tick.due.has("leaseRenewal") || isFirstRead) {
         requestLease(world, tick);
-        updateStorePause(world);
     }
     if (!node.isStoreUnread) {
         checkLease(world, tick);
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -12,6 +12,7 @@
 import { createQuarantineTable, type QuarantineTable } from "./quarantine";
 import { createForwardRequestsTable, type ForwardRequestsTable } from "./requests";
 import { createRolloutsTable, type RolloutsTable } from "./rollouts";
+import { createStoreRelayTable, type StoreRelayTable } from "./storeRelay";
 import { createForwardTargetsTable, type ForwardTargetsTable } from "./targets";
 import { createUsageWindowsTable, type UsageWindowsTable } from "./usageWindows";
 
@@ -28,6 +29,7 @@
     readonly answeredParts: AnsweredPartsTable;
     readonly quarantine: QuarantineTable;
     readonly rollouts: RolloutsTable;
+    readonly storeRelay: StoreRelayTable;
     readonly retryBudgets: Map<ServiceId, RetryBudget>;
     /** Requests of this process by service, for its share in the limits of targets. */
     readonly serviceLoads: Map<ServiceId, UsageWindow>;
@@ -48,6 +50,7 @@
         answeredParts: createAnsweredPartsTable(),
         quarantine: createQuarantineTable(),
         rollouts: createRolloutsTable(),
+        storeRelay: createStoreRelayTable(),
         retryBudgets: new Map(),
         serviceLoads: new Map(),
     };
--- a/src/forward/tables/node.ts
+++ b/src/forward/tables/node.ts
@@ -35,8 +35,8 @@
     storeFirstReadAt: Millis;
     /** Last time at which the store confirmed the published state. */
     storeConfirmedAt: Millis;
-    /** Pause between two deliveries of the store that was last requested; 0 before the first request. */
-    storePauseMs: number;
+    /** The same in milliseconds since the Unix epoch; the monotonic clock stops while a VM is suspended. */
+    storeWallConfirmedAt: number;
     /** Time since which the store has answered without interruption; undefined during an outage. */
     storeReachableSince: Millis | undefined;
     readonly lease: ForwardLease;
@@ -53,7 +53,7 @@
         isStoreUnread: true,
         storeFirstReadAt: 0 as Millis,
         storeConfirmedAt: 0 as Millis,
-        storePauseMs: 0,
+        storeWallConfirmedAt: 0,
         storeReachableSince: undefined,
         lease: {
             id: undefined,
@@ -67,6 +67,10 @@
     };
 }
 
+/** Milliseconds since the store last confirmed the published state, by the clock that counts more of them. */
+export const computeStoreAgeMs = (node: ForwardNodeRow, now: Millis, wallNow: number): number =>
+    Math.max(now - node.storeConfirmedAt, wallNow - node.storeWallConfirmedAt);
+
 /** True while the lease is valid by both clocks. */
 export const isForwardLeaseValid = (lease: ForwardLease, now: Millis, wallNow: number): boolean =>
     lease.id !== undefined && now < lease.validUntil && wallNow < lease.wallValidUntil;
--- /dev/null
+++ b/src/forward/tables/storeRelay.ts
@@ -0,0 +1,78 @@
+/** Changes of the store that this process passes on, calls of other processes for them, and where it reads itself. */
+import type { CallId, Millis, VmId } from "../../ids";
+import type { StoreItem } from "../storeChanges";
+
+/** Call of another process for changes after a revision, which waits for one. */
+export interface RelayCall {
+    readonly call: CallId;
+    readonly after: number;
+    readonly answerAt: Millis;
+}
+
+export interface StoreHistory {
+    /** Revision after which all changes are kept; undefined before the first read of the store. */
+    readonly startRevision: number | undefined;
+    /** Revision up to which the changes reach. */
+    readonly revision: number;
+    /** Forgets all changes; those after `revision` are added from now on. */
+    restart(revision: number): void;
+    add(items: readonly StoreItem[], revision: number): void;
+    /** Changes after the given revision, oldest first. */
+    listAfter(revision: number): readonly StoreItem[];
+}
+
+export interface StoreRelayTable {
+    readonly history: StoreHistory;
+    readonly calls: Map<CallId, RelayCall>;
+    /** Readers that have failed this process, with the time until which they are not asked again. */
+    readonly failedUntil: Map<VmId, Millis>;
+    /** Live processes that read the store, as of the given revision of the members. */
+    readers: { readonly membersRevision: number; readonly vms: readonly VmId[]; } | undefined;
+    /** Reader from which this process gets changes; undefined while it reads the store itself. */
+    source: VmId | undefined;
+    /** Timing that was last requested of the store's reader; empty before the first request. */
+    requestedSource: string;
+}
+
+/** Changes that are kept for other processes; a process that is further behind reads the store. */
+const maxKeptItems = 2048;
+
+/** Creates a history without changes. */
+export function createStoreHistory(): StoreHistory {
+    let startRevision: number | undefined;
+    let revision = 0;
+    let items: StoreItem[] = [];
+    return {
+        get startRevision() {
+            return startRevision;
+        },
+        get revision() {
+            return revision;
+        },
+        restart: newRevision => {
+            startRevision = newRevision;
+            revision = newRevision;
+            items = [];
+        },
+        add: (added, newRevision) => {
+            items.push(...added.filter(item => item.revision > revision));
+            revision = Math.max(revision, newRevision);
+            if (items.length > maxKeptItems) {
+                // All changes of one revision are dropped together, since readers continue after a revision.
+                startRevision = items[items.length - maxKeptItems - 1]?.revision ?? revision;
+                items = items.filter(item => item.revision > (startRevision ?? 0));
+            }
+        },
+        listAfter: after => items.filter(item => item.revision > after),
+    };
+}
+
+/** Creates an empty table. */
+export const createStoreRelayTable = (): StoreRelayTable => ({
+    history: createStoreHistory(),
+    calls: new Map(),
+    failedUntil: new Map(),
+    readers: undefined,
+    source: undefined,
+    requestedSource: "",
+});
--- a/test/forward/platform.test.ts
+++ b/test/forward/platform.test.ts
@@ -145,8 +145,9 @@
                     access: { address: store.address, agent: createKeepAliveAgent(), timeoutMs: 500 },
                     clock: { getNow: () => toMillis(performance.now()) },
                     post: () => undefined,
+                    requestChanges: () => Promise.reject(new Error("no relay is set")),
                 });
-                feed.updatePause(1000);
+                feed.updateSource({ relay: undefined, pauseMs: 1000, cycleMs: 1800 });
                 feed.start();
                 const changes = setInterval(() => {
                     store.put("op/other", {});
@@ -174,6 +175,7 @@
                     store.faults.mode = "silent";
                 }
             },
+            requestChanges: () => Promise.reject(new Error("no relay is set")),
         });
         feed.start();
         await vi.waitUntil(() => events.some(({ kind }) => kind === "storeUnreachable"), { timeout: 5000 });
--- a/test/support/forwardNode.ts
+++ b/test/support/forwardNode.ts
@@ -143,6 +143,7 @@
     targets: [],
     rows: [],
     undecodableKeys: [],
+    items: [],
     revision: 1,
 };
 
