--- a/src/forward/systems/relayStore.ts
+++ b/src/forward/systems/relayStore.ts
@@ -115,8 +115,19 @@
     return chooseReader(world.hasher, vm, sound);
 }
 
+/** True when the source may have to change. */
+function isSourceOutdated(world: ForwardWorld, tick: ForwardTick): boolean {
+    const { members, storeRelay } = world.tables;
+    return storeRelay.readers?.membersRevision !== members.revision
+        || tick.events.list("relayFailed").length > 0
+        || tick.due.has("storeReader");
+}
+
 function updateSource(world: ForwardWorld, tick: ForwardTick): void {
     const { members, storeRelay } = world.tables;
+    if (!isSourceOutdated(world, tick)) {
+        return;
+    }
     const source = findSource(world, tick);
     const relay = source === undefined ? undefined : members.get(source)?.peerAddress;
     const hasRelays = listLiveReaders(world).length < members.countLive();
--- a/test/forward/storeRelay.test.ts
+++ b/test/forward/storeRelay.test.ts
@@ -61,7 +61,7 @@
 const getRelay = (effects: ReturnType<ForwardTestNode["run"]>): string | undefined =>
     listEffects(effects, "updateStoreSource").at(-1)?.relay?.vm;
 
-function callReader(node: ForwardTestNode, after: number): RelayAnswer | undefined {
+function requestChanges(node: ForwardTestNode, after: number): RelayAnswer | undefined {
     const effects = node.run([{ kind: "relayCallReceived", call: toCallId("c"), after }]);
     return listEffects(effects, "answerRelayCall")[0]?.answer;
 }
@@ -89,16 +89,16 @@
 
     it("answer a waiting call when the store delivers a change, with the changes after its revision", async () => {
         const node = await startReader();
-        expect(callReader(node, 1)).toBeUndefined();
+        expect(requestChanges(node, 1)).toBeUndefined();
         const change = node.buildChangeEvent({ items: [buildItem(7)], revision: 7 });
         const answer = listEffects(node.run([change], 100), "answerRelayCall")[0]?.answer;
         expect(answer).toMatchObject({ kind: "changes", changes: { items: [{ key: "key-7" }], revision: 7 } });
-        expect(callReader(node, 7)).toBeUndefined();
+        expect(requestChanges(node, 7)).toBeUndefined();
     });
 
     it("answer without changes after a second, so that the caller knows how old its state is", async () => {
         const node = await startReader();
-        callReader(node, 1);
+        requestChanges(node, 1);
         node.run([node.buildChangeEvent({})], 600);
         const effects = node.runFor(500);
         expect(listEffects(effects, "answerRelayCall")[0]?.answer).toMatchObject({
@@ -111,37 +111,37 @@
     it("pass nothing on from 1.5 s after the store's last confirmation", async () => {
         const node = await startReader();
         node.run([], 900);
-        callReader(node, 1);
+        requestChanges(node, 1);
         const effects = node.runFor(650);
         expect(listEffects(effects, "answerRelayCall")[0]?.answer).toEqual({ kind: "unavailable", reason: "outdated" });
-        expect(callReader(node, 1)).toEqual({ kind: "unavailable", reason: "outdated" });
+        expect(requestChanges(node, 1)).toEqual({ kind: "unavailable", reason: "outdated" });
     });
 
     // Guards against a reader that was paused and passes on what it knew before; its monotonic clock stood still.
     it("pass nothing on after a suspension until the store has answered again", async () => {
         const node = await startReader();
         node.suspend(5000);
-        expect(callReader(node, 1)).toEqual({ kind: "unavailable", reason: "outdated" });
+        expect(requestChanges(node, 1)).toEqual({ kind: "unavailable", reason: "outdated" });
         node.run([node.buildChangeEvent({ items: [buildItem(9)], revision: 9 })]);
-        expect(callReader(node, 1)).toMatchObject({ kind: "changes", changes: { revision: 9 } });
+        expect(requestChanges(node, 1)).toMatchObject({ kind: "changes", changes: { revision: 9 } });
     });
 
     it("pass nothing on while the store does not answer them", async () => {
         const node = await startReader();
         node.run([{ kind: "storeUnreachable", message: "status 503" }]);
-        expect(callReader(node, 1)).toEqual({ kind: "unavailable", reason: "outdated" });
+        expect(requestChanges(node, 1)).toEqual({ kind: "unavailable", reason: "outdated" });
     });
 
     it("send a caller to the store for a large value, or for changes before their first read", async () => {
         const node = await startReader();
-        expect(callReader(node, 0)).toEqual({ kind: "readStore" });
+        expect(requestChanges(node, 0)).toEqual({ kind: "readStore" });
         node.run([node.buildChangeEvent({ items: [buildItem(5, "A".repeat(20_000))], revision: 5 })]);
-        expect(callReader(node, 1)).toEqual({ kind: "readStore" });
-        expect(callReader(node, 5)).toBeUndefined();
+        expect(requestChanges(node, 1)).toEqual({ kind: "readStore" });
+        expect(requestChanges(node, 5)).toBeUndefined();
     });
 
     it("are not processes that get the changes from another one", async () => {
-        expect(callReader(await startFollower(), 1)).toEqual({ kind: "unavailable", reason: "not_a_reader" });
+        expect(requestChanges(await startFollower(), 1)).toEqual({ kind: "unavailable", reason: "not_a_reader" });
     });
 });
 
@@ -208,7 +208,7 @@
 describe("feed of the platform's store with a relay", () => {
     const relay = { vm: toVmId("front-9"), address: "127.0.0.1:1" };
 
-    async function startFeed(requestChanges: (after: number) => Promise<RelayAnswer>) {
+    async function startFeed(answerCall: (after: number) => Promise<RelayAnswer>) {
         const store = await startPlatformStore();
         const events: ForwardEvent[] = [];
         const feed = createStoreFeed({
@@ -217,7 +217,7 @@
             post: event => {
                 events.push(event);
             },
-            requestChanges: (_address, after) => requestChanges(after),
+            requestChanges: (_address, after) => answerCall(after),
         });
         feed.updateSource({ relay, pauseMs: 300, cycleMs: 1000 });
         feed.start();
