--- a/src/forward/adapters/responseBuffers.ts
+++ b/src/forward/adapters/responseBuffers.ts
@@ -21,16 +21,19 @@
 }
 
 interface BufferRow {
-    bytes: Buffer;
+    /** All blocks but the last are full. */
+    blocks: Buffer[];
+    allocatedBytes: number;
     length: number;
     readonly onDiscarded: () => void;
 }
 
-const initialBytes = 4096;
+const firstBlockBytes = 4096;
+const blockBytes = 64 * 1024;
 
 /**
  * Creates the buffers of a process. Bytes are copied, since a chunk of one byte would retain the whole block in which it
- * was received.
+ * was received. A buffer grows by blocks: growth by copying would leave as much garbage as it holds.
  *
  * @example
  * const buffer = createResponseBuffers({ maxBytes: 10, maxTotalBytes: 20 }).open(() => undefined);
@@ -42,38 +45,47 @@
 
     function release(row: BufferRow): void {
         if (rows.delete(row)) {
-            totalBytes -= row.bytes.length;
-            row.bytes = Buffer.alloc(0);
+            totalBytes -= row.allocatedBytes;
+            row.blocks = [];
+            row.allocatedBytes = 0;
         }
     }
 
-    function reserve(row: BufferRow, size: number): void {
-        const grown = Buffer.allocUnsafe(size);
-        row.bytes.copy(grown, 0, 0, row.length);
-        totalBytes += size - row.bytes.length;
-        row.bytes = grown;
+    function addBlock(row: BufferRow): void {
+        const size = row.blocks.length === 0 ? firstBlockBytes : blockBytes;
+        row.blocks.push(Buffer.allocUnsafe(size));
+        row.allocatedBytes += size;
+        totalBytes += size;
+    }
+
+    function appendBytes(row: BufferRow, chunk: Buffer): void {
+        let offset = 0;
+        while (offset < chunk.length) {
+            if (row.length === row.allocatedBytes) {
+                addBlock(row);
+            }
+            const block = row.blocks.at(-1) as Buffer;
+            const copied = chunk.copy(block, block.length - (row.allocatedBytes - row.length), offset);
+            row.length += copied;
+            offset += copied;
+        }
     }
 
     function removeLargest(): void {
         const [first, ...others] = rows;
         if (first) {
-            const largest = others.reduce((best, row) => row.bytes.length > best.bytes.length ? row : best, first);
+            const largest = others.reduce((best, row) => row.allocatedBytes > best.allocatedBytes ? row : best, first);
             release(largest);
             largest.onDiscarded();
         }
     }
 
     function append(row: BufferRow, chunk: Buffer): boolean {
-        const needed = row.length + chunk.length;
-        if (!rows.has(row) || needed > maxBytes) {
+        if (!rows.has(row) || row.length + chunk.length > maxBytes) {
             release(row);
             return false;
         }
-        if (needed > row.bytes.length) {
-            reserve(row, Math.min(maxBytes, Math.max(needed, 2 * row.bytes.length, initialBytes)));
-        }
-        chunk.copy(row.bytes, row.length);
-        row.length = needed;
+        appendBytes(row, chunk);
         while (totalBytes > maxTotalBytes && rows.size > 0) {
             removeLargest();
         }
@@ -82,12 +94,12 @@
 
     return {
         open: onDiscarded => {
-            const row: BufferRow = { bytes: Buffer.alloc(0), length: 0, onDiscarded };
+            const row: BufferRow = { blocks: [], allocatedBytes: 0, length: 0, onDiscarded };
             rows.add(row);
             return {
                 add: chunk => append(row, chunk),
                 take: () => {
-                    const bytes = row.bytes.subarray(0, row.length);
+                    const bytes = Buffer.concat(row.blocks, row.length);
                     release(row);
                     return bytes;
                 },
