Repeat a refused claim of the rollout leadership once a second

While the row of a new leader was on its way, every other process repeated its claim with each answer of the store, and in a larger fleet all processes claimed. Only processes that read the store claim now, once a second.

--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -11,6 +11,11 @@
 const leaseMs = 2000;
 /** Four renewals in the length of the lease, so that it survives two lost answers. */
 const renewIntervalMs = 500;
+/**
+ * Pause after an attempt to acquire the leadership. By then the store has delivered the row of the process that has it;
+ * without the pause, all others would repeat the attempt with each answer until they see that row.
+ */
+const claimRetryMs = 1000;
 /** Added to the guard time for orders of the previous leader that have not arrived yet. */
 const guardMarginMs = 300;
 
@@ -94,17 +99,20 @@
 }
 
 /**
- * Tries to acquire the rollout leadership when no process holds it; only live processes do. A leaving leader keeps it
- * until it exits, because all other processes may be leaving, too.
+ * Tries to acquire the rollout leadership when no process holds it. Only live processes do that read the store
+ * themselves: they learn first that there is no leader, and a larger fleet has few of them. A leaving leader keeps the
+ * leadership until it exits, because all other processes may be leaving, too.
  */
-function claimLeadership(world: ForwardWorld, lease: LeaseId): void {
-    const { node } = world.tables;
-    if (
-        node.rolloutLeadership.state !== "none" || node.rolloutLeadership.holder !== undefined || node.state !== "live"
-    ) {
+function claimLeadership(world: ForwardWorld, tick: ForwardTick, lease: LeaseId): void {
+    const { node, storeRelay } = world.tables;
+    const { rolloutLeadership: leadership } = node;
+    const isVacant = leadership.state === "none" && leadership.holder === undefined;
+    const mayClaim = storeRelay.source === undefined && tick.now >= leadership.claimNotBefore;
+    if (!isVacant || !mayClaim || node.state !== "live") {
         return;
     }
-    node.rolloutLeadership.state = "acquiring";
+    leadership.state = "acquiring";
+    leadership.claimNotBefore = addMillis(tick.now, claimRetryMs);
     requestStore(world, { for: "leadership" }, {
         kind: "transaction",
         compare: [{ key: rolloutLeaderKey, createRevision: 0 }],
@@ -184,11 +192,11 @@
     if (!node.isRegistered) {
         registerMember(world, node.lease.id);
     }
-    claimLeadership(world, node.lease.id);
+    claimLeadership(world, tick, node.lease.id);
 }
 
 /**
- * Reads: members. Writes: node (lease, registration, rollout leadership). Effects: calls to the store, log lines.
+ * Reads: members, store relay. Writes: node (lease, registration, rollout leadership). Effects: calls to the store, log lines.
  */
 export function updateMembership(world: ForwardWorld, tick: ForwardTick): void {
     const { node } = world.tables;
--- a/src/forward/tables/node.ts
+++ b/src/forward/tables/node.ts
@@ -20,6 +20,8 @@
     fencingToken: number;
     /** No order is sent before this time, so that the guard time of the previous leader's orders has passed. */
     orderNotBefore: Millis;
+    /** This process does not try to acquire the leadership before this time. */
+    claimNotBefore: Millis;
     /** VM of the rollout leader according to the store; undefined when there is none. */
     holder: string | undefined;
 }
@@ -63,7 +65,13 @@
             wallRequestedAt: 0,
         },
         isRegistered: false,
-        rolloutLeadership: { state: "none", fencingToken: 0, orderNotBefore: 0 as Millis, holder: undefined },
+        rolloutLeadership: {
+            state: "none",
+            fencingToken: 0,
+            orderNotBefore: 0 as Millis,
+            claimNotBefore: 0 as Millis,
+            holder: undefined,
+        },
     };
 }
 
