Contain unexpected errors of a tick, and keep the settings when they cannot be read again

An error in a system or in the handler of an effect went through the uncaught-exception handler and ended the process with all of its open requests. The tick now goes on with the next system or effect, writes an error line and counts internal_failures_total by part; after 50 failed ticks in a row the error is thrown, since the state is no longer trusted. Both modes have this.

SIGHUP while the settings file was missing ended a forwarding process with 'cannot read the file'; the settings in force are kept, and the log line says whether the new ones were applied or refused.

--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -15,6 +15,7 @@
     grants_total: ["outcome"],
     engine_crashes_total: [],
     quarantines_total: ["reason"],
+    internal_failures_total: ["part"],
     orders_total: ["outcome"],
 };
 
--- a/src/adapters/node.ts
+++ b/src/adapters/node.ts
@@ -11,6 +11,7 @@
 import type { World } from "../world";
 import { createCallerServer } from "./callerServer";
 import { createProcessClock } from "./clock";
+import { createFailureReporter } from "./failures";
 import { loadHasher } from "./hasher";
 import { createLogWriter, type LogWriter } from "./logger";
 import { createMetrics } from "./metrics";
@@ -60,6 +61,7 @@
         runner.post(event);
     };
     const metrics = createMetrics();
+    const write = writeLog ?? createLogWriter(settings);
     const openRequests = createOpenRequests();
     const callerServer = createCallerServer({
         settings,
@@ -119,7 +121,7 @@
         callPeer: peerClient.call,
         answerPeer: peerServer.answer,
         answerOperator: operatorServer.answer,
-        writeLog: writeLog ?? createLogWriter(settings),
+        writeLog: write,
         addCount: metrics.addCount,
         recordValue: metrics.recordValue,
         closeListeners: callerServer.closeListener,
@@ -128,7 +130,8 @@
             onExit?.(code);
         },
     };
-    const runner = createRunner({ world, systems, handlers, clock });
+    const reportFailure = createFailureReporter({ writeLog: write, metrics });
+    const runner = createRunner({ world, systems, handlers, clock, reportFailure });
     await callerServer.start();
     await peerServer.start();
     await operatorServer.start();
--- a/src/cli/commands/forward.ts
+++ b/src/cli/commands/forward.ts
@@ -1,9 +1,10 @@
 /** `forward`: runs one process in the forwarding mode. */
 import { platformPorts } from "../../../platform";
-import { startForwardNode } from "../../forward/adapters/node";
+import { type RunningForwardNode, startForwardNode } from "../../forward/adapters/node";
 import { parseForwardSettings } from "../../forward/settings";
 import {
     type Command,
+    type CommandIo,
     type ExitCode,
     exitCodes,
     getStringOption,
@@ -15,6 +16,22 @@
 
 const settingsVariable = "MARJORAMVANE_CONFIG";
 
+/** Applies the settings file as a whole, or keeps the settings in force when it cannot be read or has a fault. */
+function applySettingsFile(io: CommandIo, file: string, node: RunningForwardNode): void {
+    try {
+        const settings = parseForwardSettings(readTextFile(file));
+        if (settings.ok) {
+            node.reload(settings.val);
+            return;
+        }
+        printFaults(io, file, settings.val);
+    }
+    catch (error) {
+        printFaults(io, file, [{ path: "", message: error instanceof Error ? error.message : String(error) }]);
+    }
+    node.refuseReload();
+}
+
 export const forwardCommand: Command = {
     summary: "Passes requests on to registered targets until SIGTERM or SIGINT; SIGHUP reads the settings again.",
     arguments: [],
@@ -47,12 +64,7 @@
                     SIGTERM: node.drain,
                     SIGINT: node.drain,
                     SIGHUP: () => {
-                        const newSettings = parseForwardSettings(readTextFile(file));
-                        if (newSettings.ok) {
-                            node.reload(newSettings.val);
-                            return;
-                        }
-                        printFaults(io, file, newSettings.val);
+                        applySettingsFile(io, file, node);
                     },
                 });
             }, reject);
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -39,7 +39,8 @@
     | "grants_total"
     | "orders_total"
     | "engine_crashes_total"
-    | "quarantines_total";
+    | "quarantines_total"
+    | "internal_failures_total";
 export type HistogramName = "first_token_ms" | "queue_ms" | "request_ms";
 
 export type Effect =
@@ -185,12 +186,18 @@
     effects.append({ kind: "writeLog", level: "warn", prefix, message, fields });
 }
 
-/** Passes each effect to its handler, in order. */
+/** Passes each effect to its handler, in order. An error of a handler is passed to `handleError` and ends no other effect. */
 export function runEffects<AnyEffect extends WithKind>(
     effects: readonly AnyEffect[],
     handlers: HandlersOf<AnyEffect>,
+    handleError: (error: unknown, effect: AnyEffect) => void,
 ): void {
     for (const effect of effects) {
-        (handlers[effect.kind as AnyEffect["kind"]] as (effect: AnyEffect) => void)(effect);
+        try {
+            (handlers[effect.kind as AnyEffect["kind"]] as (effect: AnyEffect) => void)(effect);
+        }
+        catch (error) {
+            handleError(error, effect);
+        }
     }
 }
--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -1,6 +1,7 @@
 /** Assembles one process of the forwarding mode: tables, systems, timers and all adapters. */
 import * as http from "node:http";
 import { createProcessClock } from "../../adapters/clock";
+import { createFailureReporter } from "../../adapters/failures";
 import { loadHasher } from "../../adapters/hasher";
 import { createLogWriter, type LogWriter } from "../../adapters/logger";
 import { createMetrics, type Metrics } from "../../adapters/metrics";
@@ -35,6 +36,8 @@
     drain(): void;
     /** Applies settings that were read again; listener addresses keep their values. */
     reload(settings: ForwardSettings): void;
+    /** Records that settings were read again but have a fault, so that those in force are kept. */
+    refuseReload(): void;
     /** Stops at once. */
     stop(): void;
 }
@@ -158,6 +161,7 @@
         handlers,
         clock,
         createBatch: createForwardBatch,
+        reportFailure: createFailureReporter({ writeLog: write, metrics }),
     });
     await front.start();
     await directory.start();
@@ -173,6 +177,9 @@
             world.settings = { ...next, listen };
             post({ kind: "reloadRequested", outcome: "applied" });
         },
+        refuseReload: () => {
+            post({ kind: "reloadRequested", outcome: "refused" });
+        },
         stop,
     };
 }
--- a/src/forward/systems/drainNode.ts
+++ b/src/forward/systems/drainNode.ts
@@ -96,7 +96,7 @@
         logInfo(world.effects, "drain:", "The process has started.", { vm: world.settings.vm });
     }
     for (const { outcome } of tick.events.list("reloadRequested")) {
-        logInfo(world.effects, "drain:", "Settings were reloaded.", { outcome });
+        logInfo(world.effects, "drain:", "The settings were read again.", { outcome });
     }
     if (tick.events.list("drainRequested").length > 0) {
         startDrain(world, tick);
--- a/src/runner.ts
+++ b/src/runner.ts
@@ -29,6 +29,13 @@
     tick: { readonly number: number; readonly events: number; readonly effects: number; },
 ) => void;
 
+/** Unexpected error of a system or of the handler of an effect. */
+export interface TickFailure {
+    /** Name of the system, or kind of the effect. */
+    readonly part: string;
+    readonly error: unknown;
+}
+
 /** Fields of a world that the runner uses. */
 export interface RunnableWorld<AnyEffect extends WithKind> {
     readonly effects: EffectQueue<AnyEffect>;
@@ -49,8 +56,16 @@
     readonly createBatch: (events: readonly AnyEvent[]) => Batch;
     /** Called after each tick with counts that do not depend on processor speed, for tests and benchmarks. */
     readonly observe?: TickObserver;
+    /**
+     * Receives unexpected errors. The tick goes on with the next system or effect, so that one malformed message does not
+     * end the process; after `maxFailedTicks` failed ticks in a row the error is thrown. Without it, every error is thrown.
+     */
+    readonly reportFailure?: (failure: TickFailure) => void;
 }
 
+/** Ticks in a row with an unexpected error after which the state of the process is no longer trusted. */
+const maxFailedTicks = 50;
+
 export interface Runner<AnyEvent = Event> {
     /** Queues an event for the next tick. */
     post(event: AnyEvent): void;
@@ -66,12 +81,27 @@
     AnyEffect extends WithKind,
     AnyWorld extends RunnableWorld<AnyEffect>,
 >(
-    { world, systems, handlers, clock, createBatch, observe }: TickRunnerOptions<AnyEvent, Batch, AnyEffect, AnyWorld>,
+    { world, systems, handlers, clock, createBatch, observe, reportFailure }: TickRunnerOptions<
+        AnyEvent,
+        Batch,
+        AnyEffect,
+        AnyWorld
+    >,
 ): Runner<AnyEvent> {
     let pendingEvents: AnyEvent[] = [];
     let isScheduled = false;
     let isStopped = false;
     let number = 0;
+    let failedTicks = 0;
+    let hasTickFailed = false;
+
+    function handleFailure(part: string, error: unknown): void {
+        if (!reportFailure || failedTicks >= maxFailedTicks) {
+            throw error;
+        }
+        hasTickFailed = true;
+        reportFailure({ part, error });
+    }
 
     function runTick(): void {
         isScheduled = false;
@@ -89,11 +119,20 @@
             events: createBatch(events),
             due: world.timers.takeDue(now),
         };
+        hasTickFailed = false;
         for (const system of systems) {
-            system(world, tick);
+            try {
+                system(world, tick);
+            }
+            catch (error) {
+                handleFailure(system.name, error);
+            }
         }
         const effects = world.effects.takeAll();
-        runEffects(effects, handlers);
+        runEffects(effects, handlers, (error, effect) => {
+            handleFailure(effect.kind, error);
+        });
+        failedTicks = hasTickFailed ? failedTicks + 1 : 0;
         observe?.({ number, events: events.length, effects: effects.length });
         scheduleNext();
     }
@@ -131,6 +170,7 @@
     readonly handlers: EffectHandlers;
     readonly clock: Clock;
     readonly observe?: TickObserver;
+    readonly reportFailure?: (failure: TickFailure) => void;
 }
 
 /** Creates the runner of a `serve` process. */
