Keep a connection only after an answer that names its attempt and is no refusal

A target that wrote an earlier refusal once more on a kept connection had it taken for the answer to the next request: refusals carry no attempt id, and a request that is sent again carries the id of its first attempt. The connection is now closed after a refusal and after a response without the attempt's id.

--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -2,7 +2,7 @@
 import * as http from "node:http";
 import { isConnectionRefused, parseAddress, subscribeToFirstWrite } from "../../adapters/httpClient";
 import type { RequestId, TargetId } from "../../ids";
-import type { AttemptFault, ForwardCall, HeaderCodec } from "../calls";
+import type { AttemptFault, ForwardCall, HeaderCodec, ResponseHeaderFields } from "../calls";
 import type { ForwardEffectOf } from "../effects";
 import type { ForwardEvent } from "../events";
 import { createEventRelay, type EventRelay } from "./eventRelay";
@@ -52,6 +52,10 @@
 const isEventStream = (targetResponse: http.IncomingMessage): boolean =>
     targetResponse.statusCode === 200 && (targetResponse.headers["content-type"] ?? "").startsWith("text/event-stream");
 
+/** True when a second copy of the response could not be taken for the answer to another request. */
+const isKeepable = ({ attemptId, isMisdirected, isNotRun }: ResponseHeaderFields): boolean =>
+    attemptId !== undefined && !isNotRun && !isMisdirected;
+
 /** Creates the client for all targets of a process. */
 export function createForwardClient({ codec, post, openRequests, isClosing }: ForwardClientOptions): ForwardClient {
     const agents = createTargetAgents();
@@ -185,6 +189,12 @@
             }
         });
         request.on("response", targetResponse => {
+            // A faulty target may write the response once more. Only the id of an answered attempt tells such a copy from
+            // the answer to the next request, so the connection is kept only after a response that is no refusal (which
+            // may be followed by the same attempt) and names its attempt.
+            if (!isKeepable(codec.decodeResponse(targetResponse.statusCode ?? 0, targetResponse.headers))) {
+                request.shouldKeepAlive = false;
+            }
             if (attempts.get(id) === running) {
                 if (call.idleTimeoutMs !== undefined) {
                     request.setTimeout(call.idleTimeoutMs, () => {
--- a/standins/platformServer.ts
+++ b/standins/platformServer.ts
@@ -1,5 +1,6 @@
 /** Stand-in for a target of the forward mode: a plain service or a model server, with faults. */
 import * as http from "node:http";
+import type * as net from "node:net";
 import { closeServer, openServer, readBytes, readJson, sendAnswer } from "./platformHttp";
 
 const headerNames = {
@@ -45,6 +46,11 @@
     | "unsigned"
     /** Sends a second answer on the connection after the correct one. */
     | "extra"
+    /**
+     * Refuses the first request like `shed`, keeps the connection, and writes that refusal once more before it runs and
+     * answers the next request on the connection.
+     */
+    | "staleRefusal"
     /** Refuses like `shed`, but without reading the body, and closes the connection. */
     | "early";
 
@@ -108,6 +114,7 @@
     const orders: PlatformServer["orders"] = [];
     let epoch = Date.now();
     let crashCount = 0;
+    let socketWithRefusal: net.Socket | undefined;
 
     function buildHeaders(request: http.IncomingMessage): http.OutgoingHttpHeaders {
         return {
@@ -127,6 +134,10 @@
         ) {
             return 421;
         }
+        if (server.behaviour === "staleRefusal" && !socketWithRefusal) {
+            socketWithRefusal = request.socket;
+            return 503;
+        }
         return server.behaviour === "shed" || server.behaviour === "early" ? 503 : undefined;
     }
 
@@ -173,6 +184,9 @@
             },
             shed: () => undefined,
             early: () => undefined,
+            staleRefusal: () => {
+                answerHandlers.answer();
+            },
             hang: () => undefined,
             error: () => {
                 response.writeHead(500, { ...headers, "content-length": 5 });
@@ -230,6 +244,9 @@
             await sendStream(request, response);
             return;
         }
+        if (server.behaviour === "staleRefusal" && request.socket === socketWithRefusal) {
+            request.socket.write(`HTTP/1.1 503 Busy\r\n${headerNames.notRun}: 1\r\nContent-Length: 0\r\n\r\n`);
+        }
         sendPlain(request, response);
     }
 
--- a/test/forward/endToEnd.test.ts
+++ b/test/forward/endToEnd.test.ts
@@ -148,6 +148,25 @@
         expect(listRuns(fleet.services)).toHaveLength(1);
     });
 
+    // Guards against "not run" for a request that the target runs: the refusal of an earlier request arrives once more
+    // on the kept connection, as the answer to the next request or to the same one when it is sent again.
+    it("takes no refusal from a connection that has carried one before", async () => {
+        const fleet = await startFleet();
+        fleet.services.forEach(service => {
+            service.behaviour = "staleRefusal";
+        });
+        for (let index = 0; index < 6; index += 1) {
+            const attempt = `attempt-${index}`;
+            const answer = await sendRequest(getCallerAddress(fleet), {
+                path: "/issue/1",
+                headers: { "x-marjoramvane-attempt-id": attempt },
+            });
+            const runs = listRuns(fleet.services).filter(received => received.attempt === attempt);
+            expect(runs.length).toBe(answer.status === 200 ? 1 : 0);
+        }
+        expect(listRuns(fleet.services).length).toBeGreaterThan(3);
+    });
+
     it("accepts a refusal that arrives before the target has read a long body", async () => {
         const fleet = await startFleet();
         fleet.services.forEach(service => {
@@ -225,6 +244,31 @@
         expect(resumedRequest?.headers["last-event-id"]).toBe("2");
     });
 
+    // Guards against an error's text or head in the middle of a caller's stream, and against an end that looks complete.
+    it("ends a broken stream without a word of the error with which the next engine answers", async () => {
+        const fleet = await startFleet();
+        const [first, second] = fleet.engines;
+        if (!first || !second) {
+            throw new Error("The fleet needs two engines.");
+        }
+        for (const path of ["/review/1", "/reply/1"]) {
+            for (let index = 0; index < 6; index += 1) {
+                const [cut, failing] = index % 2 === 0 ? [first, second] : [second, first];
+                cut.behaviour = "cut";
+                failing.behaviour = "error";
+                const answer = await sendRequest(getCallerAddress(fleet), { path, headers: streamHeaders });
+                if (answer.status === 200) {
+                    expect(answer.isComplete).toBe(false);
+                    expect(answer.body.replace(/id: (\d)\ndata: e\d \1\n\n/g, "")).toBe("");
+                }
+                else {
+                    expect(answer.status).toBeGreaterThanOrEqual(500);
+                }
+            }
+        }
+        expect(fleet.engines.every(engine => listRuns([engine]).length > 0)).toBe(true);
+    });
+
     it("ends a stream that is not resumable without running the request again", async () => {
         const fleet = await startFleet();
         fleet.engines.forEach(engine => {
