Log how a process learns of changed targets and how late requests are written

Lines about targets name the way (read, watch or reader) and the revision, the line on the store tells a first read from the end of an outage, a request to a target without a row is marked and counted, and the time from the decision to the first byte is logged and measured. No decision changes.

--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -15,11 +15,12 @@
     grants_total: ["outcome"],
     engine_crashes_total: [],
     quarantines_total: ["reason"],
+    requests_without_row_total: [],
     internal_failures_total: ["part"],
     orders_total: ["outcome"],
 };
 
-const histogramNames: readonly HistogramName[] = ["first_token_ms", "queue_ms", "request_ms"];
+const histogramNames: readonly HistogramName[] = ["first_token_ms", "queue_ms", "request_ms", "write_delay_ms"];
 const reportedPercentiles = [50, 95, 99, 99.9] as const;
 /** Longer durations are recorded as this value, one hour. */
 const maxDurationMs = 3_600_000;
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -40,8 +40,9 @@
     | "orders_total"
     | "engine_crashes_total"
     | "quarantines_total"
+    | "requests_without_row_total"
     | "internal_failures_total";
-export type HistogramName = "first_token_ms" | "queue_ms" | "request_ms";
+export type HistogramName = "first_token_ms" | "queue_ms" | "request_ms" | "write_delay_ms";
 
 export type Effect =
     /* callers */
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -68,7 +68,19 @@
     }
 }
 
-function applyTarget(world: ForwardWorld, tick: ForwardTick, { name, target }: TargetChange): void {
+/** How this process learned of a change, for its log line. */
+interface ChangeSource {
+    readonly learnedFrom: "read" | "watch" | "reader";
+    /** Revision of the store up to which the delivery reaches. */
+    readonly revision: number;
+}
+
+function applyTarget(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    { name, target }: TargetChange,
+    source: ChangeSource,
+): void {
     const { targets, node, cachedParts } = world.tables;
     if (target) {
         const current = targets.findByName(name);
@@ -90,6 +102,7 @@
                 service: target.service,
                 state: target.isLeaving ? "leaving" : "ready",
                 weights: [...target.weights].map(([model, version]) => `${model} ${version}`),
+                ...source,
             });
         }
         return;
@@ -109,14 +122,21 @@
             {
                 target: row.registration.id,
                 storeSteadyMs: Math.round(reachableMs),
+                storeReadMs: Math.round(tick.now - node.storeFirstReadAt),
+                ...source,
             },
         );
         return;
     }
-    removeTarget(world, tick, name);
+    removeTarget(world, tick, name, source);
 }
 
-function removeTarget(world: ForwardWorld, tick: ForwardTick, name: string): void {
+function removeTarget(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    name: string,
+    details: ChangeSource | { readonly missingMs: number; },
+): void {
     const { targets } = world.tables;
     const row = targets.findByName(name);
     if (row) {
@@ -127,6 +147,7 @@
         closeForwardTarget(world, row);
         logInfo(world.effects, "target:", "Target was removed; it gets no further requests.", {
             target: row.registration.id,
+            ...details,
         });
     }
 }
@@ -135,7 +156,9 @@
     for (const name of tick.due.listKeys("missingTarget")) {
         const row = world.tables.targets.findByName(name);
         if (row?.missingUntil !== undefined && tick.now >= row.missingUntil) {
-            removeTarget(world, tick, name);
+            removeTarget(world, tick, name, {
+                missingMs: Math.round(tick.now - row.missingUntil + missingGraceMs),
+            });
         }
     }
 }
@@ -189,7 +212,12 @@
     }
 }
 
-function applyChanges(world: ForwardWorld, tick: ForwardTick, changes: PublishedChanges): void {
+function applyChanges(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    changes: PublishedChanges,
+    learnedFrom: ChangeSource["learnedFrom"],
+): void {
     applyDocument(world, changes);
     applyWeights(world, tick, changes);
     for (const key of changes.undecodableKeys) {
@@ -199,7 +227,7 @@
         });
     }
     for (const change of changes.targets) {
-        applyTarget(world, tick, change);
+        applyTarget(world, tick, change, { learnedFrom, revision: changes.revision });
     }
     for (const row of changes.rows) {
         applyFleetRow(world, tick, row);
@@ -211,7 +239,7 @@
     const { targets, members, node, quarantine } = world.tables;
     const names = new Set(changes.targets.map(change => change.name));
     for (const name of targets.listNames().filter(registered => !names.has(registered))) {
-        applyTarget(world, tick, { name, target: undefined });
+        applyTarget(world, tick, { name, target: undefined }, { learnedFrom: "read", revision: changes.revision });
     }
     const keys = new Set(changes.rows.map(row => row.key));
     for (const vm of members.listVms().filter(member => !keys.has(`${memberPrefix}${member}`))) {
@@ -235,14 +263,18 @@
 ): void {
     const { node } = world.tables;
     const wasReachable = node.storeReachableSince !== undefined;
+    const unconfirmedMs = tick.now - node.storeConfirmedAt;
     node.storeConfirmedAt = confirmedAt;
     node.storeWallConfirmedAt = tick.wallNow - (tick.now - confirmedAt);
     // Changes that were passed on are judged by the outages that their reader saw.
     node.storeReachableSince = reachableMs === undefined
         ? node.storeReachableSince ?? tick.now
         : addMillis(tick.now, -reachableMs);
-    if (!wasReachable) {
-        logInfo(world.effects, "store:", "The store answers.", {});
+    if (node.isStoreUnread) {
+        logInfo(world.effects, "store:", "The store was read for the first time.", {});
+    }
+    else if (!wasReachable) {
+        logInfo(world.effects, "store:", "The store answers again.", { unconfirmedMs: Math.round(unconfirmedMs) });
     }
 }
 
@@ -260,7 +292,7 @@
     }
     for (const { changes, confirmedAt } of tick.events.list("publishedRead")) {
         recordStoreContact(world, tick, confirmedAt);
-        applyChanges(world, tick, changes);
+        applyChanges(world, tick, changes, "read");
         removeUnpublished(world, tick, changes);
         if (node.isStoreUnread) {
             node.isStoreUnread = false;
@@ -269,7 +301,7 @@
     }
     for (const { changes, confirmedAt, reachableMs } of tick.events.list("publishedChanged")) {
         recordStoreContact(world, tick, confirmedAt, reachableMs);
-        applyChanges(world, tick, changes);
+        applyChanges(world, tick, changes, reachableMs === undefined ? "watch" : "reader");
     }
     removeMissingTargets(world, tick);
 }
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -205,6 +205,7 @@
         target: attempt.target,
         status,
         ageMs: Math.round(tick.now - row.arrival.arrivedAt),
+        writeDelayMs: Math.round((attempt.writeStartedAt ?? attempt.sentAt) - attempt.sentAt),
         attempts: row.attempts.length,
     });
     closeRequest(world, tick, row);
@@ -269,8 +270,10 @@
 }
 
 const attemptHandlers: { readonly [Kind in AttemptEventKind]: Handler<Kind>; } = {
-    attemptWriteStarted: (_world, _tick, _row, attempt) => {
+    attemptWriteStarted: (world, tick, _row, attempt) => {
         attempt.evidence = { ...attempt.evidence, hasWrittenBytes: true };
+        attempt.writeStartedAt = tick.now;
+        world.effects.append({ kind: "recordValue", name: "write_delay_ms", value: tick.now - attempt.sentAt });
     },
     attemptAnswered: handleAnswer,
     attemptFirstEvent: handleFirstEvent,
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -187,6 +187,7 @@
         number,
         target: target.registration.id,
         sentAt: tick.now,
+        writeStartedAt: undefined,
         weights: version,
         evidence: { hasWrittenBytes: false, answer: "none" },
         isOpen: true,
@@ -208,6 +209,9 @@
         world.timers.schedule({ name: "attemptIdleTimeout", at, key: formatAttemptKey(row.id, number) });
     }
     world.effects.append({ kind: "sendRequest", request: row.id, attempt: number, call });
+    if (target.missingUntil !== undefined) {
+        world.effects.append({ kind: "addCount", name: "requests_without_row_total", value: 1, labels: {} });
+    }
     logInfo(world.effects, "route:", "Request is sent.", {
         request: row.id,
         route: row.route.id,
@@ -224,6 +228,7 @@
         weights: version,
         work: target.inFlight.size,
         limitPerSecond: target.requestLimit?.perSecond,
+        isRowMissing: target.missingUntil !== undefined || undefined,
         version: world.tables.configuration.version,
         storeAgeMs: Math.round(tick.now - world.tables.node.storeConfirmedAt),
     });
--- a/src/forward/tables/requests.ts
+++ b/src/forward/tables/requests.ts
@@ -11,6 +11,8 @@
     readonly number: number;
     readonly target: TargetId;
     readonly sentAt: Millis;
+    /** Time at which the first bytes were handed to the socket; undefined before. */
+    writeStartedAt: Millis | undefined;
     readonly weights: WeightsVersion | undefined;
     evidence: AttemptEvidence;
     isOpen: boolean;
