Add a failing test for a target that leaves shortly after a process started

The test starts a process, lets it read the store, deletes the row of a target 1.76 s later and expects no further request to it.

--- /dev/null
+++ b/test/forward/leavingTargets.test.ts
@@ -0,0 +1,82 @@
+/** What a process sends to targets that leave, by the evidence that it has of their leaving. */
+import { describe, expect, it } from "vitest";
+import type { ResponseHeaderFields } from "../../src/forward/calls";
+import type { ForwardEvent, ForwardEventOf } from "../../src/forward/events";
+import { toMillis, toRequestId } from "../../src/ids";
+import {
+    buildArrival,
+    buildDocument,
+    buildRoute,
+    buildTarget,
+    createForwardTestNode,
+    createGrantingStore,
+    type ForwardTestNode,
+    listEffects,
+    plainService,
+} from "../support/forwardNode";
+
+const route = buildRoute({ kind: "repeatable", services: [{ service: plainService, weight: 1 }] });
+const targets = ["s1", "s2"].map(name => ({ name, target: buildTarget(name, { service: plainService }) }));
+const removal = { targets: [{ name: "s1", target: undefined }] };
+
+/** Starts a process that has just read the store for the first time; it knows the targets `s1` and `s2`. */
+async function startNode(): Promise<ForwardTestNode> {
+    const node = await createForwardTestNode();
+    node.run([]);
+    const event = node.buildReadEvent({ document: buildDocument({ routes: [route] }), targets });
+    node.runFor(20, createGrantingStore(node.getNow), [event]);
+    return node;
+}
+
+const answerFields = {
+    isSigned: true,
+    isNotRun: false,
+    isMisdirected: false,
+    weightsVersion: undefined,
+    requestsPerSecond: undefined,
+};
+
+/** Answer of a target to the first attempt of a request. */
+const buildAnswer = (id: string, changes: Partial<ResponseHeaderFields> = {}): ForwardEvent => ({
+    kind: "attemptAnswered",
+    request: toRequestId(id),
+    attempt: 1,
+    status: 200,
+    headerFields: { ...answerFields, attemptId: id, ...changes },
+    isOpenStream: false,
+});
+
+let requestCount = 0;
+
+function buildRequest(node: ForwardTestNode): ForwardEventOf<"requestArrived"> {
+    requestCount += 1;
+    return {
+        kind: "requestArrived",
+        arrival: buildArrival(`r${requestCount}`, {
+            parts: [],
+            model: undefined,
+            hasTokenCounts: false,
+            promptTokens: 0,
+            maxOutputTokens: 0,
+            arrivedAt: toMillis(node.getNow()),
+        }),
+    };
+}
+
+/** Sends enough requests that each usable target gets some, answers them, and lists the targets that got one. */
+function listUsedTargets(node: ForwardTestNode): readonly string[] {
+    const sent = listEffects(node.run(Array.from({ length: 12 }, () => buildRequest(node))), "sendRequest");
+    node.run(sent.map(({ request }) => buildAnswer(request)));
+    return [...new Set(sent.map(({ call }) => call.instance))].sort();
+}
+
+describe("a target whose row is deleted", () => {
+    // Guards against DRAIN: a process took its own start for the end of a store outage and kept using the target.
+    it("gets no request from a process that has started a short time before", async () => {
+        const node = await startNode();
+        expect(listUsedTargets(node)).toEqual(["s1", "s2"]);
+        node.run([node.buildChangeEvent({})], 1700);
+        node.run([node.buildChangeEvent(removal)], 60);
+        expect(listUsedTargets(node)).toEqual(["s2"]);
+    });
+});
