Do not take the start of a process for the end of a store outage

Callers' requests reached engines that had left 2028 to 2252 ms before (DRAIN, bound 2000 ms). A process keeps a target whose row vanishes shortly after a store outage, since its lease may have ended in it. It judged that by the time for which the store had answered, which is also short after its own start, so a process kept every target that left in its first 2.3 s for 2.3 s more. Readers passed the same time on to their followers.

The end of an outage that the process (or its reader) has seen is now recorded as such; a start is none. A row that vanished is kept until two seconds after that end, which is when the platform's rows are back, and no longer from each row's disappearance.

The test on readers passed the time of contact; it now passes the time for which rows may return, with the same two expectations. Readers still send the former field, which older processes require.

--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -61,6 +61,7 @@
             revision: z.number(),
             confirmedAgeMs: z.number().min(0),
             reachableMs: z.number().min(0),
+            rowsMayReturnMs: z.number().min(0).optional(),
         }),
     }),
     z.object({ kind: z.literal("readStore") }),
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -15,7 +15,7 @@
 import type { ForwardDocument, RegisteredTarget } from "./document";
 import type { PartId, WeightsVersion } from "./ids";
 import type { PeerState } from "./peers";
-import type { StoreItem } from "./storeChanges";
+import type { RelayedChanges, StoreItem } from "./storeChanges";
 
 /** Purpose of a store call, by which its reply reaches the right system. */
 export type ForwardStorePurpose =
@@ -115,14 +115,14 @@
     /** The whole store was read. The store's contents are known to be current as of `confirmedAt`. */
     | { readonly kind: "publishedRead"; readonly changes: PublishedChanges; readonly confirmedAt: Millis; }
     /**
-     * A watch call ended, with or without changes. `confirmedAt` is as in `publishedRead`. `reachableMs` is defined when
-     * another process passed the changes on: the time for which the store has answered that process.
+     * A watch call ended, with or without changes. `confirmedAt` is as in `publishedRead`. `reader` is defined when
+     * another process passed the changes on.
      */
     | {
         readonly kind: "publishedChanged";
         readonly changes: PublishedChanges;
         readonly confirmedAt: Millis;
-        readonly reachableMs?: number;
+        readonly reader?: Pick<RelayedChanges, "reachableMs" | "rowsMayReturnMs">;
     }
     /** A read or a watch call of the store failed. */
     | { readonly kind: "storeUnreachable"; readonly message: string; }
--- a/src/forward/storeChanges.ts
+++ b/src/forward/storeChanges.ts
@@ -20,6 +20,8 @@
     readonly confirmedAgeMs: number;
     /** Milliseconds for which the store has answered the reader without interruption. */
     readonly reachableMs: number;
+    /** Milliseconds for which rows that vanished may still return; absent or 0 when no outage has ended lately. */
+    readonly rowsMayReturnMs?: number | undefined;
 }
 
 /** `not_a_reader`: the process does not read the store itself; `outdated`: the store has not answered it for too long. */
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -9,8 +9,7 @@
     quarantinePrefix,
     rolloutLeaderKey,
 } from "../codec/fleetRows";
-import type { FleetRow, PublishedChanges, TargetChange } from "../events";
-import type { ForwardTick } from "../events";
+import type { FleetRow, ForwardEventOf, ForwardTick, PublishedChanges, TargetChange } from "../events";
 import { addPublishedWeights, getNewestWeights } from "../tables/configuration";
 import type { ForwardWorld } from "../world";
 import { closeForwardTarget } from "./closeTarget";
@@ -18,11 +17,8 @@
 import { endBackOff, expectLoading } from "./targetHealth";
 import { applyQuarantineRow } from "./updateQuarantine";
 
-/**
- * A target whose row disappears within this time after a store outage is kept for this long: its lease may have expired
- * in the outage, and it may register again.
- */
-const missingGraceMs = 2300;
+/** Time after a store outage within which rows whose leases ended in it are written again. */
+const rowReturnMs = 2000;
 
 /** Assumed age of a version that is found at the start of the process, until a peer reports when it was published. */
 const assumedWeightsAgeMs = 6500;
@@ -111,20 +107,14 @@
     if (!row) {
         return;
     }
-    const reachableMs = node.storeReachableSince === undefined ? 0 : tick.now - node.storeReachableSince;
-    if (reachableMs < missingGraceMs && !row.registration.isLeaving) {
-        row.missingUntil ??= addMillis(tick.now, missingGraceMs);
+    if (tick.now < node.rowsMayReturnUntil && !row.registration.isLeaving) {
+        row.missingUntil ??= node.rowsMayReturnUntil;
         world.timers.schedule({ name: "missingTarget", at: row.missingUntil, key: name });
         logInfo(
             world.effects,
             "target:",
             "Target row disappeared in a store outage; the target is kept for a grace period.",
-            {
-                target: row.registration.id,
-                storeSteadyMs: Math.round(reachableMs),
-                storeReadMs: Math.round(tick.now - node.storeFirstReadAt),
-                ...source,
-            },
+            { target: row.registration.id, keptMs: Math.round(row.missingUntil - tick.now), ...source },
         );
         return;
     }
@@ -135,7 +125,7 @@
     world: ForwardWorld,
     tick: ForwardTick,
     name: string,
-    details: ChangeSource | { readonly missingMs: number; },
+    details: ChangeSource | { readonly reason: string; },
 ): void {
     const { targets } = world.tables;
     const row = targets.findByName(name);
@@ -156,9 +146,7 @@
     for (const name of tick.due.listKeys("missingTarget")) {
         const row = world.tables.targets.findByName(name);
         if (row?.missingUntil !== undefined && tick.now >= row.missingUntil) {
-            removeTarget(world, tick, name, {
-                missingMs: Math.round(tick.now - row.missingUntil + missingGraceMs),
-            });
+            removeTarget(world, tick, name, { reason: "its row did not return after a store outage" });
         }
     }
 }
@@ -259,17 +247,22 @@
     world: ForwardWorld,
     tick: ForwardTick,
     confirmedAt: ForwardTick["now"],
-    reachableMs?: number,
+    reader?: ForwardEventOf<"publishedChanged">["reader"],
 ): void {
     const { node } = world.tables;
     const wasReachable = node.storeReachableSince !== undefined;
     const unconfirmedMs = tick.now - node.storeConfirmedAt;
     node.storeConfirmedAt = confirmedAt;
     node.storeWallConfirmedAt = tick.wallNow - (tick.now - confirmedAt);
-    // Changes that were passed on are judged by the outages that their reader saw.
-    node.storeReachableSince = reachableMs === undefined
-        ? node.storeReachableSince ?? tick.now
-        : addMillis(tick.now, -reachableMs);
+    if (reader) {
+        // Changes that were passed on are judged by the outages that their reader saw.
+        node.storeReachableSince = addMillis(tick.now, -reader.reachableMs);
+        node.rowsMayReturnUntil = addMillis(tick.now, reader.rowsMayReturnMs ?? 0);
+    }
+    else if (!wasReachable) {
+        node.storeReachableSince = tick.now;
+        node.rowsMayReturnUntil = addMillis(tick.now, node.isStoreUnread ? 0 : rowReturnMs);
+    }
     if (node.isStoreUnread) {
         logInfo(world.effects, "store:", "The store was read for the first time.", {});
     }
@@ -299,9 +292,9 @@
             node.storeFirstReadAt = tick.now;
         }
     }
-    for (const { changes, confirmedAt, reachableMs } of tick.events.list("publishedChanged")) {
-        recordStoreContact(world, tick, confirmedAt, reachableMs);
-        applyChanges(world, tick, changes, reachableMs === undefined ? "watch" : "reader");
+    for (const { changes, confirmedAt, reader } of tick.events.list("publishedChanged")) {
+        recordStoreContact(world, tick, confirmedAt, reader);
+        applyChanges(world, tick, changes, reader ? "reader" : "watch");
     }
     removeMissingTargets(world, tick);
 }
--- a/src/forward/systems/relayStore.ts
+++ b/src/forward/systems/relayStore.ts
@@ -71,6 +71,7 @@
             revision: Math.max(after, history.revision),
             confirmedAgeMs: ageMs,
             reachableMs: tick.now - node.storeReachableSince,
+            rowsMayReturnMs: Math.max(0, node.rowsMayReturnUntil - tick.now),
         },
     };
 }
--- a/src/forward/tables/node.ts
+++ b/src/forward/tables/node.ts
@@ -41,6 +41,11 @@
     storeWallConfirmedAt: number;
     /** Time since which the store has answered without interruption; undefined during an outage. */
     storeReachableSince: Millis | undefined;
+    /**
+     * Time until which a row that vanished from the store may return, because its lease may have ended in a store outage
+     * that this process or its reader saw; 0 when there was none. A start is no outage.
+     */
+    rowsMayReturnUntil: Millis;
     readonly lease: ForwardLease;
     isRegistered: boolean;
     readonly rolloutLeadership: RolloutLeadership;
@@ -57,6 +62,7 @@
         storeConfirmedAt: 0 as Millis,
         storeWallConfirmedAt: 0,
         storeReachableSince: undefined,
+        rowsMayReturnUntil: 0 as Millis,
         lease: {
             id: undefined,
             validUntil: 0 as Millis,
--- a/src/forward/tables/targets.ts
+++ b/src/forward/tables/targets.ts
@@ -43,7 +43,7 @@
     requestLimit: RequestLimit | undefined;
     /** Time of the answer that ended the last limit; 0 when there was none. */
     limitEndedAt: Millis;
-    /** Time of removal of a target whose row disappeared around a store outage, unless it registers again. */
+    /** Time of removal of a target whose row may have lapsed in a store outage, unless it registers again. */
     missingUntil: Millis | undefined;
 }
 
--- a/test/forward/storeRelay.test.ts
+++ b/test/forward/storeRelay.test.ts
@@ -195,11 +195,14 @@
     it("judges removed registrations by the outages of its reader", async () => {
         const removal = { targets: [{ name: "e0", target: undefined }] };
         for (
-            const { reachableMs, expected } of [{ reachableMs: 100, expected: 1 }, { reachableMs: 9000, expected: 0 }]
+            const { rowsMayReturnMs, expected } of [
+                { rowsMayReturnMs: 1900, expected: 1 },
+                { rowsMayReturnMs: 0, expected: 0 },
+            ]
         ) {
             const node = await startFollower();
             const change = node.buildChangeEvent(removal);
-            node.run([{ ...change, reachableMs } as ForwardEvent], 5000);
+            node.run([{ ...change, reader: { reachableMs: 100, rowsMayReturnMs } } as ForwardEvent], 5000);
             expect(node.world.tables.targets.list().length).toBe(expected);
         }
     });
