Keep a target without a row only after an outage in which the row can have lapsed

After a single failed watch call, each target that left within 2.3 s was used for up to 2.3 s more, which is past the bound of 2 s on leaving targets.

A row lapses three report intervals after its last write, so it outlives an outage of less than two; what vanishes after a shorter interruption was deleted. The figures come from the settings (targetReportMs, contactMs).

The tests in routing.test.ts let an outage of 0.1 s precede a lapsed row, which cannot happen; the outage now takes 4 s, and what they check is unchanged.

--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -125,7 +125,7 @@
         readonly reader?: Pick<RelayedChanges, "reachableMs" | "rowsMayReturnMs">;
     }
     /** A read or a watch call of the store failed. */
-    | { readonly kind: "storeUnreachable"; readonly message: string; }
+    | { readonly kind: "storeUnreachable"; readonly message: string; readonly sentAt: Millis; }
     /** The process that passes the store's changes on gave no usable answer. */
     | { readonly kind: "relayFailed"; readonly vm: VmId; readonly message: string; }
     | { readonly kind: "storeReplied"; readonly purpose: ForwardStorePurpose; readonly outcome: StoreOutcome; }
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -39,6 +39,14 @@
         dutyGuardMs: milliseconds,
         /** Time within which engines must serve a newly published version of the weights. */
         weightsMs: milliseconds,
+        /** Time after a target's notice of leaving from which on no request may reach it. */
+        drainMs: milliseconds.default(2000),
+        /** Time within which a new configuration must be in force. */
+        configurationMs: milliseconds.default(2000),
+        /** Time after a start or the return of the store from which on the bounds hold for a process. */
+        contactMs: milliseconds.default(3000),
+        /** Interval at which targets report to the store; their rows lapse after three. */
+        targetReportMs: milliseconds.default(1200),
         /** Maximum time for which callers cache the list of addresses. */
         addressesKeepSeconds: z.number().positive(),
     }),
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -10,6 +10,7 @@
     rolloutLeaderKey,
 } from "../codec/fleetRows";
 import type { FleetRow, ForwardEventOf, ForwardTick, PublishedChanges, TargetChange } from "../events";
+import { computeRowReturnMs } from "../policy/rowReturn";
 import { addPublishedWeights, getNewestWeights } from "../tables/configuration";
 import type { ForwardWorld } from "../world";
 import { closeForwardTarget } from "./closeTarget";
@@ -17,9 +18,6 @@
 import { endBackOff, expectLoading } from "./targetHealth";
 import { applyQuarantineRow } from "./updateQuarantine";
 
-/** Time after a store outage within which rows whose leases ended in it are written again. */
-const rowReturnMs = 2000;
-
 /** Assumed age of a version that is found at the start of the process, until a peer reports when it was published. */
 const assumedWeightsAgeMs = 6500;
 
@@ -243,6 +241,21 @@
     }
 }
 
+/** Records the end of an outage: for how long rows may return that lapsed in it. */
+function recordOutageEnd(world: ForwardWorld, tick: ForwardTick): void {
+    const { node } = world.tables;
+    const { targetReportMs, contactMs } = world.settings.bounds;
+    const outageMs = Math.max(tick.now - node.storeAnsweredAt, tick.wallNow - node.storeWallAnsweredAt);
+    const rowReturnMs = computeRowReturnMs({
+        outageMs,
+        lastFailureMs: tick.now - node.storeFailedAt,
+        reportMs: targetReportMs,
+        contactMs,
+    });
+    node.rowsMayReturnUntil = addMillis(tick.now, rowReturnMs);
+    logInfo(world.effects, "store:", "The store answers again.", { outageMs: Math.round(outageMs), rowReturnMs });
+}
+
 function recordStoreContact(
     world: ForwardWorld,
     tick: ForwardTick,
@@ -251,7 +264,6 @@
 ): void {
     const { node } = world.tables;
     const wasReachable = node.storeReachableSince !== undefined;
-    const unconfirmedMs = tick.now - node.storeConfirmedAt;
     node.storeConfirmedAt = confirmedAt;
     node.storeWallConfirmedAt = tick.wallNow - (tick.now - confirmedAt);
     if (reader) {
@@ -261,14 +273,15 @@
     }
     else if (!wasReachable) {
         node.storeReachableSince = tick.now;
-        node.rowsMayReturnUntil = addMillis(tick.now, node.isStoreUnread ? 0 : rowReturnMs);
-    }
-    if (node.isStoreUnread) {
-        logInfo(world.effects, "store:", "The store was read for the first time.", {});
-    }
-    else if (!wasReachable) {
-        logInfo(world.effects, "store:", "The store answers again.", { unconfirmedMs: Math.round(unconfirmedMs) });
+        if (node.isStoreUnread) {
+            logInfo(world.effects, "store:", "The store was read for the first time.", {});
+        }
+        else {
+            recordOutageEnd(world, tick);
+        }
     }
+    node.storeAnsweredAt = tick.now;
+    node.storeWallAnsweredAt = tick.wallNow;
 }
 
 /**
@@ -277,7 +290,8 @@
  */
 export function applyPublished(world: ForwardWorld, tick: ForwardTick): void {
     const { node } = world.tables;
-    for (const { message } of tick.events.list("storeUnreachable")) {
+    for (const { message, sentAt } of tick.events.list("storeUnreachable")) {
+        node.storeFailedAt = sentAt;
         if (node.storeReachableSince !== undefined || node.isStoreUnread) {
             logWarning(world.effects, "store:", "The store does not answer.", { message });
         }
--- a/src/forward/tables/node.ts
+++ b/src/forward/tables/node.ts
@@ -41,6 +41,11 @@
     storeWallConfirmedAt: number;
     /** Time since which the store has answered without interruption; undefined during an outage. */
     storeReachableSince: Millis | undefined;
+    /** Time of the last answer to a read or a watch call, by both clocks; an outage can only have begun after it. */
+    storeAnsweredAt: Millis;
+    storeWallAnsweredAt: number;
+    /** Time at which the last failed read or watch call was sent; the store may have returned at any time after it. */
+    storeFailedAt: Millis;
     /**
      * Time until which a row that vanished from the store may return, because its lease may have ended in a store outage
      * that this process or its reader saw; 0 when there was none. A start is no outage.
@@ -62,6 +67,9 @@
         storeConfirmedAt: 0 as Millis,
         storeWallConfirmedAt: 0,
         storeReachableSince: undefined,
+        storeAnsweredAt: 0 as Millis,
+        storeWallAnsweredAt: 0,
+        storeFailedAt: 0 as Millis,
         rowsMayReturnUntil: 0 as Millis,
         lease: {
             id: undefined,
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -341,9 +341,15 @@
 });
 
 describe("targets during a store outage", () => {
+    /** Lets a call fail in an outage that is long enough for rows to lapse. */
+    function runOutage(node: ForwardTestNode, outageMs = 4000): void {
+        node.runFor(outageMs, createGrantingStore(node.getNow));
+        node.run([{ kind: "storeUnreachable", message: "closed", sentAt: toMillis(node.getNow()) }], 100);
+    }
+
     it("keeps a target whose row expired until the store has been reachable for some time", async () => {
         const node = await createReadyNode();
-        node.run([{ kind: "storeUnreachable", message: "closed" }], 100);
+        runOutage(node);
         node.run([node.buildChangeEvent({ targets: [{ name: "s1", target: undefined }] })], 100);
         expect(node.world.tables.targets.get(toTargetId("s1@1"))).toBeDefined();
         node.runFor(2500, createGrantingStore(node.getNow));
@@ -352,7 +358,7 @@
 
     it("keeps a target when its row reappears", async () => {
         const node = await createReadyNode();
-        node.run([{ kind: "storeUnreachable", message: "closed" }], 100);
+        runOutage(node);
         node.run([node.buildChangeEvent({ targets: [{ name: "s1", target: undefined }] })], 100);
         node.run([node.buildChangeEvent({ targets: plainTargets })], 500);
         node.runFor(2500, createGrantingStore(node.getNow));
