--- a/test/forward/leavingTargets.test.ts
+++ b/test/forward/leavingTargets.test.ts
@@ -47,7 +47,7 @@
 });
 
 /** Lets a read or watch call fail that was sent `callMs` before. */
-function failCall(node: ForwardTestNode, afterMs: number, callMs = 0): void {
+function runFailedCall(node: ForwardTestNode, afterMs: number, callMs = 0): void {
     const sentAt = toMillis(node.getNow() + afterMs - callMs);
     node.run([{ kind: "storeUnreachable", message: "timed out", sentAt }], afterMs);
 }
@@ -90,14 +90,14 @@
     it("gets no request after an interruption in which its row cannot have lapsed", async () => {
         const node = await startNode();
         node.run([node.buildChangeEvent({})], 3000);
-        failCall(node, 900);
+        runFailedCall(node, 900);
         node.run([node.buildChangeEvent(removal)], 300);
         expect(listUsedTargets(node)).toEqual(["s2"]);
     });
 
     it("is kept after an outage until rows have returned, counted from the end of the outage", async () => {
         const node = await startNode();
-        failCall(node, 4000);
+        runFailedCall(node, 4000);
         node.run([node.buildChangeEvent({})], 300);
         node.run([node.buildChangeEvent(removal)], 1400);
         expect(listUsedTargets(node)).toEqual(["s1", "s2"]);
@@ -108,7 +108,7 @@
     // Guards against DRAIN: the store had been back for a while when the process got its first answer.
     it("is kept no longer than until the bound holds again after the last failed call", async () => {
         const node = await startNode();
-        failCall(node, 4000, 1900);
+        runFailedCall(node, 4000, 1900);
         node.run([node.buildChangeEvent(removal)], 100);
         expect(listUsedTargets(node)).toEqual(["s1", "s2"]);
         node.run([], 750);
