Use what answers and other processes say of leaving targets

A process knew that a target leaves from its row in the store alone, by its own watch. A watch call whose answer is lost, a start or a store that is away then let requests through past the bound, although the target's answers or another process had said it.

A target that says in an answer that it leaves (Server-Leaving on the platform) gets no further request in its run, whatever its row says later. All processes report departures in their exchange, with the age of the evidence, and pass on what they hear. The deletion of a row is reported too; it counts until the store has confirmed a newer state to the receiver, since a row may have lapsed and come back.

Rolling upgrade: the new field of the exchange is optional.

--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -40,6 +40,7 @@
     quarantined: z.array(z.tuple([z.string(), z.number(), z.number()])).max(1024).optional(),
     limits: z.array(z.tuple([z.string(), z.number(), z.number()])).max(16384).optional(),
     endedLimits: z.array(z.tuple([z.string(), z.number()])).max(16384).optional(),
+    departures: z.array(z.tuple([z.string(), z.number(), z.boolean()])).max(4096).optional(),
     requests: tokenCounts.optional(),
 });
 
--- a/src/forward/calls.ts
+++ b/src/forward/calls.ts
@@ -79,6 +79,10 @@
     readonly weightsVersion: WeightsVersion | undefined;
     /** Requests a second that the target takes from the whole fleet; undefined when it names no limit. */
     readonly requestsPerSecond: number | undefined;
+    /** The target says that it leaves. */
+    readonly isLeaving: boolean;
+    /** Milliseconds for which the target wants nothing from this process; undefined when it does not say. */
+    readonly retryAfterMs: number | undefined;
 }
 
 /** Decodes and encodes the platform's headers. */
--- a/src/forward/peers.ts
+++ b/src/forward/peers.ts
@@ -51,6 +51,8 @@
     readonly limits?: readonly (readonly [TargetId, number, number])[];
     /** Targets whose answers no longer name a limit, with the milliseconds since the first such answer. */
     readonly endedLimits?: readonly (readonly [TargetId, number])[];
+    /** Targets that leave: age of the evidence in milliseconds, and whether they said so; absent when there are none. */
+    readonly departures?: readonly (readonly [TargetId, number, boolean])[];
     /** Requests that the sender has admitted in the last seconds, by service; absent when there are none. */
     readonly requests?: readonly (readonly [ServiceId, number])[];
 }
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -15,6 +15,7 @@
 import type { ForwardWorld } from "../world";
 import { closeForwardTarget } from "./closeTarget";
 import { confirmRecordedCrash } from "./followCrashes";
+import { confirmRegistrations, hasAnnouncedDeparture, recordDeparture, recordRemoval } from "./targetDepartures";
 import { endBackOff, expectLoading } from "./targetHealth";
 import { applyQuarantineRow } from "./updateQuarantine";
 
@@ -72,11 +73,15 @@
 function applyTarget(
     world: ForwardWorld,
     tick: ForwardTick,
-    { name, target }: TargetChange,
+    { name, target: registered }: TargetChange,
     source: ChangeSource,
 ): void {
     const { targets, node, cachedParts } = world.tables;
-    if (target) {
+    if (registered) {
+        if (registered.isLeaving) {
+            recordDeparture(world, tick, registered.id, { at: tick.now, source: source.learnedFrom });
+        }
+        const target = { ...registered, isLeaving: hasAnnouncedDeparture(world, registered.id, tick.now) };
         const current = targets.findByName(name);
         const wasLeaving = current?.registration.isLeaving;
         const hasNewWeights = [...target.weights].some(([model, version]) => current?.weights.get(model) !== version);
@@ -132,6 +137,7 @@
             confirmRecordedCrash(world, tick, row.registration.id, "its registration was removed");
         }
         targets.remove(name);
+        recordRemoval(world, row.registration.id, tick.now);
         closeForwardTarget(world, row);
         logInfo(world.effects, "target:", "Target was removed; it gets no further requests.", {
             target: row.registration.id,
@@ -285,7 +291,7 @@
 }
 
 /**
- * Writes: configuration, targets, crashes, quarantine, members, rollouts (last orders), cached parts, node (contact with the store, leader).
+ * Writes: configuration, targets, departures, crashes, quarantine, members, rollouts (last orders), cached parts, node (contact with the store, leader).
  * Effects: caller limits, closed targets, log lines.
  */
 export function applyPublished(world: ForwardWorld, tick: ForwardTick): void {
@@ -311,4 +317,5 @@
         applyChanges(world, tick, changes, reader ? "reader" : "watch");
     }
     removeMissingTargets(world, tick);
+    confirmRegistrations(world, tick);
 }
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -11,6 +11,7 @@
 import { computeExchangeIntervalMs, computeOwnTokens, computePeerStaleMs } from "./accountUsage";
 import { applyCrashReports, buildCrashReports } from "./crashReports";
 import { applyLimitReports, buildLimitReports } from "./requestLimits";
+import { applyDepartureReports, buildDepartureReports } from "./targetDepartures";
 
 /** Interval at which a group of peers is called. */
 const exchangeStepMs = 100;
@@ -141,6 +142,7 @@
         parts: listPartChanges(world, peer?.acknowledgedPartChange ?? 0),
         ...buildCrashReports(world, tick),
         ...buildLimitReports(world, tick),
+        ...buildDepartureReports(world, tick),
     };
 }
 
@@ -151,6 +153,7 @@
     applyParts(world, tick, state);
     applyCrashReports(world, tick, state);
     applyLimitReports(world, tick, state);
+    applyDepartureReports(world, tick, state);
     // `knownStart` differs when the peer has not noticed the restart yet; its report is then about another run.
     if (state.earlier && state.knownStart === world.startedAt && !peers.ownPreviousRun) {
         peers.ownPreviousRun = { usage: new Map(state.earlier), reportedAt: tick.now };
@@ -216,7 +219,7 @@
 }
 
 /**
- * Reads: members, usage windows, targets. Writes: peers, configuration (published weights), cached parts.
+ * Reads: members, usage windows. Writes: peers, configuration (published weights), cached parts, departures, targets.
  * Effects: calls and answers to peers, log lines.
  */
 export function exchangeWithPeers(world: ForwardWorld, tick: ForwardTick): void {
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -11,6 +11,7 @@
 import { recordAnsweredParts, recordConnectionEnd, recordLostAttempt } from "./followCrashes";
 import { closeRequest, refuseForwardRequest, removeInFlight } from "./requestEnd";
 import { recordNamedLimit } from "./requestLimits";
+import { recordDeparture } from "./targetDepartures";
 import {
     expectLoading,
     overloadBackOffMs,
@@ -161,6 +162,9 @@
         target.lastResponseAt = tick.now;
         recordNamedLimit(world, tick, target, attempt, headerFields.requestsPerSecond);
     }
+    if (headerFields.isLeaving) {
+        recordDeparture(world, tick, attempt.target, { at: tick.now, source: "an answer" });
+    }
     if (isRefusal) {
         if (target) {
             recordRefusal(world, tick, row, target, event);
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -6,6 +6,7 @@
 import { type CachedPartsTable, createCachedPartsTable } from "./cachedParts";
 import { createForwardConfigurationTable, type ForwardConfigurationTable } from "./configuration";
 import { type CrashesTable, createCrashesTable } from "./crashes";
+import { createDeparturesTable, type DeparturesTable } from "./departures";
 import { createForwardMembersTable, type ForwardMembersTable } from "./members";
 import { createForwardNodeRow, type ForwardNodeRow } from "./node";
 import { createPeersTable, type PeersTable } from "./peers";
@@ -21,6 +22,7 @@
     readonly configuration: ForwardConfigurationTable;
     readonly members: ForwardMembersTable;
     readonly targets: ForwardTargetsTable;
+    readonly departures: DeparturesTable;
     readonly peers: PeersTable;
     readonly requests: ForwardRequestsTable;
     readonly usageWindows: UsageWindowsTable;
@@ -42,6 +44,7 @@
         configuration: createForwardConfigurationTable(),
         members: createForwardMembersTable(),
         targets: createForwardTargetsTable(),
+        departures: createDeparturesTable(),
         peers: createPeersTable(),
         requests: createForwardRequestsTable(),
         usageWindows: createUsageWindowsTable(),
--- a/src/forward/tables/targets.ts
+++ b/src/forward/tables/targets.ts
@@ -45,6 +45,10 @@
     limitEndedAt: Millis;
     /** Time of removal of a target whose row may have lapsed in a store outage, unless it registers again. */
     missingUntil: Millis | undefined;
+    /** Time at which a peer saw that the row was deleted, until the store confirms a newer state to this process. */
+    removedAt: Millis | undefined;
+    /** The target asked this process to send it nothing before this time; 0 when it did not. */
+    deferredUntil: Millis;
 }
 
 export interface ForwardTargetsTable {
@@ -57,6 +61,8 @@
     findByName(name: string): ForwardTargetRow | undefined;
     listNames(): readonly string[];
     remove(name: string): void;
+    /** Records that a registered target leaves, whatever its row says. */
+    recordLeaving(id: TargetId): void;
     /** Increases with each change of a registration; what is computed from registrations holds until then. */
     readonly revision: number;
 }
@@ -108,6 +114,13 @@
         },
         listNames: () => [...ids.keys()],
         remove,
+        recordLeaving: id => {
+            const row = rows.get(id);
+            if (row && !row.registration.isLeaving) {
+                row.registration = { ...row.registration, isLeaving: true };
+                updateServices();
+            }
+        },
         apply: (name, registration, now) => {
             const currentId = ids.get(name);
             const row = currentId === undefined ? undefined : rows.get(currentId);
@@ -131,6 +144,8 @@
                 requestLimit: undefined,
                 limitEndedAt: 0 as Millis,
                 missingUntil: undefined,
+                removedAt: undefined,
+                deferredUntil: 0 as Millis,
             });
             updateServices();
             return row;
@@ -147,6 +162,6 @@
     return now >= row.backOffUntil && !isTrialRunning;
 }
 
-/** True when the target is neither leaving nor backed off. It may be loading weights. */
+/** True when the target is neither leaving nor deferred nor backed off. It may be loading weights. */
 export const isWorking = (row: ForwardTargetRow, now: Millis): boolean =>
-    !row.registration.isLeaving && canPassBackOff(row, now);
+    !row.registration.isLeaving && row.removedAt === undefined && now >= row.deferredUntil && canPassBackOff(row, now);
--- a/test/forward/leavingTargets.test.ts
+++ b/test/forward/leavingTargets.test.ts
@@ -2,10 +2,12 @@
 import { describe, expect, it } from "vitest";
 import type { ResponseHeaderFields } from "../../src/forward/calls";
 import type { ForwardEvent, ForwardEventOf } from "../../src/forward/events";
-import { toMillis, toRequestId } from "../../src/ids";
+import type { PeerState } from "../../src/forward/peers";
+import { toCallId, toMillis, toRequestId, toTargetId } from "../../src/ids";
 import {
     buildArrival,
     buildDocument,
+    buildPeerState,
     buildRoute,
     buildTarget,
     createForwardTestNode,
@@ -34,6 +36,8 @@
     isMisdirected: false,
     weightsVersion: undefined,
     requestsPerSecond: undefined,
+    isLeaving: false,
+    retryAfterMs: undefined,
 };
 
 /** Answer of a target to the first attempt of a request. */
@@ -52,6 +56,29 @@
     node.run([{ kind: "storeUnreachable", message: "timed out", sentAt }], afterMs);
 }
 
+/** State that the process reports to its peers. */
+function buildReport(node: ForwardTestNode): PeerState | undefined {
+    const call = { kind: "peerCallReceived", call: toCallId("c"), state: buildPeerState() } as const;
+    return listEffects(node.run([call]), "answerPeer")[0]?.state;
+}
+
+/** Delivers the state of a peer. */
+const applyReport = (node: ForwardTestNode, departures: NonNullable<PeerState["departures"]>): void => {
+    node.run([{ kind: "peerCallReceived", call: toCallId("c"), state: buildPeerState({ departures }) }]);
+};
+
+/** Sends a request to `s1`, which answers it with the given fields. */
+function answerFromFirst(node: ForwardTestNode, changes: Partial<ResponseHeaderFields>): void {
+    for (;;) {
+        const sent = listEffects(node.run([buildRequest(node)]), "sendRequest");
+        const isFirst = sent[0]?.call.instance === "s1";
+        node.run(sent.map(({ request }) => buildAnswer(request, isFirst ? changes : {})));
+        if (isFirst) {
+            return;
+        }
+    }
+}
+
 let requestCount = 0;
 
 function buildRequest(node: ForwardTestNode): ForwardEventOf<"requestArrived"> {
@@ -115,3 +142,55 @@
         expect(listUsedTargets(node)).toEqual(["s2"]);
     });
 });
+
+describe("a target that says in an answer that it leaves", () => {
+    // Guards against DRAIN: the row in the store was the only sign of leaving that a process knew.
+    it("gets no further request, also while its row says that it is ready", async () => {
+        const node = await startNode();
+        answerFromFirst(node, { isLeaving: true });
+        expect(listUsedTargets(node)).toEqual(["s2"]);
+        node.run([node.buildChangeEvent({ targets })], 500);
+        expect(listUsedTargets(node)).toEqual(["s2"]);
+    });
+
+    it("gets requests again after a restart under the same name", async () => {
+        const node = await startNode();
+        answerFromFirst(node, { isLeaving: true });
+        const target = buildTarget("s1", { service: plainService, id: toTargetId("s1@2") });
+        node.run([node.buildChangeEvent({ targets: [{ name: "s1", target }] })], 500);
+        expect(listUsedTargets(node)).toEqual(["s1", "s2"]);
+    });
+
+    // Guards against a process that has just started, is cut off from the store or hears of the change late.
+    it("is reported to the other processes, which pass it on", async () => {
+        const node = await startNode();
+        answerFromFirst(node, { isLeaving: true });
+        node.run([], 200);
+        const report = buildReport(node)?.departures;
+        expect(report).toEqual([["s1@1", 200, true]]);
+        const peer = await startNode();
+        applyReport(peer, report ?? []);
+        expect(listUsedTargets(peer)).toEqual(["s2"]);
+        expect(buildReport(peer)?.departures).toEqual([["s1@1", 200, true]]);
+    });
+});
+
+describe("a removal that a peer reports", () => {
+    // Guards against DRAIN: a watch call whose answer is lost delays the removal by more than two seconds.
+    it("keeps requests from the target until the store confirms a newer state", async () => {
+        const node = await startNode();
+        node.run([], 1000);
+        applyReport(node, [[toTargetId("s1@1"), 100, false]]);
+        expect(listUsedTargets(node)).toEqual(["s2"]);
+        node.run([node.buildChangeEvent({ targets })], 200);
+        expect(listUsedTargets(node)).toEqual(["s1", "s2"]);
+    });
+
+    it("is ignored when this process knows a newer state of the store", async () => {
+        const node = await startNode();
+        node.run([], 1000);
+        node.run([node.buildChangeEvent({})]);
+        applyReport(node, [[toTargetId("s1@1"), 500, false]]);
+        expect(listUsedTargets(node)).toEqual(["s1", "s2"]);
+    });
+});
--- a/test/forward/movedStreams.test.ts
+++ b/test/forward/movedStreams.test.ts
@@ -26,6 +26,8 @@
     isMisdirected: false,
     weightsVersion: undefined,
     requestsPerSecond: undefined,
+    isLeaving: false,
+    retryAfterMs: undefined,
 };
 
 /** Starts streams at the only engine; then a second engine registers. */
--- a/test/forward/platform.test.ts
+++ b/test/forward/platform.test.ts
@@ -71,6 +71,12 @@
         expect(headers.get("last-event-id")).toBe("7");
     });
 
+    it("tell that a target leaves, on a refusal too", () => {
+        expect(platformHeaders.decodeResponse(200, { "server-leaving": "1" }).isLeaving).toBe(true);
+        expect(platformHeaders.decodeResponse(503, { "server-leaving": "1" }).isLeaving).toBe(true);
+        expect(platformHeaders.decodeResponse(200, {}).isLeaving).toBe(false);
+    });
+
     it("yield key, token counts, prompt parts and deadline of a request", () => {
         const fields = platformHeaders.decodeRequest({
             "authorization": "Token secret",
--- a/test/forward/requestHistories.test.ts
+++ b/test/forward/requestHistories.test.ts
@@ -21,6 +21,8 @@
     isMisdirected: false,
     weightsVersion: undefined,
     requestsPerSecond: undefined,
+    isLeaving: false,
+    retryAfterMs: undefined,
 };
 
 /** Outcomes of an attempt: whether the target ran the request, and whether bytes were written to the socket. */
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -62,6 +62,8 @@
     isMisdirected: false,
     weightsVersion: undefined,
     requestsPerSecond: undefined,
+    isLeaving: false,
+    retryAfterMs: undefined,
 };
 
 /** Builds the answer to the first attempt of the request. */
--- a/test/support/engineFleet.ts
+++ b/test/support/engineFleet.ts
@@ -100,6 +100,8 @@
     isMisdirected: false,
     weightsVersion: undefined,
     requestsPerSecond: undefined,
+    isLeaving: false,
+    retryAfterMs: undefined,
 };
 
 const buildEngineChange = ({ name, runNumber }: SimulatedEngine): TargetChange => {
