Send a target nothing for the time that it asks for with 503 and Retry-After

The platform's targets may add Retry-After to a refusal with 503 and want nothing from that process for so long (BUDGET). The header was not read: the target got its next request after 60 ms.

The target is left out until the time has passed, 60 s at most, also when its row changes meanwhile. When no other target stays, requests are refused at once with the time until the first one takes requests again, instead of waiting.

The three new tests cannot pass on the code before, which did not decode the header.

--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -15,6 +15,7 @@
 import {
     expectLoading,
     overloadBackOffMs,
+    recordDeferral,
     recordErrorAnswer,
     recordForwardFailure,
     recordForwardSuccess,
@@ -162,6 +163,9 @@
         target.lastResponseAt = tick.now;
         recordNamedLimit(world, tick, target, attempt, headerFields.requestsPerSecond);
     }
+    if (target && headerFields.retryAfterMs !== undefined) {
+        recordDeferral(world, tick, target, headerFields.retryAfterMs);
+    }
     if (headerFields.isLeaving) {
         recordDeparture(world, tick, attempt.target, { at: tick.now, source: "an answer" });
     }
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -13,7 +13,7 @@
 import { chooseEngine, computeOutdatedAge, type TargetChoice } from "./chooseEngine";
 import { refuseForwardRequest } from "./requestEnd";
 import { findFirstToken, hasRequestToken, reserveRequestToken } from "./requestLimits";
-import { overloadBackOffMs } from "./targetHealth";
+import { computeDeferralMs, overloadBackOffMs } from "./targetHealth";
 import { findQuarantine, recordTrial } from "./updateQuarantine";
 
 /** A request without an eligible target waits this fraction of its route's objective, then is refused as not run. */
@@ -254,9 +254,13 @@
 /** Keeps a request that no target can take now for a short time, then refuses it. */
 function waitForTarget(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): void {
     const waitUntil = addMillis(row.arrival.arrivedAt, row.route.latencyObjectiveMs * maxTargetWaitFraction);
-    const usable = world.tables.targets.listService(row.service).filter(target =>
-        isUsable(world, tick, row, target) && tick.now >= target.unavailableUntil
-    );
+    const targets = world.tables.targets.listService(row.service);
+    const deferralMs = computeDeferralMs(targets, tick.now);
+    if (addMillis(tick.now, deferralMs) > waitUntil && deferralMs > 0) {
+        refuseForwardRequest(world, tick, row, "overloaded", Math.min(row.route.timeoutMs, deferralMs) / 1000);
+        return;
+    }
+    const usable = targets.filter(target => isUsable(world, tick, row, target) && tick.now >= target.unavailableUntil);
     const token = findFirstToken(world, tick, usable);
     if (token && addMillis(tick.now, token.waitMs) > waitUntil) {
         token.limit.bucket.promised += 1;
--- a/src/forward/systems/targetHealth.ts
+++ b/src/forward/systems/targetHealth.ts
@@ -15,6 +15,33 @@
     row.unavailableUntil = addMillis(now, expectedLoadingMs);
 }
 
+/** Longest time for which a target may ask for no requests; a longer one is taken for a fault of the target. */
+const maxDeferralMs = 60_000;
+
+/** Sends the target nothing for the time that it asked for. */
+export function recordDeferral(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardTargetRow,
+    retryAfterMs: number,
+): void {
+    row.deferredUntil = addMillis(tick.now, Math.min(maxDeferralMs, retryAfterMs));
+    logInfo(world.effects, "target:", "Target asked for no requests for some time.", {
+        target: row.registration.id,
+        retryAfterMs,
+    });
+}
+
+/**
+ * Milliseconds until the first of the targets wants requests again. 0 when one takes them now, or when there is none
+ * that stays.
+ */
+export function computeDeferralMs(targets: readonly ForwardTargetRow[], now: Millis): number {
+    const staying = targets.filter(({ registration, removedAt }) => !registration.isLeaving && removedAt === undefined);
+    const waits = staying.map(({ deferredUntil }) => deferredUntil - now);
+    return waits.length === 0 ? 0 : Math.max(0, Math.min(...waits));
+}
+
 /** First back-off; it doubles with each consecutive failure. */
 const initialBackOffMs = 300;
 const maxBackOffMs = 2000;
--- a/test/forward/leavingTargets.test.ts
+++ b/test/forward/leavingTargets.test.ts
@@ -1,4 +1,4 @@
-/** What a process sends to targets that leave, by the evidence that it has of their leaving. */
+/** What a process sends to targets that leave or want no requests, by the evidence that it has. */
 import { describe, expect, it } from "vitest";
 import type { ResponseHeaderFields } from "../../src/forward/calls";
 import type { ForwardEvent, ForwardEventOf } from "../../src/forward/events";
@@ -41,11 +41,11 @@
 };
 
 /** Answer of a target to the first attempt of a request. */
-const buildAnswer = (id: string, changes: Partial<ResponseHeaderFields> = {}): ForwardEvent => ({
+const buildAnswer = (id: string, changes: Partial<ResponseHeaderFields> = {}, status = 200): ForwardEvent => ({
     kind: "attemptAnswered",
     request: toRequestId(id),
     attempt: 1,
-    status: 200,
+    status,
     headerFields: { ...answerFields, attemptId: id, ...changes },
     isOpenStream: false,
 });
@@ -67,12 +67,12 @@
     node.run([{ kind: "peerCallReceived", call: toCallId("c"), state: buildPeerState({ departures }) }]);
 };
 
-/** Sends a request to `s1`, which answers it with the given fields. */
-function answerFromFirst(node: ForwardTestNode, changes: Partial<ResponseHeaderFields>): void {
+/** Sends requests until one reaches `s1`, which answers it with the given fields. */
+function answerFromFirst(node: ForwardTestNode, changes: Partial<ResponseHeaderFields>, status = 200): void {
     for (;;) {
         const sent = listEffects(node.run([buildRequest(node)]), "sendRequest");
         const isFirst = sent[0]?.call.instance === "s1";
-        node.run(sent.map(({ request }) => buildAnswer(request, isFirst ? changes : {})));
+        node.run(sent.map(({ request }) => isFirst ? buildAnswer(request, changes, status) : buildAnswer(request)));
         if (isFirst) {
             return;
         }
@@ -194,3 +194,29 @@
         expect(listUsedTargets(node)).toEqual(["s1", "s2"]);
     });
 });
+
+describe("a target that wants no requests for some time", () => {
+    const refusal = { isNotRun: true, retryAfterMs: 1500 };
+
+    // Guards against BUDGET: the target's own Retry-After was not read, and it was tried again after 60 ms.
+    it("gets none until the time has passed, whatever its row says meanwhile", async () => {
+        const node = await startNode();
+        answerFromFirst(node, refusal, 503);
+        node.run([node.buildChangeEvent({ targets })], 700);
+        expect(listUsedTargets(node)).toEqual(["s2"]);
+        node.run([], 790);
+        expect(listUsedTargets(node)).toEqual(["s2"]);
+        node.run([], 20);
+        expect(listUsedTargets(node)).toEqual(["s1", "s2"]);
+    });
+
+    it("has requests refused at once, with the time to come back, when there is no other target", async () => {
+        const node = await startNode();
+        node.run([node.buildChangeEvent({ targets: [{ name: "s2", target: undefined }] })], 3000);
+        answerFromFirst(node, refusal, 503);
+        const refusals = listEffects(node.run([buildRequest(node)], 500), "refuseRequest");
+        expect(refusals.map(({ refusal: { code, retryAfterSeconds } }) => [code, retryAfterSeconds])).toEqual([
+            ["overloaded", 1],
+        ]);
+    });
+});
--- a/test/forward/platform.test.ts
+++ b/test/forward/platform.test.ts
@@ -77,6 +77,12 @@
         expect(platformHeaders.decodeResponse(200, {}).isLeaving).toBe(false);
     });
 
+    it("tell for how long a target that is busy wants no requests, and ignore the header on other answers", () => {
+        expect(platformHeaders.decodeResponse(503, { "retry-after": "1.5" }).retryAfterMs).toBe(1500);
+        expect(platformHeaders.decodeResponse(500, { "retry-after": "1.5" }).retryAfterMs).toBeUndefined();
+        expect(platformHeaders.decodeResponse(503, { "retry-after": "soon" }).retryAfterMs).toBeUndefined();
+    });
+
     it("yield key, token counts, prompt parts and deadline of a request", () => {
         const fields = platformHeaders.decodeRequest({
             "authorization": "Token secret",
