Derive the timing of the watch from the bounds on drains and configurations

A change whose watch answer never came was known 2.5 to 2.9 s later: a cycle of 1800 ms, a margin of 700 ms and a retry after up to 375 ms, on every deployment, where the shortest bound (drain, configuration) is 2000 ms.

The cycle and the margin are now fractions of the shortest bound: at 2000 ms they are 1000 and 300 ms, with a retry after up to 300 ms and a probe of 50 ms 1660 ms in all, 0.83 of the bound.

--- a/src/forward/effects.ts
+++ b/src/forward/effects.ts
@@ -65,6 +65,8 @@
         readonly pauseMs: number;
         /** Longest time from one delivery of changes to the end of the next watch call, including the pause. */
         readonly cycleMs: number;
+        /** Time beyond its wait time after which a watch call has failed. */
+        readonly marginMs: number;
     }
     /* peers */
     | { readonly kind: "callPeer"; readonly vm: VmId; readonly address: string; readonly state: PeerState; }
--- a/src/forward/systems/relayStore.ts
+++ b/src/forward/systems/relayStore.ts
@@ -7,6 +7,7 @@
 import { addMillis, type VmId } from "../../ids";
 import type { ForwardTick } from "../events";
 import { chooseReader, listReaders } from "../policy/storeReaders";
+import { computeWatchTiming } from "../policy/watchTiming";
 import type { RelayAnswer } from "../storeChanges";
 import { computeStoreAgeMs } from "../tables/node";
 import type { RelayCall } from "../tables/storeRelay";
@@ -29,10 +30,8 @@
 const pauseMsPerProcess = 30;
 const minPauseMs = 300;
 const maxPauseMs = 1000;
-/** Longest time from one confirmation by the store to the next. */
-const cycleMs = 1800;
-/** The same for a process that reads the store for others; less than `maxRelayedAgeMs`. */
-const readerCycleMs = 1000;
+/** Longest time from one confirmation by the store to the next for a reader; less than `maxRelayedAgeMs`. */
+const maxReaderCycleMs = 1000;
 
 function listLiveReaders(world: ForwardWorld): readonly VmId[] {
     const { members, storeRelay } = world.tables;
@@ -135,11 +134,14 @@
     const pauseMs = hasRelays
         ? minPauseMs
         : Math.min(maxPauseMs, Math.max(minPauseMs, pauseMsPerProcess * members.countLive()));
+    const { drainMs, configurationMs } = world.settings.bounds;
+    const { cycleMs, marginMs } = computeWatchTiming(Math.min(drainMs, configurationMs));
     const effect = {
         kind: "updateStoreSource",
         relay: source !== undefined && relay !== undefined ? { vm: source, address: relay } : undefined,
         pauseMs,
-        cycleMs: hasRelays ? readerCycleMs : cycleMs,
+        cycleMs: hasRelays ? Math.min(maxReaderCycleMs, cycleMs) : cycleMs,
+        marginMs,
     } as const;
     const requestedSource = JSON.stringify(effect);
     if (requestedSource === storeRelay.requestedSource) {
--- a/test/forward/platform.test.ts
+++ b/test/forward/platform.test.ts
@@ -3,7 +3,9 @@
 import { platformHeaders } from "../../platform/headers";
 import { createStoreFeed } from "../../platform/storeFeed";
 import { createKeepAliveAgent } from "../../src/adapters/httpClient";
+import type { ForwardEvent } from "../../src/forward/events";
 import { toCacheSalt, toWeightsVersion } from "../../src/forward/ids";
+import { computeWatchTiming } from "../../src/forward/policy/watchTiming";
 import { toMillis, toTargetId } from "../../src/ids";
 import { startPlatformStore } from "../../standins/platformStore";
 
@@ -159,7 +161,7 @@
                     post: () => undefined,
                     requestChanges: () => Promise.reject(new Error("no relay is set")),
                 });
-                feed.updateSource({ relay: undefined, pauseMs: 1000, cycleMs: 1800 });
+                feed.updateSource({ relay: undefined, pauseMs: 1000, cycleMs: 1800, marginMs: 700 });
                 feed.start();
                 const changes = setInterval(() => {
                     store.put("op/other", {});
@@ -175,6 +177,36 @@
         10_000,
     );
 
+    // Guards against DRAIN and CONFIG: a change that a lost answer carried was known only 2.6 s later.
+    it("knows a change within the bound of 2 s, with room, when the answer that carried it never came", async () => {
+        const store = await startPlatformStore();
+        const events: ForwardEvent[] = [];
+        const feed = createStoreFeed({
+            access: { address: store.address, agent: createKeepAliveAgent(), timeoutMs: 500 },
+            clock: { getNow: () => toMillis(performance.now()) },
+            post: event => {
+                events.push(event);
+            },
+            requestChanges: () => Promise.reject(new Error("no relay is set")),
+        });
+        feed.updateSource({ relay: undefined, pauseMs: 300, ...computeWatchTiming(2000) });
+        feed.start();
+        await vi.waitUntil(() => events.some(({ kind }) => kind === "publishedRead"));
+        store.faults.mode = "silent";
+        await vi.waitUntil(() => events.some(({ kind }) => kind === "publishedChanged"), { timeout: 3000 });
+        const changedAt = performance.now();
+        store.put("op/version/m", { model: "m", version: 2 });
+        setTimeout(() => {
+            store.faults.mode = "none";
+        }, 600);
+        const isKnown = (): boolean =>
+            events.some(event => event.kind === "publishedChanged" && event.changes.weights.length > 0);
+        await vi.waitUntil(isKnown, { timeout: 5000 });
+        expect(performance.now() - changedAt).toBeLessThan(0.85 * 2000);
+        feed.stop();
+        await store.close();
+    });
+
     it("detects within 1.5 s that an unresponsive store is back", async () => {
         const store = await startPlatformStore();
         const events: { readonly kind: string; readonly at: number; }[] = [];
--- a/test/forward/storeRelay.test.ts
+++ b/test/forward/storeRelay.test.ts
@@ -222,7 +222,7 @@
             },
             requestChanges: (_address, after) => answerCall(after),
         });
-        feed.updateSource({ relay, pauseMs: 300, cycleMs: 1000 });
+        feed.updateSource({ relay, pauseMs: 300, cycleMs: 1000, marginMs: 300 });
         feed.start();
         const stop = async (): Promise<void> => {
             feed.stop();
