--- a/standins/platformHttp.ts
+++ b/standins/platformHttp.ts
@@ -34,9 +34,14 @@
     return text === "" ? undefined : JSON.parse(text);
 }
 
-export function sendAnswer(response: http.ServerResponse, status: number, body: unknown): void {
+export function sendAnswer(
+    response: http.ServerResponse,
+    status: number,
+    body: unknown,
+    headers: http.OutgoingHttpHeaders = {},
+): void {
     if (!response.destroyed) {
-        response.writeHead(status, { "content-type": "application/json" });
+        response.writeHead(status, { "content-type": "application/json", ...headers });
         response.end(JSON.stringify(body));
     }
 }
--- a/standins/platformStore.ts
+++ b/standins/platformStore.ts
@@ -26,6 +26,14 @@
     mode: "none" | "busy" | "reset" | "silent" | "lost";
 }
 
+/** Contents of the store at one time. */
+export interface PlatformStoreCopy {
+    readonly items: readonly Item[];
+    readonly changes: readonly Change[];
+    readonly leases: readonly number[];
+    readonly revision: number;
+}
+
 export interface PlatformStore {
     readonly address: string;
     readonly faults: PlatformStoreFaults;
@@ -37,6 +45,10 @@
     list(prefix: string): readonly { readonly key: string; readonly value: string; }[];
     /** Drops the change history: watches from an earlier revision get 410, so the watcher must read the range again. */
     compact(): void;
+    /** Copies the contents, from which `restore` can bring the store back. */
+    copy(): PlatformStoreCopy;
+    /** Loses everything since the copy: revisions go back, newer leases are gone, and the era rises by one. */
+    restore(copy: PlatformStoreCopy): void;
     close(): Promise<void>;
 }
 
@@ -65,6 +77,11 @@
     let revision = 1;
     let compactedRevision = 0;
     let nextLease = 1;
+    let era = 1;
+
+    function sendStoreAnswer(response: http.ServerResponse, status: number, body: unknown): void {
+        sendAnswer(response, status, body, { "Store-Era": String(era) });
+    }
 
     function recordChange(key: string, item: Item | undefined): void {
         if (item) {
@@ -141,14 +158,14 @@
     function answerWatch(url: URL, response: http.ServerResponse): void {
         const prefix = url.searchParams.get("prefix") ?? "";
         const after = Number(url.searchParams.get("after"));
-        if (after < compactedRevision) {
-            sendAnswer(response, 410, {});
+        if (after < compactedRevision || after > revision) {
+            sendStoreAnswer(response, 410, {});
             return;
         }
         const answer = (): void => {
             pendingWatches.delete(check);
             clearTimeout(timer);
-            sendAnswer(response, 200, { "events": encodeChanges(prefix, after), "as-of": revision });
+            sendStoreAnswer(response, 200, { "events": encodeChanges(prefix, after), "as-of": revision });
         };
         const check = (): void => {
             if (encodeChanges(prefix, after).length > 0) {
@@ -173,31 +190,31 @@
             "kv-range": () => {
                 const prefix = url.searchParams.get("prefix") ?? "";
                 const matchingItems = [...items.values()].filter(item => item.key.startsWith(prefix)).map(encodeItem);
-                sendAnswer(response, 200, { "items": matchingItems, "truncated": false, "as-of": revision });
+                sendStoreAnswer(response, 200, { "items": matchingItems, "truncated": false, "as-of": revision });
             },
             "kv-watch": () => {
                 answerWatch(url, response);
             },
             "kv-txn": () => {
                 const result = runTransaction(body as TransactionBody);
-                sendAnswer(response, result.status, result.body);
+                sendStoreAnswer(response, result.status, result.body);
             },
             "kv-lease": () => {
                 const ttlMs = (body as { readonly "ttl-ms": number; })["ttl-ms"];
                 const lease = nextLease;
                 nextLease += 1;
                 startLease(lease, ttlMs);
-                sendAnswer(response, 200, { lease, "ttl-ms": ttlMs });
+                sendStoreAnswer(response, 200, { lease, "ttl-ms": ttlMs });
             },
             "kv-keep": () => {
                 const activeLease = leases.get(Number(id));
                 if (activeLease) {
                     startLease(Number(id), activeLease.ttlMs);
                 }
-                sendAnswer(response, activeLease ? 200 : 404, activeLease ? { "ttl-ms": activeLease.ttlMs } : {});
+                sendStoreAnswer(response, activeLease ? 200 : 404, activeLease ? { "ttl-ms": activeLease.ttlMs } : {});
             },
             "kv-lease-end": () => {
-                sendAnswer(response, endLease(Number(id)) ? 200 : 404, {});
+                sendStoreAnswer(response, endLease(Number(id)) ? 200 : 404, {});
             },
         };
         handlers[name]?.();
@@ -205,7 +222,7 @@
 
     const server = http.createServer((request, response) => {
         if (faults.mode === "busy") {
-            sendAnswer(response, 503, {});
+            sendStoreAnswer(response, 503, {});
             return;
         }
         if (faults.mode === "reset") {
@@ -243,6 +260,21 @@
             compactedRevision = revision + 1;
             revision += 1;
         },
+        copy: () => ({ items: [...items.values()], changes, leases: [...leases.keys()], revision }),
+        restore: copy => {
+            era += 1;
+            revision = copy.revision;
+            changes = [...copy.changes];
+            items.clear();
+            copy.items.forEach(item => items.set(item.key, item));
+            for (const [lease, { timer }] of leases) {
+                if (!copy.leases.includes(lease)) {
+                    clearTimeout(timer);
+                    leases.delete(lease);
+                }
+            }
+            answerWatches();
+        },
         close: async () => {
             leases.forEach(({ timer }) => {
                 clearTimeout(timer);
