Bind each revision of the store to the era in which it was given

After the store had come back from an older copy, a process went on watching from a revision of the lost history. Followers behind a reader had the same through its history.

Every position that is kept, compared or passed on is now era and revision together: in the feed, in the reader's history, in the calls of followers and their answers. An answer of any call that names a newer era has the whole store read again; one of an older era counts as a failure. Processes that know no eras leave the field out and are served as before.

--- a/src/adapters/httpClient.ts
+++ b/src/adapters/httpClient.ts
@@ -17,6 +17,7 @@
 export interface HttpAnswer {
     readonly status: number;
     readonly text: string;
+    readonly headers: http.IncomingHttpHeaders;
 }
 
 /** Error of an HTTP call. `mayHaveBeenSent` is true when the request may have reached the server. */
@@ -91,7 +92,8 @@
             response.on("end", () => {
                 clearTimeout(timer);
                 if (response.complete) {
-                    resolve({ status: response.statusCode ?? 0, text: Buffer.concat(chunks).toString("utf8") });
+                    const text = Buffer.concat(chunks).toString("utf8");
+                    resolve({ status: response.statusCode ?? 0, text, headers: response.headers });
                 }
                 else {
                     handleError(new Error("The connection closed before the answer was complete."));
--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -11,9 +11,10 @@
 import { type CallId, toCallId } from "../../ids";
 import type { ForwardEffectOf } from "../effects";
 import type { ForwardEvent } from "../events";
+import { toStoreEra } from "../ids";
 import type { PeerState } from "../peers";
 import type { RequestChanges } from "../ports";
-import type { RelayAnswer } from "../storeChanges";
+import type { RelayAnswer, RelayedChanges, StorePosition } from "../storeChanges";
 import { startListening } from "./frontServer";
 
 /** Timeout of a call, on both sides; a failed call is retried at the next exchange. */
@@ -60,6 +61,8 @@
                 revision: z.number(),
             })).max(maxChanges),
             revision: z.number(),
+            /** Absent from processes that do not know eras, as in calls. */
+            era: z.number().default(0),
             confirmedAgeMs: z.number().min(0),
             reachableMs: z.number().min(0),
             rowsMayReturnMs: z.number().min(0).optional(),
@@ -72,8 +75,25 @@
 interface PeerContext {
     /** Applies the caller's state and returns the state of this process. */
     readonly exchangeState: (state: PeerState) => Promise<PeerState>;
-    /** Waits for changes of the store after the revision. */
-    readonly waitForChanges: (after: number) => Promise<RelayAnswer>;
+    /** Waits for changes of the store after the position. */
+    readonly waitForChanges: (after: StorePosition) => Promise<RelayAnswer>;
+}
+
+/** Older processes read the revision and know no era, so the two are separate fields on the wire. */
+function encodeRelayAnswer(answer: RelayAnswer): z.input<typeof relayAnswerSchema> {
+    if (answer.kind !== "changes") {
+        return answer;
+    }
+    const { position, items, ...ages } = answer.changes;
+    return { kind: "changes", changes: { items: [...items], ...position, ...ages } };
+}
+
+function decodeRelayAnswer(answer: z.output<typeof relayAnswerSchema>): RelayAnswer {
+    if (answer.kind !== "changes") {
+        return answer;
+    }
+    const { era, revision, ...changes } = answer.changes;
+    return { kind: "changes", changes: { ...changes, position: { era: toStoreEra(era), revision } } as RelayedChanges };
 }
 
 const { router, procedure } = initTRPC.context<PeerContext>().create();
@@ -82,8 +102,8 @@
     exchange: procedure.input(stateSchema).mutation(({ ctx, input }) =>
         ctx.exchangeState(input as unknown as PeerState)
     ),
-    changes: procedure.input(z.object({ after: z.number() })).query(({ ctx, input }) =>
-        ctx.waitForChanges(input.after)
+    changes: procedure.input(z.object({ after: z.number(), era: z.number().default(0) })).query(({ ctx, input }) =>
+        ctx.waitForChanges({ era: toStoreEra(input.era), revision: input.after }).then(encodeRelayAnswer)
     ),
 });
 
@@ -233,11 +253,12 @@
             pendingStates.answer(call, state);
         },
         requestChanges: async (peer, after) => {
-            const answer = relayAnswerSchema.safeParse(await getClient(peer).changes.query({ after }));
+            const { era, revision } = after;
+            const answer = relayAnswerSchema.safeParse(await getClient(peer).changes.query({ after: revision, era }));
             if (!answer.success) {
                 throw new Error("The answer of the store reader is invalid.");
             }
-            return answer.data as RelayAnswer;
+            return decodeRelayAnswer(answer.data);
         },
         answerRelayCall: ({ call, answer }) => {
             pendingChanges.answer(call, answer);
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -15,7 +15,7 @@
 import type { ForwardDocument, RegisteredTarget } from "./document";
 import type { PartId, WeightsVersion } from "./ids";
 import type { PeerState } from "./peers";
-import type { RelayedChanges, StoreItem } from "./storeChanges";
+import type { RelayedChanges, StoreItem, StorePosition } from "./storeChanges";
 
 /** Purpose of a store call, by which its reply reaches the right system. */
 export type ForwardStorePurpose =
@@ -52,8 +52,8 @@
     readonly undecodableKeys: readonly string[];
     /** The changes as the store sent them; empty after a read of the whole store. */
     readonly items: readonly StoreItem[];
-    /** Revision of the store up to which the changes reach. */
-    readonly revision: number;
+    /** Position in the store's history up to which the changes reach. */
+    readonly position: StorePosition;
 }
 
 export type ForwardEvent =
@@ -131,8 +131,8 @@
     | { readonly kind: "storeReplied"; readonly purpose: ForwardStorePurpose; readonly outcome: StoreOutcome; }
     /* peers */
     | { readonly kind: "peerCallReceived"; readonly call: CallId; readonly state: PeerState; }
-    /** Another process requests the store's changes after a revision. */
-    | { readonly kind: "relayCallReceived"; readonly call: CallId; readonly after: number; }
+    /** Another process requests the store's changes after a position in its history. */
+    | { readonly kind: "relayCallReceived"; readonly call: CallId; readonly after: StorePosition; }
     | {
         readonly kind: "peerReplied";
         readonly vm: VmId;
--- a/src/forward/ids.ts
+++ b/src/forward/ids.ts
@@ -12,8 +12,12 @@
 /** Key of a cached part: salt and part id. */
 export type CachedPartKey = Branded<string, "CachedPartKey">;
 
+/** Number of times that the store has come back from an older copy; a revision identifies nothing without it. */
+export type StoreEra = Branded<number, "StoreEra">;
+
 export const toServiceId = (value: string): ServiceId => value as ServiceId;
 export const toWeightsVersion = (value: number): WeightsVersion => value as WeightsVersion;
 export const toPartId = (value: string): PartId => value as PartId;
+export const toStoreEra = (value: number): StoreEra => value as StoreEra;
 export const toCacheSalt = (value: string): CacheSalt => value as CacheSalt;
 export const toCachedPartKey = (salt: CacheSalt, part: PartId): CachedPartKey => `${salt}/${part}` as CachedPartKey;
--- a/src/forward/ports.ts
+++ b/src/forward/ports.ts
@@ -3,7 +3,7 @@
 import type { HeaderCodec } from "./calls";
 import type { ForwardEffectOf } from "./effects";
 import type { ForwardEvent } from "./events";
-import type { RelayAnswer } from "./storeChanges";
+import type { RelayAnswer, StorePosition } from "./storeChanges";
 
 export interface StorePort {
     /** Starts to read and watch the store; its contents and failures are posted as events. */
@@ -31,8 +31,8 @@
     readonly post: (event: ForwardEvent) => void;
 }
 
-/** Requests the store's changes after a revision from another process; rejects when it gives no usable answer. */
-export type RequestChanges = (address: string, after: number) => Promise<RelayAnswer>;
+/** Requests the store's changes after a position from another process; rejects when it gives no usable answer. */
+export type RequestChanges = (address: string, after: StorePosition) => Promise<RelayAnswer>;
 
 export interface PlatformPorts {
     readonly headers: HeaderCodec;
--- a/src/forward/storeChanges.ts
+++ b/src/forward/storeChanges.ts
@@ -1,4 +1,15 @@
 /** Changes of the store as one process passes them on to others. */
+import type { StoreEra } from "./ids";
+
+/** Point in the history of the store. Revisions of two eras can't be compared. */
+export interface StorePosition {
+    readonly era: StoreEra;
+    readonly revision: number;
+}
+
+/** True when the first position is not before the second one. */
+export const isAtOrAfter = (position: StorePosition, other: StorePosition): boolean =>
+    position.era === other.era ? position.revision >= other.revision : position.era > other.era;
 
 /** A key of the store as it was written, or its removal. */
 export interface StoreItem {
@@ -14,8 +25,8 @@
 /** Changes that a store reader passes on, with the age of what it knows. */
 export interface RelayedChanges {
     readonly items: readonly StoreItem[];
-    /** Revision of the store up to which the changes reach. */
-    readonly revision: number;
+    /** Position in the store's history up to which the changes reach. */
+    readonly position: StorePosition;
     /** Milliseconds since the store last confirmed the reader's state. */
     readonly confirmedAgeMs: number;
     /** Milliseconds for which the store has answered the reader without interruption. */
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -10,6 +10,7 @@
     rolloutLeaderKey,
 } from "../codec/fleetRows";
 import type { FleetRow, ForwardEventOf, ForwardTick, PublishedChanges, TargetChange } from "../events";
+import type { StoreEra } from "../ids";
 import { computeRowReturnMs } from "../policy/rowReturn";
 import { addPublishedWeights, getNewestWeights } from "../tables/configuration";
 import type { ForwardWorld } from "../world";
@@ -47,7 +48,7 @@
     });
 }
 
-function applyWeights(world: ForwardWorld, tick: ForwardTick, { weights, revision }: PublishedChanges): void {
+function applyWeights(world: ForwardWorld, tick: ForwardTick, { weights, position }: PublishedChanges): void {
     const { configuration, node } = world.tables;
     for (const { model, version } of weights) {
         const newest = getNewestWeights(configuration, model);
@@ -59,14 +60,15 @@
             publishedAt: addMillis(tick.now, node.isStoreUnread ? -assumedWeightsAgeMs : 0),
             isPublishTimeKnown: !node.isStoreUnread,
         });
-        logInfo(world.effects, "place:", "New weights were published.", { model, version, revision });
+        logInfo(world.effects, "place:", "New weights were published.", { model, version, ...position });
     }
 }
 
 /** How this process learned of a change, for its log line. */
 interface ChangeSource {
     readonly learnedFrom: "read" | "watch" | "reader";
-    /** Revision of the store up to which the delivery reaches. */
+    /** Position in the store's history up to which the delivery reaches. */
+    readonly era: StoreEra;
     readonly revision: number;
 }
 
@@ -215,11 +217,11 @@
     for (const key of changes.undecodableKeys) {
         logWarning(world.effects, "store:", "A row of the store cannot be read and is ignored.", {
             key,
-            revision: changes.revision,
+            ...changes.position,
         });
     }
     for (const change of changes.targets) {
-        applyTarget(world, tick, change, { learnedFrom, revision: changes.revision });
+        applyTarget(world, tick, change, { learnedFrom, ...changes.position });
     }
     for (const row of changes.rows) {
         applyFleetRow(world, tick, row);
@@ -231,7 +233,7 @@
     const { targets, members, node, quarantine } = world.tables;
     const names = new Set(changes.targets.map(change => change.name));
     for (const name of targets.listNames().filter(registered => !names.has(registered))) {
-        applyTarget(world, tick, { name, target: undefined }, { learnedFrom: "read", revision: changes.revision });
+        applyTarget(world, tick, { name, target: undefined }, { learnedFrom: "read", ...changes.position });
     }
     const keys = new Set(changes.rows.map(row => row.key));
     for (const vm of members.listVms().filter(member => !keys.has(`${memberPrefix}${member}`))) {
--- a/src/forward/systems/relayStore.ts
+++ b/src/forward/systems/relayStore.ts
@@ -8,7 +8,7 @@
 import type { ForwardTick } from "../events";
 import { chooseReader, listReaders } from "../policy/storeReaders";
 import { computeWatchTiming } from "../policy/watchTiming";
-import type { RelayAnswer } from "../storeChanges";
+import { isAtOrAfter, type RelayAnswer } from "../storeChanges";
 import { computeStoreAgeMs } from "../tables/node";
 import type { RelayCall } from "../tables/storeRelay";
 import type { ForwardWorld } from "../world";
@@ -53,10 +53,14 @@
     if (node.storeReachableSince === undefined || ageMs >= maxRelayedAgeMs) {
         return { kind: "unavailable", reason: "outdated" };
     }
-    if (history.startRevision === undefined || after < history.startRevision) {
+    if (after.era > history.position.era) {
+        return { kind: "unavailable", reason: "outdated" };
+    }
+    const isBeforeHistory = history.startRevision === undefined || after.revision < history.startRevision;
+    if (after.era < history.position.era || isBeforeHistory) {
         return { kind: "readStore" };
     }
-    const items = history.listAfter(after);
+    const items = history.listAfter(after.revision);
     if (items.some(({ value = "" }) => value.length > maxRelayedValueLength)) {
         return { kind: "readStore" };
     }
@@ -67,7 +71,7 @@
         kind: "changes",
         changes: {
             items,
-            revision: Math.max(after, history.revision),
+            position: isAtOrAfter(after, history.position) ? after : history.position,
             confirmedAgeMs: ageMs,
             reachableMs: tick.now - node.storeReachableSince,
             rowsMayReturnMs: Math.max(0, node.rowsMayReturnUntil - tick.now),
@@ -78,10 +82,10 @@
 function recordChanges(world: ForwardWorld, tick: ForwardTick): void {
     const { history } = world.tables.storeRelay;
     for (const { changes } of tick.events.list("publishedRead")) {
-        history.restart(changes.revision);
+        history.restart(changes.position);
     }
     for (const { changes } of tick.events.list("publishedChanged")) {
-        history.add(changes.items, changes.revision);
+        history.add(changes.items, changes.position);
     }
 }
 
--- a/src/forward/tables/storeRelay.ts
+++ b/src/forward/tables/storeRelay.ts
@@ -1,23 +1,25 @@
 /** Changes of the store that this process passes on, calls of other processes for them, and where it reads itself. */
 import type { CallId, Millis, VmId } from "../../ids";
-import type { StoreItem } from "../storeChanges";
+import { toStoreEra } from "../ids";
+import type { StoreItem, StorePosition } from "../storeChanges";
 
-/** Call of another process for changes after a revision, which waits for one. */
+/** Call of another process for changes after a position, which waits for one. */
 export interface RelayCall {
     readonly call: CallId;
-    readonly after: number;
+    readonly after: StorePosition;
     readonly answerAt: Millis;
 }
 
 export interface StoreHistory {
-    /** Revision after which all changes are kept; undefined before the first read of the store. */
+    /** Revision after which all changes of the era are kept; undefined before the first read of the store. */
     readonly startRevision: number | undefined;
-    /** Revision up to which the changes reach. */
-    readonly revision: number;
-    /** Forgets all changes; those after `revision` are added from now on. */
-    restart(revision: number): void;
-    add(items: readonly StoreItem[], revision: number): void;
-    /** Changes after the given revision, oldest first. */
+    /** Position up to which the changes reach. */
+    readonly position: StorePosition;
+    /** Forgets all changes; those after the position are added from now on. */
+    restart(position: StorePosition): void;
+    /** Adds changes of the era in which the history was started; others are ignored. */
+    add(items: readonly StoreItem[], position: StorePosition): void;
+    /** Changes of the era after the given revision, oldest first. */
     listAfter(revision: number): readonly StoreItem[];
 }
 
@@ -40,23 +42,28 @@
 /** Creates a history without changes. */
 export function createStoreHistory(): StoreHistory {
     let startRevision: number | undefined;
+    let era = toStoreEra(0);
     let revision = 0;
     let items: StoreItem[] = [];
     return {
         get startRevision() {
             return startRevision;
         },
-        get revision() {
-            return revision;
+        get position() {
+            return { era, revision };
         },
-        restart: newRevision => {
-            startRevision = newRevision;
-            revision = newRevision;
+        restart: position => {
+            era = position.era;
+            startRevision = position.revision;
+            revision = position.revision;
             items = [];
         },
-        add: (added, newRevision) => {
+        add: (added, position) => {
+            if (position.era !== era) {
+                return;
+            }
             items.push(...added.filter(item => item.revision > revision));
-            revision = Math.max(revision, newRevision);
+            revision = Math.max(revision, position.revision);
             if (items.length > maxKeptItems) {
                 // All changes of one revision are dropped together, since readers continue after a revision.
                 startRevision = items[items.length - maxKeptItems - 1]?.revision ?? revision;
--- a/test/forward/restoredStore.test.ts
+++ b/test/forward/restoredStore.test.ts
@@ -3,6 +3,7 @@
 import { createStoreFeed } from "../../platform/storeFeed";
 import { createKeepAliveAgent } from "../../src/adapters/httpClient";
 import type { ForwardEvent } from "../../src/forward/events";
+import { toStoreEra } from "../../src/forward/ids";
 import { computeWatchTiming } from "../../src/forward/policy/watchTiming";
 import { toMillis } from "../../src/ids";
 import { startPlatformStore } from "../../standins/platformStore";
@@ -32,7 +33,7 @@
         feed.stop();
         await store.close();
     };
-    return { store, events, hasVersion, stop };
+    return { store, feed, events, hasVersion, stop };
 }
 
 describe("the feed of a store that was restored", () => {
@@ -49,4 +50,16 @@
         await stop();
         expect(isKnown).toBe(true);
     });
+
+    // Guards against a restore between two watch calls that only the answer to a renewal or a write shows.
+    it("reads the store again when the answer to another call names the new era", async () => {
+        const { store, feed, hasVersion, stop } = await startFeed();
+        store.put("op/version/m", { model: "m", version: 3 });
+        await vi.waitUntil(() => hasVersion(3), { timeout: boundMs });
+        const reads = store.calls.get("kv-range") ?? 0;
+        feed.recordEra(toStoreEra(2));
+        // The stand-in is still in its first era, so its next answers come from a history that is taken for lost.
+        await vi.waitUntil(() => (store.calls.get("kv-range") ?? 0) > reads, { timeout: boundMs });
+        await stop();
+    });
 });
--- a/test/forward/storeRelay.test.ts
+++ b/test/forward/storeRelay.test.ts
@@ -5,13 +5,14 @@
 import { createKeepAliveAgent } from "../../src/adapters/httpClient";
 import type { ForwardEvent } from "../../src/forward/events";
 import { chooseReader, computeReaderCount, listReaders } from "../../src/forward/policy/storeReaders";
-import type { RelayAnswer, StoreItem } from "../../src/forward/storeChanges";
+import type { RelayAnswer, StoreItem, StorePosition } from "../../src/forward/storeChanges";
 import { createStoreHistory } from "../../src/forward/tables/storeRelay";
 import { toCallId, toMillis, toVmId } from "../../src/ids";
 import { startPlatformStore } from "../../standins/platformStore";
 import {
     buildDocument,
     buildMemberRows,
+    buildPosition,
     buildTarget,
     createForwardTestNode,
     type ForwardTestNode,
@@ -62,7 +63,7 @@
     listEffects(effects, "updateStoreSource").at(-1)?.relay?.vm;
 
 function requestChanges(node: ForwardTestNode, after: number): RelayAnswer | undefined {
-    const effects = node.run([{ kind: "relayCallReceived", call: toCallId("c"), after }]);
+    const effects = node.run([{ kind: "relayCallReceived", call: toCallId("c"), after: buildPosition(after) }]);
     return listEffects(effects, "answerRelayCall")[0]?.answer;
 }
 
@@ -90,9 +91,12 @@
     it("answer a waiting call when the store delivers a change, with the changes after its revision", async () => {
         const node = await startReader();
         expect(requestChanges(node, 1)).toBeUndefined();
-        const change = node.buildChangeEvent({ items: [buildItem(7)], revision: 7 });
+        const change = node.buildChangeEvent({ items: [buildItem(7)], position: buildPosition(7) });
         const answer = listEffects(node.run([change], 100), "answerRelayCall")[0]?.answer;
-        expect(answer).toMatchObject({ kind: "changes", changes: { items: [{ key: "key-7" }], revision: 7 } });
+        expect(answer).toMatchObject({
+            kind: "changes",
+            changes: { items: [{ key: "key-7" }], position: buildPosition(7) },
+        });
         expect(requestChanges(node, 7)).toBeUndefined();
     });
 
@@ -122,8 +126,8 @@
         const node = await startReader();
         node.suspend(5000);
         expect(requestChanges(node, 1)).toEqual({ kind: "unavailable", reason: "outdated" });
-        node.run([node.buildChangeEvent({ items: [buildItem(9)], revision: 9 })]);
-        expect(requestChanges(node, 1)).toMatchObject({ kind: "changes", changes: { revision: 9 } });
+        node.run([node.buildChangeEvent({ items: [buildItem(9)], position: buildPosition(9) })]);
+        expect(requestChanges(node, 1)).toMatchObject({ kind: "changes", changes: { position: buildPosition(9) } });
     });
 
     it("pass nothing on while the store does not answer them", async () => {
@@ -135,7 +139,7 @@
     it("send a caller to the store for a large value, or for changes before their first read", async () => {
         const node = await startReader();
         expect(requestChanges(node, 0)).toEqual({ kind: "readStore" });
-        node.run([node.buildChangeEvent({ items: [buildItem(5, "A".repeat(20_000))], revision: 5 })]);
+        node.run([node.buildChangeEvent({ items: [buildItem(5, "A".repeat(20_000))], position: buildPosition(5) })]);
         expect(requestChanges(node, 1)).toEqual({ kind: "readStore" });
         expect(requestChanges(node, 5)).toBeUndefined();
     });
@@ -145,24 +149,40 @@
     });
 });
 
+describe("processes that read a restored store for others", () => {
+    // Guards against CONFIG behind a reader: revisions of two eras were compared with each other.
+    it("send a caller of an older era to the store, and one of a newer era to it as well", async () => {
+        const node = await startReader();
+        node.run([node.buildReadEvent({ position: buildPosition(1, 2) })], 100);
+        const request = (era: number): RelayAnswer | undefined => {
+            const after = buildPosition(900, era);
+            const effects = node.run([{ kind: "relayCallReceived", call: toCallId("c"), after }]);
+            return listEffects(effects, "answerRelayCall")[0]?.answer;
+        };
+        expect(request(1)).toEqual({ kind: "readStore" });
+        expect(request(3)).toEqual({ kind: "unavailable", reason: "outdated" });
+        expect(request(2)).toBeUndefined();
+    });
+});
+
 describe("history of the store's changes", () => {
     it("keeps a bounded number of changes and whole revisions", () => {
         const history = createStoreHistory();
-        history.restart(10);
+        history.restart(buildPosition(10));
         for (let revision = 11; revision < 5011; revision += 1) {
-            history.add([buildItem(revision), buildItem(revision)], revision);
+            history.add([buildItem(revision), buildItem(revision)], buildPosition(revision));
         }
         const start = history.startRevision ?? 0;
         expect(history.listAfter(start).length).toBeLessThanOrEqual(2048);
         expect(history.listAfter(start)[0]?.revision).toBe(start + 1);
-        expect(history.revision).toBe(5010);
+        expect(history.position).toEqual(buildPosition(5010));
     });
 
     it("adds a change only once when it is delivered again", () => {
         const history = createStoreHistory();
-        history.restart(1);
-        history.add([buildItem(2)], 2);
-        history.add([buildItem(2), buildItem(3)], 3);
+        history.restart(buildPosition(1));
+        history.add([buildItem(2)], buildPosition(2));
+        history.add([buildItem(2), buildItem(3)], buildPosition(3));
         expect(history.listAfter(1).map(({ revision }) => revision)).toEqual([2, 3]);
     });
 });
@@ -211,7 +231,7 @@
 describe("feed of the platform's store with a relay", () => {
     const relay = { vm: toVmId("front-9"), address: "127.0.0.1:1" };
 
-    async function startFeed(answerCall: (after: number) => Promise<RelayAnswer>) {
+    async function startFeed(answerCall: (after: StorePosition) => Promise<RelayAnswer>) {
         const store = await startPlatformStore();
         const events: ForwardEvent[] = [];
         const feed = createStoreFeed({
@@ -248,13 +268,13 @@
         const asked: number[] = [];
         const value = Buffer.from(JSON.stringify({ model: "m", version: 3 })).toString("base64");
         const { events, stop } = await startFeed(async after => {
-            asked.push(after);
+            asked.push(after.revision);
             await new Promise(resolve => setTimeout(resolve, 20));
             const isFirst = asked.length === 1;
             const item = { key: "op/version/m", value, createRevision: 40, revision: 40 };
             const changes = {
                 items: isFirst ? [item] : [],
-                revision: isFirst ? 40 : 12,
+                position: buildPosition(isFirst ? 40 : 12, 1),
                 confirmedAgeMs: 5,
                 reachableMs: 9,
             };
--- a/test/support/forwardNode.ts
+++ b/test/support/forwardNode.ts
@@ -8,9 +8,10 @@
 import type { ForwardDocument, ForwardRoute, RegisteredTarget } from "../../src/forward/document";
 import type { ForwardEffect, ForwardEffectOf } from "../../src/forward/effects";
 import { createForwardBatch, type FleetRow, type ForwardEvent, type PublishedChanges } from "../../src/forward/events";
-import { toPartId, toServiceId, toWeightsVersion } from "../../src/forward/ids";
+import { toPartId, toServiceId, toStoreEra, toWeightsVersion } from "../../src/forward/ids";
 import type { PeerState } from "../../src/forward/peers";
 import { parseForwardSettings } from "../../src/forward/settings";
+import type { StorePosition } from "../../src/forward/storeChanges";
 import { forwardSystems } from "../../src/forward/systems";
 import { createForwardTables } from "../../src/forward/tables";
 import type { ForwardWorld } from "../../src/forward/world";
@@ -137,6 +138,9 @@
     };
 }
 
+/** Position in the first era of the store, in which test processes start. */
+export const buildPosition = (revision: number, era = 1): StorePosition => ({ era: toStoreEra(era), revision });
+
 const noChanges: PublishedChanges = {
     document: undefined,
     weights: [],
@@ -144,7 +148,7 @@
     rows: [],
     undecodableKeys: [],
     items: [],
-    revision: 1,
+    position: buildPosition(1),
 };
 
 export interface ForwardTestNode {
