Keep what is newer than a restored copy of the store

Callers would have been sent to the few processes whose rows are in the copy.

Configurations and weights were already ordered by their own versions; a test now shows that an older one is ignored and the next one taken although its revision is lower.

--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -1,6 +1,6 @@
 /** Applies what operators, targets and other processes publish in the store. */
 import { logInfo, logWarning } from "../../effects";
-import { addMillis } from "../../ids";
+import { addMillis, type TargetId, toMillis } from "../../ids";
 import {
     decodeMember,
     decodeOrder,
@@ -16,6 +16,7 @@
 import type { ForwardWorld } from "../world";
 import { closeForwardTarget } from "./closeTarget";
 import { confirmRecordedCrash } from "./followCrashes";
+import { isCopyOutdated, recordReadPosition } from "./restoredStore";
 import { confirmRegistrations, hasAnnouncedDeparture, recordDeparture, recordRemoval } from "./targetDepartures";
 import { endBackOff, expectLoading } from "./targetHealth";
 import { applyQuarantineRow } from "./updateQuarantine";
@@ -72,6 +73,21 @@
     readonly revision: number;
 }
 
+/**
+ * A target that left by deleting its row may stand in a restored copy again. It is not used until the time has passed in
+ * which such rows are deleted again, unless it registers in the new era.
+ */
+function updateRemoval(world: ForwardWorld, tick: ForwardTick, id: TargetId, { learnedFrom }: ChangeSource): void {
+    const { departures, node, targets } = world.tables;
+    const row = targets.get(id);
+    if (row && learnedFrom !== "read") {
+        row.removedAt = undefined;
+    }
+    else if (row && isCopyOutdated(world, tick) && departures.get(id)) {
+        row.removedAt = node.copyOutdatedUntil;
+    }
+}
+
 function applyTarget(
     world: ForwardWorld,
     tick: ForwardTick,
@@ -88,6 +104,7 @@
         const wasLeaving = current?.registration.isLeaving;
         const hasNewWeights = [...target.weights].some(([model, version]) => current?.weights.get(model) !== version);
         const replaced = targets.apply(name, target, tick.now);
+        updateRemoval(world, tick, target.id, source);
         if (replaced) {
             closeForwardTarget(world, replaced);
             confirmRecordedCrash(world, tick, replaced.registration.id, "it registered as a new run");
@@ -148,6 +165,16 @@
     }
 }
 
+/** Removes members that did not register again in the restored store. */
+function removeMissingMembers(world: ForwardWorld, tick: ForwardTick): void {
+    const { members } = world.tables;
+    for (const [vm, until] of tick.due.has("missingMember") ? [...members.missingUntil] : []) {
+        if (tick.now >= until) {
+            applyFleetRow(world, tick, { key: `${memberPrefix}${vm}`, value: undefined, createRevision: 0 });
+        }
+    }
+}
+
 function removeMissingTargets(world: ForwardWorld, tick: ForwardTick): void {
     for (const name of tick.due.listKeys("missingTarget")) {
         const row = world.tables.targets.findByName(name);
@@ -237,6 +264,11 @@
     }
     const keys = new Set(changes.rows.map(row => row.key));
     for (const vm of members.listVms().filter(member => !keys.has(`${memberPrefix}${member}`))) {
+        if (isCopyOutdated(world, tick)) {
+            members.missingUntil.set(vm, node.copyOutdatedUntil);
+            world.timers.schedule({ name: "missingMember", at: node.copyOutdatedUntil, key: vm });
+            continue;
+        }
         applyFleetRow(world, tick, { key: `${memberPrefix}${vm}`, value: undefined, createRevision: 0 });
     }
     for (
@@ -260,7 +292,7 @@
         reportMs: targetReportMs,
         contactMs,
     });
-    node.rowsMayReturnUntil = addMillis(tick.now, rowReturnMs);
+    node.rowsMayReturnUntil = toMillis(Math.max(node.copyOutdatedUntil, addMillis(tick.now, rowReturnMs)));
     logInfo(world.effects, "store:", "The store answers again.", { outageMs: Math.round(outageMs), rowReturnMs });
 }
 
@@ -306,6 +338,7 @@
         node.storeReachableSince = undefined;
     }
     for (const { changes, confirmedAt } of tick.events.list("publishedRead")) {
+        recordReadPosition(world, tick, changes.position);
         recordStoreContact(world, tick, confirmedAt);
         applyChanges(world, tick, changes, "read");
         removeUnpublished(world, tick, changes);
@@ -319,5 +352,6 @@
         applyChanges(world, tick, changes, reader ? "reader" : "watch");
     }
     removeMissingTargets(world, tick);
+    removeMissingMembers(world, tick);
     confirmRegistrations(world, tick);
 }
--- a/src/forward/tables/members.ts
+++ b/src/forward/tables/members.ts
@@ -1,5 +1,5 @@
 /** Processes of the fleet, from their rows in the store. */
-import type { DataCentreId, VmId } from "../../ids";
+import type { DataCentreId, Millis, VmId } from "../../ids";
 
 export interface ForwardMemberRow {
     readonly vm: VmId;
@@ -16,6 +16,8 @@
     list(): readonly ForwardMemberRow[];
     apply(row: ForwardMemberRow): void;
     remove(vm: VmId): void;
+    /** Members whose rows a restored store lacks, with the time of their removal unless they register again. */
+    readonly missingUntil: Map<VmId, Millis>;
     listVms(): readonly VmId[];
     countLive(): number;
     /** Increases with each change of a row; what is computed from the rows holds until then. */
@@ -25,6 +27,7 @@
 /** Creates an empty table. */
 export function createForwardMembersTable(): ForwardMembersTable {
     const rows = new Map<VmId, ForwardMemberRow>();
+    const missingUntil = new Map<VmId, Millis>();
     let revision = 0;
     let liveCount = 0;
 
@@ -39,11 +42,14 @@
         },
         get: vm => rows.get(vm),
         list: () => [...rows.values()],
+        missingUntil,
         apply: row => {
+            missingUntil.delete(row.vm);
             rows.set(row.vm, row);
             recordChange();
         },
         remove: vm => {
+            missingUntil.delete(vm);
             rows.delete(vm);
             recordChange();
         },
--- a/src/forward/tables/node.ts
+++ b/src/forward/tables/node.ts
@@ -1,5 +1,6 @@
 /** State of this process: life cycle, contact with the store, lease and rollout leadership. */
 import type { LeaseId, Millis } from "../../ids";
+import { type StoreEra, toStoreEra } from "../ids";
 
 /** The lease of this process in the store. */
 export interface ForwardLease {
@@ -51,6 +52,12 @@
      * that this process or its reader saw; 0 when there was none. A start is no outage.
      */
     rowsMayReturnUntil: Millis;
+    /** Era of the store at its last full read; 0 before the first one. */
+    storeEra: StoreEra;
+    /** Time at which this process noticed that the store was restored from an older copy; 0 when it was not. */
+    storeRestoredAt: Millis;
+    /** Time until which rows of the restored store may be older than what this process knows; 0 when there are none. */
+    copyOutdatedUntil: Millis;
     readonly lease: ForwardLease;
     isRegistered: boolean;
     readonly rolloutLeadership: RolloutLeadership;
@@ -71,6 +78,9 @@
         storeWallAnsweredAt: 0,
         storeFailedAt: 0 as Millis,
         rowsMayReturnUntil: 0 as Millis,
+        storeEra: toStoreEra(0),
+        storeRestoredAt: 0 as Millis,
+        copyOutdatedUntil: 0 as Millis,
         lease: {
             id: undefined,
             validUntil: 0 as Millis,
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -33,6 +33,7 @@
     | "storeReader"
     | "streamMove"
     | "targetReports"
+    | "missingMember"
     | "missingTarget"
     | "vmList"
     | "watchRetry";
--- a/test/forward/restoredStore.test.ts
+++ b/test/forward/restoredStore.test.ts
@@ -5,8 +5,19 @@
 import type { ForwardEvent } from "../../src/forward/events";
 import { toStoreEra } from "../../src/forward/ids";
 import { computeWatchTiming } from "../../src/forward/policy/watchTiming";
-import { toMillis } from "../../src/ids";
+import { isWorking } from "../../src/forward/tables/targets";
+import { toCallId, toDataCentreId, toMillis } from "../../src/ids";
 import { startPlatformStore } from "../../standins/platformStore";
+import {
+    buildDocument,
+    buildMemberRows,
+    buildPosition,
+    buildTarget,
+    createForwardTestNode,
+    createGrantingStore,
+    type ForwardTestNode,
+    listEffects,
+} from "../support/forwardNode";
 
 /** The shortest bound of all deployments on changes of configurations and targets. */
 const boundMs = 2000;
@@ -36,6 +47,78 @@
     return { store, feed, events, hasVersion, stop };
 }
 
+const targets = ["e1", "e2"].map(name => ({ name, target: buildTarget(name) }));
+const vms = ["front-1", "front-2", "front-3"];
+
+/** Starts `front-1` of a fleet of three, which has read the store in its first era. */
+async function startNode(): Promise<ForwardTestNode> {
+    const node = await createForwardTestNode("front-1");
+    node.run([]);
+    const event = node.buildReadEvent({
+        document: buildDocument({ version: 5 }),
+        targets,
+        rows: buildMemberRows(vms),
+        position: buildPosition(40),
+    });
+    node.runFor(20, createGrantingStore(node.getNow), [event]);
+    return node;
+}
+
+/** Full read of the store in its second era, without member rows and without the second target unless given. */
+const buildRestoredRead = (
+    node: ForwardTestNode,
+    changes: Parameters<ForwardTestNode["buildReadEvent"]>[0] = {},
+): ForwardEvent =>
+    node.buildReadEvent({
+        document: buildDocument({ version: 3 }),
+        targets: targets.slice(0, 1),
+        position: buildPosition(30, 2),
+        ...changes,
+    });
+
+function listAddresses(node: ForwardTestNode): readonly string[] {
+    const event = { kind: "addressesRequested", call: toCallId("c"), dataCentre: toDataCentreId("dc-0") } as const;
+    return listEffects(node.run([event]), "answerAddresses")[0]?.addresses ?? [];
+}
+
+const listTargetNames = (node: ForwardTestNode): readonly string[] =>
+    node.world.tables.targets.list().filter(row => isWorking(row, toMillis(node.getNow())))
+        .map(({ registration }) => registration.instance);
+
+describe("a process whose store was restored", () => {
+    it("keeps the configuration in force, and takes the next one although its revision is lower", async () => {
+        const node = await startNode();
+        node.run([buildRestoredRead(node)], 100);
+        expect(node.world.tables.configuration.version).toBe(5);
+        const document = buildDocument({ version: 6 });
+        node.run([node.buildChangeEvent({ document, position: buildPosition(31, 2) })], 100);
+        expect(node.world.tables.configuration.version).toBe(6);
+    });
+
+    // Guards against a directory that sends all callers to one process, and against engines that are all gone at once.
+    it("keeps members and targets that the copy lacks until they have had time to register again", async () => {
+        const node = await startNode();
+        node.run([buildRestoredRead(node)], 100);
+        expect(listTargetNames(node)).toEqual(["e1", "e2"]);
+        expect(listAddresses(node)).toEqual(expect.arrayContaining(["front-2:1", "front-3:1"]));
+        const member = buildMemberRows(["front-2"]);
+        node.run([node.buildChangeEvent({ rows: member, position: buildPosition(31, 2) })], 500);
+        node.run([], 1600);
+        expect(node.world.tables.members.listVms()).toEqual(["front-2"]);
+        expect(listTargetNames(node)).toEqual(["e1"]);
+    });
+
+    // Guards against DRAIN: a target that had left stood in the copy again and got requests.
+    it("does not use a target that left unless it registers again in the new era", async () => {
+        const node = await startNode();
+        node.run([node.buildChangeEvent({ targets: [{ name: "e2", target: undefined }] })], 3000);
+        node.run([buildRestoredRead(node, { targets })], 500);
+        expect(listTargetNames(node)).toEqual(["e1"]);
+        node.run([node.buildChangeEvent({ targets: targets.slice(1), position: buildPosition(31, 2) })], 500);
+        expect(listTargetNames(node)).toEqual(["e1", "e2"]);
+    });
+});
+
 describe("the feed of a store that was restored", () => {
     // Guards against CONFIG: a watch from a revision that was given out again misses the change and gets no 410.
     it("learns of a change whose revision it has seen before the store was restored", async () => {
