Write own rows again after the store was restored

A process whose lease stood in the copy and whose member row did not went on renewing the lease and stayed out of the directory; quarantines that the copy lacked were dropped by all processes, so that engines could crash under the same part again.

In a new era a process takes a new lease and registers under it; what hangs on its old lease lapses. It keeps the quarantines that the copy lacks and writes them again within a second, unless another process was quicker. Records of orders need not be written again: whoever leads next waits for the guard time.

Left open: a quarantine that an operator cleared after the copy is in force again until it ends.

--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -19,7 +19,7 @@
 import { isCopyOutdated, recordReadPosition } from "./restoredStore";
 import { confirmRegistrations, hasAnnouncedDeparture, recordDeparture, recordRemoval } from "./targetDepartures";
 import { endBackOff, expectLoading } from "./targetHealth";
-import { applyQuarantineRow } from "./updateQuarantine";
+import { applyQuarantineRow, writeQuarantinesAgain } from "./updateQuarantine";
 
 /** Assumed age of a version that is found at the start of the process, until a peer reports when it was published. */
 const assumedWeightsAgeMs = 6500;
@@ -271,6 +271,9 @@
         }
         applyFleetRow(world, tick, { key: `${memberPrefix}${vm}`, value: undefined, createRevision: 0 });
     }
+    if (isCopyOutdated(world, tick)) {
+        writeQuarantinesAgain(world, tick, keys);
+    }
     for (
         const { part } of quarantine.list().filter(row => row.isStored && !keys.has(`${quarantinePrefix}${row.part}`))
     ) {
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -43,11 +43,11 @@
     requestStore(world, { for: "lease", step: "renew" }, { kind: "renewLease", lease: lease.id });
 }
 
-function removeLease(world: ForwardWorld): void {
+function removeLease(world: ForwardWorld, reason: string): void {
     const { node } = world.tables;
     node.lease.id = undefined;
     node.isRegistered = false;
-    releaseLeadership(world, "The lease expired.");
+    releaseLeadership(world, reason);
 }
 
 function releaseLeadership(world: ForwardWorld, reason: string): void {
@@ -71,7 +71,7 @@
         logWarning(world.effects, "member:", "The lease has expired in the store; a new one is requested.", {
             lease: lease.id,
         });
-        removeLease(world);
+        removeLease(world, "The lease expired.");
         return;
     }
     const ttlMs = answer.ttlSeconds * 1000;
@@ -204,9 +204,12 @@
         world.timers.subscribe({ name: "leaseRenewal", everyMs: renewIntervalMs }, tick.now);
     }
     handleReplies(world, tick);
-    const isFirstRead = !node.isStoreUnread && node.lease.id === undefined
+    if (node.storeRestoredAt === tick.now) {
+        removeLease(world, "The store was restored from an older copy.");
+    }
+    const hasReadStore = !node.isStoreUnread && node.lease.id === undefined
         && tick.events.list("publishedRead").length > 0;
-    if (tick.due.has("leaseRenewal") || isFirstRead) {
+    if (tick.due.has("leaseRenewal") || hasReadStore) {
         requestLease(world, tick);
     }
     if (!node.isStoreUnread) {
--- a/src/forward/systems/updateQuarantine.ts
+++ b/src/forward/systems/updateQuarantine.ts
@@ -196,6 +196,21 @@
     logInfo(world.effects, "quarantine:", "Quarantine was read from the store.", { part, offences, endsInMs });
 }
 
+/** Longest time after a restore within which a process writes missing quarantines again; most are written by then. */
+const maxRewriteDelayMs = 1000;
+
+/** Has quarantines written again that a restored store lacks; `keys` are those that it has. */
+export function writeQuarantinesAgain(world: ForwardWorld, tick: ForwardTick, keys: ReadonlySet<string>): void {
+    const missing = world.tables.quarantine.list().filter(({ part }) => !keys.has(`${quarantinePrefix}${part}`));
+    for (const row of missing) {
+        row.isStored = false;
+    }
+    if (missing.length > 0) {
+        const at = addMillis(tick.now, world.random() * maxRewriteDelayMs);
+        world.timers.schedule({ name: "quarantineWrite", at });
+    }
+}
+
 function applyReplies(world: ForwardWorld, tick: ForwardTick): void {
     for (const { purpose, outcome: { result } } of tick.events.list("storeReplied")) {
         if (purpose.for !== "quarantine") {
--- a/test/forward/restoredStore.test.ts
+++ b/test/forward/restoredStore.test.ts
@@ -2,8 +2,10 @@
 import { describe, expect, it, vi } from "vitest";
 import { createStoreFeed } from "../../platform/storeFeed";
 import { createKeepAliveAgent } from "../../src/adapters/httpClient";
+import { encodeQuarantine, quarantinePrefix } from "../../src/forward/codec/fleetRows";
+import type { ForwardEffect } from "../../src/forward/effects";
 import type { ForwardEvent } from "../../src/forward/events";
-import { toStoreEra } from "../../src/forward/ids";
+import { toPartId, toStoreEra } from "../../src/forward/ids";
 import { computeWatchTiming } from "../../src/forward/policy/watchTiming";
 import { isWorking } from "../../src/forward/tables/targets";
 import { toCallId, toDataCentreId, toMillis } from "../../src/ids";
@@ -119,6 +121,35 @@
     });
 });
 
+describe("rows that a process wrote and a restored store lacks", () => {
+    const listWrites = (effects: readonly ForwardEffect[]): readonly string[] =>
+        listEffects(effects, "callStore").flatMap(({ call }) =>
+            call.kind === "transaction"
+                ? call.success.flatMap(({ kind, ...rest }) => "key" in rest ? [rest.key] : [])
+                : []
+        );
+
+    // Guards against a process whose lease is in the copy and whose row is not: it renewed on and stayed unlisted.
+    it("are written again once: the member row, under a new lease", async () => {
+        const node = await startNode();
+        const grant = createGrantingStore(node.getNow);
+        const effects = node.runFor(3000, grant, [buildRestoredRead(node)]);
+        expect(listEffects(effects, "callStore").filter(({ call }) => call.kind === "grantLease")).toHaveLength(1);
+        expect(listWrites(effects).filter(key => key === "marjoramvane/members/front-1")).toHaveLength(1);
+    });
+
+    // Guards against engines that crash again under a part which the fleet had in quarantine.
+    it("are written again, and obeyed meanwhile: quarantined parts", async () => {
+        const node = await startNode();
+        const value = encodeQuarantine({ part: toPartId("p"), endsAt: node.getWallNow() + 60_000, offences: 1 });
+        const row = { key: `${quarantinePrefix}p`, value, createRevision: 41 };
+        node.run([node.buildChangeEvent({ rows: [row], position: buildPosition(41) })]);
+        const effects = node.runFor(2000, createGrantingStore(node.getNow), [buildRestoredRead(node)]);
+        expect(node.world.tables.quarantine.get(toPartId("p"))).toBeDefined();
+        expect(listWrites(effects).filter(key => key === row.key)).toHaveLength(1);
+    });
+});
+
 describe("the feed of a store that was restored", () => {
     // Guards against CONFIG: a watch from a revision that was given out again misses the change and gets no 410.
     it("learns of a change whose revision it has seen before the store was restored", async () => {
