Order fencing tokens by the era of the store, and lead anew after a restore

The fencing token of the rollout leader is a revision.

A token is now the era times 2^32 plus the revision. The answer to a claim or to the record of an order counts only if it names the era that the process knows.

--- a/src/forward/storeChanges.ts
+++ b/src/forward/storeChanges.ts
@@ -7,6 +7,15 @@
     readonly revision: number;
 }
 
+/** Revisions of one era that fencing tokens can tell apart; a store of 1,000 writes a second takes 50 days for them. */
+const revisionsPerEra = 2 ** 32;
+
+/**
+ * Fencing token of a row that was created at the position. Tokens grow from era to era, as engines may have seen tokens
+ * of an era whose revisions are given out again.
+ */
+export const computeFencingToken = ({ era, revision }: StorePosition): number => era * revisionsPerEra + revision;
+
 /** True when the first position is not before the second one. */
 export const isAtOrAfter = (position: StorePosition, other: StorePosition): boolean =>
     position.era === other.era ? position.revision >= other.revision : position.era > other.era;
--- a/src/forward/systems/placeWeights.ts
+++ b/src/forward/systems/placeWeights.ts
@@ -227,7 +227,10 @@
             continue;
         }
         const { result } = outcome;
-        const isRecorded = result.ok && result.val.kind === "transaction" && result.val.succeeded;
+        const { storeEra } = world.tables.node;
+        // A record of another era stands in a history in which this process holds no leadership.
+        const isRecorded = result.ok && result.val.kind === "transaction" && result.val.succeeded
+            && (result.val.era ?? storeEra) === storeEra;
         if (isRecorded && canOrder(world, tick) && !isWithinGuardTime(world, tick, purpose.target)) {
             sendOrder(world, tick, target, rollout);
         }
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -1,9 +1,10 @@
 /** Renews the lease of this process, writes its member row, and acquires and releases the rollout leadership. */
 import { logInfo, logWarning } from "../../effects";
-import { addMillis, type LeaseId, type Millis } from "../../ids";
+import { addMillis, type LeaseId, type Millis, toMillis } from "../../ids";
 import type { StoreAnswer, StoreCall, StoreOutcome } from "../../store";
 import { encodeMember, memberPrefix, rolloutLeaderKey } from "../codec/fleetRows";
 import type { ForwardStorePurpose, ForwardTick } from "../events";
+import { computeFencingToken } from "../storeChanges";
 import { isForwardLeaseValid } from "../tables/node";
 import type { ForwardWorld } from "../world";
 
@@ -160,14 +161,17 @@
             leadership.state = "none";
             return;
         }
-        if (!isForwardLeaseValid(lease, tick.now, tick.wallNow)) {
+        const era = result.val.era ?? node.storeEra;
+        if (!isForwardLeaseValid(lease, tick.now, tick.wallNow) || era !== node.storeEra) {
             leadership.state = "none";
             return;
         }
         leadership.state = "held";
-        leadership.fencingToken = result.val.revision;
-        // Orders that were recorded before this process first read the store may be unknown to it.
-        leadership.orderNotBefore = addMillis(node.storeFirstReadAt, computeLeaderGuardMs(world));
+        leadership.fencingToken = computeFencingToken({ era: node.storeEra, revision: result.val.revision });
+        // Orders that were recorded before this process first read the store, or that a restored store has lost, may be
+        // unknown to it.
+        const knownSince = toMillis(Math.max(node.storeFirstReadAt, node.storeRestoredAt));
+        leadership.orderNotBefore = addMillis(knownSince, computeLeaderGuardMs(world));
         world.timers.schedule({ name: "rollout", at: tick.now });
         logInfo(world.effects, "place:", "Acquired the rollout leadership.", { fencing: leadership.fencingToken });
     },
--- a/src/store.ts
+++ b/src/store.ts
@@ -47,6 +47,8 @@
         readonly kind: "transaction";
         readonly succeeded: boolean;
         readonly revision: number;
+        /** Era of the store in which the revision was given; absent when the store names none. */
+        readonly era?: number;
         /** Rows read by the range operations of the executed branch, in order. */
         readonly reads: readonly (readonly StoreRow[])[];
     }
--- a/test/forward/restoredStore.test.ts
+++ b/test/forward/restoredStore.test.ts
@@ -1,11 +1,12 @@
 /** What processes do when the store comes back from an older copy, in which revisions are given out again. */
+import { Ok } from "ts-results";
 import { describe, expect, it, vi } from "vitest";
 import { createStoreFeed } from "../../platform/storeFeed";
 import { createKeepAliveAgent } from "../../src/adapters/httpClient";
 import { encodeQuarantine, quarantinePrefix } from "../../src/forward/codec/fleetRows";
 import type { ForwardEffect } from "../../src/forward/effects";
 import type { ForwardEvent } from "../../src/forward/events";
-import { toPartId, toStoreEra } from "../../src/forward/ids";
+import { toPartId, toStoreEra, toWeightsVersion } from "../../src/forward/ids";
 import { computeWatchTiming } from "../../src/forward/policy/watchTiming";
 import { isWorking } from "../../src/forward/tables/targets";
 import { toCallId, toDataCentreId, toMillis } from "../../src/ids";
@@ -19,6 +20,7 @@
     createGrantingStore,
     type ForwardTestNode,
     listEffects,
+    model,
 } from "../support/forwardNode";
 
 /** The shortest bound of all deployments on changes of configurations and targets. */
@@ -150,6 +152,39 @@
     });
 });
 
+describe("the rollout leader of a fleet whose store was restored", () => {
+    /** Weights that an engine does not have, and the engine's report when it is asked for one. */
+    const weights = [{ model, version: toWeightsVersion(2) }];
+    const answerReport = (effect: ForwardEffect): readonly ForwardEvent[] =>
+        effect.kind === "readEngine"
+            ? [{
+                kind: "engineReported",
+                target: effect.target,
+                report: Ok({ weights: new Map([[model, toWeightsVersion(1)]]), isBusy: false, acceptedOrderCount: 0 }),
+            }]
+            : [];
+
+    // Guards against ONE: the old leader and a new one ordered at once, and the new one under a lower fencing token,
+    // since revisions had gone back.
+    it("orders nothing for the guard time, and then under a higher fencing token", async () => {
+        const node = await startNode();
+        const grant = createGrantingStore(node.getNow);
+        const answer = (effect: ForwardEffect): readonly ForwardEvent[] => [...grant(effect), ...answerReport(effect)];
+        const first = node.runFor(5000, answer, [node.buildChangeEvent({ weights })]);
+        const tokenBefore = listEffects(first, "orderWeights").at(-1)?.order.fencingToken ?? Infinity;
+        const lowRevisions = createGrantingStore(node.getNow, 10);
+        const answerAgain = (effect: ForwardEffect): readonly ForwardEvent[] => [
+            ...lowRevisions(effect),
+            ...answerReport(effect),
+        ];
+        const restored = buildRestoredRead(node, { weights, targets });
+        expect(listEffects(node.runFor(3200, answerAgain, [restored]), "orderWeights")).toEqual([]);
+        const orders = listEffects(node.runFor(4000, answerAgain), "orderWeights");
+        expect(orders.length).toBeGreaterThan(0);
+        expect(Math.min(...orders.map(({ order }) => order.fencingToken))).toBeGreaterThan(tokenBefore);
+    });
+});
+
 describe("the feed of a store that was restored", () => {
     // Guards against CONFIG: a watch from a revision that was given out again misses the change and gets no 410.
     it("learns of a change whose revision it has seen before the store was restored", async () => {
--- a/test/support/forwardNode.ts
+++ b/test/support/forwardNode.ts
@@ -250,11 +250,12 @@
 ): readonly ForwardEffectOf<Kind>[] =>
     effects.filter((effect): effect is ForwardEffectOf<Kind> => effect.kind === kind);
 
-/** Creates an effect handler that answers each store call with success and a new revision. */
+/** Creates an effect handler that answers each store call with success and a new revision, from 100 on by default. */
 export function createGrantingStore(
     getNow: () => number,
+    firstRevision = 100,
 ): (effect: ForwardEffect) => readonly ForwardEvent[] {
-    let revision = 100;
+    let revision = firstRevision;
     return effect => {
         if (effect.kind !== "callStore") {
             return [];
