Take only addresses that a connection can be made to

Deep nesting and numbers that are too large were rejected already. A port out of range or an address that is none was taken for a target's address, so each request that chose the target threw in the client and waited for its deadline; the same holds for addresses in the settings and in configurations of the completions mode.

One predicate checks all of them: an IP address and a port from 1 to 65535.

--- a/src/cli/operatorClient.ts
+++ b/src/cli/operatorClient.ts
@@ -1,6 +1,7 @@
 /** Client for the operators' address of a process; prints the outcome of each call. */
 import { z } from "zod";
 import { HttpCallError, sendHttpCall } from "../adapters/httpClient";
+import { isIpAndPort } from "../config/address";
 import {
     type CommandInvocation,
     type CommandIo,
@@ -15,7 +16,6 @@
 
 /** Timeout of a call; longer than a process takes to respond to any command. */
 const timeoutMs = 15_000;
-const addressPattern = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/;
 
 export const keyVariable = "MARJORAMVANE_OPERATOR_KEY";
 
@@ -40,7 +40,7 @@
 /** Address from `--address`. */
 export function getAddress({ values }: CommandInvocation): string {
     const address = getRequiredOption(values, "address");
-    if (!addressPattern.test(address)) {
+    if (!isIpAndPort(address)) {
         throw new UsageError("--address: expected IP:PORT");
     }
     return address;
--- a/src/config/document.ts
+++ b/src/config/document.ts
@@ -2,10 +2,10 @@
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
 import type { AccountId, DataCentreId, KeyHash, ModelId, ModelVersion, RouteId, TargetId } from "../ids";
+import { ipAndPort as address } from "./address";
 
 const id = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, "expected 1 to 64 letters, digits, dots, dashes");
 const keyHash = z.string().regex(/^[0-9a-f]{64}$/, "expected a SHA-256 hash in hexadecimal");
-const address = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, "expected IP:PORT");
 const tokens = z.number().int().positive();
 
 const accountSchema = z.strictObject({
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -2,10 +2,10 @@
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
 import type { DataCentreId, VmId } from "../ids";
+import { ipAndPort } from "./address";
 import { type Fault, listSchemaFaults } from "./document";
 import { parseTomlText } from "./files";
 
-const ipAndPort = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, "expected IP:PORT");
 const milliseconds = z.number().int().positive();
 
 const settingsSchema = z.strictObject({
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -1,11 +1,11 @@
 /** Settings of one process in the forwarding mode, read from a TOML file. */
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
+import { ipAndPort } from "../config/address";
 import { type Fault, listSchemaFaults } from "../config/document";
 import { parseTomlText } from "../config/files";
 import type { DataCentreId, VmId } from "../ids";
 
-const ipAndPort = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "expected IP:PORT");
 const milliseconds = z.number().positive();
 
 const settingsSchema = z.strictObject({
