Refuse requests that end after the exit of a leaving process

Report of another operator: in a planned stop, requests that came late in the grace period were taken and cut at its end without an answer, among them such that may not be repeated (LOST). A leaving process admitted every request for 0.35 of the grace period, whatever its route allowed; at 8 s of grace one with a time limit of 7 s that came after 2.4 s could be cut at 7.44 s.

Requests other than streams are refused as not run when their deadline is after the exit, so that the caller goes to another process at once. Streams are held to the last admission as before: at least 0.58 of the grace period is left to them, and most end long before their limits. In completions mode a process exits only after its requests have ended (test/drain.test.ts), so it cannot happen there.

--- a/src/forward/systems/admitRequests.ts
+++ b/src/forward/systems/admitRequests.ts
@@ -1,6 +1,6 @@
 /** Admits or refuses arriving requests: checks configuration, route, key and rate limit, and sets the deadline. */
 import { type LogFields, logInfo, logWarning } from "../../effects";
-import { addMillis } from "../../ids";
+import { addMillis, type Millis } from "../../ids";
 import { type RefusalCode } from "../../refusals";
 import type { ForwardArrival } from "../calls";
 import type { ForwardAccount, ForwardRoute } from "../document";
@@ -8,7 +8,7 @@
 import type { ServiceId } from "../ids";
 import type { ForwardRequestRow } from "../tables/requests";
 import type { ForwardWorld } from "../world";
-import { isAdmitting } from "./drainNode";
+import { canFinish, isAdmitting } from "./drainNode";
 import { recordServiceLoad } from "./requestLimits";
 import { reserveTokens } from "./reserveTokens";
 import { findQuarantine } from "./updateQuarantine";
@@ -39,6 +39,10 @@
 const computeTokens = (arrival: ForwardArrival, account: ForwardAccount | undefined): number =>
     arrival.hasTokenCounts ? arrival.promptTokens + arrival.maxOutputTokens : account?.defaultRequestTokens ?? 0;
 
+/** The end of the caller's time limit or of the route's timeout, whichever is earlier. */
+const computeDeadline = (arrival: ForwardArrival, route: ForwardRoute): Millis =>
+    addMillis(arrival.arrivedAt, Math.min(arrival.callerTimeoutMs ?? route.timeoutMs, route.timeoutMs));
+
 function checkAdmission(world: ForwardWorld, tick: ForwardTick, arrival: ForwardArrival): Decision {
     const { configuration } = world.tables;
     const { document } = configuration;
@@ -55,6 +59,9 @@
     if (arrival.attemptId === undefined) {
         return refuse("bad_request");
     }
+    if (!canFinish(world, route.kind, computeDeadline(arrival, route))) {
+        return refuse("draining", drainingRetryAfterSeconds);
+    }
     const account = arrival.keyHash === undefined ? undefined : configuration.findAccount(arrival.keyHash);
     if (!account && document.needsKeys && !route.isOpen) {
         return refuse(arrival.keyHash === undefined ? "key_missing" : "key_unknown");
@@ -89,7 +96,6 @@
     arrival: ForwardArrival,
     { account, route }: Extract<Decision, { readonly kind: "admit"; }>,
 ): ForwardRequestRow {
-    const waitMs = Math.min(arrival.callerTimeoutMs ?? route.timeoutMs, route.timeoutMs);
     return {
         id: arrival.request,
         arrival,
@@ -98,7 +104,7 @@
         route,
         service: chooseService(world, route),
         tokens: account ? computeTokens(arrival, account) : 0,
-        deadline: addMillis(arrival.arrivedAt, waitMs),
+        deadline: computeDeadline(arrival, route),
         isRepeatable: route.kind === "repeatable" || (route.kind === "stream" && route.isResumable),
         state: "queued",
         attempts: [],
--- a/src/forward/systems/drainNode.ts
+++ b/src/forward/systems/drainNode.ts
@@ -1,6 +1,7 @@
 /** Life cycle of this process: ready, leaving, stopped. */
 import { logInfo, logWarning } from "../../effects";
-import { addMillis } from "../../ids";
+import { addMillis, type Millis } from "../../ids";
+import type { RouteKind } from "../document";
 import type { ForwardTick } from "../events";
 import type { ForwardWorld } from "../world";
 
@@ -107,6 +108,16 @@
     }
 }
 
+/**
+ * True if a request with this deadline ends before the process exits, which interrupts what still runs then. Streams are
+ * not held to their deadlines, which most end long before: the time from the last admission to the exit is enough.
+ */
+export function canFinish(world: ForwardWorld, kind: RouteKind, deadline: Millis): boolean {
+    const { leavingSince } = world.tables.node;
+    const exitAt = addMillis(leavingSince ?? deadline, world.settings.bounds.graceMs * exitFraction);
+    return kind === "stream" || leavingSince === undefined || deadline <= exitAt;
+}
+
 /** True while new requests are admitted. */
 export function isAdmitting(world: ForwardWorld, tick: ForwardTick): boolean {
     const { node } = world.tables;
