Give up a leadership whose claim was not answered

When the answer to a claim was lost, the row of the rollout leader named a process that did not know it was leader. Found while looking for what a restored store can leave behind: a claim that another era answers ends in the same state.

A process that finds its own name in the row without being leader deletes the row, if it is still the one that it read, and then claims as any other. The new test failed before (state none instead of held).

--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -21,7 +21,7 @@
 export type ForwardStorePurpose =
     | { readonly for: "lease"; readonly step: "grant" | "renew" | "end"; }
     | { readonly for: "member"; }
-    | { readonly for: "leadership"; }
+    | { readonly for: "leadership"; readonly step: "claim" | "giveUp"; }
     | { readonly for: "order"; readonly target: TargetId; }
     | { readonly for: "quarantine"; readonly part: PartId; };
 
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -202,7 +202,7 @@
     }
 }
 
-function applyFleetRow(world: ForwardWorld, tick: ForwardTick, { key, value }: FleetRow): void {
+function applyFleetRow(world: ForwardWorld, tick: ForwardTick, { key, value, createRevision }: FleetRow): void {
     const { members, node } = world.tables;
     if (key.startsWith(orderPrefix) && value !== undefined) {
         applyOrder(world, tick, value);
@@ -210,6 +210,7 @@
     }
     if (key === rolloutLeaderKey) {
         node.rolloutLeadership.holder = value;
+        node.rolloutLeadership.holderRevision = createRevision;
         return;
     }
     if (key.startsWith(quarantinePrefix)) {
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -99,6 +99,23 @@
     });
 }
 
+/**
+ * Deletes a row of this process that makes it no leader: the answer to its claim was lost, or came from another era of
+ * the store. The row would last as long as the lease, and nobody could lead meanwhile.
+ */
+function removeOwnClaim(world: ForwardWorld, tick: ForwardTick): void {
+    const { rolloutLeadership: leadership } = world.tables.node;
+    leadership.claimNotBefore = addMillis(tick.now, claimRetryMs);
+    requestStore(world, { for: "leadership", step: "giveUp" }, {
+        kind: "transaction",
+        compare: [{ key: rolloutLeaderKey, modRevision: leadership.holderRevision }],
+        success: [{ kind: "delete", key: rolloutLeaderKey }],
+    });
+    logWarning(world.effects, "place:", "Gave up a leadership whose claim was not answered.", {
+        revision: leadership.holderRevision,
+    });
+}
+
 /**
  * Tries to acquire the rollout leadership when no process holds it. Only live processes do that read the store
  * themselves: they learn first that there is no leader, and a larger fleet has few of them. A leaving leader keeps the
@@ -107,14 +124,19 @@
 function claimLeadership(world: ForwardWorld, tick: ForwardTick, lease: LeaseId): void {
     const { node, storeRelay } = world.tables;
     const { rolloutLeadership: leadership } = node;
-    const isVacant = leadership.state === "none" && leadership.holder === undefined;
     const mayClaim = storeRelay.source === undefined && tick.now >= leadership.claimNotBefore;
-    if (!isVacant || !mayClaim || node.state !== "live") {
+    if (leadership.state !== "none" || !mayClaim || node.state !== "live") {
+        return;
+    }
+    if (leadership.holder === world.settings.vm) {
+        removeOwnClaim(world, tick);
+    }
+    if (leadership.holder !== undefined) {
         return;
     }
     leadership.state = "acquiring";
     leadership.claimNotBefore = addMillis(tick.now, claimRetryMs);
-    requestStore(world, { for: "leadership" }, {
+    requestStore(world, { for: "leadership", step: "claim" }, {
         kind: "transaction",
         compare: [{ key: rolloutLeaderKey, createRevision: 0 }],
         success: [{ kind: "put", key: rolloutLeaderKey, value: world.settings.vm, lease }],
@@ -154,7 +176,10 @@
             world.tables.node.isRegistered = false;
         }
     },
-    leadership: (world, tick, _purpose, { result }) => {
+    leadership: (world, tick, { step }, { result }) => {
+        if (step === "giveUp") {
+            return;
+        }
         const { node } = world.tables;
         const { rolloutLeadership: leadership, lease } = node;
         if (result.err || result.val.kind !== "transaction" || !result.val.succeeded) {
--- a/src/forward/tables/node.ts
+++ b/src/forward/tables/node.ts
@@ -25,6 +25,8 @@
     claimNotBefore: Millis;
     /** VM of the rollout leader according to the store; undefined when there is none. */
     holder: string | undefined;
+    /** Revision of the holder's row, which is never changed after it was created. */
+    holderRevision: number;
 }
 
 export interface ForwardNodeRow {
@@ -95,6 +97,7 @@
             orderNotBefore: 0 as Millis,
             claimNotBefore: 0 as Millis,
             holder: undefined,
+            holderRevision: 0,
         },
     };
 }
--- a/test/forward/leadership.test.ts
+++ b/test/forward/leadership.test.ts
@@ -1,6 +1,7 @@
 /** Acquisition of the rollout leadership. */
-import { Ok } from "ts-results";
+import { Err, Ok } from "ts-results";
 import { describe, expect, it } from "vitest";
+import { rolloutLeaderKey } from "../../src/forward/codec/fleetRows";
 import type { ForwardEffect } from "../../src/forward/effects";
 import type { ForwardEvent } from "../../src/forward/events";
 import { listReaders } from "../../src/forward/policy/storeReaders";
@@ -64,3 +65,35 @@
         expect(listEffects(started.runFor(500, store, failures), "callStore").some(isClaim)).toBe(true);
     });
 });
+
+describe("a leadership whose row this process wrote without knowing it", () => {
+    // Guards against a fleet without a leader for as long as the process lives (VERSION): the answer to its claim was
+    // lost, it keeps the lease of the row, and everybody waits for the row to end.
+    it("is given up, so that it can be acquired again", async () => {
+        const node = await createForwardTestNode("front-1");
+        const grant = createGrantingStore(node.getNow);
+        let claims = 0;
+        const answer = (effect: ForwardEffect): readonly ForwardEvent[] => {
+            if (effect.kind !== "callStore" || effect.purpose.for !== "leadership") {
+                return grant(effect);
+            }
+            claims += 1;
+            const { purpose, call } = effect;
+            const sentAt = toMillis(node.getNow());
+            if (claims === 1) {
+                const row = { key: rolloutLeaderKey, value: "front-1", createRevision: 50 };
+                const failure = Err({ effect: "unknown" as const, message: "The call timed out." });
+                return [
+                    { kind: "storeReplied", purpose, outcome: { result: failure, sentAt } },
+                    node.buildChangeEvent({ rows: [row] }),
+                ];
+            }
+            const isRelease = call.kind === "transaction" && call.success.some(({ kind }) => kind === "delete");
+            const row = { key: rolloutLeaderKey, value: isRelease ? undefined : "front-1", createRevision: 60 };
+            return [...grant(effect), node.buildChangeEvent({ rows: [row] })];
+        };
+        node.run([]);
+        node.runFor(5000, answer, [node.buildReadEvent({ document: buildDocument() })]);
+        expect(node.world.tables.node.rolloutLeadership.state).toBe("held");
+    });
+});
