--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -172,8 +172,22 @@
     },
 };
 
+/** Faults of the store's contents, drawn apart for the same reason. */
+const contentFaultKinds: typeof faultKinds = {
+    "store loses what was written and is written again": ({ store }) => {
+        const copy = store.copy();
+        return () => {
+            const written = ["op/", "servers/"].flatMap(prefix => store.list(prefix));
+            store.restore(copy);
+            written.forEach(({ key, value }) => {
+                store.putText(key, value);
+            });
+        };
+    },
+};
+
 const startFault = (world: SoakWorld, fault: SoakFault): () => void =>
-    (faultKinds[fault.kind] ?? engineFaultKinds[fault.kind])?.(world, fault) ?? endNothing;
+    ({ ...faultKinds, ...engineFaultKinds, ...contentFaultKinds })[fault.kind]?.(world, fault) ?? endNothing;
 
 /** Fraction of a run, at its beginning, in which faults start, so that the recovery can be checked at the end. */
 const faultyFraction = 0.6;
@@ -208,6 +222,10 @@
 export const createEngineFaults = (random: () => number, { durationMs }: SoakWorld, count: number): SoakFault[] =>
     createFaultsOf({ random, durationMs, count, kinds: Object.keys(engineFaultKinds) });
 
+/** Draws the faults of the store's contents with a generator of their own. */
+export const createContentFaults = (random: () => number, { durationMs }: SoakWorld, count: number): SoakFault[] =>
+    createFaultsOf({ random, durationMs, count, kinds: Object.keys(contentFaultKinds) });
+
 /** Starts and ends the faults that are due. Skips a fault of a process that another fault already disturbs. */
 export function runFaults(world: SoakWorld): void {
     const now = getSoakTime(world);
