Do not renew departures by reports about what is known

A report is taken for younger than it is by its time on the way. Found on reading the change; the new test failed before.

--- a/src/forward/systems/targetDepartures.ts
+++ b/src/forward/systems/targetDepartures.ts
@@ -65,6 +65,11 @@
     const { node, targets } = world.tables;
     for (const [target, ageMs, isAnnounced] of departures) {
         const at = addMillis(tick.now, -ageMs);
+        // The age of a report grows younger by its time on the way. Known departures are not renewed by it, or processes
+        // would keep them alive for each other.
+        if (isAnnounced && hasAnnouncedDeparture(world, target, tick.now)) {
+            continue;
+        }
         if (isAnnounced) {
             recordDeparture(world, tick, target, { at, source: vm });
             continue;
--- a/test/forward/leavingTargets.test.ts
+++ b/test/forward/leavingTargets.test.ts
@@ -175,6 +175,19 @@
     });
 });
 
+describe("a departure that peers report to each other", () => {
+    // Guards against departures that never end, since each report on its way is taken for a little younger than it is.
+    it("is not renewed by reports about what is known", async () => {
+        const node = await startNode();
+        answerFromFirst(node, { isLeaving: true });
+        for (let second = 1; second <= 12; second += 1) {
+            node.run([], 1000);
+            applyReport(node, [[toTargetId("s1@1"), 10, true]]);
+        }
+        expect(buildReport(node)?.departures).toBeUndefined();
+    });
+});
+
 describe("a removal that a peer reports", () => {
     // Guards against DRAIN: a watch call whose answer is lost delays the removal by more than two seconds.
     it("keeps requests from the target until the store confirms a newer state", async () => {
