Serve processes that know no eras as before, in both directions

In a rolling upgrade a follower without eras was sent to the store with each call, and a follower with eras asked an older reader for the same changes over and over, since its position never advanced. A missing era is now taken for the one of the other side. Both new tests failed before.

--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -11,7 +11,7 @@
 import { type CallId, toCallId } from "../../ids";
 import type { ForwardEffectOf } from "../effects";
 import type { ForwardEvent } from "../events";
-import { toStoreEra } from "../ids";
+import { type StoreEra, toStoreEra, unknownEra } from "../ids";
 import type { PeerState } from "../peers";
 import type { RequestChanges } from "../ports";
 import type { RelayAnswer, RelayedChanges, StorePosition } from "../storeChanges";
@@ -61,8 +61,8 @@
                 revision: z.number(),
             })).max(maxChanges),
             revision: z.number(),
-            /** Absent from processes that do not know eras, as in calls. */
-            era: z.number().default(0),
+            /** Absent from processes that know no eras, as in calls. */
+            era: z.number().optional(),
             confirmedAgeMs: z.number().min(0),
             reachableMs: z.number().min(0),
             rowsMayReturnMs: z.number().min(0).optional(),
@@ -88,11 +88,12 @@
     return { kind: "changes", changes: { items: [...items], ...position, ...ages } };
 }
 
-function decodeRelayAnswer(answer: z.output<typeof relayAnswerSchema>): RelayAnswer {
+/** Decodes an answer; one without an era belongs to that of the call, as it did before there were eras. */
+function decodeRelayAnswer(answer: z.output<typeof relayAnswerSchema>, callEra: StoreEra): RelayAnswer {
     if (answer.kind !== "changes") {
         return answer;
     }
-    const { era, revision, ...changes } = answer.changes;
+    const { era = callEra, revision, ...changes } = answer.changes;
     return { kind: "changes", changes: { ...changes, position: { era: toStoreEra(era), revision } } as RelayedChanges };
 }
 
@@ -102,9 +103,9 @@
     exchange: procedure.input(stateSchema).mutation(({ ctx, input }) =>
         ctx.exchangeState(input as unknown as PeerState)
     ),
-    changes: procedure.input(z.object({ after: z.number(), era: z.number().default(0) })).query(({ ctx, input }) =>
-        ctx.waitForChanges({ era: toStoreEra(input.era), revision: input.after }).then(encodeRelayAnswer)
-    ),
+    changes: procedure.input(z.object({ after: z.number(), era: z.number().default(unknownEra) })).query((
+        { ctx, input },
+    ) => ctx.waitForChanges({ era: toStoreEra(input.era), revision: input.after }).then(encodeRelayAnswer)),
 });
 
 type PeerProcedure = keyof typeof peerRouter["_def"]["procedures"];
@@ -258,7 +259,7 @@
             if (!answer.success) {
                 throw new Error("The answer of the store reader is invalid.");
             }
-            return decodeRelayAnswer(answer.data);
+            return decodeRelayAnswer(answer.data, era);
         },
         answerRelayCall: ({ call, answer }) => {
             pendingChanges.answer(call, answer);
--- a/src/forward/ids.ts
+++ b/src/forward/ids.ts
@@ -19,5 +19,7 @@
 export const toWeightsVersion = (value: number): WeightsVersion => value as WeightsVersion;
 export const toPartId = (value: string): PartId => value as PartId;
 export const toStoreEra = (value: number): StoreEra => value as StoreEra;
+/** Era of processes that know no eras and of stores that name none. */
+export const unknownEra: StoreEra = toStoreEra(0);
 export const toCacheSalt = (value: string): CacheSalt => value as CacheSalt;
 export const toCachedPartKey = (salt: CacheSalt, part: PartId): CachedPartKey => `${salt}/${part}` as CachedPartKey;
--- a/src/forward/systems/relayStore.ts
+++ b/src/forward/systems/relayStore.ts
@@ -6,6 +6,7 @@
 import { logInfo, logWarning } from "../../effects";
 import { addMillis, type VmId } from "../../ids";
 import type { ForwardTick } from "../events";
+import { unknownEra } from "../ids";
 import { chooseReader, listReaders } from "../policy/storeReaders";
 import { computeWatchTiming } from "../policy/watchTiming";
 import { isAtOrAfter, type RelayAnswer } from "../storeChanges";
@@ -57,7 +58,8 @@
         return { kind: "unavailable", reason: "outdated" };
     }
     const isBeforeHistory = history.startRevision === undefined || after.revision < history.startRevision;
-    if (after.era < history.position.era || isBeforeHistory) {
+    const isOfLostHistory = after.era !== unknownEra && after.era < history.position.era;
+    if (isOfLostHistory || isBeforeHistory) {
         return { kind: "readStore" };
     }
     const items = history.listAfter(after.revision);
--- a/src/forward/tables/node.ts
+++ b/src/forward/tables/node.ts
@@ -1,6 +1,6 @@
 /** State of this process: life cycle, contact with the store, lease and rollout leadership. */
 import type { LeaseId, Millis } from "../../ids";
-import { type StoreEra, toStoreEra } from "../ids";
+import { type StoreEra, unknownEra } from "../ids";
 
 /** The lease of this process in the store. */
 export interface ForwardLease {
@@ -80,7 +80,7 @@
         storeWallAnsweredAt: 0,
         storeFailedAt: 0 as Millis,
         rowsMayReturnUntil: 0 as Millis,
-        storeEra: toStoreEra(0),
+        storeEra: unknownEra,
         storeRestoredAt: 0 as Millis,
         copyOutdatedUntil: 0 as Millis,
         lease: {
--- a/src/forward/tables/storeRelay.ts
+++ b/src/forward/tables/storeRelay.ts
@@ -1,6 +1,6 @@
 /** Changes of the store that this process passes on, calls of other processes for them, and where it reads itself. */
 import type { CallId, Millis, VmId } from "../../ids";
-import { toStoreEra } from "../ids";
+import { unknownEra } from "../ids";
 import type { StoreItem, StorePosition } from "../storeChanges";
 
 /** Call of another process for changes after a position, which waits for one. */
@@ -42,7 +42,7 @@
 /** Creates a history without changes. */
 export function createStoreHistory(): StoreHistory {
     let startRevision: number | undefined;
-    let era = toStoreEra(0);
+    let era = unknownEra;
     let revision = 0;
     let items: StoreItem[] = [];
     return {
--- a/test/forward/storeRelay.test.ts
+++ b/test/forward/storeRelay.test.ts
@@ -1,13 +1,16 @@
 /** Reading of the store by a few processes for the others. */
+import * as http from "node:http";
 import { describe, expect, it, vi } from "vitest";
 import { createStoreFeed } from "../../platform/storeFeed";
 import { loadHasher } from "../../src/adapters/hasher";
 import { createKeepAliveAgent } from "../../src/adapters/httpClient";
+import { createPeerLink } from "../../src/forward/adapters/peerLink";
 import type { ForwardEvent } from "../../src/forward/events";
 import { chooseReader, computeReaderCount, listReaders } from "../../src/forward/policy/storeReaders";
 import type { RelayAnswer, StoreItem, StorePosition } from "../../src/forward/storeChanges";
 import { createStoreHistory } from "../../src/forward/tables/storeRelay";
 import { toCallId, toMillis, toVmId } from "../../src/ids";
+import { closeServer, openServer } from "../../standins/platformHttp";
 import { startPlatformStore } from "../../standins/platformStore";
 import {
     buildDocument,
@@ -163,6 +166,32 @@
         expect(request(3)).toEqual({ kind: "unavailable", reason: "outdated" });
         expect(request(2)).toBeUndefined();
     });
+
+    // Guards against a rolling upgrade in which processes that know no eras read the store themselves all the time.
+    it("serve a caller that knows no eras as one of their own era", async () => {
+        const node = await startReader();
+        node.run([node.buildReadEvent({ position: buildPosition(5, 2) })], 100);
+        node.run([node.buildChangeEvent({ items: [buildItem(6)], position: buildPosition(6, 2) })]);
+        const call = { kind: "relayCallReceived", call: toCallId("c"), after: buildPosition(5, 0) } as const;
+        expect(listEffects(node.run([call]), "answerRelayCall")[0]?.answer).toMatchObject({
+            kind: "changes",
+            changes: { items: [{ key: "key-6" }], position: buildPosition(6, 2) },
+        });
+    });
+
+    // Guards against a follower that asks an older reader for the same changes over and over.
+    it("are taken to be of the caller's era when they know none", async () => {
+        const server = http.createServer((_request, response) => {
+            const changes = { items: [], revision: 9, confirmedAgeMs: 1, reachableMs: 1 };
+            response.end(JSON.stringify({ kind: "changes", changes }));
+        });
+        const address = await openServer(server);
+        const link = createPeerLink({ address: "127.0.0.1:1", post: () => undefined });
+        const answer = await link.requestChanges(address, buildPosition(5, 2));
+        expect(answer).toMatchObject({ kind: "changes", changes: { position: buildPosition(9, 2) } });
+        link.close();
+        await closeServer(server);
+    });
 });
 
 describe("history of the store's changes", () => {
