--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -36,24 +36,30 @@
     "ttl_max_s": 5,
 };
 
-async function findFreePort() {
-    const server = net.createServer();
-    await new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(0, "127.0.0.1", resolve);
+/** Ports below the range from which the system takes those of outgoing connections. */
+const firstPort = 11_000;
+const portCount = 20_000;
+let nextPortOffset = (process.pid * 97) % portCount;
+
+function isPortFree(port) {
+    return new Promise(resolve => {
+        const server = net.createServer();
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
     });
-    const { port } = server.address();
-    await new Promise(resolve => server.close(resolve));
-    return port;
 }
 
 /** Free ports; a port is found once only. */
 async function findFreePorts(count) {
-    const ports = new Set();
-    while (ports.size < count) {
-        ports.add(await findFreePort());
+    const ports = [];
+    while (ports.length < count) {
+        const port = firstPort + nextPortOffset;
+        nextPortOffset = (nextPortOffset + 1) % portCount;
+        if (await isPortFree(port)) {
+            ports.push(port);
+        }
     }
-    return [...ports];
+    return ports;
 }
 
 /** Renders the placeholders of the template, of which the project's one uses only plain values. */
@@ -246,6 +252,12 @@
         record(`exit ${code}`);
         process.exit(code);
     }
+    for (const signal of ["SIGTERM", "SIGINT"]) {
+        process.once(signal, () => {
+            record(`the script was ended by ${signal}`);
+            void finish(2);
+        });
+    }
     try {
         record(`trouble ${hasTrouble ? "yes" : "no"}`);
         const isBroken = await run({ record, addCleanup: cleanup => cleanups.push(cleanup) });
