Log which request an unexpected error belonged to and how a response ends early

Failures now carry the ids of their work, both modes log an uncaught error in the same way, and each early end of a response is logged and counted with its framing. No decision changes.

--- a/src/adapters/failures.ts
+++ b/src/adapters/failures.ts
@@ -1,5 +1,5 @@
-/** Reports unexpected errors of systems and effects as log lines and counts. */
-import type { TickFailure } from "../runner";
+/** Reports unexpected errors as log lines and counts. */
+import type { FailureReporter } from "../runner";
 import type { LogWriter } from "./logger";
 import type { Metrics } from "./metrics";
 
@@ -8,9 +8,9 @@
     readonly metrics: Pick<Metrics, "addCount">;
 }
 
-/** Creates the function that a runner calls for each unexpected error. */
+/** Creates the function that is called for each unexpected error that its owner has contained. */
 export const createFailureReporter =
-    ({ writeLog, metrics }: FailureReporterOptions) => ({ part, error }: TickFailure): void => {
+    ({ writeLog, metrics }: FailureReporterOptions): FailureReporter => ({ part, error, fields }) => {
         metrics.addCount({ kind: "addCount", name: "internal_failures_total", value: 1, labels: { part } });
         writeLog({
             kind: "writeLog",
@@ -18,6 +18,7 @@
             prefix: "drain:",
             message: "Unexpected failure; the process goes on.",
             fields: {
+                ...fields,
                 part,
                 error: error instanceof Error ? error.message : String(error),
                 stack: error instanceof Error ? error.stack : undefined,
--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -17,6 +17,7 @@
     quarantines_total: ["reason"],
     requests_without_row_total: [],
     internal_failures_total: ["part"],
+    interrupted_responses_total: ["framing"],
     orders_total: ["outcome"],
 };
 
--- a/src/cli/commands/forward.ts
+++ b/src/cli/commands/forward.ts
@@ -13,6 +13,7 @@
     UsageError,
 } from "../command";
 import { getProcessSignals } from "../signals";
+import { subscribeToUncaughtErrors } from "../uncaughtErrors";
 
 const settingsVariable = "MARJORAMVANE_CONFIG";
 
@@ -48,13 +49,7 @@
             printFaults(io, file, settings.val);
             return exitCodes.invalid;
         }
-        process.on("uncaughtException", error => {
-            // Writes the error as a log line; otherwise the platform's logs would not show why the process ended.
-            io.write(
-                `${JSON.stringify({ level: "error", message: "drain: Unexpected failure.", stack: error.stack })}\n`,
-            );
-            process.exit(exitCodes.failed);
-        });
+        subscribeToUncaughtErrors(io.write);
         return new Promise<ExitCode>((resolve, reject) => {
             const handleExit = (code: number): void => {
                 resolve(code === 0 ? exitCodes.done : exitCodes.failed);
--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -3,6 +3,7 @@
 import { parseSettingsFile } from "../../config/settings";
 import { type Command, type ExitCode, exitCodes, getRequiredOption, printFaults, readTextFile } from "../command";
 import { getProcessSignals } from "../signals";
+import { subscribeToUncaughtErrors } from "../uncaughtErrors";
 
 export const serveCommand: Command = {
     summary: "Runs one process of the router until SIGTERM or SIGINT.",
@@ -15,6 +16,8 @@
             printFaults(io, file, settings.val);
             return exitCodes.invalid;
         }
+        // This mode logs to standard error.
+        subscribeToUncaughtErrors(io.writeError);
         return new Promise<ExitCode>((resolve, reject) => {
             const handleExit = (code: number): void => {
                 resolve(code === 0 ? exitCodes.done : exitCodes.failed);
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -41,7 +41,8 @@
     | "engine_crashes_total"
     | "quarantines_total"
     | "requests_without_row_total"
-    | "internal_failures_total";
+    | "internal_failures_total"
+    | "interrupted_responses_total";
 export type HistogramName = "first_token_ms" | "queue_ms" | "request_ms" | "write_delay_ms";
 
 export type Effect =
--- a/src/forward/adapters/frontServer.ts
+++ b/src/forward/adapters/frontServer.ts
@@ -32,6 +32,17 @@
     readonly openRequests: OpenForwardRequests;
     /** Called for a request that could not be read whole. */
     readonly onIncompleteRequest: (reason: string) => void;
+    /** Called for a response that ends early. */
+    readonly onInterruptedResponse: (response: InterruptedResponse) => void;
+}
+
+/** How a response that ends early was sent until then. */
+export interface InterruptedResponse {
+    readonly request: RequestId;
+    /** What marks the end of the response to its caller: its last chunk, or the close of its connection. */
+    readonly framing: "chunks" | "connection";
+    /** Bytes that the caller's connection has not taken yet. */
+    readonly pendingBytes: number;
 }
 
 export interface FrontServer {
@@ -88,7 +99,7 @@
 
 /** Creates the server for callers. */
 export function createFrontServer(options: FrontServerOptions): FrontServer {
-    const { address, codec, clock, post, openRequests, onIncompleteRequest } = options;
+    const { address, codec, clock, post, openRequests, onIncompleteRequest, onInterruptedResponse } = options;
     let currentMaxBodyBytes = initialMaxBodyBytes;
     let isClosing = false;
 
@@ -171,7 +182,15 @@
             }
         },
         interrupt: ({ request }) => {
-            openRequests.get(request)?.response.destroy();
+            const response = openRequests.get(request)?.response;
+            if (response && !response.destroyed) {
+                onInterruptedResponse({
+                    request,
+                    framing: response.chunkedEncoding ? "chunks" : "connection",
+                    pendingBytes: response.writableLength,
+                });
+                response.destroy();
+            }
         },
         applyLimits: limits => {
             currentMaxBodyBytes = limits.maxBodyBytes;
--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -90,6 +90,13 @@
             const message = "Request could not be read completely.";
             write({ kind: "writeLog", level: "info", prefix: "admit:", message, fields: { reason } });
         },
+        onInterruptedResponse: ({ request, framing, pendingBytes }) => {
+            const name = "interrupted_responses_total";
+            metrics.addCount({ kind: "addCount", name, value: 1, labels: { framing } });
+            const message = "Response ends early.";
+            const fields = { request, framing, pendingBytes };
+            write({ kind: "writeLog", level: "warn", prefix: "stream:", message, fields });
+        },
     });
     const client = createForwardClient({ codec: ports.headers, post, openRequests, isClosing: front.isClosing });
     const peers = createPeerLink({ address: listen.peers, post });
--- a/src/runner.ts
+++ b/src/runner.ts
@@ -4,6 +4,7 @@
     type EffectHandlers,
     type EffectQueue,
     type HandlersOf,
+    type LogFields,
     runEffects,
     type WithKind,
 } from "./effects";
@@ -29,13 +30,22 @@
     tick: { readonly number: number; readonly events: number; readonly effects: number; },
 ) => void;
 
-/** Unexpected error of a system or of the handler of an effect. */
-export interface TickFailure {
-    /** Name of the system, or kind of the effect. */
+/** Unexpected error that ends only the work during which it was thrown. */
+export interface Failure {
+    /** Name of the system, kind of the effect, or name of the adapter. */
     readonly part: string;
     readonly error: unknown;
+    /** Ids of what the work belonged to, such as a request and its target. */
+    readonly fields?: LogFields;
 }
 
+/** Receives unexpected errors. */
+export type FailureReporter = (failure: Failure) => void;
+
+/** Fields that name the request of an effect, for the effects that have one. */
+const buildEffectFields = (effect: WithKind): LogFields =>
+    "request" in effect && typeof effect.request === "string" ? { request: effect.request } : {};
+
 /** Fields of a world that the runner uses. */
 export interface RunnableWorld<AnyEffect extends WithKind> {
     readonly effects: EffectQueue<AnyEffect>;
@@ -60,7 +70,7 @@
      * Receives unexpected errors. The tick goes on with the next system or effect, so that one malformed message does not
      * end the process; after `maxFailedTicks` failed ticks in a row the error is thrown. Without it, every error is thrown.
      */
-    readonly reportFailure?: (failure: TickFailure) => void;
+    readonly reportFailure?: FailureReporter;
 }
 
 /** Ticks in a row with an unexpected error after which the state of the process is no longer trusted. */
@@ -95,12 +105,12 @@
     let failedTicks = 0;
     let hasTickFailed = false;
 
-    function handleFailure(part: string, error: unknown): void {
+    function handleFailure(failure: Failure): void {
         if (!reportFailure || failedTicks >= maxFailedTicks) {
-            throw error;
+            throw failure.error;
         }
         hasTickFailed = true;
-        reportFailure({ part, error });
+        reportFailure(failure);
     }
 
     function runTick(): void {
@@ -125,12 +135,12 @@
                 system(world, tick);
             }
             catch (error) {
-                handleFailure(system.name, error);
+                handleFailure({ part: system.name, error });
             }
         }
         const effects = world.effects.takeAll();
         runEffects(effects, handlers, (error, effect) => {
-            handleFailure(effect.kind, error);
+            handleFailure({ part: effect.kind, error, fields: buildEffectFields(effect) });
         });
         failedTicks = hasTickFailed ? failedTicks + 1 : 0;
         observe?.({ number, events: events.length, effects: effects.length });
@@ -170,7 +180,7 @@
     readonly handlers: EffectHandlers;
     readonly clock: Clock;
     readonly observe?: TickObserver;
-    readonly reportFailure?: (failure: TickFailure) => void;
+    readonly reportFailure?: FailureReporter;
 }
 
 /** Creates the runner of a `serve` process. */
--- a/test/failureContainment.test.ts
+++ b/test/failureContainment.test.ts
@@ -6,7 +6,7 @@
 import { describe, expect, it, vi } from "vitest";
 import { createEffectQueue } from "../src/effects";
 import { toMillis } from "../src/ids";
-import { createTickRunner, type TickFailure } from "../src/runner";
+import { createTickRunner, type Failure } from "../src/runner";
 import { createTimerService } from "../src/timers";
 import { findPorts } from "../standins/processes";
 
@@ -14,7 +14,7 @@
     readonly kind: "good" | "bad";
 }
 
-function createTestRunner(reportFailure?: (failure: TickFailure) => void) {
+function createTestRunner(reportFailure?: (failure: Failure) => void) {
     const handled: string[] = [];
     const effects = createEffectQueue<TestEffect>();
     let runNext: () => void = () => undefined;
@@ -70,7 +70,7 @@
 describe("an unexpected error in a tick", () => {
     // Guards against one malformed message that ends the process with all of its open requests.
     it("ends neither the other systems nor the other effects, and is reported with its place", () => {
-        const failures: TickFailure[] = [];
+        const failures: Failure[] = [];
         const { handled, runTick } = createTestRunner(failure => failures.push(failure));
         runTick();
         expect(handled).toEqual(["good"]);
