Take the head of a response without a body for its end

Callers lost all requests of a process: it ended while it read a 204 without a length on a kept connection. Node hands such a connection back, and clears response.socket, before the "end" event; isCompleteResponse then read response.socket.errored. It did so because a response was classified by its headers alone, so that a 204, a 304 and the answer to HEAD counted as ended by their connection.

What ends a response now follows from method, status and headers (RFC 9112, 6.3), with a table of completeness checks, and the socket is kept from the head on. A response without a body is relayed without framing and without closing the caller's connection; the answer to HEAD keeps its length. A 204 that announces a body is not waited for.

--- /dev/null
+++ b/src/adapters/responseFraming.ts
@@ -0,0 +1,107 @@
+/** Message framing: how the end of an HTTP response is marked (RFC 9112, section 6.3). */
+import type * as http from "node:http";
+import type { Socket } from "node:net";
+
+/** What marks the end of a response. */
+export type ResponseFraming =
+    /** The end of its head; it has no body by definition. */
+    | "head"
+    | "length"
+    | "chunks"
+    /** The close of its connection. */
+    | "connection";
+
+const noContentStatus = 204;
+const bodilessStatuses: ReadonlySet<number> = new Set([noContentStatus, 304]);
+
+/**
+ * Finds what marks the end of a response to a request with this method.
+ *
+ * @example
+ * findFraming("GET", response); // "head" for a 204, whatever its headers say
+ */
+export function findFraming(method: string, { statusCode = 0, headers }: http.IncomingMessage): ResponseFraming {
+    if (method === "HEAD" || bodilessStatuses.has(statusCode)) {
+        return "head";
+    }
+    const transferEncoding = headers["transfer-encoding"];
+    if (transferEncoding !== undefined) {
+        return /\bchunked\s*$/i.test(transferEncoding) ? "chunks" : "connection";
+    }
+    return headers["content-length"] === undefined ? "connection" : "length";
+}
+
+type CompletenessCheck = (response: http.IncomingMessage, socket: Socket) => boolean;
+
+const completenessChecks: { readonly [Framing in ResponseFraming]: CompletenessCheck; } = {
+    head: () => true,
+    length: ({ complete }) => complete,
+    chunks: ({ complete }) => complete,
+    // Node's parser takes a connection reset for the end of a response without framing.
+    connection: ({ complete }, { errored }) => complete && !errored,
+};
+
+export interface ResponseEnd {
+    readonly framing: ResponseFraming;
+    /** True when the response, which has ended, may be complete. */
+    isComplete(): boolean;
+}
+
+/**
+ * Follows a response from its head on. The socket is kept here: Node clears `response.socket` when it hands the
+ * connection of a response back to the agent, which is before the "end" event.
+ *
+ * A target that crashes closes its connection in the same way as one that has finished, so a response with the framing
+ * "connection" must be relayed without framing, too.
+ */
+export function followResponseEnd(method: string, response: http.IncomingMessage): ResponseEnd {
+    const { socket } = response;
+    const framing = findFraming(method, response);
+    return { framing, isComplete: () => completenessChecks[framing](response, socket) };
+}
+
+/**
+ * Reads a response whose head is its end, so that its connection can be used again. The head of a 204 may announce a
+ * body all the same; the parser would wait for its bytes, so the connection is closed.
+ */
+export function endBodilessResponse(response: http.IncomingMessage): void {
+    const { statusCode, headers } = response;
+    const hasNoLength = headers["content-length"] === undefined || headers["content-length"] === "0";
+    if (statusCode === noContentStatus && (!hasNoLength || headers["transfer-encoding"] !== undefined)) {
+        response.destroy();
+        return;
+    }
+    response.resume();
+}
+
+/** Makes the close of the connection mark the end of the response to a caller. */
+export function removeFraming(response: http.ServerResponse): void {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+}
+
+type LengthHeader = (source: http.IncomingMessage, bodyBytes: number) => number | undefined;
+
+/** Value of `Content-Length` in the response to the caller, for a body that was read whole. */
+const lengthHeaders: { readonly [Framing in ResponseFraming]: LengthHeader; } = {
+    // The answer to HEAD names the length of the body that GET would return; RFC 9110 forbids a length with a 204.
+    head: ({ statusCode = 0, headers }) => {
+        const length = Number(headers["content-length"]);
+        return bodilessStatuses.has(statusCode) || !Number.isSafeInteger(length) ? undefined : length;
+    },
+    length: (_source, bodyBytes) => bodyBytes,
+    chunks: (_source, bodyBytes) => bodyBytes,
+    connection: () => undefined,
+};
+
+/**
+ * Computes the `Content-Length` with which a response that was read whole is relayed; undefined for none.
+ *
+ * @example
+ * computeContentLength("connection", response, 5); // undefined: the close of the connection marks its end
+ */
+export const computeContentLength = (
+    framing: ResponseFraming,
+    source: http.IncomingMessage,
+    bodyBytes: number,
+): number | undefined => lengthHeaders[framing](source, bodyBytes);
--- a/src/forward/adapters/eventRelay.ts
+++ b/src/forward/adapters/eventRelay.ts
@@ -1,11 +1,13 @@
 /** Relays the events of a stream to a caller; checks that their ids are consecutive and that the stream is complete. */
 import type * as http from "node:http";
+import { followResponseEnd, type ResponseEnd } from "../../adapters/responseFraming";
 import type { AttemptFault } from "../calls";
 import { createEventStreamSplitter, type RawStreamEvent } from "../codec/eventStream";
-import { hasFraming, isCompleteResponse } from "./responseFraming";
 
 export interface EventRelayOptions {
     readonly source: http.IncomingMessage;
+    /** End of the source; the default follows it from now on. */
+    readonly end?: ResponseEnd;
     readonly caller: http.ServerResponse;
     /** Id of the last event that the caller has; undefined when it has none. */
     readonly lastEventId: number | undefined;
@@ -30,6 +32,7 @@
 /** Creates the relay of one attempt. */
 export function createEventRelay(options: EventRelayOptions): EventRelay {
     const { source, caller, onFirstEvent, onFinished, onFailed } = options;
+    const { end = followResponseEnd("GET", source) } = options;
     const splitter = createEventStreamSplitter();
     let { lastEventId } = options;
     let hasRelayedEvent = false;
@@ -78,8 +81,8 @@
         const remainder = splitter.getRemainder();
         // A chunked response to the caller must not be ended normally when the source has no framing: nothing then
         // shows that the source is complete.
-        const isEndUncertain = caller.useChunkedEncodingByDefault && !hasFraming(source);
-        if (!isCompleteResponse(source) || isEndUncertain || !isBlank(remainder)) {
+        const isEndUncertain = caller.useChunkedEncodingByDefault && end.framing === "connection";
+        if (!end.isComplete() || isEndUncertain || !isBlank(remainder)) {
             endWithFault("cut_short");
             return;
         }
--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -1,6 +1,14 @@
 /** Sends requests to targets, buffers plain responses and relays event streams. */
 import * as http from "node:http";
 import { isConnectionRefused, parseAddress, subscribeToFirstWrite } from "../../adapters/httpClient";
+import {
+    computeContentLength,
+    endBodilessResponse,
+    followResponseEnd,
+    removeFraming,
+    type ResponseEnd,
+    type ResponseFraming,
+} from "../../adapters/responseFraming";
 import type { RequestId, TargetId } from "../../ids";
 import type { AttemptFault, ForwardCall, HeaderCodec, ResponseHeaderFields } from "../calls";
 import type { ForwardEffectOf } from "../effects";
@@ -8,7 +16,6 @@
 import { createEventRelay, type EventRelay } from "./eventRelay";
 import type { OpenForwardRequest, OpenForwardRequests } from "./openForwardRequests";
 import { createResponseBuffers } from "./responseBuffers";
-import { hasFraming, isCompleteResponse, removeFraming } from "./responseFraming";
 import { createTargetAgents } from "./targetAgents";
 
 /** An attempt fails when its target accepts no connection within this time. */
@@ -38,12 +45,23 @@
     close(): void;
 }
 
+interface BufferedResponse {
+    readonly targetResponse: http.IncomingMessage;
+    readonly framing: ResponseFraming;
+    readonly body: Buffer;
+}
+
+interface RelayedStream {
+    readonly targetResponse: http.IncomingMessage;
+    readonly framing: ResponseFraming;
+    readonly relay: EventRelay;
+}
+
 interface RunningAttempt {
     readonly attempt: number;
     readonly request: http.ClientRequest;
-    bufferedResponse: { readonly targetResponse: http.IncomingMessage; readonly body: Buffer; } | undefined;
-    relay: EventRelay | undefined;
-    streamResponse: http.IncomingMessage | undefined;
+    bufferedResponse: BufferedResponse | undefined;
+    stream: RelayedStream | undefined;
     isOver: boolean;
 }
 
@@ -65,7 +83,7 @@
     function postFailure(id: RequestId, running: RunningAttempt, fault: AttemptFault): void {
         if (!running.isOver && attempts.get(id) === running) {
             running.isOver = true;
-            const lastEventId = running.relay?.getLastEventId() ?? 0;
+            const lastEventId = running.stream?.relay.getLastEventId() ?? 0;
             post({ kind: "attemptFailed", request: id, attempt: running.attempt, fault, lastEventId });
         }
     }
@@ -87,7 +105,20 @@
         });
     }
 
-    function readWholeResponse(id: RequestId, running: RunningAttempt, targetResponse: http.IncomingMessage): void {
+    function recordBufferedResponse(id: RequestId, running: RunningAttempt, response: BufferedResponse): void {
+        if (!running.isOver && attempts.get(id) === running) {
+            running.isOver = true;
+            running.bufferedResponse = response;
+            postResponse(id, running, response.targetResponse, false);
+        }
+    }
+
+    function readWholeResponse(
+        id: RequestId,
+        running: RunningAttempt,
+        targetResponse: http.IncomingMessage,
+        end: ResponseEnd,
+    ): void {
         const handleTooLong = (): void => {
             postFailure(id, running, "too_long");
             targetResponse.destroy();
@@ -99,10 +130,8 @@
             }
         });
         targetResponse.on("end", () => {
-            if (isCompleteResponse(targetResponse) && !running.isOver && attempts.get(id) === running) {
-                running.isOver = true;
-                running.bufferedResponse = { targetResponse, body: buffer.take() };
-                postResponse(id, running, targetResponse, false);
+            if (end.isComplete()) {
+                recordBufferedResponse(id, running, { targetResponse, framing: end.framing, body: buffer.take() });
             }
         });
         targetResponse.on("error", () => {
@@ -120,14 +149,22 @@
         call: ForwardCall,
         targetResponse: http.IncomingMessage,
     ): void {
-        const { id } = openRequest;
+        const { id, method } = openRequest;
+        const end = followResponseEnd(method, targetResponse);
+        if (end.framing === "head") {
+            // Closing the connection of a response that announces a body raises an error, which ends nothing.
+            targetResponse.on("error", () => undefined);
+            recordBufferedResponse(id, running, { targetResponse, framing: "head", body: Buffer.alloc(0) });
+            endBodilessResponse(targetResponse);
+            return;
+        }
         if (!isEventStream(targetResponse)) {
-            readWholeResponse(id, running, targetResponse);
+            readWholeResponse(id, running, targetResponse, end);
             return;
         }
-        running.streamResponse = targetResponse;
-        running.relay = createEventRelay({
+        const relay = createEventRelay({
             source: targetResponse,
+            end,
             caller: openRequest.response,
             lastEventId: call.resumeAfterEventId,
             onFirstEvent: () => {
@@ -135,13 +172,14 @@
             },
             onFinished: () => {
                 running.isOver = true;
-                const isEndCertain = hasFraming(targetResponse);
+                const isEndCertain = end.framing !== "connection";
                 post({ kind: "attemptFinished", request: id, attempt: running.attempt, isEndCertain });
             },
             onFailed: fault => {
                 postFailure(id, running, fault);
             },
         });
+        running.stream = { targetResponse, framing: end.framing, relay };
         postResponse(id, running, targetResponse, true);
     }
 
@@ -161,8 +199,7 @@
             attempt,
             request,
             bufferedResponse: undefined,
-            relay: undefined,
-            streamResponse: undefined,
+            stream: undefined,
             isOver: false,
         };
         let mayHaveBeenSent = false;
@@ -217,21 +254,21 @@
         attempts.delete(id);
         if (running && !running.bufferedResponse) {
             running.isOver = true;
-            running.relay?.stop();
+            running.stream?.relay.stop();
             running.request.destroy();
         }
     }
 
     function writeResponseHead(
         openRequest: OpenForwardRequest,
-        targetResponse: http.IncomingMessage,
+        { targetResponse, framing }: Pick<BufferedResponse, "targetResponse" | "framing">,
         extraHeaders: readonly string[],
     ): void {
-        const isFramed = hasFraming(targetResponse);
-        if (!isFramed) {
+        const endsWithConnection = framing === "connection";
+        if (endsWithConnection) {
             removeFraming(openRequest.response);
         }
-        const connectionHeaders = isClosing() || !isFramed ? ["Connection", "close"] : [];
+        const connectionHeaders = isClosing() || endsWithConnection ? ["Connection", "close"] : [];
         openRequest.response.writeHead(targetResponse.statusCode ?? 502, [
             ...codec.encodeResponse(targetResponse.rawHeaders),
             ...extraHeaders,
@@ -253,24 +290,19 @@
                 return;
             }
             if (running.bufferedResponse && !openRequest.response.headersSent) {
-                const { targetResponse, body } = running.bufferedResponse;
-                const isBodyless = openRequest.method === "HEAD" || targetResponse.statusCode === 204
-                    || targetResponse.statusCode === 304;
-                const hasLength = hasFraming(targetResponse) && !isBodyless;
-                writeResponseHead(
-                    openRequest,
-                    targetResponse,
-                    hasLength ? ["Content-Length", String(body.length)] : [],
-                );
+                const { targetResponse, framing, body } = running.bufferedResponse;
+                const length = computeContentLength(framing, targetResponse, body.length);
+                const lengthHeader = length === undefined ? [] : ["Content-Length", String(length)];
+                writeResponseHead(openRequest, running.bufferedResponse, lengthHeader);
                 openRequest.response.end(body);
                 return;
             }
-            if (running.relay && running.streamResponse) {
+            if (running.stream) {
                 if (!openRequest.response.headersSent) {
-                    writeResponseHead(openRequest, running.streamResponse, []);
+                    writeResponseHead(openRequest, running.stream, []);
                     openRequest.response.flushHeaders();
                 }
-                running.relay.start();
+                running.stream.relay.start();
             }
         },
         cancel: ({ request }) => {
@@ -280,7 +312,7 @@
             const running = attempts.get(id);
             if (running?.attempt === attempt && !running.isOver) {
                 postFailure(id, running, "moved");
-                running.relay?.stop();
+                running.stream?.relay.stop();
                 running.request.destroy();
             }
         },
--- /dev/null
+++ b/test/support/rawConnections.ts
@@ -0,0 +1,132 @@
+/** Targets and callers that decide which bytes they write, and see how a connection ends. */
+import * as net from "node:net";
+import { parseAddress } from "../../src/adapters/httpClient";
+import { waitUntil } from "./platformFleet";
+
+/** Request head as a target received it. */
+export interface RawRequest {
+    readonly method: string;
+    readonly path: string;
+    /** Value of a header; empty when the request does not carry it. */
+    readonly getHeader: (name: string) => string;
+}
+
+export interface RawTarget {
+    readonly address: string;
+    readonly requests: RawRequest[];
+    /** Number of connections that the target has accepted. */
+    readonly connectionCount: number;
+    close(): void;
+}
+
+function parseHead(text: string): RawRequest {
+    const [requestLine = "", ...lines] = text.split("\r\n");
+    const [method = "", path = ""] = requestLine.split(" ");
+    const headers = new Map(lines.map(line => {
+        const colon = line.indexOf(":");
+        return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
+    }));
+    return { method, path, getHeader: name => headers.get(name) ?? "" };
+}
+
+/** Starts a target that calls `answer` for each request, once its body has arrived. */
+export async function startRawTarget(
+    answer: (socket: net.Socket, request: RawRequest) => void,
+): Promise<RawTarget> {
+    const sockets = new Set<net.Socket>();
+    const requests: RawRequest[] = [];
+    let connectionCount = 0;
+    const server = net.createServer(socket => {
+        connectionCount += 1;
+        sockets.add(socket);
+        let text = "";
+        socket.setEncoding("latin1");
+        socket.on("error", () => undefined);
+        socket.on("close", () => sockets.delete(socket));
+        socket.on("data", (chunk: string) => {
+            text += chunk;
+            for (let headEnd = text.indexOf("\r\n\r\n"); headEnd >= 0; headEnd = text.indexOf("\r\n\r\n")) {
+                const request = parseHead(text.slice(0, headEnd));
+                const bodyEnd = headEnd + 4 + Number(request.getHeader("content-length"));
+                if (text.length < bodyEnd) {
+                    return;
+                }
+                text = text.slice(bodyEnd);
+                requests.push(request);
+                answer(socket, request);
+            }
+        });
+    });
+    await new Promise<void>(resolve => {
+        server.listen(0, "127.0.0.1", resolve);
+    });
+    return {
+        address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`,
+        requests,
+        get connectionCount() {
+            return connectionCount;
+        },
+        close: () => {
+            server.close();
+            sockets.forEach(socket => socket.destroy());
+        },
+    };
+}
+
+/** How a connection ended, as its caller sees it. */
+export type ConnectionEnd = "open" | "orderly" | "reset";
+
+export interface RawCaller {
+    /** All bytes that the caller has received. */
+    readonly text: string;
+    readonly end: ConnectionEnd;
+    write(text: string): void;
+    /** Stops reading until `resume`. */
+    pause(): void;
+    resume(): void;
+    waitForEnd(): Promise<ConnectionEnd>;
+    waitForText(pattern: RegExp): Promise<void>;
+    close(): void;
+}
+
+/** Opens a connection and reads its bytes as they come. */
+export function openRawCaller(address: string): RawCaller {
+    const socket = net.connect(parseAddress(address));
+    let text = "";
+    let end: ConnectionEnd = "open";
+    socket.setEncoding("latin1");
+    socket.on("data", (chunk: string) => {
+        text += chunk;
+    });
+    socket.on("error", () => {
+        end = "reset";
+    });
+    socket.on("end", () => {
+        end = "orderly";
+    });
+    return {
+        get text() {
+            return text;
+        },
+        get end() {
+            return end;
+        },
+        write: bytes => {
+            socket.write(bytes);
+        },
+        pause: () => {
+            socket.pause();
+        },
+        resume: () => {
+            socket.resume();
+        },
+        waitForEnd: async () => {
+            await waitUntil(() => end !== "open", 10_000);
+            return end;
+        },
+        waitForText: pattern => waitUntil(() => pattern.test(text), 10_000),
+        close: () => {
+            socket.destroy();
+        },
+    };
+}
--- /dev/null
+++ b/test/support/rawFleet.ts
@@ -0,0 +1,91 @@
+/** A process of the forwarding mode in front of a target that writes its own bytes. */
+import type * as net from "node:net";
+import { apiKey, buildPlatformRoute } from "../../standins/platformConfiguration";
+import { type FleetNode, type PlatformFleet, sendRequest, startPlatformFleet, waitUntil } from "./platformFleet";
+import { type RawRequest, type RawTarget, startRawTarget } from "./rawConnections";
+
+const rawService = "raw";
+
+/** Routes to the raw target, by name; their prefixes are the names. */
+const rawRoutes = [
+    buildPlatformRoute("raw-order", "non_idempotent", rawService),
+    buildPlatformRoute("raw-lookup", "idempotent", rawService),
+    buildPlatformRoute("raw-stream", "streaming", rawService),
+    buildPlatformRoute("raw-resumable", "streaming", rawService, { resumable: true }),
+];
+
+export interface RawFleet {
+    readonly fleet: PlatformFleet;
+    readonly node: FleetNode;
+    /** Address for callers. */
+    readonly address: string;
+    readonly target: RawTarget;
+    close(): Promise<void>;
+}
+
+/** Starts a process and a target that answers `/raw-...` with the bytes that `answer` writes. */
+export async function startRawFleet(
+    answer: (socket: net.Socket, request: RawRequest) => void,
+): Promise<RawFleet> {
+    const target = await startRawTarget((socket, request) => {
+        if (request.path === "/raw-lookup/ready") {
+            socket.write(formatSignedHead(request, "200 OK", ["Content-Length: 0"]));
+            return;
+        }
+        answer(socket, request);
+    });
+    const fleet = await startPlatformFleet();
+    fleet.writeConfiguration({ routes: rawRoutes, services: [{ "name": rawService, "max-connections": 100 }] });
+    const registration = fleet.services[0]?.buildRegistration();
+    fleet.store.put("servers/raw", { ...registration, service: rawService, address: target.address });
+    const [node] = fleet.nodes as [FleetNode];
+    const address = node.callerAddress;
+    await waitUntil(async () =>
+        (await sendRequest(address, { path: "/raw-lookup/ready", method: "GET" })).status === 200
+    );
+    target.requests.splice(0);
+    return {
+        fleet,
+        node,
+        address,
+        target,
+        close: async () => {
+            target.close();
+            await fleet.close();
+        },
+    };
+}
+
+/** Formats the head of a response that names the attempt of its request. */
+export function formatHead({ getHeader }: RawRequest, status: string, headers: readonly string[]): string {
+    const id = getHeader("x-marjoramvane-attempt-id");
+    return [`HTTP/1.1 ${status}`, `x-marjoramvane-attempt-id: ${id}`, ...headers, "", ""].join("\r\n");
+}
+
+export const signatureHeader = "x-marjoramvane-response-signature: s";
+
+/** Formats the head of a response as a sound target writes it. */
+export const formatSignedHead = (request: RawRequest, status: string, headers: readonly string[]): string =>
+    formatHead(request, status, [signatureHeader, ...headers]);
+
+let lastAttempt = 0;
+
+/** Formats a request with the headers that the platform's callers send. */
+export function formatRequest(
+    method: string,
+    path: string,
+    { version = "1.1", headers = [] as readonly string[] } = {},
+) {
+    lastAttempt += 1;
+    return [
+        `${method} ${path} HTTP/${version}`,
+        "Host: shop.example",
+        `X-Marjoramvane-Attempt-Id: a${lastAttempt}`,
+        "X-Marjoramvane-Deadline-Ms: 3000",
+        `Authorization: Token ${apiKey}`,
+        "Content-Length: 0",
+        ...headers,
+        "",
+        "",
+    ].join("\r\n");
+}
