--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -57,6 +57,15 @@
     },
 }));
 
+const noDefaultExport = { selector: "ExportDefaultDeclaration", message: "No default exports." };
+// What an event listener throws ends the process, so listeners of adapters are wrapped by a guard. A listener that does
+// nothing, and a function that is passed by its name, need none.
+const noUnguardedListener = {
+    selector: "CallExpression[callee.property.name=/^(on|once|prependListener)$/]"
+        + " > ArrowFunctionExpression[body.type!='Identifier']",
+    message: "Wrap the listener with a guard (src/adapters/listenerGuard.ts).",
+};
+
 export default tseslint.config(
     { ignores: ["node_modules/**", "dist/**", "build/**", "target/**"] },
     ...tseslint.configs.strict,
@@ -68,7 +77,7 @@
             "local/function-name-starts-with-verb": "error",
             "curly": ["error", "all"],
             "eqeqeq": "error",
-            "no-restricted-syntax": ["error", { selector: "ExportDefaultDeclaration", message: "No default exports." }],
+            "no-restricted-syntax": ["error", noDefaultExport],
             "@typescript-eslint/no-floating-promises": "error",
             "@typescript-eslint/no-misused-promises": "error",
             "@typescript-eslint/await-thenable": "error",
@@ -81,6 +90,10 @@
             }],
         },
     },
+    {
+        files: ["src/adapters/**/*.ts", "src/forward/adapters/**/*.ts", "platform/**/*.ts"],
+        rules: { "no-restricted-syntax": ["error", noDefaultExport, noUnguardedListener] },
+    },
     { files: ["vitest.config.ts"], rules: { "no-restricted-syntax": "off" } },
     ...inwardImports,
 );
--- a/src/adapters/callerServer.ts
+++ b/src/adapters/callerServer.ts
@@ -1,18 +1,18 @@
 /** HTTP server for callers: posts requests as events and writes refusals and answers. */
 import { createHash, randomUUID } from "node:crypto";
-import * as http from "node:http";
+import type * as http from "node:http";
 import { decodeCompletion } from "../codec/openai";
 import { encodeEvent } from "../codec/sse";
 import type { Settings } from "../config/settings";
 import type { EffectOf } from "../effects";
 import type { Event } from "../events";
 import { type CallId, type KeyHash, type RequestId, toCallId, toKeyHash, toRequestId } from "../ids";
-import { formatRefusal, type Refusal, refusalKinds } from "../refusals";
+import { formatRefusal, type Refusal } from "../refusals";
 import type { Endpoint } from "../requests";
-import type { Clock } from "../runner";
-import { subscribeToClientErrors } from "./clientErrors";
-import { parseAddress } from "./httpClient";
+import type { Clock, FailureReporter } from "../runner";
+import { createHttpServer, readBody, sendJson, sendRefusal, startListening } from "./httpServer";
 import { hasKey } from "./keyCheck";
+import { createListenerGuard } from "./listenerGuard";
 import type { OpenRequests } from "./openRequests";
 
 export interface CallerServerOptions {
@@ -23,6 +23,7 @@
     /** True when the process can admit requests; reported by `/readyz`. */
     readonly isReady: () => boolean;
     readonly getMetrics: () => Promise<string>;
+    readonly reportFailure?: FailureReporter;
 }
 
 export interface CallerServer {
@@ -64,20 +65,6 @@
     return typeof value === "string" && value.length > 0 && value.length <= 255 ? value : undefined;
 }
 
-/** Reads a body of at most `maxBytes`; undefined when it is longer. */
-export async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-        length += chunk.length;
-        if (length > maxBytes) {
-            return undefined;
-        }
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
-}
-
 interface ServicePath {
     readonly name: string;
     readonly path: string;
@@ -88,26 +75,7 @@
     return match?.[1] === undefined ? undefined : { name: match[1], path: match[2] ?? "/" };
 }
 
-/** Sends a JSON answer, unless the response has already started or is closed. */
-export function sendJson(
-    response: http.ServerResponse,
-    status: number,
-    body: unknown,
-    headers: http.OutgoingHttpHeaders = {},
-): void {
-    if (response.headersSent || response.destroyed) {
-        return;
-    }
-    const text = JSON.stringify(body);
-    response.writeHead(status, {
-        "content-type": "application/json",
-        "content-length": Buffer.byteLength(text),
-        ...headers,
-    });
-    response.end(text);
-}
-
-function sendRefusal(response: http.ServerResponse, requestId: string, refusal: Refusal): void {
+function writeRefusal(response: http.ServerResponse, requestId: string, refusal: Refusal): void {
     const headers: http.OutgoingHttpHeaders = { "x-request-id": requestId };
     if (refusal.retryAfterSeconds !== undefined) {
         headers["retry-after"] = String(Math.max(1, Math.ceil(refusal.retryAfterSeconds)));
@@ -115,20 +83,20 @@
     if (refusal.code === "draining" || refusal.code === "body_too_large") {
         headers["connection"] = "close";
     }
-    sendJson(response, refusalKinds[refusal.code].status, formatRefusal(refusal, requestId), headers);
+    sendRefusal(response, requestId, refusal, headers);
 }
 
 /** Creates the server for callers. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-    const { settings, clock, post, openRequests, isReady, getMetrics } = options;
+    const { settings, clock, post, openRequests, isReady, getMetrics, reportFailure } = options;
+    const part = "callerServer";
     const pendingCalls = new Map<CallId, http.ServerResponse>();
 
     function openCall(response: http.ServerResponse): CallId {
         const call = toCallId(randomUUID());
+        const guard = createListenerGuard({ part, end: () => response.destroy(), reportFailure });
         pendingCalls.set(call, response);
-        response.on("close", () => {
-            pendingCalls.delete(call);
-        });
+        response.on("close", guard(() => pendingCalls.delete(call)));
         return call;
     }
 
@@ -144,7 +112,7 @@
             await handler(request, response);
             return;
         }
-        sendRefusal(response, randomUUID(), {
+        writeRefusal(response, randomUUID(), {
             code: "route_unknown",
             verdict: "not_run",
             detail: "There is no such path.",
@@ -185,13 +153,13 @@
         const body = await readBody(request, settings.limits.bodyBytes);
         const key = readKey(request);
         if (!body) {
-            sendRefusal(response, id, { code: "body_too_large", verdict: "not_run" });
+            writeRefusal(response, id, { code: "body_too_large", verdict: "not_run" });
             return;
         }
         const decoded = decodeCompletion(endpoint, body);
         if (decoded.err || hasKey(body, key)) {
             const detail = decoded.err ? decoded.val : "The body must not contain the key.";
-            sendRefusal(response, id, { code: "bad_request", verdict: "not_run", detail });
+            writeRefusal(response, id, { code: "bad_request", verdict: "not_run", detail });
             return;
         }
         const completion = decoded.val;
@@ -238,13 +206,13 @@
         const body = await readBody(request, settings.limits.bodyBytes);
         const key = readKey(request);
         if (!body) {
-            sendRefusal(response, id, { code: "body_too_large", verdict: "not_run" });
+            writeRefusal(response, id, { code: "body_too_large", verdict: "not_run" });
             return;
         }
         const idempotencyKey = readTextHeader(request, "idempotency-key");
         if ([body, service.path, idempotencyKey ?? ""].some(part => hasKey(part, key))) {
             const detail = "The body, the path and the Idempotency-Key must not contain the key.";
-            sendRefusal(response, id, { code: "bad_request", verdict: "not_run", detail });
+            writeRefusal(response, id, { code: "bad_request", verdict: "not_run", detail });
             return;
         }
         addOpenRequest({
@@ -283,47 +251,42 @@
     ): void {
         const { request, ...rest } = added;
         const { response, id } = rest;
-        openRequests.add({ ...rest, headers: request.headers });
-        response.on("close", () => {
-            post(
-                response.writableFinished
-                    ? { kind: "answerDelivered", request: id }
-                    : { kind: "callerDisconnected", request: id },
-            );
+        const guard = createListenerGuard({
+            part,
+            fields: { request: id },
+            end: () => response.destroy(),
+            reportFailure,
         });
+        const handleClose = (): void => {
+            const kind = response.writableFinished ? "answerDelivered" : "callerDisconnected";
+            post({ kind, request: id });
+        };
+        openRequests.add({ ...rest, headers: request.headers });
+        response.on("close", guard(handleClose));
     }
 
     function getResponse(id: RequestId): http.ServerResponse | undefined {
         return openRequests.get(id)?.response;
     }
 
-    const server = http.createServer(
-        {
-            maxHeaderSize: settings.limits.headerBytes,
-            headersTimeout: 10_000,
-            requestTimeout: settings.timeouts.requestMs,
-            keepAliveTimeout: 30_000,
-        },
-        (request, response) => {
-            handleRequest(request, response).catch(() => {
-                response.destroy();
-            });
-        },
-    );
+    const server = createHttpServer({
+        part,
+        handle: handleRequest,
+        reportFailure,
+        maxHeaderSize: settings.limits.headerBytes,
+        headersTimeout: 10_000,
+        requestTimeout: settings.timeouts.requestMs,
+        keepAliveTimeout: 30_000,
+    });
     server.maxConnections = settings.limits.connections;
-    subscribeToClientErrors(server);
 
     return {
         server,
-        start: () =>
-            new Promise((resolve, reject) => {
-                server.once("error", reject);
-                server.listen(parseAddress(settings.listen.callers), resolve);
-            }),
+        start: () => startListening(server, settings.listen.callers),
         refuse: ({ request, refusal }) => {
             const response = getResponse(request);
             if (response) {
-                sendRefusal(response, request, refusal);
+                writeRefusal(response, request, refusal);
             }
         },
         interrupt: ({ request, refusal }) => {
--- a/src/adapters/clientErrors.ts
+++ b/src/adapters/clientErrors.ts
@@ -3,6 +3,8 @@
 import type * as http from "node:http";
 import type { Duplex } from "node:stream";
 import { formatRefusal, type RefusalCode, refusalKinds } from "../refusals";
+import type { FailureReporter } from "../runner";
+import { createListenerGuard } from "./listenerGuard";
 
 /** Refusal codes by error code of the parser. For any other error the connection is closed without an answer. */
 const parserRefusals: Readonly<Record<string, RefusalCode>> = {
@@ -30,13 +32,17 @@
 }
 
 /** Answers parser errors on the connections of a server. */
-export function subscribeToClientErrors(server: http.Server): void {
+export function subscribeToClientErrors(server: http.Server, reportFailure: FailureReporter): void {
+    const part = "clientErrors";
     const socketsInUse = new WeakSet<Duplex>();
-    server.on("request", (request, response) => {
-        socketsInUse.add(request.socket);
-        response.on("close", () => socketsInUse.delete(request.socket));
-    });
-    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+
+    function handleRequest({ socket }: http.IncomingMessage, response: http.ServerResponse): void {
+        const guard = createListenerGuard({ part, end: () => socket.destroy(), reportFailure });
+        socketsInUse.add(socket);
+        response.on("close", guard(() => socketsInUse.delete(socket)));
+    }
+
+    function handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
         const code = parserRefusals[error.code ?? ""];
         // A refusal must not be written into an answer in progress.
         if (code && socket.writable && !socketsInUse.has(socket)) {
@@ -44,5 +50,8 @@
             return;
         }
         socket.destroy();
-    });
+    }
+
+    server.on("request", handleRequest);
+    server.on("clientError", handleClientError);
 }
--- a/src/adapters/httpClient.ts
+++ b/src/adapters/httpClient.ts
@@ -1,5 +1,7 @@
 /** HTTP client on Node's `http` for calls with short answers. */
 import * as http from "node:http";
+import type { Socket } from "node:net";
+import { createListenerGuard } from "./listenerGuard";
 
 export interface HttpCall {
     readonly method: string;
@@ -45,14 +47,15 @@
 
 /** Calls the handler once, when the first byte of a request is about to be written to a connected socket. */
 export function subscribeToFirstWrite(request: http.ClientRequest, handler: () => void): void {
-    request.once("socket", socket => {
+    const handleSocket = (socket: Socket): void => {
         if (socket.connecting) {
             socket.once("connect", handler);
         }
         else {
             handler();
         }
-    });
+    };
+    request.once("socket", handleSocket);
 }
 
 /** Sends a request and reads the whole answer. The timeout covers both. */
@@ -77,19 +80,25 @@
         subscribeToFirstWrite(request, () => {
             mayHaveBeenSent = true;
         });
-        request.on("error", handleError);
-        request.on("response", response => {
+        // The caller of this function gets what a listener throws, and reports it.
+        const guard = createListenerGuard({
+            part: "httpClient",
+            end: () => request.destroy(),
+            reportFailure: ({ error }) => {
+                handleError(error instanceof Error ? error : new Error(String(error)));
+            },
+        });
+        const handleHead = (response: http.IncomingMessage): void => {
             const chunks: Buffer[] = [];
             let length = 0;
-            response.on("data", (chunk: Buffer) => {
+            const handleData = (chunk: Buffer): void => {
                 chunks.push(chunk);
                 length += chunk.length;
                 if (length > maxBytes) {
                     request.destroy(new Error("The answer is longer than the limit."));
                 }
-            });
-            response.on("error", handleError);
-            response.on("end", () => {
+            };
+            const handleEnd = (): void => {
                 clearTimeout(timer);
                 if (response.complete) {
                     const text = Buffer.concat(chunks).toString("utf8");
@@ -98,8 +107,13 @@
                 else {
                     handleError(new Error("The connection closed before the answer was complete."));
                 }
-            });
-        });
+            };
+            response.on("data", guard(handleData));
+            response.on("error", handleError);
+            response.on("end", guard(handleEnd));
+        };
+        request.on("error", handleError);
+        request.on("response", guard(handleHead));
         request.end(body);
     });
 }
--- a/src/adapters/node.ts
+++ b/src/adapters/node.ts
@@ -62,6 +62,7 @@
     };
     const metrics = createMetrics();
     const write = writeLog ?? createLogWriter(settings);
+    const reportFailure = createFailureReporter({ writeLog: write, metrics });
     const openRequests = createOpenRequests();
     const callerServer = createCallerServer({
         settings,
@@ -70,13 +71,15 @@
         openRequests,
         isReady: () => world.tables.node.state === "live" && canTrustKeys(world.tables.configuration.freshness),
         getMetrics: metrics.format,
+        reportFailure,
     });
-    const peerServer = createPeerServer({ listen: settings.listen.peers, fleetSecret: settings.fleetSecret, post });
-    const operatorServer = createOperatorServer({ settings, post });
-    const peerClient = createPeerClient({ fleetSecret: settings.fleetSecret, post });
-    const storeClient = createStoreClient({ ...settings.store, clock, post });
-    const targetClient = createTargetClient({ settings, post, openRequests });
-    const targetReader = createTargetReader({ post, clock });
+    const { fleetSecret, listen } = settings;
+    const peerServer = createPeerServer({ listen: listen.peers, fleetSecret, post, reportFailure });
+    const operatorServer = createOperatorServer({ settings, post, reportFailure });
+    const peerClient = createPeerClient({ fleetSecret, post });
+    const storeClient = createStoreClient({ ...settings.store, clock, post, reportFailure });
+    const targetClient = createTargetClient({ settings, post, openRequests, reportFailure });
+    const targetReader = createTargetReader({ post, clock, reportFailure });
 
     function stop(): void {
         runner.stop();
@@ -130,7 +133,6 @@
             onExit?.(code);
         },
     };
-    const reportFailure = createFailureReporter({ writeLog: write, metrics });
     const runner = createRunner({ world, systems, handlers, clock, reportFailure });
     await callerServer.start();
     await peerServer.start();
--- a/src/adapters/operatorServer.ts
+++ b/src/adapters/operatorServer.ts
@@ -1,18 +1,19 @@
 /** HTTP server for operators: posts commands as events and writes their answers as JSON. */
 import { createHash, randomBytes, randomUUID, timingSafeEqual } from "node:crypto";
-import * as http from "node:http";
+import type * as http from "node:http";
 import { z } from "zod";
 import type { Settings } from "../config/settings";
 import type { EffectOf } from "../effects";
 import type { Event } from "../events";
 import { type CallId, toAccountId, toCallId, toConfigVersion, toKeyHash, toRequestId } from "../ids";
 import type { OperatorAnswer, OperatorCommand } from "../operators";
-import { readBody, sendJson } from "./callerServer";
-import { parseAddress } from "./httpClient";
+import type { FailureReporter } from "../runner";
+import { createHttpServer, readBody, sendJson, startListening } from "./httpServer";
 
 export interface OperatorServerOptions {
     readonly settings: Settings;
     readonly post: (event: Event) => void;
+    readonly reportFailure?: FailureReporter;
 }
 
 export interface OperatorServer {
@@ -195,7 +196,7 @@
 }
 
 /** Creates the server for operators. */
-export function createOperatorServer({ settings, post }: OperatorServerOptions): OperatorServer {
+export function createOperatorServer({ settings, post, reportFailure }: OperatorServerOptions): OperatorServer {
     const pendingCalls = new Map<CallId, (answer: OperatorAnswer) => void>();
 
     function sendFault(response: http.ServerResponse, status: number, message: string): void {
@@ -251,22 +252,18 @@
         sendCommand(response, built, bearerToken !== undefined && isSameText(bearerToken, settings.fleetSecret));
     }
 
-    const server = http.createServer(
-        { maxHeaderSize: settings.limits.headerBytes, headersTimeout: 10_000, requestTimeout: 30_000 },
-        (request, response) => {
-            handleRequest(request, response).catch(() => {
-                response.destroy();
-            });
-        },
-    );
+    const server = createHttpServer({
+        part: "operatorServer",
+        handle: handleRequest,
+        reportFailure,
+        maxHeaderSize: settings.limits.headerBytes,
+        headersTimeout: 10_000,
+        requestTimeout: 30_000,
+    });
     server.maxConnections = maxConnections;
 
     return {
-        start: () =>
-            new Promise((resolve, reject) => {
-                server.once("error", reject);
-                server.listen(parseAddress(settings.listen.operators), resolve);
-            }),
+        start: () => startListening(server, settings.listen.operators),
         answer: ({ call, answer }) => {
             pendingCalls.get(call)?.(answer);
         },
--- a/src/adapters/peerServer.ts
+++ b/src/adapters/peerServer.ts
@@ -1,18 +1,19 @@
 /** tRPC server for peers. */
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { randomUUID, timingSafeEqual } from "node:crypto";
-import * as http from "node:http";
 import type { EffectOf } from "../effects";
 import type { Event } from "../events";
 import { type CallId, toCallId } from "../ids";
 import type { PeerAnswer } from "../peers";
-import { parseAddress } from "./httpClient";
+import type { FailureReporter } from "../runner";
+import { createHttpServer, startListening } from "./httpServer";
 import { peerRouter } from "./peerProtocol";
 
 export interface PeerServerOptions {
     readonly listen: string;
     readonly fleetSecret: string;
     readonly post: (event: Event) => void;
+    readonly reportFailure?: FailureReporter;
 }
 
 export interface PeerServer {
@@ -31,7 +32,7 @@
 }
 
 /** Creates the server for peers. */
-export function createPeerServer({ listen, fleetSecret, post }: PeerServerOptions): PeerServer {
+export function createPeerServer({ listen, fleetSecret, post, reportFailure }: PeerServerOptions): PeerServer {
     const pendingCalls = new Map<CallId, (answer: PeerAnswer) => void>();
 
     const handler = createHTTPHandler({
@@ -53,14 +54,10 @@
                 }),
         }),
     });
-    const server = http.createServer({ keepAliveTimeout: 30_000 }, handler);
+    const server = createHttpServer({ part: "peerServer", handle: handler, reportFailure, keepAliveTimeout: 30_000 });
 
     return {
-        start: () =>
-            new Promise((resolve, reject) => {
-                server.once("error", reject);
-                server.listen(parseAddress(listen), resolve);
-            }),
+        start: () => startListening(server, listen),
         answer: ({ call, answer }) => {
             pendingCalls.get(call)?.(answer);
             pendingCalls.delete(call);
--- a/src/adapters/storeClient.ts
+++ b/src/adapters/storeClient.ts
@@ -4,9 +4,10 @@
 import { decodeWatch, encodeCall, encodeWatch, watchPath } from "../codec/etcd";
 import type { EffectOf } from "../effects";
 import type { Event, WatchName } from "../events";
-import type { Clock } from "../runner";
+import type { Clock, FailureReporter } from "../runner";
 import type { StoreAnswer, StoreFailure } from "../store";
 import { createKeepAliveAgent, HttpCallError, parseAddress, sendHttpCall } from "./httpClient";
+import { createListenerGuard, type ListenerGuard } from "./listenerGuard";
 
 /** A watch that receives nothing for this long is closed and opened again, in case its connection is dead. */
 const maxWatchSilenceMs = 60_000;
@@ -19,6 +20,7 @@
     readonly timeoutMs: number;
     readonly clock: Clock;
     readonly post: (event: Event) => void;
+    readonly reportFailure?: FailureReporter;
 }
 
 export interface StoreClient {
@@ -29,7 +31,9 @@
 }
 
 /** Creates the store client of a process. */
-export function createStoreClient({ address, timeoutMs, clock, post }: StoreClientOptions): StoreClient {
+export function createStoreClient(
+    { address, timeoutMs, clock, post, reportFailure }: StoreClientOptions,
+): StoreClient {
     const agent = createKeepAliveAgent();
     const watches = new Map<WatchName, http.ClientRequest>();
 
@@ -81,32 +85,45 @@
             timeout: maxWatchSilenceMs,
         });
         watches.set(effect.watch, request);
-        const handleEnd = (): void => {
+        const guard = createListenerGuard({
+            part: "storeClient",
+            fields: { watch: effect.watch },
+            end: () => request.destroy(),
+            reportFailure,
+        });
+        const handleEnd = guard(() => {
             if (watches.get(effect.watch) === request) {
                 watches.delete(effect.watch);
                 post({ kind: "watchEnded", watch: effect.watch });
             }
-        };
-        request.on("timeout", () => request.destroy());
-        request.on("error", handleEnd);
-        request.on("response", response => {
-            readWatch(effect.watch, response, () => request.destroy());
+        });
+        const handleHead = (response: http.IncomingMessage): void => {
+            readWatch(effect.watch, response, guard, () => request.destroy());
             response.on("error", handleEnd);
             response.on("close", handleEnd);
-        });
+        };
+        request.on("timeout", guard(() => request.destroy()));
+        request.on("error", handleEnd);
+        request.on("response", guard(handleHead));
         request.end(JSON.stringify(encodeWatch({ key: effect.key, prefix: effect.prefix }, effect.fromRevision)));
     }
 
-    function readWatch(watch: WatchName, response: http.IncomingMessage, closeRequest: () => void): void {
+    function readWatch(
+        watch: WatchName,
+        response: http.IncomingMessage,
+        guard: ListenerGuard,
+        closeRequest: () => void,
+    ): void {
         let incompleteLine = "";
-        response.setEncoding("utf8");
-        response.on("data", (chunk: string) => {
+        const handleData = (chunk: string): void => {
             const lines = (incompleteLine + chunk).split("\n");
             incompleteLine = lines.pop() ?? "";
             for (const line of lines.filter(text => text.trim() !== "")) {
                 handleWatchLine(watch, line, closeRequest);
             }
-        });
+        };
+        response.setEncoding("utf8");
+        response.on("data", guard(handleData));
     }
 
     function handleWatchLine(watch: WatchName, line: string, closeRequest: () => void): void {
--- a/src/adapters/streamRelay.ts
+++ b/src/adapters/streamRelay.ts
@@ -4,6 +4,7 @@
 import { createEventParser, encodeEvent, type ServerSentEvent } from "../codec/sse";
 import type { Event } from "../events";
 import type { AttemptFailure, Usage } from "../requests";
+import type { ListenerGuard } from "./listenerGuard";
 import type { OpenRequest } from "./openRequests";
 
 /** Progress is reported after this many generated tokens, so that they are settled while the stream is running. */
@@ -14,6 +15,8 @@
 export interface StreamRelayOptions {
     readonly openRequest: OpenRequest;
     readonly attempt: number;
+    /** Wraps the listeners of the relay. */
+    readonly guard: ListenerGuard;
     readonly post: (event: Event) => void;
 }
 
@@ -30,7 +33,7 @@
 type EventCheck = "relay" | "drop" | "gap";
 
 /** Creates the relay of one attempt. It is kept when the stream is resumed on another response of the same engine. */
-export function createStreamRelay({ openRequest, attempt, post }: StreamRelayOptions): StreamRelay {
+export function createStreamRelay({ openRequest, attempt, guard, post }: StreamRelayOptions): StreamRelay {
     const { id: request, response: caller } = openRequest;
     let upstream: http.IncomingMessage | undefined;
     let parser = createEventParser();
@@ -100,7 +103,7 @@
         if (!caller.write(text) && source) {
             // Backpressure: the engine's socket is paused, so that a slow caller delays only its own stream.
             source.pause();
-            caller.once("drain", () => source.resume());
+            caller.once("drain", guard(() => source.resume()));
         }
     }
 
@@ -148,7 +151,7 @@
 
     function readUpstream(source: http.IncomingMessage): void {
         parser = createEventParser();
-        source.on("data", (chunk: Buffer) => {
+        const handleData = (chunk: Buffer): void => {
             for (const event of parser.add(chunk)) {
                 if (source === upstream) {
                     handleEvent(event);
@@ -157,12 +160,13 @@
             if (parser.getPendingLength() > maxEventLength) {
                 closeWithFailure("broken_stream");
             }
-        });
-        const handleEnd = (): void => {
+        };
+        const handleEnd = guard(() => {
             if (source === upstream) {
                 closeWithFailure("broken_stream");
             }
-        };
+        });
+        source.on("data", guard(handleData));
         source.on("end", handleEnd);
         source.on("error", handleEnd);
         source.on("close", handleEnd);
--- a/src/adapters/targetClient.ts
+++ b/src/adapters/targetClient.ts
@@ -6,7 +6,10 @@
 import type { Event } from "../events";
 import type { RequestId } from "../ids";
 import type { AnswerRecord, AttemptFailure, TargetCall } from "../requests";
+import type { FailureReporter } from "../runner";
 import { createKeepAliveAgent, parseAddress, subscribeToFirstWrite } from "./httpClient";
+import { sendRefusal } from "./httpServer";
+import { createListenerGuard, handleUnreportedFailure, type ListenerGuard } from "./listenerGuard";
 import type { OpenRequest, OpenRequests } from "./openRequests";
 import { createStreamRelay, type StreamRelay } from "./streamRelay";
 import { buildAnswerHeaders, buildTargetHeaders } from "./targetHeaders";
@@ -22,6 +25,8 @@
 
 interface RunningAttempt {
     readonly attempt: number;
+    /** Ends the attempt when one of its listeners fails. */
+    readonly guard: ListenerGuard;
     request: http.ClientRequest | undefined;
     relay: StreamRelay | undefined;
     bufferedAnswer: BufferedAnswer | undefined;
@@ -31,6 +36,7 @@
     readonly settings: Settings;
     readonly post: (event: Event) => void;
     readonly openRequests: OpenRequests;
+    readonly reportFailure?: FailureReporter;
 }
 
 export interface TargetClient {
@@ -65,7 +71,9 @@
 }
 
 /** Creates the client for targets. */
-export function createTargetClient({ settings, post, openRequests }: TargetClientOptions): TargetClient {
+export function createTargetClient(
+    { settings, post, openRequests, reportFailure = handleUnreportedFailure }: TargetClientOptions,
+): TargetClient {
     const agent = createKeepAliveAgent({ maxSockets: 1024 });
     const attempts = new Map<RequestId, RunningAttempt>();
     const { idleMs, connectMs } = settings.timeouts;
@@ -86,27 +94,33 @@
     ): void {
         const chunks: Buffer[] = [];
         let length = 0;
-        response.on("data", (chunk: Buffer) => {
+        const { id } = openRequest;
+        const { guard } = runningAttempt;
+        const handleData = (chunk: Buffer): void => {
             chunks.push(chunk);
             length += chunk.length;
             if (length > settings.limits.answerBytes) {
-                postFailure(openRequest.id, runningAttempt, "answer_too_large");
+                postFailure(id, runningAttempt, "answer_too_large");
                 response.destroy();
             }
-        });
-        response.on("error", () => {
-            postFailure(openRequest.id, runningAttempt, "closed");
-        });
-        response.on("close", () => {
+        };
+        const handleError = (): void => {
+            postFailure(id, runningAttempt, "closed");
+        };
+        const handleClose = (): void => {
             if (!response.complete) {
-                postFailure(openRequest.id, runningAttempt, "closed");
+                postFailure(id, runningAttempt, "closed");
             }
-        });
-        response.on("end", () => {
-            if (response.complete && attempts.get(openRequest.id) === runningAttempt && runningAttempt.request) {
+        };
+        const handleEnd = (): void => {
+            if (response.complete && attempts.get(id) === runningAttempt && runningAttempt.request) {
                 handleBufferedAnswer(openRequest, runningAttempt, call, response, Buffer.concat(chunks));
             }
-        });
+        };
+        response.on("data", guard(handleData));
+        response.on("error", guard(handleError));
+        response.on("close", guard(handleClose));
+        response.on("end", guard(handleEnd));
     }
 
     function handleBufferedAnswer(
@@ -124,13 +138,13 @@
             postFailure(openRequest.id, runningAttempt, "mismatched_answer");
             return;
         }
-        runningAttempt.request = undefined;
-        runningAttempt.bufferedAnswer = {
+        const record = call.engine ? undefined : buildAnswerRecord(response, body);
+        const bufferedAnswer: BufferedAnswer = {
             status,
             headers: buildAnswerHeaders(response.headers, openRequest.id),
             body: answer ? Buffer.from(JSON.stringify({ ...answer.body, model: openRequest.routeName })) : body,
         };
-        const record = call.engine ? undefined : buildAnswerRecord(response, body);
+        // Posted first: if it fails, the attempt is still open and can be reported as failed.
         post({
             kind: "attemptAnswered",
             request: openRequest.id,
@@ -139,6 +153,8 @@
             isRefusedBeforeRun: isRefusedBeforeRun(call, response),
             buffered: { ...(answer?.usage ? { usage: answer.usage } : {}), ...(record ? { record } : {}) },
         });
+        runningAttempt.request = undefined;
+        runningAttempt.bufferedAnswer = bufferedAnswer;
     }
 
     function handleResponse(
@@ -151,7 +167,8 @@
             readBufferedAnswer(openRequest, runningAttempt, call, response);
             return;
         }
-        runningAttempt.relay = createStreamRelay({ openRequest, attempt: runningAttempt.attempt, post });
+        const { attempt, guard } = runningAttempt;
+        runningAttempt.relay = createStreamRelay({ openRequest, attempt, guard, post });
         runningAttempt.relay.connect(response);
         post({
             kind: "attemptAnswered",
@@ -168,24 +185,30 @@
         options: http.RequestOptions,
         failureAfterConnect: AttemptFailure,
     ): http.ClientRequest {
+        const { guard } = runningAttempt;
         const request = http.request(options);
         let isConnected = false;
         const connectTimer = setTimeout(() => {
             request.destroy();
         }, connectMs);
-        subscribeToFirstWrite(request, () => {
+
+        function handleFirstWrite(): void {
             isConnected = true;
             clearTimeout(connectTimer);
-            request.setTimeout(idleMs, () => request.destroy());
+            request.setTimeout(idleMs, guard(() => request.destroy()));
             post({ kind: "attemptWriteStarted", request: id, attempt: runningAttempt.attempt });
-        });
-        request.on("error", () => {
+        }
+
+        function handleError(): void {
             clearTimeout(connectTimer);
             // Once the answer is a stream, its relay reports the failure.
             if (!runningAttempt.relay || failureAfterConnect !== "closed") {
                 postFailure(id, runningAttempt, isConnected ? failureAfterConnect : "connect");
             }
-        });
+        }
+
+        subscribeToFirstWrite(request, guard(handleFirstWrite));
+        request.on("error", guard(handleError));
         runningAttempt.request = request;
         return request;
     }
@@ -195,8 +218,19 @@
         if (!openRequest) {
             return;
         }
+        const guard = createListenerGuard({
+            part: "targetClient",
+            fields: { request: id, attempt, address: call.address },
+            end: () => {
+                const { request: failedRequest } = runningAttempt;
+                postFailure(id, runningAttempt, "malformed_answer");
+                failedRequest?.destroy();
+            },
+            reportFailure,
+        });
         const runningAttempt: RunningAttempt = {
             attempt,
+            guard,
             request: undefined,
             relay: undefined,
             bufferedAnswer: undefined,
@@ -217,14 +251,15 @@
             },
             agent: call.needsNewConnection ? false : agent,
         }, "closed");
-        request.on("response", response => {
+        const handleHead = (response: http.IncomingMessage): void => {
             if (attempts.get(id) === runningAttempt) {
                 handleResponse(openRequest, runningAttempt, call, response);
             }
             else {
                 response.destroy();
             }
-        });
+        };
+        request.on("response", guard(handleHead));
         request.end(hasBody ? body : undefined);
     }
 
@@ -241,14 +276,15 @@
             headers: { "last-event-id": String(lastEventId), "x-request-id": id },
             agent,
         }, "not_resumable");
-        request.on("response", response => {
+        const handleHead = (response: http.IncomingMessage): void => {
             if (attempts.get(id) !== runningAttempt || !isEventStream(response)) {
                 response.destroy();
                 postFailure(id, runningAttempt, "not_resumable");
                 return;
             }
             relay.connect(response);
-        });
+        };
+        request.on("response", runningAttempt.guard(handleHead));
         request.end();
     }
 
@@ -259,8 +295,34 @@
         runningAttempt?.request?.destroy();
     }
 
+    function relayBufferedAnswer(
+        id: RequestId,
+        caller: http.ServerResponse,
+        { status, headers, body }: BufferedAnswer,
+    ): void {
+        try {
+            caller.writeHead(status, { ...headers, "content-length": body.length });
+        }
+        catch (error) {
+            // The system has closed the request already, so it is answered here.
+            reportFailure({ part: "targetClient", error, fields: { request: id } });
+            sendRefusal(caller, id, { code: "target_failed", verdict: "may_have_run" }, { "x-request-id": id });
+            return;
+        }
+        caller.end(body);
+    }
+
     return {
-        send,
+        send: effect => {
+            const { request, attempt, call } = effect;
+            try {
+                send(effect);
+            }
+            catch (error) {
+                reportFailure({ part: "targetClient", error, fields: { request, attempt, address: call.address } });
+                post({ kind: "attemptFailed", request, attempt, failure: "connect", lastEventId: 0 });
+            }
+        },
         resume,
         relay: ({ request: id, attempt }) => {
             const runningAttempt = attempts.get(id);
@@ -268,12 +330,13 @@
             if (!runningAttempt || runningAttempt.attempt !== attempt || !caller) {
                 return;
             }
-            if (runningAttempt.bufferedAnswer && !caller.headersSent) {
-                const { status, headers, body } = runningAttempt.bufferedAnswer;
-                caller.writeHead(status, { ...headers, "content-length": body.length });
-                caller.end(body);
+            const { bufferedAnswer, relay: streamRelay, guard } = runningAttempt;
+            if (bufferedAnswer && !caller.headersSent) {
+                relayBufferedAnswer(id, caller, bufferedAnswer);
+            }
+            if (streamRelay) {
+                guard(streamRelay.startRelay)();
             }
-            runningAttempt.relay?.startRelay();
         },
         cancel: ({ request }) => {
             closeAttempt(request);
--- a/src/adapters/targetReader.ts
+++ b/src/adapters/targetReader.ts
@@ -5,9 +5,10 @@
 import type { EffectOf } from "../effects";
 import type { Event } from "../events";
 import type { TargetId } from "../ids";
-import type { Clock } from "../runner";
+import type { Clock, FailureReporter } from "../runner";
 import type { OrderOutcome } from "../targets";
 import { createKeepAliveAgent, HttpCallError, parseAddress, sendHttpCall } from "./httpClient";
+import { createListenerGuard, type ListenerGuard } from "./listenerGuard";
 
 const stateTimeoutMs = 1000;
 /** Cache events of one target are collected for this long and posted as one batch, to need fewer ticks. */
@@ -30,10 +31,14 @@
     return status === outdatedOrderStatus ? "outdated" : "refused";
 }
 
+export interface TargetReaderOptions {
+    readonly post: (event: Event) => void;
+    readonly clock: Clock;
+    readonly reportFailure?: FailureReporter;
+}
+
 /** Creates the client for state reports, cache events and orders. */
-export function createTargetReader(
-    { post, clock }: { readonly post: (event: Event) => void; readonly clock: Clock; },
-): TargetReader {
+export function createTargetReader({ post, clock, reportFailure }: TargetReaderOptions): TargetReader {
     const agent = createKeepAliveAgent();
     const pendingReads = new Set<TargetId>();
     const cacheEventRequests = new Map<TargetId, http.ClientRequest>();
@@ -68,19 +73,23 @@
         request?.destroy();
     }
 
-    function readCacheEvents(effect: EffectOf<"followCacheEvents">, response: http.IncomingMessage): void {
+    function readCacheEvents(
+        effect: EffectOf<"followCacheEvents">,
+        response: http.IncomingMessage,
+        guard: ListenerGuard,
+    ): void {
         const parser = createEventParser();
         let batch: NonNullable<ReturnType<typeof decodeCacheEvent>>[] = [];
         let timer: NodeJS.Timeout | undefined;
-        const postBatch = (): void => {
+        const postBatch = guard(() => {
             timer = undefined;
             const events = batch.filter(entry => entry.incarnation === effect.incarnation).map(entry => entry.event);
             batch = [];
             if (events.length > 0) {
                 post({ kind: "cacheEventsReceived", target: effect.target, incarnation: effect.incarnation, events });
             }
-        };
-        response.on("data", (chunk: Buffer) => {
+        });
+        const handleData = (chunk: Buffer): void => {
             for (const event of parser.add(chunk)) {
                 const decoded = decodeCacheEvent(event.data);
                 if (decoded) {
@@ -88,10 +97,13 @@
                 }
             }
             timer ??= setTimeout(postBatch, cacheBatchMs);
-        });
-        response.on("close", () => {
+        };
+        const handleClose = (): void => {
             clearTimeout(timer);
-        });
+        };
+        response.on("data", guard(handleData));
+        response.on("error", () => undefined);
+        response.on("close", guard(handleClose));
     }
 
     function followCacheEvents(effect: EffectOf<"followCacheEvents">): void {
@@ -103,22 +115,30 @@
             path: `/cache-events?after=${after}`,
             agent: false,
         });
-        cacheEventRequests.set(target, request);
-        request.on("response", response => {
+        const guard = createListenerGuard({
+            part: "targetReader",
+            fields: { target },
+            end: () => request.destroy(),
+            reportFailure,
+        });
+        const handleHead = (response: http.IncomingMessage): void => {
             if (response.statusCode === 200) {
-                readCacheEvents(effect, response);
+                readCacheEvents(effect, response, guard);
             }
             else {
                 response.destroy();
             }
-        });
-        request.on("error", () => undefined);
-        request.on("close", () => {
+        };
+        const handleClose = (): void => {
             if (cacheEventRequests.get(target) === request) {
                 cacheEventRequests.delete(target);
                 post({ kind: "cacheEventsClosed", target });
             }
-        });
+        };
+        cacheEventRequests.set(target, request);
+        request.on("response", guard(handleHead));
+        request.on("error", () => undefined);
+        request.on("close", guard(handleClose));
         request.end();
     }
 
--- a/src/forward/adapters/eventRelay.ts
+++ b/src/forward/adapters/eventRelay.ts
@@ -1,5 +1,6 @@
 /** Relays the events of a stream to a caller; checks that their ids are consecutive and that the stream is complete. */
 import type * as http from "node:http";
+import type { ListenerGuard } from "../../adapters/listenerGuard";
 import { followResponseEnd, type ResponseEnd } from "../../adapters/responseFraming";
 import type { AttemptFault } from "../calls";
 import { createEventStreamSplitter, type RawStreamEvent } from "../codec/eventStream";
@@ -9,6 +10,8 @@
     /** End of the source; the default follows it from now on. */
     readonly end?: ResponseEnd;
     readonly caller: http.ServerResponse;
+    /** Wraps the listeners of the relay; the default contains no errors. */
+    readonly guard?: ListenerGuard;
     /** Id of the last event that the caller has; undefined when it has none. */
     readonly lastEventId: number | undefined;
     readonly onFirstEvent: () => void;
@@ -32,7 +35,7 @@
 /** Creates the relay of one attempt. */
 export function createEventRelay(options: EventRelayOptions): EventRelay {
     const { source, caller, onFirstEvent, onFinished, onFailed } = options;
-    const { end = followResponseEnd("GET", source) } = options;
+    const { end = followResponseEnd("GET", source), guard = listener => listener } = options;
     const splitter = createEventStreamSplitter();
     let { lastEventId } = options;
     let hasRelayedEvent = false;
@@ -54,7 +57,7 @@
         if (!caller.write(bytes)) {
             // Backpressure: pauses the target's socket, so that a slow caller slows only its own stream.
             source.pause();
-            caller.once("drain", () => source.resume());
+            caller.once("drain", guard(() => source.resume()));
         }
     }
 
@@ -91,25 +94,27 @@
         onFinished();
     }
 
+    function handleData(chunk: Buffer): void {
+        for (const event of splitter.add(chunk)) {
+            if (!isOver) {
+                handleEvent(event);
+            }
+        }
+        if (splitter.getRemainder().length > maxEventBytes) {
+            endWithFault("too_long");
+        }
+    }
+
+    const handleBreak = guard(() => {
+        endWithFault("cut_short");
+    });
+
     return {
         start: () => {
-            source.on("data", (chunk: Buffer) => {
-                for (const event of splitter.add(chunk)) {
-                    if (!isOver) {
-                        handleEvent(event);
-                    }
-                }
-                if (splitter.getRemainder().length > maxEventBytes) {
-                    endWithFault("too_long");
-                }
-            });
-            source.on("end", handleSourceEnd);
-            source.on("error", () => {
-                endWithFault("cut_short");
-            });
-            source.on("close", () => {
-                endWithFault("cut_short");
-            });
+            source.on("data", guard(handleData));
+            source.on("end", guard(handleSourceEnd));
+            source.on("error", handleBreak);
+            source.on("close", handleBreak);
             if (source.destroyed) {
                 endWithFault("cut_short");
             }
--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -1,6 +1,8 @@
 /** Sends requests to targets, buffers plain responses and relays event streams. */
 import * as http from "node:http";
 import { isConnectionRefused, parseAddress, subscribeToFirstWrite } from "../../adapters/httpClient";
+import { sendRefusal } from "../../adapters/httpServer";
+import { createListenerGuard, handleUnreportedFailure, type ListenerGuard } from "../../adapters/listenerGuard";
 import {
     computeContentLength,
     endBodilessResponse,
@@ -10,6 +12,7 @@
     type ResponseFraming,
 } from "../../adapters/responseFraming";
 import type { RequestId, TargetId } from "../../ids";
+import type { FailureReporter } from "../../runner";
 import type { AttemptFault, ForwardCall, HeaderCodec, ResponseHeaderFields } from "../calls";
 import type { ForwardEffectOf } from "../effects";
 import type { ForwardEvent } from "../events";
@@ -33,6 +36,7 @@
     readonly openRequests: OpenForwardRequests;
     /** True when responses must carry `Connection: close`. */
     readonly isClosing: () => boolean;
+    readonly reportFailure?: FailureReporter;
 }
 
 export interface ForwardClient {
@@ -60,6 +64,8 @@
 interface RunningAttempt {
     readonly attempt: number;
     readonly request: http.ClientRequest;
+    /** Ends the attempt when one of its listeners fails. */
+    readonly guard: ListenerGuard;
     bufferedResponse: BufferedResponse | undefined;
     stream: RelayedStream | undefined;
     isOver: boolean;
@@ -75,7 +81,8 @@
     attemptId !== undefined && !isNotRun && !isMisdirected;
 
 /** Creates the client for all targets of a process. */
-export function createForwardClient({ codec, post, openRequests, isClosing }: ForwardClientOptions): ForwardClient {
+export function createForwardClient(options: ForwardClientOptions): ForwardClient {
+    const { codec, post, openRequests, isClosing, reportFailure = handleUnreportedFailure } = options;
     const agents = createTargetAgents();
     const attempts = new Map<RequestId, RunningAttempt>();
     const responseBuffers = createResponseBuffers({ maxBytes: maxResponseBytes, maxTotalBytes: maxBufferedBytes });
@@ -107,9 +114,10 @@
 
     function recordBufferedResponse(id: RequestId, running: RunningAttempt, response: BufferedResponse): void {
         if (!running.isOver && attempts.get(id) === running) {
+            // Posted first: if it fails, the attempt is still open and can be reported as failed.
+            postResponse(id, running, response.targetResponse, false);
             running.isOver = true;
             running.bufferedResponse = response;
-            postResponse(id, running, response.targetResponse, false);
         }
     }
 
@@ -119,28 +127,33 @@
         targetResponse: http.IncomingMessage,
         end: ResponseEnd,
     ): void {
-        const handleTooLong = (): void => {
+        const { guard } = running;
+        const handleTooLong = guard(() => {
             postFailure(id, running, "too_long");
             targetResponse.destroy();
-        };
+        });
         const buffer = responseBuffers.open(handleTooLong);
-        targetResponse.on("data", (chunk: Buffer) => {
+        const handleData = (chunk: Buffer): void => {
             if (!buffer.add(chunk)) {
                 handleTooLong();
             }
-        });
-        targetResponse.on("end", () => {
+        };
+        const handleEnd = (): void => {
             if (end.isComplete()) {
                 recordBufferedResponse(id, running, { targetResponse, framing: end.framing, body: buffer.take() });
             }
-        });
-        targetResponse.on("error", () => {
+        };
+        const handleError = (): void => {
             postFailure(id, running, "cut_short");
-        });
-        targetResponse.on("close", () => {
+        };
+        const handleClose = (): void => {
             buffer.release();
             postFailure(id, running, "cut_short");
-        });
+        };
+        targetResponse.on("data", guard(handleData));
+        targetResponse.on("end", guard(handleEnd));
+        targetResponse.on("error", guard(handleError));
+        targetResponse.on("close", guard(handleClose));
     }
 
     function handleResponse(
@@ -165,6 +178,7 @@
         const relay = createEventRelay({
             source: targetResponse,
             end,
+            guard: running.guard,
             caller: openRequest.response,
             lastEventId: call.resumeAfterEventId,
             onFirstEvent: () => {
@@ -195,56 +209,76 @@
             agent: agents.get(call.target),
             setHost: false,
         });
+        const guard = createListenerGuard({
+            part: "forwardClient",
+            fields: { request: id, attempt, target: call.target },
+            end: () => {
+                postFailure(id, running, "malformed");
+                request.destroy();
+            },
+            reportFailure,
+        });
         const running: RunningAttempt = {
             attempt,
             request,
+            guard,
             bufferedResponse: undefined,
             stream: undefined,
             isOver: false,
         };
         let mayHaveBeenSent = false;
+        let informationalResponses = 0;
         const connectTimer = setTimeout(() => {
             request.destroy();
         }, connectTimeoutMs);
-        subscribeToFirstWrite(request, () => {
+
+        function handleFirstWrite(): void {
             mayHaveBeenSent = true;
             clearTimeout(connectTimer);
             post({ kind: "attemptWriteStarted", request: id, attempt });
             request.socket?.setNoDelay(true);
-        });
-        request.on("error", (error: NodeJS.ErrnoException) => {
+        }
+
+        function handleError(error: NodeJS.ErrnoException): void {
             clearTimeout(connectTimer);
             const connectFault = isConnectionRefused(error) ? "connection_refused" : "connect";
             postFailure(id, running, mayHaveBeenSent ? "closed" : connectFault);
-        });
-        let informationalResponses = 0;
-        request.on("information", () => {
+        }
+
+        function handleInformation(): void {
             informationalResponses += 1;
             if (informationalResponses > maxInformationalResponses) {
                 postFailure(id, running, "too_long");
                 request.destroy();
             }
-        });
-        request.on("response", targetResponse => {
+        }
+
+        function handleSilence(): void {
+            postFailure(id, running, "silent");
+            request.destroy();
+        }
+
+        function handleHead(targetResponse: http.IncomingMessage): void {
             // A faulty target may write the response once more. Only the id of an answered attempt tells such a copy from
             // the answer to the next request, so the connection is kept only after a response that is no refusal (which
             // may be followed by the same attempt) and names its attempt.
             if (!isKeepable(codec.decodeResponse(targetResponse.statusCode ?? 0, targetResponse.headers))) {
                 request.shouldKeepAlive = false;
             }
-            if (attempts.get(id) === running) {
-                if (call.idleTimeoutMs !== undefined) {
-                    request.setTimeout(call.idleTimeoutMs, () => {
-                        postFailure(id, running, "silent");
-                        request.destroy();
-                    });
-                }
-                handleResponse(openRequest, running, call, targetResponse);
-            }
-            else {
+            if (attempts.get(id) !== running) {
                 targetResponse.destroy();
+                return;
             }
-        });
+            if (call.idleTimeoutMs !== undefined) {
+                request.setTimeout(call.idleTimeoutMs, guard(handleSilence));
+            }
+            handleResponse(openRequest, running, call, targetResponse);
+        }
+
+        subscribeToFirstWrite(request, guard(handleFirstWrite));
+        request.on("error", guard(handleError));
+        request.on("information", guard(handleInformation));
+        request.on("response", guard(handleHead));
         request.end(hasBody ? body : undefined);
         return running;
     }
@@ -276,12 +310,43 @@
         ]);
     }
 
+    function relayBufferedResponse(openRequest: OpenForwardRequest, buffered: BufferedResponse): void {
+        const { targetResponse, framing, body } = buffered;
+        const { response } = openRequest;
+        const length = computeContentLength(framing, targetResponse, body.length);
+        try {
+            writeResponseHead(openRequest, buffered, length === undefined ? [] : ["Content-Length", String(length)]);
+        }
+        catch (error) {
+            // The system has closed the request already, so it is answered here.
+            reportFailure({ part: "forwardClient", error, fields: { request: openRequest.id } });
+            sendRefusal(response, openRequest.attemptId, { code: "target_failed", verdict: "may_have_run" });
+            return;
+        }
+        response.end(body);
+    }
+
+    function relayStream(openRequest: OpenForwardRequest, stream: RelayedStream): void {
+        if (!openRequest.response.headersSent) {
+            writeResponseHead(openRequest, stream, []);
+            openRequest.response.flushHeaders();
+        }
+        stream.relay.start();
+    }
+
     return {
         send: ({ request: id, attempt, call }) => {
             const openRequest = openRequests.get(id);
-            if (openRequest) {
+            if (!openRequest) {
+                return;
+            }
+            try {
                 attempts.set(id, startAttempt(openRequest, attempt, call));
             }
+            catch (error) {
+                reportFailure({ part: "forwardClient", error, fields: { request: id, attempt, target: call.target } });
+                post({ kind: "attemptFailed", request: id, attempt, fault: "not_sent", lastEventId: 0 });
+            }
         },
         relay: ({ request: id, attempt }) => {
             const running = attempts.get(id);
@@ -289,20 +354,12 @@
             if (!running || running.attempt !== attempt || !openRequest || openRequest.response.destroyed) {
                 return;
             }
-            if (running.bufferedResponse && !openRequest.response.headersSent) {
-                const { targetResponse, framing, body } = running.bufferedResponse;
-                const length = computeContentLength(framing, targetResponse, body.length);
-                const lengthHeader = length === undefined ? [] : ["Content-Length", String(length)];
-                writeResponseHead(openRequest, running.bufferedResponse, lengthHeader);
-                openRequest.response.end(body);
-                return;
+            const { bufferedResponse, stream, guard } = running;
+            if (bufferedResponse && !openRequest.response.headersSent) {
+                relayBufferedResponse(openRequest, bufferedResponse);
             }
-            if (running.stream) {
-                if (!openRequest.response.headersSent) {
-                    writeResponseHead(openRequest, running.stream, []);
-                    openRequest.response.flushHeaders();
-                }
-                running.stream.relay.start();
+            else if (stream) {
+                guard(relayStream)(openRequest, stream);
             }
         },
         cancel: ({ request }) => {
--- a/src/forward/adapters/frontServer.ts
+++ b/src/forward/adapters/frontServer.ts
@@ -1,12 +1,11 @@
 /** HTTP server for callers: buffers requests, posts them as events and writes refusals. */
 import { createHash, randomUUID } from "node:crypto";
-import * as http from "node:http";
-import { readBody } from "../../adapters/callerServer";
-import { subscribeToClientErrors } from "../../adapters/clientErrors";
-import { parseAddress } from "../../adapters/httpClient";
+import type * as http from "node:http";
+import { createHttpServer, isIncomplete, readBody, sendRefusal, startListening } from "../../adapters/httpServer";
+import { createListenerGuard } from "../../adapters/listenerGuard";
 import { type RequestId, toKeyHash, toRequestId } from "../../ids";
-import { formatRefusal, type Refusal, refusalKinds } from "../../refusals";
-import type { Clock } from "../../runner";
+import type { Refusal } from "../../refusals";
+import type { Clock, FailureReporter } from "../../runner";
 import type { HeaderCodec } from "../calls";
 import type { CallerLimits } from "../document";
 import type { ForwardEffectOf } from "../effects";
@@ -34,6 +33,7 @@
     readonly onIncompleteRequest: (reason: string) => void;
     /** Called for a response that ends early. */
     readonly onInterruptedResponse: (response: InterruptedResponse) => void;
+    readonly reportFailure?: FailureReporter;
 }
 
 /** How a response that ends early was sent until then. */
@@ -56,18 +56,6 @@
     close(): void;
 }
 
-/** Starts a server on IP:PORT. */
-export function startListening(server: http.Server, address: string): Promise<void> {
-    const { host, port } = parseAddress(address);
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, host, () => {
-            server.off("error", reject);
-            resolve();
-        });
-    });
-}
-
 function writeRefusal(
     codec: HeaderCodec,
     response: http.ServerResponse,
@@ -75,22 +63,14 @@
     refusal: Refusal,
     isClosing: boolean,
 ): void {
-    if (response.headersSent || response.destroyed) {
-        return;
-    }
-    const body = JSON.stringify(formatRefusal(refusal, id));
-    const headers: http.OutgoingHttpHeaders = {
-        "content-type": "application/json",
-        "content-length": Buffer.byteLength(body),
-    };
+    const headers: http.OutgoingHttpHeaders = {};
     if (refusal.retryAfterSeconds !== undefined) {
         headers["retry-after"] = codec.encodeRetryAfter(refusal.retryAfterSeconds);
     }
     if (isClosing || refusal.code === "body_too_large") {
         headers["connection"] = "close";
     }
-    response.writeHead(refusalKinds[refusal.code].status, headers);
-    response.end(body);
+    sendRefusal(response, id, refusal, headers);
 }
 
 /** Host without its port, in lower case. */
@@ -100,6 +80,8 @@
 /** Creates the server for callers. */
 export function createFrontServer(options: FrontServerOptions): FrontServer {
     const { address, codec, clock, post, openRequests, onIncompleteRequest, onInterruptedResponse } = options;
+    const { reportFailure } = options;
+    const part = "frontServer";
     let currentMaxBodyBytes = initialMaxBodyBytes;
     let isClosing = false;
 
@@ -109,25 +91,35 @@
         return openRequests.has(id) ? toRequestId(`${id}~${randomUUID()}`) : id;
     }
 
-    function subscribeToClose(openRequest: OpenForwardRequest): void {
-        const { id, response } = openRequest;
-        response.on("error", () => {
-            // The caller closed the connection during a write; the "close" event follows and reports it.
-            response.destroy();
+    function subscribeToClose({ id, response }: OpenForwardRequest): void {
+        const guard = createListenerGuard({
+            part,
+            fields: { request: id },
+            end: () => response.destroy(),
+            reportFailure,
         });
-        response.on("close", () => {
-            post(
-                response.writableFinished
-                    ? { kind: "answerDelivered", request: id }
-                    : { kind: "callerDisconnected", request: id },
-            );
+        const handleClose = (): void => {
+            post({ kind: response.writableFinished ? "answerDelivered" : "callerDisconnected", request: id });
+        };
+        // The caller closed the connection during a write; the "close" event follows and reports it.
+        response.on("error", guard(() => response.destroy()));
+        response.on("close", guard(handleClose));
+    }
+
+    /** Reads the body of a request; undefined when it is longer than the limit. */
+    function readRequestBody(request: http.IncomingMessage): Promise<Buffer | undefined> {
+        return readBody(request, currentMaxBodyBytes).catch((error: unknown) => {
+            if (isIncomplete(request)) {
+                onIncompleteRequest(error instanceof Error ? error.message : String(error));
+            }
+            throw error;
         });
     }
 
     async function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const arrivedAt = clock.getNow();
         const { key, ...headerFields } = codec.decodeRequest(request.headers);
-        const body = await readBody(request, currentMaxBodyBytes);
+        const body = await readRequestBody(request);
         const id = createUniqueRequestId(headerFields.attemptId);
         if (!body) {
             writeRefusal(codec, response, id, { code: "body_too_large", verdict: "not_run" }, isClosing);
@@ -164,14 +156,12 @@
         });
     }
 
-    const server = http.createServer({ maxHeaderSize: maxParsedHeaderBytes }, (request, response) => {
-        handleRequest(request, response).catch((error: unknown) => {
-            // The caller closed the connection before its request was read whole.
-            onIncompleteRequest(error instanceof Error ? error.message : String(error));
-            response.destroy();
-        });
+    const server = createHttpServer({
+        part,
+        handle: handleRequest,
+        reportFailure,
+        maxHeaderSize: maxParsedHeaderBytes,
     });
-    subscribeToClientErrors(server);
 
     return {
         start: () => startListening(server, address),
--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -1,12 +1,13 @@
 /** Assembles one process of the forwarding mode: tables, systems, timers and all adapters. */
-import * as http from "node:http";
+import type * as http from "node:http";
 import { createProcessClock } from "../../adapters/clock";
 import { createFailureReporter } from "../../adapters/failures";
 import { loadHasher } from "../../adapters/hasher";
+import { createHttpServer, startListening } from "../../adapters/httpServer";
 import { createLogWriter, type LogWriter } from "../../adapters/logger";
 import { createMetrics, type Metrics } from "../../adapters/metrics";
 import { createEffectQueue } from "../../effects";
-import { createTickRunner } from "../../runner";
+import { createTickRunner, type FailureReporter } from "../../runner";
 import { createTimerService } from "../../timers";
 import type { ForwardEffect, ForwardHandlers } from "../effects";
 import { createForwardBatch, type ForwardBatch, type ForwardEvent } from "../events";
@@ -16,7 +17,7 @@
 import { createForwardTables } from "../tables";
 import type { ForwardWorld } from "../world";
 import { createForwardClient } from "./forwardClient";
-import { createFrontServer, startListening } from "./frontServer";
+import { createFrontServer } from "./frontServer";
 import { createOpenForwardRequests } from "./openForwardRequests";
 import { createPeerLink } from "./peerLink";
 
@@ -42,13 +43,13 @@
     stop(): void;
 }
 
-function createMetricsServer(metrics: Metrics): http.Server {
-    return http.createServer((_request, response) => {
-        void metrics.format().then(text => {
-            response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
-            response.end(text);
-        });
-    });
+function createMetricsServer(metrics: Metrics, reportFailure: FailureReporter): http.Server {
+    async function handleRequest(_request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const text = await metrics.format();
+        response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+        response.end(text);
+    }
+    return createHttpServer({ part: "metrics", handle: handleRequest, reportFailure });
 }
 
 /**
@@ -75,11 +76,12 @@
         runner.post(event);
     };
     const metrics = createMetrics();
-    const metricsServer = createMetricsServer(metrics);
     const openRequests = createOpenForwardRequests();
     const { listen, store: storeSettings, bounds, log, vm } = settings;
     const write = writeLog
         ?? createLogWriter({ log, vm, stream: "stdout", infoLinesPerSecond: log.infoLinesPerSecond });
+    const reportFailure = createFailureReporter({ writeLog: write, metrics });
+    const metricsServer = createMetricsServer(metrics, reportFailure);
     const front = createFrontServer({
         address: listen.callers,
         codec: ports.headers,
@@ -97,14 +99,21 @@
             const fields = { request, framing, pendingBytes };
             write({ kind: "writeLog", level: "warn", prefix: "stream:", message, fields });
         },
+        reportFailure,
     });
-    const client = createForwardClient({ codec: ports.headers, post, openRequests, isClosing: front.isClosing });
-    const peers = createPeerLink({ address: listen.peers, post });
-    const store = ports.createStore({ clock, post, ...storeSettings, requestChanges: peers.requestChanges });
-    const engines = ports.createEngines({ clock, post });
-    const directory = ports.createDirectory({
-        clock,
+    const client = createForwardClient({
+        codec: ports.headers,
         post,
+        openRequests,
+        isClosing: front.isClosing,
+        reportFailure,
+    });
+    const peers = createPeerLink({ address: listen.peers, post, reportFailure });
+    const portOptions = { clock, post, reportFailure };
+    const store = ports.createStore({ ...portOptions, ...storeSettings, requestChanges: peers.requestChanges });
+    const engines = ports.createEngines(portOptions);
+    const directory = ports.createDirectory({
+        ...portOptions,
         directoryAddress: listen.directory,
         readinessAddress: listen.readiness,
         keepSeconds: bounds.addressesKeepSeconds * addressTtlFraction,
@@ -168,7 +177,7 @@
         handlers,
         clock,
         createBatch: createForwardBatch,
-        reportFailure: createFailureReporter({ writeLog: write, metrics }),
+        reportFailure,
     });
     await front.start();
     await directory.start();
--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -3,19 +3,19 @@
 import { initTRPC, TRPCError } from "@trpc/server";
 import { observable } from "@trpc/server/observable";
 import { randomUUID } from "node:crypto";
-import * as http from "node:http";
+import type * as http from "node:http";
 import { Err, Ok } from "ts-results";
 import { z } from "zod";
-import { readBody, sendJson } from "../../adapters/callerServer";
 import { createKeepAliveAgent, sendHttpCall } from "../../adapters/httpClient";
+import { createHttpServer, readBody, sendJson, startListening } from "../../adapters/httpServer";
 import { type CallId, toCallId } from "../../ids";
+import type { FailureReporter } from "../../runner";
 import type { ForwardEffectOf } from "../effects";
 import type { ForwardEvent } from "../events";
 import { type StoreEra, toStoreEra, unknownEra } from "../ids";
 import type { PeerState } from "../peers";
 import type { RequestChanges } from "../ports";
 import type { RelayAnswer, RelayedChanges, StorePosition } from "../storeChanges";
-import { startListening } from "./frontServer";
 
 /** Timeout of a call, on both sides; a failed call is retried at the next exchange. */
 const callTimeoutMs = 600;
@@ -184,10 +184,15 @@
     close(): void;
 }
 
+export interface PeerLinkOptions {
+    /** IP:PORT of this process. */
+    readonly address: string;
+    readonly post: (event: ForwardEvent) => void;
+    readonly reportFailure?: FailureReporter;
+}
+
 /** Creates the tRPC server and the clients of one process. */
-export function createPeerLink(
-    { address, post }: { readonly address: string; readonly post: (event: ForwardEvent) => void; },
-): PeerLink {
+export function createPeerLink({ address, post, reportFailure }: PeerLinkOptions): PeerLink {
     const pendingStates = createPendingAnswers<PeerState>(timeoutsMs.exchange);
     const pendingChanges = createPendingAnswers<RelayAnswer>(timeoutsMs.changes);
     const agent = createKeepAliveAgent();
@@ -223,9 +228,7 @@
         sendJson(response, reply.status, reply.body);
     }
 
-    const server = http.createServer((request, response) => {
-        void handleCall(request, response);
-    });
+    const server = createHttpServer({ part: "peerLink", handle: handleCall, reportFailure });
 
     function createClient(peer: string): PeerClient {
         return createTRPCClient<typeof peerRouter>({ links: [createPeerCallLink(peer, agent)] });
--- a/src/forward/calls.ts
+++ b/src/forward/calls.ts
@@ -112,6 +112,10 @@
     | "cut_short"
     /** The response has more informational responses, bytes, or bytes in one event than this process accepts. */
     | "too_long"
+    /** The response cannot be relayed, or handling it failed. */
+    | "malformed"
+    /** The request could not be written; nothing was sent. */
+    | "not_sent"
     /** The response carries the id of another attempt, or the ids of its events are not consecutive. */
     | "mismatched"
     /** A response with a 2xx status lacks the target's signature header. */
--- a/src/forward/ports.ts
+++ b/src/forward/ports.ts
@@ -1,5 +1,5 @@
 /** Interfaces that a platform provides to the forwarding mode. Adapters outside `src` implement them. */
-import type { Clock } from "../runner";
+import type { Clock, FailureReporter } from "../runner";
 import type { HeaderCodec } from "./calls";
 import type { ForwardEffectOf } from "./effects";
 import type { ForwardEvent } from "./events";
@@ -29,6 +29,8 @@
 export interface PortOptions {
     readonly clock: Clock;
     readonly post: (event: ForwardEvent) => void;
+    /** Receives unexpected errors that a port has contained; the default throws them again. */
+    readonly reportFailure?: FailureReporter;
 }
 
 /** Requests the store's changes after a position from another process; rejects when it gives no usable answer. */
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -264,7 +264,7 @@
         requeueRequest(world, row, event.fault);
         return;
     }
-    if (target) {
+    if (target && event.fault !== "not_sent") {
         recordForwardFailure(world, tick, target, event.fault);
     }
     if (event.fault === "closed" || event.fault === "cut_short") {
--- a/src/refusals.ts
+++ b/src/refusals.ts
@@ -29,6 +29,7 @@
         message: "Engines crash under a part of this prompt. It is refused for a time.",
     },
     no_target: { status: 503, message: "No target can take this request now." },
+    internal_error: { status: 500, message: "This server failed while it handled the request." },
     deadline_exceeded: { status: 504, message: "The deadline of the request passed." },
     target_failed: { status: 502, message: "The target failed before it gave a full answer." },
     stream_interrupted: { status: 502, message: "The stream broke off and could not be resumed." },
--- a/src/requests.ts
+++ b/src/requests.ts
@@ -52,7 +52,9 @@
     | "mismatched_answer"
     /** The engine cannot continue the stream. */
     | "not_resumable"
-    | "answer_too_large";
+    | "answer_too_large"
+    /** The answer cannot be relayed, or handling it failed. */
+    | "malformed_answer";
 
 /** Parameters of one call to a target. */
 export interface TargetCall {
--- a/test/support/platformFleet.ts
+++ b/test/support/platformFleet.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from "node:net";
 import { platformPorts } from "../../platform";
 import { type RunningForwardNode, startForwardNode } from "../../src/forward/adapters/node";
+import type { PlatformPorts } from "../../src/forward/ports";
 import { parseForwardSettings } from "../../src/forward/settings";
 import { sendRequest } from "../../standins/platformCaller";
 import {
@@ -31,6 +32,7 @@
     readonly directoryAddress: string;
     readonly readinessAddress: string;
     readonly metricsAddress: string;
+    readonly peersAddress: string;
     readonly logs: string[];
     readonly exitCode: Promise<number>;
 }
@@ -61,7 +63,11 @@
 
 /** Starts a store, engines, plain services and processes, and waits until the processes are ready. */
 export async function startPlatformFleet(
-    options: { readonly nodes?: number; readonly engine?: Partial<PlatformServerOptions>; } = {},
+    options: {
+        readonly nodes?: number;
+        readonly engine?: Partial<PlatformServerOptions>;
+        readonly ports?: PlatformPorts;
+    } = {},
 ): Promise<PlatformFleet> {
     const store = await startPlatformStore();
     const engines = await Promise.all(
@@ -116,7 +122,7 @@
             });
             const node = await startForwardNode({
                 settings,
-                ports: platformPorts,
+                ports: options.ports ?? platformPorts,
                 onExit: handleExit,
                 writeLog: ({ prefix, message, fields }) => {
                     logs.push(`${prefix} ${message} ${JSON.stringify(fields)}`);
@@ -128,6 +134,7 @@
                 directoryAddress: directory,
                 readinessAddress: readiness,
                 metricsAddress: metrics,
+                peersAddress: peers,
                 logs,
                 exitCode,
             };
--- a/test/support/rawFleet.ts
+++ b/test/support/rawFleet.ts
@@ -26,6 +26,7 @@
 /** Starts a process and a target that answers `/raw-...` with the bytes that `answer` writes. */
 export async function startRawFleet(
     answer: (socket: net.Socket, request: RawRequest) => void,
+    options: Parameters<typeof startPlatformFleet>[0] = {},
 ): Promise<RawFleet> {
     const target = await startRawTarget((socket, request) => {
         if (request.path === "/raw-lookup/ready") {
@@ -34,7 +35,7 @@
         }
         answer(socket, request);
     });
-    const fleet = await startPlatformFleet();
+    const fleet = await startPlatformFleet(options);
     fleet.writeConfiguration({ routes: rawRoutes, services: [{ "name": rawService, "max-connections": 100 }] });
     const registration = fleet.services[0]?.buildRegistration();
     fleet.store.put("servers/raw", { ...registration, service: rawService, address: target.address });
