Split request targets without URL, which rejects some that parsers accept

A question for addresses with two slashes (GET //?name=x, which a base address that ends in a slash gives) was taken by new URL for an address without a host.

--- a/src/adapters/callerServer.ts
+++ b/src/adapters/callerServer.ts
@@ -14,6 +14,7 @@
 import { hasKey } from "./keyCheck";
 import { createListenerGuard } from "./listenerGuard";
 import type { OpenRequests } from "./openRequests";
+import { parseRequestTarget } from "./requestTarget";
 
 export interface CallerServerOptions {
     readonly settings: Settings;
@@ -107,7 +108,7 @@
             await handleService(request, response, service);
             return;
         }
-        const handler = fixedRoutes[`${request.method} ${url.split("?")[0]}`];
+        const handler = fixedRoutes[`${request.method} ${parseRequestTarget(url).path}`];
         if (handler) {
             await handler(request, response);
             return;
--- a/src/adapters/operatorServer.ts
+++ b/src/adapters/operatorServer.ts
@@ -9,6 +9,7 @@
 import type { OperatorAnswer, OperatorCommand } from "../operators";
 import type { FailureReporter } from "../runner";
 import { createHttpServer, readBody, sendJson, startListening } from "./httpServer";
+import { parseRequestTarget } from "./requestTarget";
 
 export interface OperatorServerOptions {
     readonly settings: Settings;
@@ -222,9 +223,9 @@
     }
 
     async function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-        const url = new URL(request.url ?? "/", "http://localhost");
+        const { path, query } = parseRequestTarget(request.url ?? "/");
         const route = operatorRoutes.find(candidate =>
-            candidate.method === request.method && candidate.path.test(url.pathname)
+            candidate.method === request.method && candidate.path.test(path)
         );
         if (!route) {
             sendJson(response, 404, buildError("not_found", "There is no such path."));
@@ -237,11 +238,11 @@
             return;
         }
         const bearerToken = readBearer(request);
-        const pathSegments = (route.path.exec(url.pathname) ?? []).slice(1).map(decodePathSegment);
+        const pathSegments = (route.path.exec(path) ?? []).slice(1).map(decodePathSegment);
         const built = route.build({
             pathSegments,
             headers: request.headers,
-            query: url.searchParams,
+            query,
             body: body.value,
             key: bearerToken === undefined ? undefined : toKeyHash(hashSecret(bearerToken)),
         });
--- a/test/listenerContainment.test.ts
+++ b/test/listenerContainment.test.ts
@@ -281,6 +281,7 @@
             sendRequest(metricsAddress, { path: "/", method: "GET" }),
         ]);
         expect(answers.map(({ status }) => status)).toEqual([200, 200, 200, 200]);
+        expect(fleet.nodes[0]?.logs.filter(line => line.includes("Unexpected failure"))).toEqual([]);
     });
 
     it("end no process of the completions mode at any of its listeners", async () => {
@@ -291,5 +292,6 @@
         const addresses = [listen?.callers, listen?.operators, listen?.peers].map(address => address ?? "");
         await Promise.all(addresses.map(sendOddRequests));
         await waitUntilReady(completionsFleet);
+        expect(completionsFleet.logs.filter(line => line.includes("Unexpected failure"))).toEqual([]);
     });
 });
