Refuse requests whose path cannot be written to a target

A path with a tab or a form feed passes Node's parser and is refused by its client. The error was contained in the tick, but the request stayed open until its time limit and its caller got no answer before. Both modes refuse it as bad_request, not run.

Evidence: the new test of listenerContainment.test.ts timed out before the fix.

--- a/src/adapters/callerServer.ts
+++ b/src/adapters/callerServer.ts
@@ -14,7 +14,7 @@
 import { hasKey } from "./keyCheck";
 import { createListenerGuard } from "./listenerGuard";
 import type { OpenRequests } from "./openRequests";
-import { parseRequestTarget } from "./requestTarget";
+import { isSendable, parseRequestTarget } from "./requestTarget";
 
 export interface CallerServerOptions {
     readonly settings: Settings;
@@ -104,6 +104,11 @@
     async function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const url = request.url ?? "/";
         const service = parseServicePath(url);
+        if (!isSendable(url)) {
+            const detail = "The path contains a character that cannot be sent on.";
+            writeRefusal(response, randomUUID(), { code: "bad_request", verdict: "not_run", detail });
+            return;
+        }
         if (service) {
             await handleService(request, response, service);
             return;
--- a/src/adapters/requestTarget.ts
+++ b/src/adapters/requestTarget.ts
@@ -19,3 +19,9 @@
     const [path = "", ...rest] = target.replace(originPattern, "").split("?");
     return { path: path === "" ? "/" : path, query: new URLSearchParams(rest.join("?")) };
 }
+
+/** Characters that Node's HTTP parser accepts in a target and its HTTP client refuses to write. */
+const unsendablePattern = /[^\x21-\xff]/;
+
+/** True when a request with this target can be sent on. */
+export const isSendable = (target: string): boolean => !unsendablePattern.test(target);
--- a/src/forward/adapters/frontServer.ts
+++ b/src/forward/adapters/frontServer.ts
@@ -3,6 +3,7 @@
 import type * as http from "node:http";
 import { createHttpServer, isIncomplete, readBody, sendRefusal, startListening } from "../../adapters/httpServer";
 import { createListenerGuard } from "../../adapters/listenerGuard";
+import { isSendable } from "../../adapters/requestTarget";
 import { type RequestId, toKeyHash, toRequestId } from "../../ids";
 import type { Refusal } from "../../refusals";
 import type { Clock, FailureReporter } from "../../runner";
@@ -125,6 +126,10 @@
             writeRefusal(codec, response, id, { code: "body_too_large", verdict: "not_run" }, isClosing);
             return;
         }
+        if (!isSendable(request.url ?? "/")) {
+            writeRefusal(codec, response, id, { code: "bad_request", verdict: "not_run" }, isClosing);
+            return;
+        }
         if (response.destroyed) {
             return;
         }
--- a/test/listenerContainment.test.ts
+++ b/test/listenerContainment.test.ts
@@ -14,8 +14,8 @@
 import type { Failure } from "../src/runner";
 import { startFleet as startCompletionsFleet, waitUntilReady } from "./support/fleet";
 import { type PlatformFleet, sendRequest, startPlatformFleet, waitUntil } from "./support/platformFleet";
-import { startRawTarget } from "./support/rawConnections";
-import { formatSignedHead, startRawFleet } from "./support/rawFleet";
+import { openRawCaller, startRawTarget } from "./support/rawConnections";
+import { formatRequest, formatSignedHead, startRawFleet } from "./support/rawFleet";
 
 const closers: (() => void | Promise<void>)[] = [];
 
@@ -294,4 +294,25 @@
         await waitUntilReady(completionsFleet);
         expect(completionsFleet.logs.filter(line => line.includes("Unexpected failure"))).toEqual([]);
     });
+
+    // Guards against a request that the HTTP client refuses to write, so that nobody answers its caller.
+    it("get an answer at once when their path cannot be sent on", async () => {
+        const rawFleet = await startRawFleet(() => undefined);
+        closers.push(rawFleet.close);
+        const completionsFleet = await startCompletionsFleet({ count: 1, document: {} });
+        closers.push(completionsFleet.stop);
+        const callers = completionsFleet.nodes[0]?.settings.listen.callers ?? "";
+        const requests = [
+            [rawFleet.address, "/raw-lookup/a\tb"],
+            [rawFleet.address, "/raw-order/a\fb"],
+            [callers, "/services/orders/a\tb"],
+        ] as const;
+        for (const [address, path] of requests) {
+            const caller = openRawCaller(address);
+            closers.push(caller.close);
+            caller.write(formatRequest("POST", path));
+            await caller.waitForText(/^HTTP\/1\.1 400 [^]*"verdict":"not_run"/);
+        }
+        expect(rawFleet.target.requests).toHaveLength(0);
+    });
 });
