Fail an attempt whose response head cannot be written to the caller

A status below 100 or a space in the name of a header passes Node's parser, and writeHead refuses it; status 101 is written and announces another response that never comes. The request was closed in the books and its caller got no answer. The head is now checked when it arrives, in both modes, so that the attempt fails as one that may have run, the target backs off and a repeatable request goes to another target.

--- a/src/adapters/targetClient.ts
+++ b/src/adapters/targetClient.ts
@@ -11,6 +11,7 @@
 import { sendRefusal } from "./httpServer";
 import { createListenerGuard, handleUnreportedFailure, type ListenerGuard } from "./listenerGuard";
 import type { OpenRequest, OpenRequests } from "./openRequests";
+import { isRelayable } from "./relayableHead";
 import { createStreamRelay, type StreamRelay } from "./streamRelay";
 import { buildAnswerHeaders, buildTargetHeaders } from "./targetHeaders";
 
@@ -252,12 +253,16 @@
             agent: call.needsNewConnection ? false : agent,
         }, "closed");
         const handleHead = (response: http.IncomingMessage): void => {
-            if (attempts.get(id) === runningAttempt) {
-                handleResponse(openRequest, runningAttempt, call, response);
-            }
-            else {
+            if (attempts.get(id) !== runningAttempt) {
                 response.destroy();
+                return;
+            }
+            if (!isRelayable(response)) {
+                postFailure(id, runningAttempt, "malformed_answer");
+                request.destroy();
+                return;
             }
+            handleResponse(openRequest, runningAttempt, call, response);
         };
         request.on("response", guard(handleHead));
         request.end(hasBody ? body : undefined);
--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -3,6 +3,7 @@
 import { isConnectionRefused, parseAddress, subscribeToFirstWrite } from "../../adapters/httpClient";
 import { sendRefusal } from "../../adapters/httpServer";
 import { createListenerGuard, handleUnreportedFailure, type ListenerGuard } from "../../adapters/listenerGuard";
+import { isRelayable } from "../../adapters/relayableHead";
 import {
     computeContentLength,
     endBodilessResponse,
@@ -269,6 +270,11 @@
                 targetResponse.destroy();
                 return;
             }
+            if (!isRelayable(targetResponse)) {
+                postFailure(id, running, "malformed");
+                request.destroy();
+                return;
+            }
             if (call.idleTimeoutMs !== undefined) {
                 request.setTimeout(call.idleTimeoutMs, guard(handleSilence));
             }
