Refuse requests whose token counts are no numbers

A malformed count made the usage of its account NaN at that process, which then refused all later requests of the account with 429.

--- a/src/forward/adapters/frontServer.ts
+++ b/src/forward/adapters/frontServer.ts
@@ -119,14 +119,14 @@
 
     async function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const arrivedAt = clock.getNow();
-        const { key, ...headerFields } = codec.decodeRequest(request.headers);
+        const { key, isWellFormed, ...headerFields } = codec.decodeRequest(request.headers);
         const body = await readRequestBody(request);
         const id = createUniqueRequestId(headerFields.attemptId);
         if (!body) {
             writeRefusal(codec, response, id, { code: "body_too_large", verdict: "not_run" }, isClosing);
             return;
         }
-        if (!isSendable(request.url ?? "/")) {
+        if (!isWellFormed || !isSendable(request.url ?? "/")) {
             writeRefusal(codec, response, id, { code: "bad_request", verdict: "not_run" }, isClosing);
             return;
         }
--- a/src/forward/calls.ts
+++ b/src/forward/calls.ts
@@ -11,6 +11,8 @@
 
 /** Decoded headers of a caller's request. */
 export interface RequestHeaderFields {
+    /** False when a header that decides what the request costs its account cannot be understood. */
+    readonly isWellFormed: boolean;
     /** Id that the caller gave this attempt; undefined when it gave none. */
     readonly attemptId: string | undefined;
     /** API key. */
@@ -29,7 +31,7 @@
 }
 
 /** A request that the front server has read whole. The adapter keeps its body and raw headers. */
-export interface ForwardArrival extends Omit<RequestHeaderFields, "key"> {
+export interface ForwardArrival extends Omit<RequestHeaderFields, "key" | "isWellFormed"> {
     readonly request: RequestId;
     readonly keyHash: KeyHash | undefined;
     readonly host: string;
