Relay answers of plain services with the framing that they came with

The completions mode gave every buffered answer a Content-Length, whatever had marked its end: a 204 got a length, which RFC 9110 forbids, the answer to HEAD a length of 0, and an answer that its connection ended, possibly by a crash of the service, looked whole and was replayed to later calls with the same key. A 204 that announced a body was waited for. The mode now shares the framing of responses with the forwarding mode.

--- a/src/adapters/targetClient.ts
+++ b/src/adapters/targetClient.ts
@@ -5,24 +5,17 @@
 import type { EffectOf } from "../effects";
 import type { Event } from "../events";
 import type { RequestId } from "../ids";
-import type { AnswerRecord, AttemptFailure, TargetCall } from "../requests";
+import type { AttemptFailure, TargetCall } from "../requests";
 import type { FailureReporter } from "../runner";
+import { type BufferedAnswer, buildAnswerRecord, buildBufferedAnswer, type WholeResponse } from "./bufferedAnswer";
 import { createKeepAliveAgent, parseAddress, subscribeToFirstWrite } from "./httpClient";
 import { sendRefusal } from "./httpServer";
 import { createListenerGuard, handleUnreportedFailure, type ListenerGuard } from "./listenerGuard";
 import type { OpenRequest, OpenRequests } from "./openRequests";
 import { isRelayable } from "./relayableHead";
+import { endBodilessResponse, followResponseEnd, removeFraming } from "./responseFraming";
 import { createStreamRelay, type StreamRelay } from "./streamRelay";
-import { buildAnswerHeaders, buildTargetHeaders } from "./targetHeaders";
-
-/** Maximum size of answers that are recorded with an idempotency claim. */
-const maxRecordedAnswerBytes = 64 * 1024;
-
-interface BufferedAnswer {
-    readonly status: number;
-    readonly headers: http.OutgoingHttpHeaders;
-    readonly body: Buffer;
-}
+import { buildTargetHeaders } from "./targetHeaders";
 
 interface RunningAttempt {
     readonly attempt: number;
@@ -61,16 +54,6 @@
 const isEventStream = (response: http.IncomingMessage): boolean =>
     response.statusCode === 200 && (response.headers["content-type"] ?? "").startsWith("text/event-stream");
 
-function buildAnswerRecord(response: http.IncomingMessage, body: Buffer): AnswerRecord | undefined {
-    const contentType = response.headers["content-type"] ?? "application/octet-stream";
-    const text = body.length <= maxRecordedAnswerBytes ? body.toString("utf8") : undefined;
-    // A body with a content encoding, or one that is not valid UTF-8, could not be replayed unchanged.
-    const isExact = text !== undefined && Buffer.from(text, "utf8").equals(body);
-    return isExact && response.headers["content-encoding"] === undefined
-        ? { status: response.statusCode ?? 0, contentType, body: text }
-        : undefined;
-}
-
 /** Creates the client for targets. */
 export function createTargetClient(
     { settings, post, openRequests, reportFailure = handleUnreportedFailure }: TargetClientOptions,
@@ -93,9 +76,22 @@
         call: TargetCall,
         response: http.IncomingMessage,
     ): void {
+        const { id } = openRequest;
+        const end = followResponseEnd(call.method, response);
+        const handleWhole = (body: Buffer): void => {
+            if (attempts.get(id) === runningAttempt && runningAttempt.request) {
+                handleBufferedAnswer(openRequest, runningAttempt, call, { response, framing: end.framing, body });
+            }
+        };
+        if (end.framing === "head") {
+            // Closing the connection of a response that announces a body raises an error, which ends nothing.
+            response.on("error", () => undefined);
+            handleWhole(Buffer.alloc(0));
+            endBodilessResponse(response);
+            return;
+        }
         const chunks: Buffer[] = [];
         let length = 0;
-        const { id } = openRequest;
         const { guard } = runningAttempt;
         const handleData = (chunk: Buffer): void => {
             chunks.push(chunk);
@@ -109,13 +105,13 @@
             postFailure(id, runningAttempt, "closed");
         };
         const handleClose = (): void => {
-            if (!response.complete) {
+            if (!end.isComplete()) {
                 postFailure(id, runningAttempt, "closed");
             }
         };
         const handleEnd = (): void => {
-            if (response.complete && attempts.get(id) === runningAttempt && runningAttempt.request) {
-                handleBufferedAnswer(openRequest, runningAttempt, call, response, Buffer.concat(chunks));
+            if (end.isComplete()) {
+                handleWhole(Buffer.concat(chunks));
             }
         };
         response.on("data", guard(handleData));
@@ -128,9 +124,9 @@
         openRequest: OpenRequest,
         runningAttempt: RunningAttempt,
         call: TargetCall,
-        response: http.IncomingMessage,
-        body: Buffer,
+        whole: WholeResponse,
     ): void {
+        const { response, body } = whole;
         const status = response.statusCode ?? 0;
         const answer = call.engine && status === 200 ? decodeAnswer(body.toString("utf8")) : undefined;
         if (
@@ -139,12 +135,8 @@
             postFailure(openRequest.id, runningAttempt, "mismatched_answer");
             return;
         }
-        const record = call.engine ? undefined : buildAnswerRecord(response, body);
-        const bufferedAnswer: BufferedAnswer = {
-            status,
-            headers: buildAnswerHeaders(response.headers, openRequest.id),
-            body: answer ? Buffer.from(JSON.stringify({ ...answer.body, model: openRequest.routeName })) : body,
-        };
+        const record = call.engine ? undefined : buildAnswerRecord(whole);
+        const bufferedAnswer = buildBufferedAnswer(openRequest, whole, answer);
         // Posted first: if it fails, the attempt is still open and can be reported as failed.
         post({
             kind: "attemptAnswered",
@@ -303,10 +295,13 @@
     function relayBufferedAnswer(
         id: RequestId,
         caller: http.ServerResponse,
-        { status, headers, body }: BufferedAnswer,
+        { status, headers, body, framing }: BufferedAnswer,
     ): void {
         try {
-            caller.writeHead(status, { ...headers, "content-length": body.length });
+            if (framing === "connection") {
+                removeFraming(caller);
+            }
+            caller.writeHead(status, headers);
         }
         catch (error) {
             // The system has closed the request already, so it is answered here.
