Reset the connection of an interrupted response that has no chunks

Callers got streams that had broken off as complete ones: a stream with neither a length nor chunks ends with its connection, and interrupt closed that connection in the orderly way. The break was noticed and logged each time. Callers of HTTP/1.0 get no chunks whatever the target sent, so they were concerned in each case, in the completions mode when the process ended.

Responses in chunks still end without their last chunk.

--- a/src/adapters/callerServer.ts
+++ b/src/adapters/callerServer.ts
@@ -14,6 +14,7 @@
 import { hasKey } from "./keyCheck";
 import { createListenerGuard } from "./listenerGuard";
 import type { OpenRequests } from "./openRequests";
+import { createOpenResponses } from "./openResponses";
 import { isSendable, parseRequestTarget } from "./requestTarget";
 
 export interface CallerServerOptions {
@@ -91,6 +92,7 @@
 export function createCallerServer(options: CallerServerOptions): CallerServer {
     const { settings, clock, post, openRequests, isReady, getMetrics, reportFailure } = options;
     const part = "callerServer";
+    const openResponses = createOpenResponses({ reportFailure });
     const pendingCalls = new Map<CallId, http.ServerResponse>();
 
     function openCall(response: http.ServerResponse): CallId {
@@ -268,6 +270,7 @@
             post({ kind, request: id });
         };
         openRequests.add({ ...rest, headers: request.headers });
+        openResponses.add(response);
         response.on("close", guard(handleClose));
     }
 
@@ -301,8 +304,8 @@
                 const body = JSON.stringify(formatRefusal(refusal, request));
                 openRequest.response.end(encodeEvent({ id: undefined, event: "error", data: body }));
             }
-            else {
-                openRequest?.response.destroy();
+            else if (openRequest) {
+                openResponses.endIncomplete(openRequest.response);
             }
         },
         replay: ({ request, answer }) => {
@@ -328,6 +331,7 @@
         },
         stop: () => {
             server.close();
+            openResponses.endAll();
             server.closeAllConnections();
         },
     };
--- a/src/forward/adapters/frontServer.ts
+++ b/src/forward/adapters/frontServer.ts
@@ -3,6 +3,7 @@
 import type * as http from "node:http";
 import { createHttpServer, isIncomplete, readBody, sendRefusal, startListening } from "../../adapters/httpServer";
 import { createListenerGuard } from "../../adapters/listenerGuard";
+import { createOpenResponses, isEndedByConnection } from "../../adapters/openResponses";
 import { isSendable } from "../../adapters/requestTarget";
 import { type RequestId, toKeyHash, toRequestId } from "../../ids";
 import type { Refusal } from "../../refusals";
@@ -54,7 +55,10 @@
     /** Adds `Connection: close` to all further responses. */
     startClosing(): void;
     isClosing(): boolean;
-    close(): void;
+    /** Takes no further connections. */
+    closeListener(): void;
+    /** Ends all responses; the process ends. */
+    stop(): void;
 }
 
 function writeRefusal(
@@ -83,6 +87,7 @@
     const { address, codec, clock, post, openRequests, onIncompleteRequest, onInterruptedResponse } = options;
     const { reportFailure } = options;
     const part = "frontServer";
+    const openResponses = createOpenResponses({ reportFailure });
     let currentMaxBodyBytes = initialMaxBodyBytes;
     let isClosing = false;
 
@@ -143,6 +148,7 @@
             response,
         };
         openRequests.add(openRequest);
+        openResponses.add(response);
         subscribeToClose(openRequest);
         post({
             kind: "requestArrived",
@@ -168,6 +174,11 @@
         maxHeaderSize: maxParsedHeaderBytes,
     });
 
+    function closeListener(): void {
+        server.close();
+        server.closeIdleConnections();
+    }
+
     return {
         start: () => startListening(server, address),
         refuse: ({ request, refusal }) => {
@@ -181,10 +192,10 @@
             if (response && !response.destroyed) {
                 onInterruptedResponse({
                     request,
-                    framing: response.chunkedEncoding ? "chunks" : "connection",
+                    framing: isEndedByConnection(response) ? "connection" : "chunks",
                     pendingBytes: response.writableLength,
                 });
-                response.destroy();
+                openResponses.endIncomplete(response);
             }
         },
         applyLimits: limits => {
@@ -196,9 +207,10 @@
             isClosing = true;
         },
         isClosing: () => isClosing,
-        close: () => {
-            server.close();
-            server.closeIdleConnections();
+        closeListener,
+        stop: () => {
+            closeListener();
+            openResponses.endAll();
         },
     };
 }
--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -122,7 +122,7 @@
 
     function stop(): void {
         runner.stop();
-        front.close();
+        front.stop();
         client.close();
         store.close();
         peers.close();
@@ -165,7 +165,7 @@
         writeLog: write,
         addCount: metrics.addCount,
         recordValue: metrics.recordValue,
-        closeListeners: front.close,
+        closeListeners: front.closeListener,
         exitProcess: ({ code }) => {
             stop();
             onExit?.(code);
--- a/src/forward/effects.ts
+++ b/src/forward/effects.ts
@@ -14,7 +14,7 @@
     | { readonly kind: "refuseRequest"; readonly request: RequestId; readonly refusal: Refusal; }
     /** Relays the response of the attempt to the caller. */
     | { readonly kind: "relayAnswer"; readonly request: RequestId; readonly attempt: number; }
-    /** Closes the caller's connection in the middle of a response. */
+    /** Ends a response in the middle, so that its caller can tell. */
     | { readonly kind: "interruptAnswer"; readonly request: RequestId; }
     /** Releases the request's body, its response and what is left of its attempt. */
     | { readonly kind: "releaseRequest"; readonly request: RequestId; }
--- /dev/null
+++ b/test/forward/interruptedStreams.test.ts
@@ -0,0 +1,236 @@
+/** Ends of streams as callers see them: their bytes, and the way in which the connection ends. */
+import type { Socket } from "node:net";
+import { afterEach, describe, expect, it } from "vitest";
+import { openRawCaller, type RawCaller, type RawRequest } from "../support/rawConnections";
+import { formatRequest, formatSignedHead, type RawFleet, startRawFleet } from "../support/rawFleet";
+
+let rawFleet: RawFleet | undefined;
+const callers: RawCaller[] = [];
+
+afterEach(async () => {
+    callers.splice(0).forEach(caller => {
+        caller.close();
+    });
+    await rawFleet?.close();
+    rawFleet = undefined;
+});
+
+/** How the target frames its stream. */
+type Framing = "chunks" | "connection";
+
+const framingHeaders: { readonly [Name in Framing]: string; } = {
+    chunks: "Transfer-Encoding: chunked",
+    connection: "Connection: close",
+};
+
+const framedBytes: { readonly [Name in Framing]: (text: string) => string; } = {
+    chunks: text => `${text.length.toString(16)}\r\n${text}\r\n`,
+    connection: text => text,
+};
+
+/** Writes the stream of one request. */
+interface StreamWriter {
+    write(text: string): void;
+    /** Ends the stream as a sound target does. */
+    finish(): void;
+    readonly socket: Socket;
+}
+
+function createStreamWriter(socket: Socket, framing: Framing): StreamWriter {
+    const write = (text: string): void => {
+        socket.write(framedBytes[framing](text));
+    };
+    return {
+        socket,
+        write,
+        finish: () => {
+            if (framing === "chunks") {
+                socket.write("0\r\n\r\n");
+            }
+            else {
+                socket.end();
+            }
+        },
+    };
+}
+
+const eventCount = 8;
+/** Events that the target sends before its stream breaks off. */
+const eventsBeforeBreak = 4;
+const eventMs = 15;
+
+const formatEvent = (id: number): string => `id: ${id}\ndata: talker ${id}\n\n`;
+
+const formatEvents = (count: number): string =>
+    Array.from({ length: count }, (_, index) => formatEvent(index + 1)).join("");
+
+const wait = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+
+/** Sends the events of a stream, and calls `breakOff` in place of the fifth one. */
+async function sendStream(writer: StreamWriter, breakOff?: (writer: StreamWriter) => void): Promise<void> {
+    for (let id = 1; id <= eventCount; id += 1) {
+        if (breakOff && id > eventsBeforeBreak) {
+            breakOff(writer);
+            return;
+        }
+        writer.write(formatEvent(id));
+        await wait(eventMs);
+    }
+    writer.finish();
+}
+
+interface StreamOptions {
+    readonly framing: Framing;
+    /** HTTP version of the caller. */
+    readonly version: string;
+    readonly path?: string;
+    readonly deadlineMs?: number;
+    readonly breakOff?: (writer: StreamWriter) => void;
+    /** Answers the second attempt of a stream that is resumed. */
+    readonly answerAgain?: (socket: Socket, request: RawRequest) => void;
+}
+
+/** Requests a stream, and returns the process and the connection of the caller. */
+async function requestStream(
+    options: StreamOptions,
+): Promise<{ readonly caller: RawCaller; readonly fleet: RawFleet; }> {
+    const { framing, version, path = "/raw-stream/1", deadlineMs = 3000, breakOff, answerAgain } = options;
+    let attempts = 0;
+    const fleet = await startRawFleet((socket, request) => {
+        attempts += 1;
+        if (attempts > 1 && answerAgain) {
+            answerAgain(socket, request);
+            return;
+        }
+        const head = ["Content-Type: text/event-stream", framingHeaders[framing]];
+        socket.write(formatSignedHead(request, "200 OK", head));
+        void sendStream(createStreamWriter(socket, framing), breakOff);
+    });
+    rawFleet = fleet;
+    const caller = openRawCaller(fleet.address);
+    callers.push(caller);
+    caller.write(formatRequest("POST", path, { version, deadlineMs }));
+    return { caller, fleet };
+}
+
+const readBody = ({ text }: RawCaller): string => text.slice(text.indexOf("\r\n\r\n") + 4);
+
+/** Streams whose end their callers see only by the end of the connection. */
+const unframed = [
+    { what: "the target has no framing", framing: "connection", version: "1.1" },
+    { what: "the caller speaks HTTP/1.0", framing: "chunks", version: "1.0" },
+] as const;
+
+/** The target sends nothing more and keeps its connection. */
+const stopSending = (): void => undefined;
+
+/** Every way in which a stream that has begun ends early. */
+const breaks: readonly (Omit<StreamOptions, "framing" | "version"> & {
+    readonly why: string;
+    /** Ends the stream from the side of the process. */
+    readonly endProcess?: (fleet: RawFleet) => void;
+})[] = [
+    {
+        why: "the target ends inside an event",
+        breakOff: ({ write, socket }) => {
+            write("id: 5\nda");
+            socket.end();
+        },
+    },
+    { why: "the target resets its connection", breakOff: ({ socket }) => socket.resetAndDestroy() },
+    {
+        why: "an event is too long",
+        breakOff: ({ write }) => {
+            write(`id: 5\ndata: ${"x".repeat(2 * 1024 * 1024)}`);
+        },
+    },
+    {
+        why: "an event has a wrong id",
+        breakOff: ({ write }) => {
+            write(formatEvent(7));
+        },
+    },
+    {
+        why: "the time limit passes",
+        deadlineMs: 400,
+        breakOff: stopSending,
+    },
+    {
+        why: "the target fails again when the stream is resumed",
+        path: "/raw-resumable/1",
+        breakOff: ({ socket }) => socket.resetAndDestroy(),
+        answerAgain: (socket, request) => {
+            socket.write(formatSignedHead(request, "500 Internal Server Error", ["Content-Length: 0"]));
+        },
+    },
+    {
+        why: "the grace period of a planned stop ends",
+        breakOff: stopSending,
+        endProcess: ({ node }) => {
+            node.node.drain();
+        },
+    },
+    {
+        why: "the process ends",
+        breakOff: stopSending,
+        endProcess: ({ node }) => {
+            node.node.stop();
+        },
+    },
+];
+
+describe.each(unframed)("a stream of which only the connection shows the end, as $what", ({ framing, version }) => {
+    // Guards against ORDER and MIXED: a stream that broke off was ended like one that is complete.
+    it.each(breaks)("ends with a reset after the events that arrived when $why", async ({ endProcess, ...options }) => {
+        const { caller, fleet } = await requestStream({ framing, version, ...options });
+        await caller.waitForText(/talker 4\n\n/);
+        endProcess?.(fleet);
+        expect(await caller.waitForEnd()).toBe("reset");
+        expect(caller.text).toMatch(/^HTTP\/1\.1 200 OK\r\n/);
+        expect(caller.text).not.toMatch(/^(content-length|transfer-encoding):/im);
+        expect(readBody(caller)).toBe(formatEvents(eventsBeforeBreak));
+    });
+
+    // Guards against a sound stream that its caller takes for a broken one.
+    it("arrives whole and ends in the orderly way when the target finishes it", async () => {
+        const { caller } = await requestStream({ framing, version });
+        expect(await caller.waitForEnd()).toBe("orderly");
+        expect(readBody(caller)).toBe(formatEvents(eventCount));
+    });
+
+    // Guards against events that were written and that the reset discards although the caller keeps up.
+    it("keeps large events that were written just before it broke off", async () => {
+        const data = "x".repeat(200_000);
+        const { caller } = await requestStream({
+            framing,
+            version,
+            breakOff: ({ write, socket }) => {
+                write(`id: 5\ndata: ${data}\n\nid: 6\ndata: ${data}\n\nid: 7\nda`);
+                socket.end();
+            },
+        });
+        expect(await caller.waitForEnd()).toBe("reset");
+        expect(readBody(caller)).toBe(
+            `${formatEvents(eventsBeforeBreak)}id: 5\ndata: ${data}\n\nid: 6\ndata: ${data}\n\n`,
+        );
+    });
+});
+
+describe("a stream in chunks", () => {
+    const lastChunk = /\r\n0\r\n\r\n$/;
+
+    // Guards against a last chunk after a stream that broke off.
+    it("lacks its last chunk when it breaks off, and has it when it is complete", async () => {
+        const options = { framing: "chunks", version: "1.1" } as const;
+        const { caller: broken } = await requestStream({
+            ...options,
+            breakOff: ({ socket }) => socket.resetAndDestroy(),
+        });
+        await broken.waitForEnd();
+        expect(broken.text).toMatch(/talker 4\n\n\r\n$/);
+        await rawFleet?.close();
+        const { caller: whole } = await requestStream(options);
+        await whole.waitForText(lastChunk);
+        expect(whole.end).toBe("open");
+    });
+});
--- a/test/support/rawFleet.ts
+++ b/test/support/rawFleet.ts
@@ -72,20 +72,15 @@
 let lastAttempt = 0;
 
 /** Formats a request with the headers that the platform's callers send. */
-export function formatRequest(
-    method: string,
-    path: string,
-    { version = "1.1", headers = [] as readonly string[] } = {},
-) {
+export function formatRequest(method: string, path: string, { version = "1.1", deadlineMs = 3000 } = {}): string {
     lastAttempt += 1;
     return [
         `${method} ${path} HTTP/${version}`,
         "Host: shop.example",
         `X-Marjoramvane-Attempt-Id: a${lastAttempt}`,
-        "X-Marjoramvane-Deadline-Ms: 3000",
+        `X-Marjoramvane-Deadline-Ms: ${deadlineMs}`,
         `Authorization: Token ${apiKey}`,
         "Content-Length: 0",
-        ...headers,
         "",
         "",
     ].join("\r\n");
