Answer the requests that still run at the end of the grace period

A process whose grace period ended closed the connections of open requests with its exit: callers of plain requests got no answer, and nothing said whether the request may have run.

Evidence: two new tests of test/forward/lateInGrace.test.ts fail without the change.

--- a/src/forward/systems/drainNode.ts
+++ b/src/forward/systems/drainNode.ts
@@ -4,6 +4,7 @@
 import type { RouteKind } from "../document";
 import type { ForwardTick } from "../events";
 import type { ForwardWorld } from "../world";
+import { refuseForwardRequest } from "./requestEnd";
 
 /**
  * Fraction of the grace period during which a leaving process still admits requests, since callers may use its address
@@ -44,18 +45,30 @@
     world.timers.schedule({ name: "drain", at: addMillis(tick.now, graceMs * exitFraction), key: "limit" });
 }
 
+/**
+ * Ends the requests that still run. The exit would close their connections, which says nothing about their outcome, and
+ * which callers take for the end of a response that has no framing.
+ */
+function endOpenRequests(world: ForwardWorld, tick: ForwardTick): void {
+    const { requests } = world.tables;
+    for (const row of [...requests.list("queued"), ...requests.list("running")]) {
+        refuseForwardRequest(world, tick, row, "draining");
+    }
+}
+
 function stopNode(world: ForwardWorld, tick: ForwardTick): void {
     const { node, requests } = world.tables;
     if (requests.undelivered > 0) {
         logWarning(
             world.effects,
             "drain:",
-            "Answers are still open at the end of the grace period; the exit interrupts them.",
+            "Answers are still open at the end of the grace period; they are ended early.",
             {
                 answers: requests.undelivered,
             },
         );
     }
+    endOpenRequests(world, tick);
     node.state = "stopped";
     world.effects.append({ kind: "closeListeners" });
     if (node.lease.id !== undefined) {
@@ -87,8 +100,8 @@
 }
 
 /**
- * Reads: requests, configuration. Writes: node.
- * Effects: readiness, closing of listeners, calls to the store, exit, log lines.
+ * Reads: configuration. Writes: node, requests, targets, usage windows.
+ * Effects: readiness, refusals, interruptions, closing of listeners, calls to the store, exit, log lines.
  */
 export function drainNode(world: ForwardWorld, tick: ForwardTick): void {
     const { node } = world.tables;
--- a/test/forward/lateInGrace.test.ts
+++ b/test/forward/lateInGrace.test.ts
@@ -1,7 +1,9 @@
 /** Requests that come to a process in its grace period. */
 import { describe, expect, it } from "vitest";
+import { platformPorts } from "../../platform";
 import type { ForwardEffect } from "../../src/forward/effects";
-import { toMillis } from "../../src/ids";
+import type { ForwardEvent } from "../../src/forward/events";
+import { toMillis, toRequestId } from "../../src/ids";
 import {
     buildArrival,
     buildDocument,
@@ -67,3 +69,43 @@
         expect(listEffects(sendRequest(node, "/long/1", 2000), "sendRequest")).toHaveLength(1);
     });
 });
+
+describe("a request that still runs at the end of the grace period", () => {
+    /** Sends a request to a process that is then told to stop, and returns the effects until its exit. */
+    async function runUntilExit(path: string, events: readonly ForwardEvent[]): Promise<readonly ForwardEffect[]> {
+        const node = await createForwardTestNode();
+        node.run([]);
+        const targets = [{ name: "s1", target: buildTarget("s1", { service: plainService }) }];
+        node.runFor(20, createGrantingStore(node.getNow), [
+            node.buildReadEvent({ document: buildDocument({ routes }), targets }),
+        ]);
+        sendRequest(node, path, 9000);
+        node.run(events);
+        node.run([{ kind: "drainRequested" }]);
+        return node.runFor(graceMs, createGrantingStore(node.getNow));
+    }
+
+    const attempt = { request: toRequestId("r1"), attempt: 1 };
+
+    // Guards against LOST and REFUSED: its connection was closed without an answer, or an answer that says "not run".
+    it("is answered before the exit, as one that may have run", async () => {
+        const effects = await runUntilExit("/long/1", [{ kind: "attemptWriteStarted", ...attempt }]);
+        const kinds = effects.map(({ kind }) => kind);
+        expect(listEffects(effects, "refuseRequest").map(({ refusal }) => [refusal.code, refusal.verdict])).toEqual([
+            ["target_failed", "may_have_run"],
+        ]);
+        expect(kinds.indexOf("refuseRequest")).toBeLessThan(kinds.indexOf("exitProcess"));
+    });
+
+    // Guards against ORDER: the exit closes the connection of an unframed stream in the orderly way.
+    it("has its answer interrupted before the exit when the answer has begun", async () => {
+        const headerFields = platformPorts.headers.decodeResponse(200, { "x-marjoramvane-response-signature": "s" });
+        const effects = await runUntilExit("/lookup/1", [
+            { kind: "attemptWriteStarted", ...attempt },
+            { kind: "attemptAnswered", ...attempt, status: 200, headerFields, isOpenStream: true },
+        ]);
+        const kinds = effects.map(({ kind }) => kind);
+        expect(listEffects(effects, "interruptAnswer")).toHaveLength(1);
+        expect(kinds.indexOf("interruptAnswer")).toBeLessThan(kinds.indexOf("exitProcess"));
+    });
+});
