End open responses before an uncaught error ends the process

The exit closed the connections of streams without chunks in the orderly way, so that their callers took them for complete. Both modes now stop first, which resets these connections. A process that is killed can't do this (docs/OPERATIONS.md).

--- a/src/cli/commands/forward.ts
+++ b/src/cli/commands/forward.ts
@@ -49,12 +49,14 @@
             printFaults(io, file, settings.val);
             return exitCodes.invalid;
         }
-        subscribeToUncaughtErrors(io.write);
+        let runningNode: RunningForwardNode | undefined;
+        subscribeToUncaughtErrors({ write: io.write, stop: () => runningNode?.stop() });
         return new Promise<ExitCode>((resolve, reject) => {
             const handleExit = (code: number): void => {
                 resolve(code === 0 ? exitCodes.done : exitCodes.failed);
             };
             startForwardNode({ settings: settings.val, ports: platformPorts, onExit: handleExit }).then(node => {
+                runningNode = node;
                 getProcessSignals().subscribe({
                     SIGTERM: node.drain,
                     SIGINT: node.drain,
--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -1,5 +1,5 @@
 /** `serve`: runs one process of the router. */
-import { startNode } from "../../adapters/node";
+import { type RunningNode, startNode } from "../../adapters/node";
 import { parseSettingsFile } from "../../config/settings";
 import { type Command, type ExitCode, exitCodes, getRequiredOption, printFaults, readTextFile } from "../command";
 import { getProcessSignals } from "../signals";
@@ -17,12 +17,14 @@
             return exitCodes.invalid;
         }
         // This mode logs to standard error.
-        subscribeToUncaughtErrors(io.writeError);
+        let runningNode: RunningNode | undefined;
+        subscribeToUncaughtErrors({ write: io.writeError, stop: () => runningNode?.stop() });
         return new Promise<ExitCode>((resolve, reject) => {
             const handleExit = (code: number): void => {
                 resolve(code === 0 ? exitCodes.done : exitCodes.failed);
             };
             startNode({ settings: settings.val, onExit: handleExit }).then(node => {
+                runningNode = node;
                 getProcessSignals().subscribe({
                     SIGTERM: node.drain,
                     SIGINT: node.drain,
