Tell a reset that comes with the last bytes of a response from its end

The connection is now checked by a write of no bytes, which sends nothing and fails after a reset, before its "end" event reaches the response. Both modes share the check.

Evidence: one case of test/forward/interruptedStreams.test.ts and one of test/serviceFraming.test.ts fail without the check and pass with it.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -61,7 +61,7 @@
 // What an event listener throws ends the process, so listeners of adapters are wrapped by a guard. A listener that does
 // nothing, and a function that is passed by its name, need none.
 const noUnguardedListener = {
-    selector: "CallExpression[callee.property.name=/^(on|once|prependListener)$/]"
+    selector: "CallExpression[callee.property.name=/^(on|once|prependListener|prependOnceListener)$/]"
         + " > ArrowFunctionExpression[body.type!='Identifier']",
     message: "Wrap the listener with a guard (src/adapters/listenerGuard.ts).",
 };
--- a/src/adapters/responseFraming.ts
+++ b/src/adapters/responseFraming.ts
@@ -48,18 +48,42 @@
 }
 
 /**
- * Follows a response from its head on. The socket is kept here: Node clears `response.socket` when it hands the
- * connection of a response back to the agent, which is before the "end" event.
+ * Describes the end of a response whose head has arrived. The socket is kept here: Node clears `response.socket` when it
+ * hands the connection of a response back to the agent, which is before the "end" event.
  *
  * A target that crashes closes its connection in the same way as one that has finished, so a response with the framing
  * "connection" must be relayed without framing, too.
  */
-export function followResponseEnd(method: string, response: http.IncomingMessage): ResponseEnd {
+export function createResponseEnd(method: string, response: http.IncomingMessage): ResponseEnd {
     const { socket } = response;
     const framing = findFraming(method, response);
     return { framing, isComplete: () => completenessChecks[framing](response, socket) };
 }
 
+/** Writes no bytes: nothing is sent, and the write fails if the connection was reset. */
+function checkForReset(socket: Socket): void {
+    if (socket.writable) {
+        socket.write(Buffer.alloc(0));
+    }
+}
+
+/**
+ * Follows a response from its head to its end. A reset that arrives together with the last bytes is reported by Node as
+ * the end of the connection, so the connection is checked before its "end" event reaches the response.
+ *
+ * @example
+ * const end = followResponseEnd("GET", response);
+ * response.on("end", () => end.isComplete()); // false when the response was cut off
+ */
+export function followResponseEnd(method: string, response: http.IncomingMessage): ResponseEnd {
+    const { socket } = response;
+    const end = createResponseEnd(method, response);
+    if (end.framing === "connection") {
+        socket.prependOnceListener("end", checkForReset.bind(undefined, socket));
+    }
+    return end;
+}
+
 /**
  * Reads a response whose head is its end, so that its connection can be used again. The head of a 204 may announce a
  * body all the same; the parser would wait for its bytes, so the connection is closed.
--- a/src/forward/adapters/eventRelay.ts
+++ b/src/forward/adapters/eventRelay.ts
@@ -1,7 +1,7 @@
 /** Relays the events of a stream to a caller; checks that their ids are consecutive and that the stream is complete. */
 import type * as http from "node:http";
 import type { ListenerGuard } from "../../adapters/listenerGuard";
-import { followResponseEnd, type ResponseEnd } from "../../adapters/responseFraming";
+import { createResponseEnd, type ResponseEnd } from "../../adapters/responseFraming";
 import type { AttemptFault } from "../calls";
 import { createEventStreamSplitter, type RawStreamEvent } from "../codec/eventStream";
 
@@ -35,7 +35,7 @@
 /** Creates the relay of one attempt. */
 export function createEventRelay(options: EventRelayOptions): EventRelay {
     const { source, caller, onFirstEvent, onFinished, onFailed } = options;
-    const { end = followResponseEnd("GET", source), guard = listener => listener } = options;
+    const { end = createResponseEnd("GET", source), guard = listener => listener } = options;
     const splitter = createEventStreamSplitter();
     let { lastEventId } = options;
     let hasRelayedEvent = false;
--- a/test/forward/interruptedStreams.test.ts
+++ b/test/forward/interruptedStreams.test.ts
@@ -30,15 +30,15 @@
 
 /** Writes the stream of one request. */
 interface StreamWriter {
-    write(text: string): void;
+    write(text: string, onWritten?: () => void): void;
     /** Ends the stream as a sound target does. */
     finish(): void;
     readonly socket: Socket;
 }
 
 function createStreamWriter(socket: Socket, framing: Framing): StreamWriter {
-    const write = (text: string): void => {
-        socket.write(framedBytes[framing](text));
+    const write = (text: string, onWritten?: () => void): void => {
+        socket.write(framedBytes[framing](text), onWritten);
     };
     return {
         socket,
@@ -127,6 +127,8 @@
 /** Every way in which a stream that has begun ends early. */
 const breaks: readonly (Omit<StreamOptions, "framing" | "version"> & {
     readonly why: string;
+    /** Number of events that arrive. */
+    readonly events?: number;
     /** Ends the stream from the side of the process. */
     readonly endProcess?: (fleet: RawFleet) => void;
 })[] = [
@@ -138,6 +140,14 @@
         },
     },
     { why: "the target resets its connection", breakOff: ({ socket }) => socket.resetAndDestroy() },
+    {
+        // The bytes of the stream and the reset arrive together, which Node reports as the end of the connection.
+        why: "the target resets its connection at once after its last event",
+        breakOff: ({ write, socket }) => {
+            write(formatEvent(eventsBeforeBreak + 1), () => socket.resetAndDestroy());
+        },
+        events: eventsBeforeBreak + 1,
+    },
     {
         why: "an event is too long",
         breakOff: ({ write }) => {
@@ -181,14 +191,15 @@
 
 describe.each(unframed)("a stream of which only the connection shows the end, as $what", ({ framing, version }) => {
     // Guards against ORDER and MIXED: a stream that broke off was ended like one that is complete.
-    it.each(breaks)("ends with a reset after the events that arrived when $why", async ({ endProcess, ...options }) => {
+    it.each(breaks)("ends with a reset after the events that arrived when $why", async testCase => {
+        const { endProcess, events = eventsBeforeBreak, ...options } = testCase;
         const { caller, fleet } = await requestStream({ framing, version, ...options });
         await caller.waitForText(/talker 4\n\n/);
         endProcess?.(fleet);
         expect(await caller.waitForEnd()).toBe("reset");
         expect(caller.text).toMatch(/^HTTP\/1\.1 200 OK\r\n/);
         expect(caller.text).not.toMatch(/^(content-length|transfer-encoding):/im);
-        expect(readBody(caller)).toBe(formatEvents(eventsBeforeBreak));
+        expect(readBody(caller)).toBe(formatEvents(events));
     });
 
     // Guards against a sound stream that its caller takes for a broken one.
--- a/test/serviceFraming.test.ts
+++ b/test/serviceFraming.test.ts
@@ -80,8 +80,8 @@
 
 describe("an answer that its connection ends", () => {
     const body = "half of an answer";
-    const writeBody = (socket: Socket): void => {
-        socket.write(`HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n${body}`);
+    const writeBody = (socket: Socket, onWritten?: () => void): void => {
+        socket.write(`HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n${body}`, onWritten);
     };
 
     // Guards against a body that was cut off by a crash of the service and looks whole, since it got a length.
@@ -97,14 +97,25 @@
         expect(caller.text).not.toMatch(/^(content-length|transfer-encoding):/im);
     });
 
-    it("is a failed attempt when the connection was reset", async () => {
-        const fleet = await startFleet(socket => {
-            writeBody(socket);
-            setTimeout(() => socket.resetAndDestroy(), 50);
-        });
-        const answer = await sendCall(fleet, { path: "/reset", id: "job-1" });
-        expect(answer).toMatchObject({ status: 502, error: { verdict: "may_have_run" } });
-    });
+    // Guards against a reset that arrives together with the last bytes, which Node reports as the end of the connection.
+    it.each([
+        { when: "with the last bytes", reset: (socket: Socket) => socket.resetAndDestroy() },
+        {
+            when: "after the last bytes",
+            reset: (socket: Socket) => setTimeout(() => socket.resetAndDestroy(), 50),
+        },
+    ])(
+        "is a failed attempt when the connection was reset $when",
+        async ({ reset }) => {
+            const fleet = await startFleet(socket => {
+                writeBody(socket, () => {
+                    reset(socket);
+                });
+            });
+            const answer = await sendCall(fleet, { path: "/reset", id: "job-1" });
+            expect(answer).toMatchObject({ status: 502, error: { verdict: "may_have_run" } });
+        },
+    );
 
     it("is not replayed to a later call with the same key", async () => {
         const fleet = await startFleet(socket => {
