Draw answers without a body and cut unframed streams in the soak

Neither fault of the review could show in the soak: no server answered 204, streams always had chunks, and the proxy in front of each server turned a reset into an orderly close, which is the end of an unframed stream. The proxy now passes resets on, and two faults are drawn with a generator of their own, so that earlier seeds keep their faults.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -186,8 +186,15 @@
     },
 };
 
+/** Faults of the framing of answers, drawn apart for the same reason. */
+const framingFaultKinds: typeof faultKinds = {
+    "server answers without a body": createServerFault("noContent", listServices),
+    "engine cuts streams without framing": createServerFault("unframedCut", listEngines),
+};
+
 const startFault = (world: SoakWorld, fault: SoakFault): () => void =>
-    ({ ...faultKinds, ...engineFaultKinds, ...contentFaultKinds })[fault.kind]?.(world, fault) ?? endNothing;
+    ({ ...faultKinds, ...engineFaultKinds, ...contentFaultKinds, ...framingFaultKinds })[fault.kind]?.(world, fault)
+        ?? endNothing;
 
 /** Fraction of a run, at its beginning, in which faults start, so that the recovery can be checked at the end. */
 const faultyFraction = 0.6;
@@ -226,6 +233,10 @@
 export const createContentFaults = (random: () => number, { durationMs }: SoakWorld, count: number): SoakFault[] =>
     createFaultsOf({ random, durationMs, count, kinds: Object.keys(contentFaultKinds) });
 
+/** Draws the faults of the framing of answers with a generator of their own. */
+export const createFramingFaults = (random: () => number, { durationMs }: SoakWorld, count: number): SoakFault[] =>
+    createFaultsOf({ random, durationMs, count, kinds: Object.keys(framingFaultKinds) });
+
 /** Starts and ends the faults that are due. Skips a fault of a process that another fault already disturbs. */
 export function runFaults(world: SoakWorld): void {
     const now = getSoakTime(world);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -6,7 +6,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { deadlineMs, sendRequests } from "./callers";
 import { checkGuarantees } from "./checks";
-import { createContentFaults, createEngineFaults, createFaults, runFaults } from "./faults";
+import { createContentFaults, createEngineFaults, createFaults, createFramingFaults, runFaults } from "./faults";
 import { registerServers, startSoakWorld, stopSoakWorld } from "./fleet";
 import { regressionSeeds } from "./regressionSeeds";
 import { getSoakTime, type SoakWorld } from "./tables";
@@ -18,7 +18,9 @@
 const engineFaultsPerRun = 2;
 const engineFaultSeedOffset = 1_000_000;
 const contentFaultsPerRun = 1;
+const framingFaultsPerRun = 2;
 const contentFaultSeedOffset = 2_000_000;
+const framingFaultSeedOffset = 3_000_000;
 /** Time after the last deadline in which answers can still arrive. */
 const lateAnswerMs = 1500;
 
@@ -54,10 +56,12 @@
     const world = await startSoakWorld({ seed, random: () => uniformFloat64(generator), durationMs });
     const engineFaultGenerator = xoroshiro128plus(seed + engineFaultSeedOffset);
     const contentFaultGenerator = xoroshiro128plus(seed + contentFaultSeedOffset);
+    const framingFaultGenerator = xoroshiro128plus(seed + framingFaultSeedOffset);
     world.faults.push(
         ...createFaults(world, faultsPerRun),
         ...createEngineFaults(() => uniformFloat64(engineFaultGenerator), world, engineFaultsPerRun),
         ...createContentFaults(() => uniformFloat64(contentFaultGenerator), world, contentFaultsPerRun),
+        ...createFramingFaults(() => uniformFloat64(framingFaultGenerator), world, framingFaultsPerRun),
     );
     for (let tick = 0; getSoakTime(world) < durationMs; tick += 1) {
         runFaults(world);
--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -21,12 +21,18 @@
 /** Starts a proxy for the server at the address. */
 export async function startProxy(target: string): Promise<Proxy> {
     const sockets = new Set<net.Socket>();
+    const getDelayMs = (): number => proxy.mode === "slow" ? slowDelayMs : 0;
 
     function addSocket(socket: net.Socket, other: net.Socket): void {
         sockets.add(socket);
         socket.on("error", () => undefined);
-        socket.on("close", () => {
+        socket.on("close", hadError => {
             sockets.delete(socket);
+            if (hadError) {
+                // An orderly close would tell the other side that the stream is complete. Received bytes go first.
+                setTimeout(() => other.resetAndDestroy(), getDelayMs());
+                return;
+            }
             other.destroy();
         });
     }
@@ -40,10 +46,10 @@
                 if (!to.destroyed) {
                     to.write(bytes);
                 }
-            }, proxy.mode === "slow" ? slowDelayMs : 0);
+            }, getDelayMs());
         });
         from.on("end", () => {
-            setTimeout(() => to.end(), proxy.mode === "slow" ? slowDelayMs : 0);
+            setTimeout(() => to.end(), getDelayMs());
         });
     }
 
--- a/standins/platformServer.ts
+++ b/standins/platformServer.ts
@@ -42,6 +42,10 @@
     | "cut"
     /** Answers without Content-Length and resets the connection in the middle of the answer. */
     | "unframedReset"
+    /** Runs the request and answers 204 without a length, on a connection that is kept. */
+    | "noContent"
+    /** Sends streams without a length or chunks, and breaks them off after two events. */
+    | "unframedCut"
     /** Answers 200 without the signature header. */
     | "unsigned"
     /** Sends a second answer on the connection after the correct one. */
@@ -155,6 +159,10 @@
     }
 
     async function sendStream(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        if (server.behaviour === "unframedCut") {
+            response.useChunkedEncodingByDefault = false;
+            response.shouldKeepAlive = false;
+        }
         response.writeHead(200, { ...buildHeaders(request), "content-type": "text/event-stream" });
         const parts = String(request.headers[headerNames.parts] ?? "").split(",").map(part => part.split(":")[0]);
         if (server.crashingPart !== undefined && parts.includes(server.crashingPart)) {
@@ -171,6 +179,10 @@
             }
             response.write(`id: ${id}\ndata: ${instance} ${id}\n\n`);
             await wait(eventMs);
+            if (server.behaviour === "unframedCut" && id === firstEventId + 1) {
+                request.socket.resetAndDestroy();
+                return;
+            }
         }
         response.end();
     }
@@ -205,6 +217,13 @@
                 request.socket.write(`HTTP/1.1 200 OK\r\n${lines.join("")}Connection: close\r\n\r\n${answerText}`);
                 setTimeout(() => request.socket.resetAndDestroy(), eventMs);
             },
+            noContent: () => {
+                response.writeHead(204, headers);
+                response.end();
+            },
+            unframedCut: () => {
+                answerHandlers.unframedReset();
+            },
             unsigned: () => {
                 response.writeHead(200, { [headerNames.attempt]: headers[headerNames.attempt], "content-length": 2 });
                 response.end("no");
@@ -240,7 +259,7 @@
             response.end();
             return;
         }
-        if (model !== undefined && ["answer", "cut"].includes(server.behaviour)) {
+        if (model !== undefined && ["answer", "cut", "unframedCut"].includes(server.behaviour)) {
             await sendStream(request, response);
             return;
         }
