--- a/soak/main.ts
+++ b/soak/main.ts
@@ -51,9 +51,9 @@
 }
 
 /** Runs one seed; returns whether every guarantee was kept. */
-async function runSeed(seed: number): Promise<boolean> {
+async function runSeed(seed: number, processCount: number): Promise<boolean> {
     const generator = xoroshiro128plus(seed);
-    const world = await startSoakWorld({ seed, random: () => uniformFloat64(generator), durationMs });
+    const world = await startSoakWorld({ seed, random: () => uniformFloat64(generator), durationMs, processCount });
     const engineFaultGenerator = xoroshiro128plus(seed + engineFaultSeedOffset);
     const contentFaultGenerator = xoroshiro128plus(seed + contentFaultSeedOffset);
     const framingFaultGenerator = xoroshiro128plus(seed + framingFaultSeedOffset);
@@ -83,13 +83,15 @@
     /** Minimum number of seeds; more are run until `minutes` have passed. */
     readonly seedCount: number;
     readonly minutes: number;
+    /** Router processes of each run. */
+    readonly processCount: number;
     /** Runs the regression seeds first. */
     readonly shouldRunRegressions: boolean;
 }
 
 /** Runs seeds one after the other; resolves with those that violated a guarantee. */
 async function runSeeds(
-    { firstSeed, seedCount, minutes, shouldRunRegressions }: SeedOptions,
+    { firstSeed, seedCount, minutes, processCount, shouldRunRegressions }: SeedOptions,
 ): Promise<readonly number[]> {
     const end = performance.now() + minutes * 60_000;
     const failedSeeds: number[] = [];
@@ -98,7 +100,7 @@
     while (count < seedsToRepeat.length + seedCount || performance.now() < end) {
         const seed = seedsToRepeat[count] ?? firstSeed + count - seedsToRepeat.length;
         count += 1;
-        if (!(await runSeed(seed))) {
+        if (!(await runSeed(seed, processCount))) {
             failedSeeds.push(seed);
         }
     }
@@ -112,6 +114,7 @@
         seeds: { type: "string", default: "5" },
         seed: { type: "string", default: String(Date.now() % 1_000_000_000) },
         minutes: { type: "string", default: "0" },
+        processes: { type: "string", default: "3" },
         kept: { type: "boolean", default: false },
     },
 });
@@ -119,6 +122,7 @@
     firstSeed: Number(values.seed),
     seedCount: Number(values.seeds),
     minutes: Number(values.minutes),
+    processCount: Number(values.processes),
     shouldRunRegressions: values.kept,
 };
 runSeeds(options).then(
