--- a/test/forward/interruptedStreams.test.ts
+++ b/test/forward/interruptedStreams.test.ts
@@ -227,6 +227,44 @@
     });
 });
 
+describe("a stream without framing that ends before its first event", () => {
+    const head = ["Content-Type: text/event-stream", framingHeaders.connection];
+
+    /** Starts a process whose target ends the first stream after its head, and sends the next one whole. */
+    async function startFleet(): Promise<RawFleet> {
+        let attempts = 0;
+        rawFleet = await startRawFleet((socket, request) => {
+            attempts += 1;
+            socket.write(formatSignedHead(request, "200 OK", head));
+            if (attempts === 1) {
+                socket.end();
+                return;
+            }
+            void sendStream(createStreamWriter(socket, "connection"));
+        });
+        return rawFleet;
+    }
+
+    // Guards against an empty stream that looks complete, as an engine leaves it that crashes under a prompt.
+    it("is ended with a reset", async () => {
+        const { address } = await startFleet();
+        const caller = openRawCaller(address);
+        callers.push(caller);
+        caller.write(formatRequest("POST", "/raw-stream/1"));
+        expect(await caller.waitForEnd()).toBe("reset");
+        expect(readBody(caller)).toBe("");
+    });
+
+    it("is sent again when it may be", async () => {
+        const { address } = await startFleet();
+        const caller = openRawCaller(address);
+        callers.push(caller);
+        caller.write(formatRequest("POST", "/raw-resumable/1"));
+        expect(await caller.waitForEnd()).toBe("orderly");
+        expect(readBody(caller)).toBe(formatEvents(eventCount));
+    });
+});
+
 describe("a stream in chunks", () => {
     const lastChunk = /\r\n0\r\n\r\n$/;
 
