--- a/src/forward/adapters/eventRelay.ts
+++ b/src/forward/adapters/eventRelay.ts
@@ -85,7 +85,7 @@
         // A chunked response to the caller must not be ended normally when the source has no framing: nothing then
         // shows that the source is complete.
         const isEndUncertain = caller.useChunkedEncodingByDefault && end.framing === "connection";
-        // Without framing, a target that crashes before its first event ends like one that has nothing to say.
+        // Without framing, a target that crashes before its first event ends its stream like one that has sent all.
         const isEmpty = end.framing === "connection" && !hasRelayedEvent && lastEventId === undefined;
         if (!end.isComplete() || isEndUncertain || isEmpty || !isBlank(remainder)) {
             endWithFault("cut_short");
--- a/test/listenerContainment.test.ts
+++ b/test/listenerContainment.test.ts
@@ -40,13 +40,13 @@
                 },
                 reportFailure: failure => failures.push(failure),
             });
-        const heard: string[] = [];
+        const received: string[] = [];
         createGuard("r1")(() => {
             throw new TypeError("Cannot read properties of null");
         })();
-        createGuard("r2")((text: string) => heard.push(text))("bytes");
+        createGuard("r2")((text: string) => received.push(text))("bytes");
         expect(ended).toEqual(["r1"]);
-        expect(heard).toEqual(["bytes"]);
+        expect(received).toEqual(["bytes"]);
         expect(failures.map(({ part, fields }) => [part, fields])).toEqual([
             ["test", { request: "r1" }],
             ["test", { request: "r1" }],
