Answer requests whose target has invalid characters

Cause: from llhttp 9.3 (Node 20.20) on, the parser rejects control characters in the request target with HPE_INVALID_URL. The table of parser refusals did not list that code, so the connection was closed without an answer. Change: HPE_INVALID_URL is answered as bad_request, not run.

--- a/src/adapters/clientErrors.ts
+++ b/src/adapters/clientErrors.ts
@@ -11,6 +11,8 @@
     HPE_HEADER_OVERFLOW: "headers_too_large",
     ERR_HTTP_REQUEST_TIMEOUT: "bad_request",
     HPE_INVALID_METHOD: "bad_request",
+    // From llhttp 9.3 (Node 20.20) on, control characters in the request target are rejected by the parser.
+    HPE_INVALID_URL: "bad_request",
     HPE_INVALID_HEADER_TOKEN: "bad_request",
     HPE_INVALID_CONTENT_LENGTH: "bad_request",
     HPE_UNEXPECTED_CONTENT_LENGTH: "bad_request",
