Tell a reset from an orderly end in tests that read late

Cause: a Node client that reads the last bytes and the reset together reports 'end' and no error. Change: raw callers write nothing at an end, which fails after a reset.

--- a/test/support/rawConnections.ts
+++ b/test/support/rawConnections.ts
@@ -90,10 +90,14 @@
 }
 
 /** Opens a connection and reads its bytes as they come. */
-export function openRawCaller(address: string): RawCaller {
+export function openRawCaller(
+    address: string,
+    { onConnected = () => undefined }: { readonly onConnected?: () => void; } = {},
+): RawCaller {
     const socket = net.connect(parseAddress(address));
     let text = "";
     let end: ConnectionEnd = "open";
+    socket.on("connect", onConnected);
     socket.setEncoding("latin1");
     socket.on("data", (chunk: string) => {
         text += chunk;
@@ -101,8 +105,11 @@
     socket.on("error", () => {
         end = "reset";
     });
-    socket.on("end", () => {
-        end = "orderly";
+    // Node reports an end when the last bytes and a reset are read together. Writing nothing then fails after a reset.
+    socket.prependOnceListener("end", () => {
+        socket.write(Buffer.alloc(0), error => {
+            end = error ? "reset" : "orderly";
+        });
     });
     return {
         get text() {
