--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -53,6 +53,12 @@
     return createHttpServer({ part: "metrics", handle: handleRequest, reportFailure });
 }
 
+/** Completes settings that have no value by what the terms of the platform ask for. */
+function applyAgreements(settings: ForwardSettings, ports: Pick<PlatformPorts, "decodeAgreements">): ForwardSettings {
+    const { admitsBySlots } = ports.decodeAgreements(settings.agreements);
+    return { ...settings, admission: { bySlots: settings.admission.bySlots ?? admitsBySlots } };
+}
+
 /**
  * Starts one process in the forwarding mode.
  *
@@ -65,7 +71,7 @@
 ): Promise<RunningForwardNode> {
     const clock = createProcessClock();
     const world: ForwardWorld = {
-        settings,
+        settings: applyAgreements(settings, ports),
         startedAt: clock.getWallNow(),
         hasher: await loadHasher(),
         random: Math.random,
@@ -192,7 +198,7 @@
             post({ kind: "drainRequested" });
         },
         reload: next => {
-            world.settings = { ...next, listen };
+            world.settings = applyAgreements({ ...next, listen }, ports);
             post({ kind: "reloadRequested", outcome: "applied" });
         },
         refuseReload: () => {
--- a/src/forward/document.ts
+++ b/src/forward/document.ts
@@ -95,6 +95,8 @@
     readonly address: string;
     readonly dataCentre: DataCentreId;
     readonly isLeaving: boolean;
+    /** Requests that the target runs at once; undefined when its registration does not say. */
+    readonly slots?: number;
     /** Version of the weights of each model that the target holds. */
     readonly weights: ReadonlyMap<ModelId, WeightsVersion>;
 }
--- a/src/forward/policy/engineScore.ts
+++ b/src/forward/policy/engineScore.ts
@@ -69,6 +69,9 @@
     return Math.max(queuedPromptMs, oldestMs - oldestTokens / promptTokensPerMs - idleEngineMs);
 }
 
+/** Estimates the time from the begin of a prompt on an engine to its first event. */
+export const estimateFirstEventMs = (missedTokens: number): number => idleEngineMs + missedTokens / promptTokensPerMs;
+
 /** Computes the score of an engine in milliseconds; lower is better. */
 export function computeEngineScore(input: EngineScoreInput, loadScale: number): number {
     const promptMs = (input.missedTokens + input.fetchedTokens * fetchCostFactor) / promptTokensPerMs;
--- /dev/null
+++ b/src/forward/policy/slotWait.ts
@@ -0,0 +1,74 @@
+/**
+ * Time until an engine has a slot for a request. An engine that batches runs as many requests at once as it has slots and
+ * queues the rest, the most urgent first.
+ */
+export interface SlotWaitInput {
+    /** Requests at the engine, of this process and as estimated for its peers. */
+    readonly requests: number;
+    /** Requests that the engine runs at once. */
+    readonly slots: number;
+    /** Mean time for which a request holds a slot. */
+    readonly tenureMs: number;
+    /** Fraction of the waiting requests that the engine admits before this one, 0 to 1. */
+    readonly aheadShare: number;
+}
+
+/**
+ * Estimates the time until a request that is sent now gets a slot, in milliseconds.
+ *
+ * @example
+ * estimateSlotWaitMs({ requests: 48, slots: 32, tenureMs: 2000, aheadShare: 1 }); // 1062.5: 17 slots have to come free
+ */
+export function estimateSlotWaitMs({ requests, slots, tenureMs, aheadShare }: SlotWaitInput): number {
+    const waiting = requests - slots;
+    return waiting < 0 ? 0 : (1 + waiting * aheadShare) * tenureMs / slots;
+}
+
+/** The estimate of peers' requests changes by at most these factors, as it follows the traffic of one process only. */
+const minGrowth = 0.5;
+const maxGrowth = 2;
+/** Fewer requests of this process say little about the fleet's traffic. */
+const minRequestsForGrowth = 8;
+
+/**
+ * Estimates by which factor the requests of peers have changed since their reports, from the growth of those of this
+ * process in the same time.
+ */
+export function estimateGrowth(requestsNow: number, requestsThen: number): number {
+    if (Math.max(requestsNow, requestsThen) < minRequestsForGrowth) {
+        return 1;
+    }
+    return Math.min(maxGrowth, Math.max(minGrowth, requestsNow / Math.max(1, requestsThen)));
+}
+
+/** Fraction of the objective that the first event of an admitted request may take by the estimate. */
+const maxFirstEventFraction = 0.9;
+
+export interface AdmissionInput {
+    /** Estimated time until the target begins with the request. */
+    readonly waitMs: number;
+    /** Estimated time from then to the first event. */
+    readonly firstEventMs: number;
+    readonly objectiveMs: number;
+}
+
+/**
+ * True when a request can be expected to begin within its objective. One that cannot would only delay others: the
+ * engines finish no more requests for a longer queue, and everything in it comes late.
+ */
+export const canBeginInTime = ({ waitMs, firstEventMs, objectiveMs }: AdmissionInput): boolean =>
+    waitMs === 0 || waitMs + firstEventMs <= objectiveMs * maxFirstEventFraction;
+
+/** Returns are spread over this fraction of the wait either way, so that refused callers do not come back together. */
+const returnSpread = 0.3;
+/** Callers come back no sooner than this, about the time in which reports from other processes arrive. */
+const minReturnMs = 250;
+
+/**
+ * Computes when a refused caller should come back: when the queue is expected to be short enough, spread by `random`
+ * (0 to 1).
+ */
+export function computeReturnMs({ waitMs, firstEventMs, objectiveMs }: AdmissionInput, random: number): number {
+    const excessMs = waitMs + firstEventMs - objectiveMs * maxFirstEventFraction;
+    return Math.max(minReturnMs, excessMs) * (1 + returnSpread * (2 * random - 1));
+}
--- a/src/forward/ports.ts
+++ b/src/forward/ports.ts
@@ -36,8 +36,15 @@
 /** Requests the store's changes after a position from another process; rejects when it gives no usable answer. */
 export type RequestChanges = (address: string, after: StorePosition) => Promise<RelayAnswer>;
 
+/** Behaviour that a term of the platform can ask for. */
+export interface AgreedBehaviour {
+    /** Engines fail when they are sent more than they can hold, so requests are admitted by their slots. */
+    readonly admitsBySlots: boolean;
+}
+
 export interface PlatformPorts {
     readonly headers: HeaderCodec;
+    decodeAgreements(names: readonly string[]): AgreedBehaviour;
     createStore(
         options: PortOptions & {
             readonly address: string;
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -50,6 +50,15 @@
         /** Maximum time for which callers cache the list of addresses. */
         addressesKeepSeconds: z.number().positive(),
     }),
+    /** Terms of the platform that are in force, by its names; its port says which settings they ask for. */
+    agreements: z.array(z.string().max(64)).max(64).default([]),
+    admission: z.strictObject({
+        /**
+         * Refuses at once what the slots of the engines cannot begin in time, instead of queueing it at the engines.
+         * Without a value, the terms of the platform decide.
+         */
+        bySlots: z.boolean().optional(),
+    }).prefault({}),
     log: z.strictObject({
         level: z.enum(["error", "warn", "info", "debug"]).default("info"),
         /** Maximum lines of level info per second; further ones are counted and dropped. */
--- a/src/forward/systems/chooseEngine.ts
+++ b/src/forward/systems/chooseEngine.ts
@@ -3,7 +3,7 @@
 import { listByRendezvous } from "../../policy/rendezvous";
 import type { ForwardTick } from "../events";
 import type { WeightsVersion } from "../ids";
-import { computeEngineScore, estimateQueueMs } from "../policy/engineScore";
+import { computeEngineScore, estimateFirstEventMs, estimateQueueMs } from "../policy/engineScore";
 import { findOutdatedSince } from "../tables/configuration";
 import type { ForwardRequestRow } from "../tables/requests";
 import type { ForwardTargetRow } from "../tables/targets";
@@ -11,6 +11,8 @@
 import { computeCachedTokens, computeSalt } from "./cacheSalts";
 import { computeLoadFreshness, computeLoadScale, listTargetLoads, type TargetLoad } from "./engineLoad";
 import { computeLimitScarcity } from "./requestLimits";
+import { computeRank } from "./requestRank";
+import { buildSlotWaitEstimate } from "./slotUse";
 
 /** Answers from weights that were replaced longer ago than this are worth less, so such engines are less preferred. */
 const outdatedAfterMs = 1200;
@@ -29,6 +31,8 @@
     readonly scoreMs: number;
     /** Estimated time until the target begins to compute the prompt. */
     readonly queueMs: number;
+    /** Estimated time from then to the first event. */
+    readonly firstEventMs: number;
     readonly version: WeightsVersion | undefined;
     /** Prompt tokens that the engine has cached or will fetch. */
     readonly reusedTokens: number;
@@ -176,16 +180,18 @@
     const loadFreshness = computeLoadFreshness(world);
     const outdatedMs = computeOutdatedPenalty(loadFreshness, engines);
     const loadScale = computeLoadScale(world, tick);
+    const estimateSlotWait = buildSlotWaitEstimate(world, row, computeRank(row));
     let best: TargetChoice | undefined;
     for (const engine of engines) {
         const { target, version, cachedTokens, queue, rank, requests } = engine;
         const source = findFetchSource(sources, engine);
         const fetchedTokens = source ? source.tokens - cachedTokens : 0;
-        const queueMs = estimateQueueMs(queue, loadScale);
+        const queueMs = Math.max(estimateQueueMs(queue, loadScale), estimateSlotWait?.(engine) ?? 0);
+        const missedTokens = Math.max(0, promptTokens - cachedTokens - fetchedTokens);
         const scoreMs = computeEngineScore({
             queueMs,
             runningRequests: requests,
-            missedTokens: Math.max(0, promptTokens - cachedTokens - fetchedTokens),
+            missedTokens,
             fetchedTokens,
             isRemote: target.registration.dataCentre !== world.settings.dataCentre,
             rank,
@@ -199,6 +205,7 @@
                 target,
                 scoreMs,
                 queueMs,
+                firstEventMs: estimateFirstEventMs(missedTokens),
                 version,
                 reusedTokens: cachedTokens + fetchedTokens,
                 fetchFrom: source?.address,
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -14,6 +14,7 @@
 import { closeRequest, refuseForwardRequest } from "./requestEnd";
 import { recordNamedLimit } from "./requestLimits";
 import { moveSilentAttempt, recordSilence, retrySilent } from "./silentAttempts";
+import { recordTenure } from "./slotUse";
 import { recordDeparture } from "./targetDepartures";
 import {
     expectLoading,
@@ -160,6 +161,7 @@
 ): void {
     attempt.isOpen = false;
     attempt.outcome = "finished";
+    recordTenure(world, tick, row, attempt);
     logInfo(world.effects, "stream:", "Request finished.", {
         request: row.id,
         target: attempt.target,
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -13,6 +13,7 @@
 import { relayStore } from "./relayStore";
 import { resumeOnOtherEngines } from "./resumeOnOtherEngines";
 import { routeRequests } from "./routeRequests";
+import { recordSlotUse } from "./slotUse";
 import { updateMembership } from "./updateMembership";
 import { updateQuarantine } from "./updateQuarantine";
 
@@ -21,6 +22,7 @@
     updateMembership,
     relayStore,
     exchangeWithPeers,
+    recordSlotUse,
     followParts,
     followCrashes,
     followAttempts,
--- a/src/forward/systems/requestEnd.ts
+++ b/src/forward/systems/requestEnd.ts
@@ -1,5 +1,5 @@
 /** Ends requests: refusals and interruptions, with updates of accounts and targets. Shared by systems. */
-import { logInfo, logWarning } from "../../effects";
+import { type LogFields, logInfo, logWarning } from "../../effects";
 import { type RefusalCode, refusalKinds } from "../../refusals";
 import { computeVerdict } from "../../verdict";
 import type { ForwardTick } from "../events";
@@ -61,6 +61,7 @@
     row: ForwardRequestRow,
     code: RefusalCode,
     retryAfterSeconds?: number,
+    inputs: LogFields = {},
 ): void {
     cancelOpenAttempt(world, row, code);
     const verdict = computeVerdict(row.attempts.map(attempt => attempt.evidence));
@@ -94,6 +95,8 @@
         attempts: row.attempts.map(attempt => `${attempt.target} ${attempt.outcome}`),
         target: last?.target,
         lastEventId: row.lastEventId,
+        retryAfterSeconds,
+        ...inputs,
         version: world.tables.configuration.version,
     });
     closeRequest(world, tick, row);
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -5,6 +5,7 @@
 import type { ForwardCall } from "../calls";
 import type { RouteKind } from "../document";
 import type { ForwardTick } from "../events";
+import { canBeginInTime, computeReturnMs } from "../policy/slotWait";
 import { formatAttemptKey, type ForwardRequestRow, type MissingResource } from "../tables/requests";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
@@ -13,6 +14,8 @@
 import { isUsable, listEligible } from "./eligibleTargets";
 import { refuseForwardRequest } from "./requestEnd";
 import { findFirstToken, reserveRequestToken } from "./requestLimits";
+import { computeRank } from "./requestRank";
+import { isAdmittedBySlots } from "./slotUse";
 import { computeDeferralMs } from "./targetHealth";
 import { findQuarantine, recordTrial } from "./updateQuarantine";
 
@@ -36,7 +39,15 @@
             + target.failureShare * serviceFailureCostMs
             + world.random();
         if (!best || scoreMs < best.scoreMs) {
-            best = { target, scoreMs, queueMs: 0, version: undefined, reusedTokens: 0, fetchFrom: undefined };
+            best = {
+                target,
+                scoreMs,
+                queueMs: 0,
+                firstEventMs: 0,
+                version: undefined,
+                reusedTokens: 0,
+                fetchFrom: undefined,
+            };
         }
     }
     return best;
@@ -59,14 +70,6 @@
     );
 }
 
-/** Resumed streams have the highest priority, because their callers are waiting in the middle of an answer. */
-const resumedPriority = 0;
-/** Priorities of requests that are not resumed. Engines accept 0 (most urgent) to 9. */
-const highestPriority = 1;
-const lowestPriority = 9;
-/** Requests are ordered by the account's priority, then by the route's, which has about this many levels. */
-const routePriorityLevels = 3;
-
 function buildCall(tick: ForwardTick, row: ForwardRequestRow, choice: TargetChoice): ForwardCall {
     const { registration } = choice.target;
     const call: ForwardCall = {
@@ -81,15 +84,12 @@
     if (choice.version === undefined) {
         return call;
     }
-    const priority = row.lastEventId > 0
-        ? resumedPriority
-        : highestPriority + (row.account?.priority ?? 0) * routePriorityLevels + row.route.priority;
     return {
         ...call,
         engine: {
             salt: computeSalt(row, choice.version),
             version: choice.version,
-            priority: Math.min(lowestPriority, priority),
+            priority: computeRank(row),
             fetchFrom: choice.fetchFrom,
             copyTo: choice.copyTo,
         },
@@ -149,6 +149,7 @@
         missedTokens: Math.max(0, row.arrival.promptTokens - choice.reusedTokens),
         sentAt: tick.now,
         hasAnswered: false,
+        rank: computeRank(row),
     });
     world.tables.requests.updateState(row, "running");
     const call = buildCall(tick, row, choice);
@@ -251,6 +252,30 @@
     refuseForwardRequest(world, tick, row, "no_target", noTargetRetryAfterSeconds);
 }
 
+/** Refuses a request that its target could not begin in time; false when it could. */
+function refuseLateRequest(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    { queueMs: waitMs, firstEventMs }: TargetChoice,
+): boolean {
+    const objectiveMs = row.route.latencyObjectiveMs;
+    if (!isAdmittedBySlots(world)) {
+        if (waitMs > objectiveMs * maxQueueFraction) {
+            refuseForwardRequest(world, tick, row, "overloaded", waitMs / 1000);
+            return true;
+        }
+        return false;
+    }
+    const admission = { waitMs, firstEventMs, objectiveMs };
+    if (canBeginInTime(admission)) {
+        return false;
+    }
+    const returnMs = Math.min(row.route.timeoutMs, computeReturnMs(admission, world.random()));
+    refuseForwardRequest(world, tick, row, "overloaded", returnMs / 1000, { waitMs: Math.round(waitMs) });
+    return true;
+}
+
 function routeRequest(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): void {
     const quarantined = findQuarantine(world, tick, row);
     if (quarantined) {
@@ -265,8 +290,7 @@
     const choice = row.arrival.parts.length > 0
         ? chooseEngine(world, tick, row, eligible)
         : chooseServiceTarget(world, eligible);
-    if (choice && choice.queueMs > row.route.latencyObjectiveMs * maxQueueFraction && row.attempts.length === 0) {
-        refuseForwardRequest(world, tick, row, "overloaded", choice.queueMs / 1000);
+    if (choice && row.attempts.length === 0 && refuseLateRequest(world, tick, row, choice)) {
         return;
     }
     if (choice) {
--- /dev/null
+++ b/src/forward/systems/slotUse.ts
@@ -0,0 +1,96 @@
+/** Use of engine slots: what finished requests show, and the time until an engine has a slot. Shared by systems. */
+import { addMillis } from "../../ids";
+import type { ForwardTick } from "../events";
+import { estimateFirstEventMs } from "../policy/engineScore";
+import { estimateGrowth, estimateSlotWaitMs } from "../policy/slotWait";
+import type { ForwardAttempt, ForwardRequestRow } from "../tables/requests";
+import type { ForwardTargetRow } from "../tables/targets";
+import type { ForwardWorld } from "../world";
+import { computeExchangeIntervalMs } from "./accountUsage";
+import type { TargetLoad } from "./engineLoad";
+
+/** Interval at which the requests in flight are sampled. */
+const sampleIntervalMs = 200;
+
+/** True when the settings, or the terms of the platform, ask for admission by the slots of engines. */
+export const isAdmittedBySlots = (world: ForwardWorld): boolean => world.settings.admission.bySlots === true;
+
+/** Records for how long a finished request held its slot: the prompt, as on an idle engine, and the time from then on. */
+export function recordTenure(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    { firstEventAt }: ForwardAttempt,
+): void {
+    if (isAdmittedBySlots(world) && firstEventAt !== undefined) {
+        world.tables.slotUse.recordTenure(row.service, estimateFirstEventMs(0) + tick.now - firstEventAt);
+    }
+}
+
+function countInFlight(targets: readonly ForwardTargetRow[]): number {
+    return targets.reduce((sum, { inFlight }) => sum + inFlight.size, 0);
+}
+
+/** Fraction of this process's waiting requests that an engine admits before one of the given rank. */
+function computeAheadShare(targets: readonly ForwardTargetRow[], rank: number): number {
+    let waiting = 0;
+    let ahead = 0;
+    for (const { inFlight } of targets) {
+        for (const { hasAnswered, rank: otherRank } of inFlight.values()) {
+            if (!hasAnswered) {
+                waiting += 1;
+                ahead += otherRank <= rank ? 1 : 0;
+            }
+        }
+    }
+    return waiting === 0 ? 1 : ahead / waiting;
+}
+
+/** Computes the time until an engine has a slot for a request, given the engine's load; undefined when that is off. */
+export type SlotWaitEstimate = (load: TargetLoad) => number;
+
+/**
+ * Prepares the estimate for one request: what concerns the whole service is computed once, and each engine then costs
+ * a few operations.
+ */
+export function buildSlotWaitEstimate(
+    world: ForwardWorld,
+    row: ForwardRequestRow,
+    rank: number,
+): SlotWaitEstimate | undefined {
+    if (!isAdmittedBySlots(world)) {
+        return undefined;
+    }
+    const targets = world.tables.targets.listService(row.service);
+    const { tenureMs, samples } = world.tables.slotUse.get(row.service);
+    const growth = estimateGrowth(countInFlight(targets), samples[0]?.requests ?? 0);
+    const aheadShare = computeAheadShare(targets, rank);
+    return ({ target, requests }) => {
+        const { slots } = target.registration;
+        if (slots === undefined) {
+            return 0;
+        }
+        const own = target.inFlight.size;
+        return estimateSlotWaitMs({ requests: own + (requests - own) * growth, slots, tenureMs, aheadShare });
+    };
+}
+
+/**
+ * Samples the requests in flight on engines, from which the growth since the reports of peers follows.
+ *
+ * Reads: targets, configuration, members. Writes: slot use.
+ */
+export function recordSlotUse(world: ForwardWorld, tick: ForwardTick): void {
+    if (!isAdmittedBySlots(world) || !(tick.due.has("slotSample") || tick.number === 1)) {
+        return;
+    }
+    // A report is half an interval old on average.
+    const reportAgeMs = computeExchangeIntervalMs(world) / 2;
+    for (const { id, engine } of world.tables.configuration.document?.services.values() ?? []) {
+        if (engine) {
+            const requests = countInFlight(world.tables.targets.listService(id));
+            world.tables.slotUse.recordRequests(id, { at: tick.now, requests }, reportAgeMs);
+        }
+    }
+    world.timers.schedule({ name: "slotSample", at: addMillis(tick.now, sampleIntervalMs) });
+}
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -13,6 +13,7 @@
 import { createQuarantineTable, type QuarantineTable } from "./quarantine";
 import { createForwardRequestsTable, type ForwardRequestsTable } from "./requests";
 import { createRolloutsTable, type RolloutsTable } from "./rollouts";
+import { createSlotUseTable, type SlotUseTable } from "./slotUse";
 import { createStoreRelayTable, type StoreRelayTable } from "./storeRelay";
 import { createForwardTargetsTable, type ForwardTargetsTable } from "./targets";
 import { createUsageWindowsTable, type UsageWindowsTable } from "./usageWindows";
@@ -32,6 +33,7 @@
     readonly quarantine: QuarantineTable;
     readonly rollouts: RolloutsTable;
     readonly storeRelay: StoreRelayTable;
+    readonly slotUse: SlotUseTable;
     readonly retryBudgets: Map<ServiceId, RetryBudget>;
     /** Requests of this process by service, for its share in the limits of targets. */
     readonly serviceLoads: Map<ServiceId, UsageWindow>;
@@ -54,6 +56,7 @@
         quarantine: createQuarantineTable(),
         rollouts: createRolloutsTable(),
         storeRelay: createStoreRelayTable(),
+        slotUse: createSlotUseTable(),
         retryBudgets: new Map(),
         serviceLoads: new Map(),
     };
--- /dev/null
+++ b/src/forward/tables/slotUse.ts
@@ -0,0 +1,54 @@
+/** How this process uses the slots of each service's engines: the time for which requests hold them, and their number. */
+import type { Millis } from "../../ids";
+import type { ServiceId } from "../ids";
+
+interface Sample {
+    readonly at: Millis;
+    readonly requests: number;
+}
+
+export interface SlotUseRow {
+    /** Moving average of the time for which a request holds a slot. */
+    tenureMs: number;
+    /** Requests of this process in flight, oldest sample first. */
+    readonly samples: Sample[];
+}
+
+export interface SlotUseTable {
+    get(service: ServiceId): SlotUseRow;
+    /** Adds one observed tenure to the moving average. */
+    recordTenure(service: ServiceId, tenureMs: number): void;
+    /** Records the requests in flight; samples older than `maxAgeMs` are dropped. */
+    recordRequests(service: ServiceId, sample: Sample, maxAgeMs: number): void;
+}
+
+/** Tenure that is assumed until requests have finished. */
+const initialTenureMs = 300;
+/** Weight of the newest tenure: the average follows a change of the mix within some dozens of requests. */
+const tenureWeight = 0.05;
+
+/** Creates an empty table. */
+export function createSlotUseTable(): SlotUseTable {
+    const rows = new Map<ServiceId, SlotUseRow>();
+
+    function get(service: ServiceId): SlotUseRow {
+        const row = rows.get(service) ?? { tenureMs: initialTenureMs, samples: [] };
+        rows.set(service, row);
+        return row;
+    }
+
+    return {
+        get,
+        recordTenure: (service, tenureMs) => {
+            const row = get(service);
+            row.tenureMs += (tenureMs - row.tenureMs) * tenureWeight;
+        },
+        recordRequests: (service, sample, maxAgeMs) => {
+            const { samples } = get(service);
+            samples.push(sample);
+            while (samples.length > 1 && sample.at - (samples[0]?.at ?? sample.at) > maxAgeMs) {
+                samples.shift();
+            }
+        },
+    };
+}
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -30,6 +30,7 @@
     | "rollout"
     | "silentAttempt"
     | "slotRenewal"
+    | "slotSample"
     | "slotSearch"
     | "storeReader"
     | "streamMove"
