--- a/src/forward/policy/engineScore.ts
+++ b/src/forward/policy/engineScore.ts
@@ -69,8 +69,11 @@
     return Math.max(queuedPromptMs, oldestMs - oldestTokens / promptTokensPerMs - idleEngineMs);
 }
 
+/** Estimates the time in which an engine computes prompt tokens. */
+export const estimatePromptMs = (tokens: number): number => tokens / promptTokensPerMs;
+
 /** Estimates the time from the begin of a prompt on an engine to its first event. */
-export const estimateFirstEventMs = (missedTokens: number): number => idleEngineMs + missedTokens / promptTokensPerMs;
+export const estimateFirstEventMs = (missedTokens: number): number => idleEngineMs + estimatePromptMs(missedTokens);
 
 /** Computes the score of an engine in milliseconds; lower is better. */
 export function computeEngineScore(input: EngineScoreInput, loadScale: number): number {
--- a/src/forward/policy/slotWait.ts
+++ b/src/forward/policy/slotWait.ts
@@ -41,6 +41,8 @@
     return Math.min(maxGrowth, Math.max(minGrowth, requestsNow / Math.max(1, requestsThen)));
 }
 
+/** A wait of this fraction of the objective refuses nothing: a long prompt must not starve because of its own length. */
+const minWaitFraction = 0.25;
 /** Fraction of the objective that the first event of an admitted request may take by the estimate. */
 const maxFirstEventFraction = 0.9;
 
@@ -57,7 +59,7 @@
  * engines finish no more requests for a longer queue, and everything in it comes late.
  */
 export const canBeginInTime = ({ waitMs, firstEventMs, objectiveMs }: AdmissionInput): boolean =>
-    waitMs === 0 || waitMs + firstEventMs <= objectiveMs * maxFirstEventFraction;
+    waitMs <= objectiveMs * minWaitFraction || waitMs + firstEventMs <= objectiveMs * maxFirstEventFraction;
 
 /** Returns are spread over this fraction of the wait either way, so that refused callers do not come back together. */
 const returnSpread = 0.3;
--- a/src/forward/systems/chooseEngine.ts
+++ b/src/forward/systems/chooseEngine.ts
@@ -3,13 +3,14 @@
 import { listByRendezvous } from "../../policy/rendezvous";
 import type { ForwardTick } from "../events";
 import type { WeightsVersion } from "../ids";
-import { computeEngineScore, estimateFirstEventMs, estimateQueueMs } from "../policy/engineScore";
+import { computeEngineScore, estimateFirstEventMs, estimatePromptMs, estimateQueueMs } from "../policy/engineScore";
 import { findOutdatedSince } from "../tables/configuration";
 import type { ForwardRequestRow } from "../tables/requests";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { computeCachedTokens, computeSalt } from "./cacheSalts";
 import { computeLoadFreshness, computeLoadScale, listTargetLoads, type TargetLoad } from "./engineLoad";
+import { canFetchInTime, findPartStore } from "./partStores";
 import { computeLimitScarcity } from "./requestLimits";
 import { computeRank } from "./requestRank";
 import { buildSlotWaitEstimate } from "./slotUse";
@@ -56,6 +57,10 @@
     return since === undefined ? 0 : tick.now - since;
 }
 
+/** The last part that requests share, by which engines and part stores are chosen. */
+const findSharedPart = ({ id, arrival: { parts } }: ForwardRequestRow): string =>
+    parts.at(-2)?.id ?? parts[0]?.id ?? id;
+
 interface FetchSource {
     readonly address: string;
     readonly tokens: number;
@@ -95,7 +100,7 @@
     engines: readonly EngineState[],
 ): ReadonlyMap<WeightsVersion, FetchSource> {
     const sources = new Map<WeightsVersion, FetchSource>();
-    const partStore = world.tables.configuration.getPartStore();
+    const partStore = findPartStore(world, findSharedPart(row));
     for (const { target, cachedTokens, version } of engines) {
         if (version === undefined) {
             continue;
@@ -111,13 +116,23 @@
     return sources;
 }
 
-/** The source for the engine's version of the weights, if it has at least `minFetchTokens` more than the engine. */
+/**
+ * The source for the engine's version of the weights, if it has at least `minFetchTokens` more than the engine and
+ * fetching them is faster than computing them.
+ */
 function findFetchSource(
+    world: ForwardWorld,
+    tick: ForwardTick,
     sources: ReadonlyMap<WeightsVersion, FetchSource>,
     { version, cachedTokens }: EngineState,
 ): FetchSource | undefined {
     const source = version === undefined ? undefined : sources.get(version);
-    return source && source.tokens - cachedTokens >= minFetchTokens ? source : undefined;
+    const tokens = source ? source.tokens - cachedTokens : 0;
+    if (!source || tokens < minFetchTokens) {
+        return undefined;
+    }
+    const recomputeMs = estimatePromptMs(tokens);
+    return canFetchInTime(world, tick, { address: source.address, recomputeMs }) ? source : undefined;
 }
 
 /** Address of the part store if it lacks shared tokens of a prompt that has at least `minCopyTokens` of them. */
@@ -127,7 +142,7 @@
     row: ForwardRequestRow,
     version: WeightsVersion | undefined,
 ): string | undefined {
-    const partStore = world.tables.configuration.getPartStore();
+    const partStore = findPartStore(world, findSharedPart(row));
     const shared = row.arrival.parts.slice(0, -1);
     const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
     if (!partStore || version === undefined || sharedTokens < minCopyTokens) {
@@ -159,8 +174,7 @@
     eligible: readonly ForwardTargetRow[],
 ): TargetChoice | undefined {
     const { model, parts, promptTokens } = row.arrival;
-    const sharedPart = parts.at(-2)?.id ?? parts[0]?.id ?? row.id;
-    const ids = listByRendezvous(world.hasher, sharedPart, eligible.map(target => target.registration.id));
+    const ids = listByRendezvous(world.hasher, findSharedPart(row), eligible.map(target => target.registration.id));
     const ranks = new Map(ids.map((id, rank) => [id, rank]));
     const engines = listTargetLoads(world, tick, eligible).map((load): EngineState => {
         const { target } = load;
@@ -184,7 +198,7 @@
     let best: TargetChoice | undefined;
     for (const engine of engines) {
         const { target, version, cachedTokens, queue, rank, requests } = engine;
-        const source = findFetchSource(sources, engine);
+        const source = findFetchSource(world, tick, sources, engine);
         const fetchedTokens = source ? source.tokens - cachedTokens : 0;
         const queueMs = Math.max(estimateQueueMs(queue, loadScale), estimateSlotWait?.(engine) ?? 0);
         const missedTokens = Math.max(0, promptTokens - cachedTokens - fetchedTokens);
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -102,7 +102,8 @@
 function applyParts(world: ForwardWorld, tick: ForwardTick, { parts }: PeerState): void {
     const { configuration, cachedParts, targets } = world.tables;
     for (const [target, changes] of parts) {
-        const isRegistered = targets.get(target) !== undefined || configuration.getPartStore()?.id === target;
+        const isPartStore = configuration.document?.partStores.some(({ id }) => id === target) === true;
+        const isRegistered = targets.get(target) !== undefined || isPartStore;
         if (!isRegistered || cachedParts.followers.has(target)) {
             continue;
         }
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -10,6 +10,7 @@
 import type { ForwardWorld } from "../world";
 import { recordCachedParts } from "./cacheSalts";
 import { recordAnsweredParts, recordLostAttempt } from "./followCrashes";
+import { recordTransferDelay } from "./partStores";
 import { canRepeat, closeAttempt, requeueRequest, retryOrRefuse } from "./repeatRequests";
 import { closeRequest, refuseForwardRequest } from "./requestEnd";
 import { recordNamedLimit } from "./requestLimits";
@@ -182,6 +183,7 @@
     const target = world.tables.targets.get(attempt.target);
     const inFlightRequest = target?.inFlight.get(row.id);
     attempt.firstEventAt = tick.now;
+    recordTransferDelay(world, tick, attempt);
     if (!row.hasFirstEvent) {
         row.hasFirstEvent = true;
         const firstMs = tick.now - row.arrival.arrivedAt;
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -141,6 +141,9 @@
         firstEventAt: undefined,
         silentSince: undefined,
         outcome: "",
+        estimate: version === undefined
+            ? undefined
+            : { firstEventMs: choice.queueMs + choice.firstEventMs, fetchFrom: choice.fetchFrom },
     });
     if (target.backOffUntil > 0) {
         target.trialRequest = row.id;
--- a/src/forward/systems/silentAttempts.ts
+++ b/src/forward/systems/silentAttempts.ts
@@ -16,6 +16,7 @@
 } from "../tables/requests";
 import type { ForwardWorld } from "../world";
 import { hasOtherTarget } from "./eligibleTargets";
+import { recordTransferDelay } from "./partStores";
 import { canRepeat, closeAttempt, isRepeatAllowed, requeueRequest } from "./repeatRequests";
 import { recordErrorAnswer, recordForwardFailure } from "./targetHealth";
 import { findQuarantine } from "./updateQuarantine";
@@ -125,6 +126,7 @@
         // An engine that has answered other requests meanwhile is only busy, and a stream keeps waiting in its queue.
         const target = world.tables.targets.get(attempt.target);
         const isBusy = target !== undefined && target.lastResponseAt >= attempt.sentAt;
+        recordTransferDelay(world, tick, attempt);
         if (row.route.kind !== "stream" || !isBusy) {
             recordSilence(world, tick, attempt);
             moveSilentAttempt(world, tick, row, attempt);
--- a/src/forward/tables/configuration.ts
+++ b/src/forward/tables/configuration.ts
@@ -7,7 +7,7 @@
     type ModelId,
     toConfigVersion,
 } from "../../ids";
-import type { ForwardAccount, ForwardDocument, ForwardRoute, PartStore } from "../document";
+import type { ForwardAccount, ForwardDocument, ForwardRoute } from "../document";
 import type { WeightsVersion } from "../ids";
 
 /** A version of a model's weights that was published for rollout. */
@@ -29,7 +29,6 @@
     findRoute(host: string, path: string): ForwardRoute | undefined;
     findAccount(key: KeyHash): ForwardAccount | undefined;
     getAccount(id: AccountId): ForwardAccount | undefined;
-    getPartStore(): PartStore | undefined;
 }
 
 /** Creates a table without a configuration. */
@@ -65,7 +64,6 @@
         findRoute: (host: string, path: string) => routesByHost.get(host)?.find(route => path.startsWith(route.prefix)),
         findAccount: (key: KeyHash) => accountsByKey.get(key),
         getAccount: (id: AccountId) => table.document?.accounts.get(id),
-        getPartStore: () => table.document?.partStores[0],
     };
     return table;
 }
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -16,6 +16,7 @@
 import { createSlotUseTable, type SlotUseTable } from "./slotUse";
 import { createStoreRelayTable, type StoreRelayTable } from "./storeRelay";
 import { createForwardTargetsTable, type ForwardTargetsTable } from "./targets";
+import { createTransferDelaysTable, type TransferDelaysTable } from "./transferDelays";
 import { createUsageWindowsTable, type UsageWindowsTable } from "./usageWindows";
 
 export interface ForwardTables {
@@ -34,6 +35,7 @@
     readonly rollouts: RolloutsTable;
     readonly storeRelay: StoreRelayTable;
     readonly slotUse: SlotUseTable;
+    readonly transferDelays: TransferDelaysTable;
     readonly retryBudgets: Map<ServiceId, RetryBudget>;
     /** Requests of this process by service, for its share in the limits of targets. */
     readonly serviceLoads: Map<ServiceId, UsageWindow>;
@@ -57,6 +59,7 @@
         rollouts: createRolloutsTable(),
         storeRelay: createStoreRelayTable(),
         slotUse: createSlotUseTable(),
+        transferDelays: createTransferDelaysTable(),
         retryBudgets: new Map(),
         serviceLoads: new Map(),
     };
--- a/src/forward/tables/requests.ts
+++ b/src/forward/tables/requests.ts
@@ -24,6 +24,16 @@
     /** Time at which the target was found silent; undefined while it sends. */
     silentSince: Millis | undefined;
     outcome: string;
+    /** What the choice of an engine expected; undefined for a plain service. */
+    readonly estimate?: AttemptEstimate | undefined;
+}
+
+/** Expectation with which an engine was chosen. */
+export interface AttemptEstimate {
+    /** Time from sending to the first event, without the time to fetch parts. */
+    readonly firstEventMs: number;
+    /** Address from which the engine fetches cached parts; undefined for none. */
+    readonly fetchFrom: string | undefined;
 }
 
 export interface ForwardRequestRow {
