--- /dev/null
+++ b/src/forward/policy/loadPace.ts
@@ -0,0 +1,26 @@
+/** Number of engines that have to load new weights at the same time so that all have them in time. */
+export interface LoadPaceInput {
+    /** Engines that still have older weights. */
+    readonly remaining: number;
+    /** Mean time from an order to loaded weights; an engine finishes its requests first, so it grows with the load. */
+    readonly cycleMs: number;
+    /** Time until engines with older weights get no requests. */
+    readonly timeLeftMs: number;
+}
+
+/**
+ * Computes how many engines have to load at once. Engines that are too late get no requests at all, which costs more
+ * capacity than loading more of them earlier.
+ *
+ * @example
+ * computeNeededLoads({ remaining: 48, cycleMs: 3300, timeLeftMs: 7000 }); // 23
+ */
+export const computeNeededLoads = ({ remaining, cycleMs, timeLeftMs }: LoadPaceInput): number =>
+    remaining === 0 ? 0 : Math.ceil(remaining * cycleMs / Math.max(cycleMs, timeLeftMs));
+
+/** Weight of the newest load in the mean. */
+const cycleWeight = 0.2;
+
+/** Adds the duration of one load to the mean. */
+export const updateCycleMs = (cycleMs: number, observedMs: number): number =>
+    cycleMs + (observedMs - cycleMs) * cycleWeight;
--- a/src/forward/systems/eligibleTargets.ts
+++ b/src/forward/systems/eligibleTargets.ts
@@ -10,7 +10,7 @@
 import { overloadBackOffMs } from "./targetHealth";
 
 /** An engine gets no requests once its weights have been outdated for this fraction of `bounds.weightsMs`. */
-const maxOutdatedFraction = 0.85;
+export const maxOutdatedFraction = 0.85;
 /** A target from which nothing has arrived for this long after a request was sent gets no new requests. */
 const unresponsiveAfterMs = 900;
 
--- a/src/forward/systems/placeWeights.ts
+++ b/src/forward/systems/placeWeights.ts
@@ -11,6 +11,7 @@
 import { type ForwardTargetRow, isWorking } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { listTargetLoads } from "./engineLoad";
+import { computePacedLoads, recordLoad } from "./loadPace";
 import { expectLoading } from "./targetHealth";
 import { computeLeaderGuardMs } from "./updateMembership";
 
@@ -110,7 +111,11 @@
         const since = findOutdatedSince(configuration, model, target.weights.get(model) ?? toWeightsVersion(0));
         return since !== undefined && tick.now - since > world.settings.bounds.weightsMs * urgentFraction;
     });
-    return Math.max(isUrgent ? minUrgentLoads : 1, Math.floor(working.length * fraction));
+    return Math.max(
+        isUrgent ? minUrgentLoads : 1,
+        Math.floor(working.length * fraction),
+        computePacedLoads(world, tick, model, working),
+    );
 }
 
 function startRollouts(world: ForwardWorld, tick: ForwardTick, model: ModelId): void {
@@ -189,6 +194,7 @@
     const { rolloutLeadership: leadership, lease } = world.tables.node;
     const { id, address, instance } = target.registration;
     updateRolloutState(rollout, "ordered", tick.now);
+    rollout.orderedAt = tick.now;
     expectLoading(target, tick.now);
     world.effects.append({
         kind: "orderWeights",
@@ -261,6 +267,7 @@
             target.weights.set(rollout.model, loadedVersion);
             world.tables.cachedParts.removeTarget(id);
             target.unavailableUntil = tick.now;
+            recordLoad(world, tick, rollout);
             endRollout(world, id, "loaded");
         }
         else if (rollout.state === "reading" && !report.val.isBusy && canOrder(world, tick)) {
@@ -315,6 +322,7 @@
     }
     if (!isBehind(target, rollout.model, rollout.version)) {
         target.unavailableUntil = tick.now;
+        recordLoad(world, tick, rollout);
         endRollout(world, rollout.target, "registered with the version");
         return;
     }
--- a/src/forward/tables/rollouts.ts
+++ b/src/forward/tables/rollouts.ts
@@ -17,6 +17,8 @@
     acceptedOrderCount: number;
     /** Time of the last change of the state. */
     stateChangedAt: Millis;
+    /** Time at which the order was sent; undefined before. */
+    orderedAt?: Millis;
     /** Time at which a report was last requested. */
     reportRequestedAt: Millis;
 }
@@ -31,7 +33,16 @@
     readonly rows: Map<TargetId, RolloutRow>;
     /** Last order to each engine, by any process. */
     readonly lastOrders: Map<TargetId, RecordedOrder>;
+    /** Mean time from an order to loaded weights. */
+    cycleMs: number;
 }
 
+/** Time of a load that is assumed until one has ended. */
+const initialCycleMs = 1500;
+
 /** Creates an empty table. */
-export const createRolloutsTable = (): RolloutsTable => ({ rows: new Map(), lastOrders: new Map() });
+export const createRolloutsTable = (): RolloutsTable => ({
+    rows: new Map(),
+    lastOrders: new Map(),
+    cycleMs: initialCycleMs,
+});
