Estimate engine loads where reports are old

In fleets of more than six processes a report of a peer is up to 4 s old, while an engine's queue changes within a few hundred milliseconds. All processes moved requests away from engines whose queues had long been served, and lost cached parts by it.

Where the exchange interval is above 300 ms, the queue of an engine is now estimated: reports are weighted by their age, and what the weights take from them is spread evenly. A shared part in demand is spread over the first engines by rendezvous hash, as many as the demand that the process itself sees asks for. Each score has a small random part. Work ahead of a request counts only requests that engines admit first; reports carry the queued tokens by priority in an optional field, and reports without it count as before. A table keeps the sums over the peers' last reports, so a decision no longer visits every peer. Smaller fleets decide as before; `routing.estimatesLoad = false` switches the estimates off.

--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -32,6 +32,10 @@
     endedRuns: z.array(z.tuple([z.string(), z.number(), z.number().min(0), tokenCounts])).max(1024).optional(),
     named: z.array(z.tuple([z.string(), z.number(), z.number()])).max(1024),
     load: z.array(z.tuple([z.string(), z.number(), z.number()])).max(16384),
+    queued: z.array(z.tuple([z.string(), z.array(z.tuple([z.number().int().min(0).max(9), z.number()])).max(16)])).max(
+        16384,
+    )
+        .optional(),
     partsHeard: z.number(),
     partsTold: z.number(),
     parts: z.array(z.tuple([z.string(), z.array(z.tuple([z.string(), z.number()])).max(16384)])).max(4096),
--- a/src/forward/peers.ts
+++ b/src/forward/peers.ts
@@ -34,6 +34,8 @@
     readonly named: readonly (readonly [ModelId, WeightsVersion, number])[];
     /** Engines that run requests of the sender: prompt tokens that wait there, and number of requests. */
     readonly load: readonly (readonly [TargetId, number, number])[];
+    /** The waiting prompt tokens of `load` by priority; absent from processes that do not count them apart. */
+    readonly queued?: readonly (readonly [TargetId, readonly (readonly [number, number])[]])[];
     /** Acknowledges the receiver's changes of cached parts up to this number; 0 for none. */
     readonly partsHeard: number;
     /** Number of the sender's newest change of cached parts, up to which `parts` reaches. */
--- a/src/forward/policy/engineScore.ts
+++ b/src/forward/policy/engineScore.ts
@@ -22,7 +22,7 @@
 }
 
 /** Prefill rate assumed for every engine; only ratios between engines matter. */
-const promptTokensPerMs = 50;
+export const promptTokensPerMs = 50;
 /**
  * Cost of a fetched token relative to a computed one. The transfer itself is short, but the copy evicts another part
  * from the engine's memory.
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -50,6 +50,13 @@
         /** Maximum time for which callers cache the list of addresses. */
         addressesKeepSeconds: z.number().positive(),
     }),
+    routing: z.strictObject({
+        /**
+         * Estimates the present load of engines in a fleet whose exchange interval is above 300 ms. Without it, loads are
+         * taken as last reported.
+         */
+        estimatesLoad: z.boolean().default(true),
+    }).prefault({}),
     log: z.strictObject({
         level: z.enum(["error", "warn", "info", "debug"]).default("info"),
         /** Maximum lines of level info per second; further ones are counted and dropped. */
--- a/src/forward/systems/chooseEngine.ts
+++ b/src/forward/systems/chooseEngine.ts
@@ -1,6 +1,5 @@
 /** Chooses an engine for a prompt, where it fetches cached parts, and whether they are copied to the part store. */
 import type { TargetId } from "../../ids";
-import { listByRendezvous } from "../../policy/rendezvous";
 import type { ForwardTick } from "../events";
 import type { WeightsVersion } from "../ids";
 import { computeEngineScore, estimateQueueMs } from "../policy/engineScore";
@@ -9,7 +8,8 @@
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { computeCachedTokens, computeSalt } from "./cacheSalts";
-import { computeLoadFreshness, computeLoadScale, listTargetLoads, type TargetLoad } from "./engineLoad";
+import { type EngineCandidate, listCandidates } from "./engineCandidates";
+import { computeLoadFreshness, computeLoadScale } from "./engineLoad";
 import { computeLimitScarcity } from "./requestLimits";
 
 /** Answers from weights that were replaced longer ago than this are worth less, so such engines are less preferred. */
@@ -57,19 +57,17 @@
     readonly tokens: number;
 }
 
-interface EngineState extends TargetLoad {
+interface EngineState extends EngineCandidate {
     readonly version: WeightsVersion | undefined;
     /** True when the engine's weights were replaced more than `outdatedAfterMs` ago. */
     readonly isOutdated: boolean;
     /** Prompt tokens that the engine is known or assumed to have cached. */
     readonly cachedTokens: number;
-    /** Rank by rendezvous hash for the shared part; 0 is the first. */
-    readonly rank: number;
 }
 
 /**
- * Tokens that the first engine by rendezvous hash is assumed to have cached when this process has no cache events of
- * it: other processes prefer the same engine for the same shared parts.
+ * Tokens that an engine of rank 0 by rendezvous hash is assumed to have cached when this process has no cache events
+ * of it: other processes prefer the same engine for the same shared parts.
  */
 function estimateCachedTokens(
     world: ForwardWorld,
@@ -155,30 +153,27 @@
     eligible: readonly ForwardTargetRow[],
 ): TargetChoice | undefined {
     const { model, parts, promptTokens } = row.arrival;
-    const sharedPart = parts.at(-2)?.id ?? parts[0]?.id ?? row.id;
-    const ids = listByRendezvous(world.hasher, sharedPart, eligible.map(target => target.registration.id));
-    const ranks = new Map(ids.map((id, rank) => [id, rank]));
-    const engines = listTargetLoads(world, tick, eligible).map((load): EngineState => {
-        const { target } = load;
+    const engines = listCandidates(world, tick, row, eligible).map((candidate): EngineState => {
+        const { target, rank } = candidate;
         const { id } = target.registration;
         const version = model && target.weights.get(model);
         const knownTokens = version === undefined
             ? 0
             : computeCachedTokens(world, id, computeSalt(row, version), parts);
-        const rank = ranks.get(id) ?? 0;
         const cachedTokens = rank === 0
             ? Math.max(knownTokens, estimateCachedTokens(world, tick, row, id))
             : knownTokens;
         const isOutdated = computeOutdatedAge(world, tick, row, target) > outdatedAfterMs;
-        return { ...load, version, isOutdated, cachedTokens, rank };
+        return { ...candidate, version, isOutdated, cachedTokens };
     });
     const sources = listFetchSources(world, row, engines);
     const loadFreshness = computeLoadFreshness(world);
     const outdatedMs = computeOutdatedPenalty(loadFreshness, engines);
     const loadScale = computeLoadScale(world, tick);
     let best: TargetChoice | undefined;
+    let lowestMs = Infinity;
     for (const engine of engines) {
-        const { target, version, cachedTokens, queue, rank, requests } = engine;
+        const { target, version, cachedTokens, noiseMs, queue, rank, requests } = engine;
         const source = findFetchSource(sources, engine);
         const fetchedTokens = source ? source.tokens - cachedTokens : 0;
         const queueMs = estimateQueueMs(queue, loadScale);
@@ -194,7 +189,8 @@
             failureShare: target.failureShare,
             limitScarcity: computeLimitScarcity(target),
         }, loadScale);
-        if (!best || scoreMs < best.scoreMs) {
+        if (!best || scoreMs + noiseMs < lowestMs) {
+            lowestMs = scoreMs + noiseMs;
             best = {
                 target,
                 scoreMs,
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -11,6 +11,7 @@
 import { computeExchangeIntervalMs, computeOwnTokens, computePeerStaleMs } from "./accountUsage";
 import { applyCrashReports, buildCrashReports } from "./crashReports";
 import { applyEndedRunReports, buildEndedRunReports } from "./endedRunReports";
+import { applyLoadReports, buildLoadReports } from "./loadReports";
 import { applyLimitReports, buildLimitReports } from "./requestLimits";
 import { applyDepartureReports, buildDepartureReports } from "./targetDepartures";
 
@@ -119,17 +120,6 @@
 }
 
 function buildState(world: ForwardWorld, tick: ForwardTick, peer: PeerRow | undefined): PeerState {
-    const { targets } = world.tables;
-    const load: PeerState["load"][number][] = [];
-    for (const { registration, inFlight } of targets.list()) {
-        if (inFlight.size > 0) {
-            let queuedTokens = 0;
-            for (const { hasAnswered, missedTokens } of inFlight.values()) {
-                queuedTokens += hasAnswered ? 0 : missedTokens;
-            }
-            load.push([registration.id, queuedTokens, inFlight.size]);
-        }
-    }
     return {
         vm: world.settings.vm,
         startedAt: world.startedAt,
@@ -138,7 +128,7 @@
         earlier: listPreviousRunUsage(world, tick, peer),
         ...buildEndedRunReports(world, tick, peer),
         named: listPublishedWeights(world, tick),
-        load,
+        ...buildLoadReports(world),
         partsHeard: peer?.receivedPartChange ?? 0,
         partsTold: world.tables.cachedParts.journal.newestNumber,
         parts: listPartChanges(world, peer?.acknowledgedPartChange ?? 0),
@@ -150,7 +140,9 @@
 
 function applyState(world: ForwardWorld, tick: ForwardTick, state: PeerState): void {
     const { peers } = world.tables;
-    peers.apply(state, tick.now, world.settings.bounds.quotaWindowMs);
+    if (peers.apply(state, tick.now, world.settings.bounds.quotaWindowMs)) {
+        applyLoadReports(world, tick, state);
+    }
     applyEndedRunReports(world, tick, state);
     applyPublishedWeights(world, tick, state);
     applyParts(world, tick, state);
@@ -212,7 +204,7 @@
 }
 
 /**
- * Reads: members, usage windows. Writes: peers, configuration (published weights), cached parts, departures, targets.
+ * Reads: members, usage windows. Writes: peers, peer loads, configuration (published weights), cached parts, departures, targets.
  * Effects: calls and answers to peers, log lines.
  */
 export function exchangeWithPeers(world: ForwardWorld, tick: ForwardTick): void {
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -11,6 +11,7 @@
 import { computeSalt } from "./cacheSalts";
 import { chooseEngine, type TargetChoice } from "./chooseEngine";
 import { isUsable, listEligible } from "./eligibleTargets";
+import { computeRequestPriority } from "./engineCandidates";
 import { refuseForwardRequest } from "./requestEnd";
 import { findFirstToken, reserveRequestToken } from "./requestLimits";
 import { computeDeferralMs } from "./targetHealth";
@@ -59,14 +60,6 @@
     );
 }
 
-/** Resumed streams have the highest priority, because their callers are waiting in the middle of an answer. */
-const resumedPriority = 0;
-/** Priorities of requests that are not resumed. Engines accept 0 (most urgent) to 9. */
-const highestPriority = 1;
-const lowestPriority = 9;
-/** Requests are ordered by the account's priority, then by the route's, which has about this many levels. */
-const routePriorityLevels = 3;
-
 function buildCall(tick: ForwardTick, row: ForwardRequestRow, choice: TargetChoice): ForwardCall {
     const { registration } = choice.target;
     const call: ForwardCall = {
@@ -81,15 +74,12 @@
     if (choice.version === undefined) {
         return call;
     }
-    const priority = row.lastEventId > 0
-        ? resumedPriority
-        : highestPriority + (row.account?.priority ?? 0) * routePriorityLevels + row.route.priority;
     return {
         ...call,
         engine: {
             salt: computeSalt(row, choice.version),
             version: choice.version,
-            priority: Math.min(lowestPriority, priority),
+            priority: computeRequestPriority(row),
             fetchFrom: choice.fetchFrom,
             copyTo: choice.copyTo,
         },
@@ -149,6 +139,7 @@
         missedTokens: Math.max(0, row.arrival.promptTokens - choice.reusedTokens),
         sentAt: tick.now,
         hasAnswered: false,
+        priority: computeRequestPriority(row),
     });
     world.tables.requests.updateState(row, "running");
     const call = buildCall(tick, row, choice);
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -9,10 +9,12 @@
 import { createDeparturesTable, type DeparturesTable } from "./departures";
 import { createForwardMembersTable, type ForwardMembersTable } from "./members";
 import { createForwardNodeRow, type ForwardNodeRow } from "./node";
+import { createPeerLoadsTable, type PeerLoadsTable } from "./peerLoads";
 import { createPeersTable, type PeersTable } from "./peers";
 import { createQuarantineTable, type QuarantineTable } from "./quarantine";
 import { createForwardRequestsTable, type ForwardRequestsTable } from "./requests";
 import { createRolloutsTable, type RolloutsTable } from "./rollouts";
+import { createSharedPartsTable, type SharedPartsTable } from "./sharedParts";
 import { createStoreRelayTable, type StoreRelayTable } from "./storeRelay";
 import { createForwardTargetsTable, type ForwardTargetsTable } from "./targets";
 import { createUsageWindowsTable, type UsageWindowsTable } from "./usageWindows";
@@ -24,9 +26,11 @@
     readonly targets: ForwardTargetsTable;
     readonly departures: DeparturesTable;
     readonly peers: PeersTable;
+    readonly peerLoads: PeerLoadsTable;
     readonly requests: ForwardRequestsTable;
     readonly usageWindows: UsageWindowsTable;
     readonly cachedParts: CachedPartsTable;
+    readonly sharedParts: SharedPartsTable;
     readonly crashes: CrashesTable;
     readonly answeredParts: AnsweredPartsTable;
     readonly quarantine: QuarantineTable;
@@ -46,9 +50,11 @@
         targets: createForwardTargetsTable(),
         departures: createDeparturesTable(),
         peers: createPeersTable(),
+        peerLoads: createPeerLoadsTable(),
         requests: createForwardRequestsTable(),
         usageWindows: createUsageWindowsTable(),
         cachedParts: createCachedPartsTable(),
+        sharedParts: createSharedPartsTable(),
         crashes: createCrashesTable(),
         answeredParts: createAnsweredPartsTable(),
         quarantine: createQuarantineTable(),
--- a/src/forward/tables/peers.ts
+++ b/src/forward/tables/peers.ts
@@ -1,5 +1,5 @@
 /** Other processes of the fleet, with the state that each last reported. */
-import { type AccountId, type Millis, type TargetId, toMillis, type VmId } from "../../ids";
+import { type AccountId, type Millis, toMillis, type VmId } from "../../ids";
 import type { ServiceId } from "../ids";
 import type { PeerState } from "../peers";
 
@@ -13,7 +13,6 @@
     usage: ReadonlyMap<AccountId, number>;
     /** Growth of the usage between the last two states, in tokens per millisecond; only accounts whose usage grew. */
     growth: ReadonlyMap<AccountId, number>;
-    load: ReadonlyMap<TargetId, { readonly queuedTokens: number; readonly requests: number; }>;
     /** Requests that the peer admitted in the last seconds, by service. */
     serviceLoads: ReadonlyMap<ServiceId, number>;
     /** Usage of the peer's previous run, with the time of that run's last state. */
@@ -33,8 +32,11 @@
     readonly ownPreviousRun:
         | { readonly usage: ReadonlyMap<AccountId, number>; readonly reportedAt: Millis; }
         | undefined;
-    /** Records a state; usage of runs that ended more than `windowMs` ago no longer counts. */
-    apply(state: PeerState, now: Millis, windowMs: number): void;
+    /**
+     * Records a state; usage of runs that ended more than `windowMs` ago no longer counts. False for a state of a run
+     * before the peer's present one.
+     */
+    apply(state: PeerState, now: Millis, windowMs: number): boolean;
     /** Records a run that has ended; false if a state of that run or of a later one was received. */
     applyEndedRun(run: Pick<PeerRow, "vm" | "startedAt" | "usage" | "stateReceivedAt">): boolean;
     /** Records what a peer reports of this VM's previous run; of several reports the largest usage counts. */
@@ -49,7 +51,6 @@
     stateReceivedAt,
     usage: new Map(),
     growth: new Map(),
-    load: new Map(),
     serviceLoads: new Map(),
     previousRun: undefined,
     isPending: false,
@@ -130,7 +131,7 @@
         apply: (state, now, windowMs) => {
             const previousRow = rows.get(state.vm);
             if (previousRow && previousRow.startedAt > state.startedAt) {
-                return;
+                return false;
             }
             const isNewRun = previousRow !== undefined && previousRow.startedAt > 0
                 && previousRow.startedAt < state.startedAt;
@@ -142,10 +143,6 @@
                 stateReceivedAt: now,
                 usage: new Map(state.usage),
                 growth: sameRun ? computeUsageGrowth(sameRun, state, now) : new Map(),
-                load: new Map(state.load.map(([target, queuedTokens, requests]) => [
-                    target,
-                    { queuedTokens, requests },
-                ])),
                 serviceLoads: new Map(state.requests ?? []),
                 previousRun: isNewRun ? computePreviousRun(previousRow, now, windowMs) : previousRow?.previousRun,
                 isPending: previousRow?.isPending ?? false,
@@ -153,6 +150,7 @@
                 acknowledgedPartChange: state.partsHeard,
                 stateRequestedAt: previousRow?.stateRequestedAt ?? toMillis(0),
             });
+            return true;
         },
     };
 }
--- a/src/forward/tables/targets.ts
+++ b/src/forward/tables/targets.ts
@@ -10,6 +10,8 @@
     missedTokens: number;
     readonly sentAt: Millis;
     hasAnswered: boolean;
+    /** Priority with which the engine admits the request; 0 is the most urgent. */
+    readonly priority: number;
 }
 
 /** Limit on the requests that a target takes from the whole fleet. */
