--- a/src/forward/policy/slotWait.ts
+++ b/src/forward/policy/slotWait.ts
@@ -24,6 +24,28 @@
     return waiting < 0 ? 0 : (1 + waiting * aheadShare) * tenureMs / slots;
 }
 
+export interface ShareWaitInput {
+    /** Requests of this process at the engine. */
+    readonly ownRequests: number;
+    /** Slots of the engine that are this process's part by its part of the traffic; may be a fraction. */
+    readonly ownSlots: number;
+    readonly tenureMs: number;
+    readonly aheadShare: number;
+}
+
+/**
+ * Estimates the wait for a slot under the assumption that all processes use the engine as this one does. Reports of
+ * peers are too old to show that many processes have just chosen the same engine; each one's own part of the slots
+ * holds without any report, so that together they never queue much more than the engine can begin in time.
+ *
+ * @example
+ * estimateShareWaitMs({ ownRequests: 2, ownSlots: 1.33, tenureMs: 2000, aheadShare: 1 }); // 2511
+ */
+export function estimateShareWaitMs({ ownRequests, ownSlots, tenureMs, aheadShare }: ShareWaitInput): number {
+    const excess = ownRequests + 1 - Math.max(1, ownSlots);
+    return excess <= 0 ? 0 : excess * aheadShare * tenureMs / Math.max(1, ownSlots);
+}
+
 /** The estimate of peers' requests changes by at most these factors, as it follows the traffic of one process only. */
 const minGrowth = 0.5;
 const maxGrowth = 2;
--- a/src/forward/systems/requestLimits.ts
+++ b/src/forward/systems/requestLimits.ts
@@ -61,16 +61,16 @@
 }
 
 /**
- * Share of this process in the limit, 0 to 1. A process whose reports are missing keeps the load that it last reported, since
- * it goes on sending its share.
+ * Part of this process in the requests that the given processes send to a service, 0 to 1. A process whose reports are
+ * missing keeps the load that it last reported, since it goes on sending its share.
  */
-function computeShare(world: ForwardWorld, now: Millis, target: ForwardTargetRow, perSecond: number): number {
-    const { service, id } = target.registration;
-    const senders = listSenders(world, id, perSecond);
+export function computeTrafficShare(
+    world: ForwardWorld,
+    now: Millis,
+    service: ServiceId,
+    senders: readonly VmId[],
+): number {
     const { vm: ownVm } = world.settings;
-    if (!senders.includes(ownVm)) {
-        return 0;
-    }
     const ownLoad = computeOwnLoad(world, now, service) + minLoad;
     const total = senders.reduce((sum, vm) => {
         const peer = world.tables.peers.rows.get(vm);
@@ -80,6 +80,13 @@
     return ownLoad / total;
 }
 
+/** Share of this process in the limit, 0 to 1. */
+function computeShare(world: ForwardWorld, now: Millis, target: ForwardTargetRow, perSecond: number): number {
+    const { service, id } = target.registration;
+    const senders = listSenders(world, id, perSecond);
+    return senders.includes(world.settings.vm) ? computeTrafficShare(world, now, service, senders) : 0;
+}
+
 /** Brings the bucket of the limit up to date. */
 function updateLimit(world: ForwardWorld, now: Millis, target: ForwardTargetRow, limit: RequestLimit): void {
     if (now - limit.shareComputedAt >= shareIntervalMs) {
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -12,9 +12,9 @@
 import { computeSalt } from "./cacheSalts";
 import { chooseEngine, type TargetChoice } from "./chooseEngine";
 import { isUsable, listEligible } from "./eligibleTargets";
+import { computeRequestPriority } from "./engineCandidates";
 import { refuseForwardRequest } from "./requestEnd";
 import { findFirstToken, reserveRequestToken } from "./requestLimits";
-import { computeRank } from "./requestRank";
 import { isAdmittedBySlots } from "./slotUse";
 import { computeDeferralMs } from "./targetHealth";
 import { findQuarantine, recordTrial } from "./updateQuarantine";
@@ -89,7 +89,7 @@
         engine: {
             salt: computeSalt(row, choice.version),
             version: choice.version,
-            priority: computeRank(row),
+            priority: computeRequestPriority(row),
             fetchFrom: choice.fetchFrom,
             copyTo: choice.copyTo,
         },
@@ -152,7 +152,7 @@
         missedTokens: Math.max(0, row.arrival.promptTokens - choice.reusedTokens),
         sentAt: tick.now,
         hasAnswered: false,
-        rank: computeRank(row),
+        priority: computeRequestPriority(row),
     });
     world.tables.requests.updateState(row, "running");
     const call = buildCall(tick, row, choice);
--- a/src/forward/systems/slotUse.ts
+++ b/src/forward/systems/slotUse.ts
@@ -2,12 +2,13 @@
 import { addMillis } from "../../ids";
 import type { ForwardTick } from "../events";
 import { estimateFirstEventMs } from "../policy/engineScore";
-import { estimateGrowth, estimateSlotWaitMs } from "../policy/slotWait";
+import { estimateGrowth, estimateShareWaitMs, estimateSlotWaitMs } from "../policy/slotWait";
 import type { ForwardAttempt, ForwardRequestRow } from "../tables/requests";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { computeExchangeIntervalMs } from "./accountUsage";
 import type { TargetLoad } from "./engineLoad";
+import { computeTrafficShare } from "./requestLimits";
 
 /** Interval at which the requests in flight are sampled. */
 const sampleIntervalMs = 200;
@@ -31,15 +32,15 @@
     return targets.reduce((sum, { inFlight }) => sum + inFlight.size, 0);
 }
 
-/** Fraction of this process's waiting requests that an engine admits before one of the given rank. */
-function computeAheadShare(targets: readonly ForwardTargetRow[], rank: number): number {
+/** Fraction of this process's waiting requests that an engine admits before one of the given priority. */
+function computeAheadShare(targets: readonly ForwardTargetRow[], priority: number): number {
     let waiting = 0;
     let ahead = 0;
     for (const { inFlight } of targets) {
-        for (const { hasAnswered, rank: otherRank } of inFlight.values()) {
+        for (const { hasAnswered, priority: otherPriority } of inFlight.values()) {
             if (!hasAnswered) {
                 waiting += 1;
-                ahead += otherRank <= rank ? 1 : 0;
+                ahead += otherPriority <= priority ? 1 : 0;
             }
         }
     }
@@ -56,22 +57,26 @@
 export function buildSlotWaitEstimate(
     world: ForwardWorld,
     row: ForwardRequestRow,
-    rank: number,
+    priority: number,
 ): SlotWaitEstimate | undefined {
     if (!isAdmittedBySlots(world)) {
         return undefined;
     }
     const targets = world.tables.targets.listService(row.service);
-    const { tenureMs, samples } = world.tables.slotUse.get(row.service);
+    const { tenureMs, trafficShare, samples } = world.tables.slotUse.get(row.service);
     const growth = estimateGrowth(countInFlight(targets), samples[0]?.requests ?? 0);
-    const aheadShare = computeAheadShare(targets, rank);
+    const aheadShare = computeAheadShare(targets, priority);
     return ({ target, requests }) => {
         const { slots } = target.registration;
         if (slots === undefined) {
             return 0;
         }
-        const own = target.inFlight.size;
-        return estimateSlotWaitMs({ requests: own + (requests - own) * growth, slots, tenureMs, aheadShare });
+        const ownRequests = target.inFlight.size;
+        const estimated = ownRequests + (requests - ownRequests) * growth;
+        return Math.max(
+            estimateSlotWaitMs({ requests: estimated, slots, tenureMs, aheadShare }),
+            estimateShareWaitMs({ ownRequests, ownSlots: slots * trafficShare, tenureMs, aheadShare }),
+        );
     };
 }
 
@@ -89,6 +94,8 @@
     for (const { id, engine } of world.tables.configuration.document?.services.values() ?? []) {
         if (engine) {
             const requests = countInFlight(world.tables.targets.listService(id));
+            const row = world.tables.slotUse.get(id);
+            row.trafficShare = computeTrafficShare(world, tick.now, id, world.tables.members.listVms());
             world.tables.slotUse.recordRequests(id, { at: tick.now, requests }, reportAgeMs);
         }
     }
--- a/src/forward/tables/slotUse.ts
+++ b/src/forward/tables/slotUse.ts
@@ -10,6 +10,8 @@
 export interface SlotUseRow {
     /** Moving average of the time for which a request holds a slot. */
     tenureMs: number;
+    /** Part of this process in the fleet's requests to the service, 0 to 1. */
+    trafficShare: number;
     /** Requests of this process in flight, oldest sample first. */
     readonly samples: Sample[];
 }
@@ -32,7 +34,7 @@
     const rows = new Map<ServiceId, SlotUseRow>();
 
     function get(service: ServiceId): SlotUseRow {
-        const row = rows.get(service) ?? { tenureMs: initialTenureMs, samples: [] };
+        const row = rows.get(service) ?? { tenureMs: initialTenureMs, trafficShare: 1, samples: [] };
         rows.set(service, row);
         return row;
     }
