--- a/src/forward/policy/slotWait.ts
+++ b/src/forward/policy/slotWait.ts
@@ -25,12 +25,11 @@
 }
 
 export interface ShareWaitInput {
-    /** Requests of this process at the engine. */
+    /** Requests of this process at the engine that it admits before this one, or has admitted. */
     readonly ownRequests: number;
     /** Slots of the engine that are this process's part by its part of the traffic; may be a fraction. */
     readonly ownSlots: number;
     readonly tenureMs: number;
-    readonly aheadShare: number;
 }
 
 /**
@@ -39,11 +38,11 @@
  * holds without any report, so that together they never queue much more than the engine can begin in time.
  *
  * @example
- * estimateShareWaitMs({ ownRequests: 2, ownSlots: 1.33, tenureMs: 2000, aheadShare: 1 }); // 2511
+ * estimateShareWaitMs({ ownRequests: 2, ownSlots: 1.33, tenureMs: 2000 }); // 2511
  */
-export function estimateShareWaitMs({ ownRequests, ownSlots, tenureMs, aheadShare }: ShareWaitInput): number {
+export function estimateShareWaitMs({ ownRequests, ownSlots, tenureMs }: ShareWaitInput): number {
     const excess = ownRequests + 1 - Math.max(1, ownSlots);
-    return excess <= 0 ? 0 : excess * aheadShare * tenureMs / Math.max(1, ownSlots);
+    return excess <= 0 ? 0 : excess * tenureMs / Math.max(1, ownSlots);
 }
 
 /** The estimate of peers' requests changes by at most these factors, as it follows the traffic of one process only. */
--- a/src/forward/systems/slotUse.ts
+++ b/src/forward/systems/slotUse.ts
@@ -32,19 +32,23 @@
     return targets.reduce((sum, { inFlight }) => sum + inFlight.size, 0);
 }
 
-/** Fraction of this process's waiting requests that an engine admits before one of the given priority. */
-function computeAheadShare(targets: readonly ForwardTargetRow[], priority: number): number {
-    let waiting = 0;
-    let ahead = 0;
-    for (const { inFlight } of targets) {
-        for (const { hasAnswered, priority: otherPriority } of inFlight.values()) {
-            if (!hasAnswered) {
-                waiting += 1;
-                ahead += otherPriority <= priority ? 1 : 0;
-            }
-        }
+/** Number of this process's requests at the target that an engine admits before one of the given priority. */
+function countAhead({ inFlight }: ForwardTargetRow, priority: number): number {
+    let count = 0;
+    for (const request of inFlight.values()) {
+        count += request.priority <= priority ? 1 : 0;
     }
-    return waiting === 0 ? 1 : ahead / waiting;
+    return count;
+}
+
+/**
+ * Fraction of this process's requests that an engine admits before one of the given priority. The requests that wait at
+ * an engine are assumed to have the same mix.
+ */
+function computeAheadShare(targets: readonly ForwardTargetRow[], priority: number): number {
+    const total = countInFlight(targets);
+    const ahead = targets.reduce((sum, target) => sum + countAhead(target, priority), 0);
+    return total === 0 ? 1 : ahead / total;
 }
 
 /** Computes the time until an engine has a slot for a request, given the engine's load; undefined when that is off. */
@@ -75,7 +79,11 @@
         const estimated = ownRequests + (requests - ownRequests) * growth;
         return Math.max(
             estimateSlotWaitMs({ requests: estimated, slots, tenureMs, aheadShare }),
-            estimateShareWaitMs({ ownRequests, ownSlots: slots * trafficShare, tenureMs, aheadShare }),
+            estimateShareWaitMs({
+                ownRequests: countAhead(target, priority),
+                ownSlots: slots * trafficShare,
+                tenureMs,
+            }),
         );
     };
 }
