--- a/src/config/document.ts
+++ b/src/config/document.ts
@@ -159,7 +159,7 @@
  * Formats the path of an issue. Key hashes are shortened to their first digits. Anything else in their place is left
  * out, because it may be a key in clear that was pasted by mistake.
  */
-function formatPath(path: readonly PropertyKey[]): string {
+export function formatPath(path: readonly PropertyKey[]): string {
     const [section, name, ...rest] = path;
     if (!keyHashSections.has(section) || name === undefined) {
         return path.map(String).join(".") || "(document)";
