Add the command `config check`

Cause: operators had no way to see the findings and the differences of a document before it is sent. Change: `config check FILE [--against FILE|current] [--format text|json]`. The mode follows from the content or `--mode`; `current` asks a process as `config get` does. Exit code 0 without findings, 1 with findings, 2 for an unreadable file or wrong use, 4 when the process does not answer. Files are read up to a bound, so that a device or pipe without an end costs no memory. The linter keeps src/configCheck free of tables, systems, adapters and I/O.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -33,10 +33,11 @@
     tables: ["systems", "adapters", "cli", "codec"],
     codec: ["tables", "systems", "adapters", "cli"],
     config: ["tables", "systems", "adapters", "cli"],
+    configCheck: ["tables", "systems", "adapters", "cli", "codec"],
     systems: ["adapters", "cli", "codec"],
     adapters: ["cli"],
 };
-const pureFolders = new Set(["policy", "tables", "codec", "config", "systems"]);
+const pureFolders = new Set(["policy", "tables", "codec", "config", "configCheck", "systems"]);
 const inwardImports = Object.entries(outer).map(([folder, forbidden]) => ({
     files: [`src/${folder}/**/*.ts`],
     rules: {
--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -1,5 +1,5 @@
 /** Command interface: options, help texts and exit codes. */
-import { readFileSync } from "node:fs";
+import { closeSync, openSync, readFileSync, readSync } from "node:fs";
 import type { ParseArgsConfig } from "node:util";
 import type { Fault } from "../config/document";
 
@@ -77,6 +77,33 @@
     }
 }
 
+const readStepBytes = 65_536;
+
+/** Reads at most one byte more than `maxBytes` of a file, which may be a pipe or a device without an end. */
+export function readFileBytes(name: string, maxBytes: number): Buffer {
+    try {
+        const file = openSync(name, "r");
+        try {
+            const pieces: Buffer[] = [];
+            let total = 0;
+            for (let isOpen = true; isOpen && total <= maxBytes;) {
+                const piece = Buffer.alloc(Math.min(readStepBytes, maxBytes + 1 - total));
+                const count = readSync(file, piece);
+                pieces.push(piece.subarray(0, count));
+                total += count;
+                isOpen = count > 0;
+            }
+            return Buffer.concat(pieces);
+        }
+        finally {
+            closeSync(file);
+        }
+    }
+    catch {
+        throw new UsageError(`cannot read the file ${name}`);
+    }
+}
+
 /** Prints every fault of a file or a change on a line of its own. */
 export function printFaults(io: CommandIo, source: string, faults: readonly Fault[]): void {
     for (const { path, message } of faults) {
--- a/src/cli/commandLine.ts
+++ b/src/cli/commandLine.ts
@@ -11,6 +11,7 @@
 } from "./command";
 import { checkCommand } from "./commands/check";
 import { configGetCommand, configHistoryCommand, configPutCommand } from "./commands/config";
+import { configCheckCommand } from "./commands/configCheck";
 import { entriesCommand } from "./commands/entries";
 import { explainCommand } from "./commands/explain";
 import { forwardCommand } from "./commands/forward";
@@ -28,6 +29,7 @@
     "config get": configGetCommand,
     "config put": configPutCommand,
     "config history": configHistoryCommand,
+    "config check": configCheckCommand,
     "key grant": keyGrantCommand,
     "key withdraw": keyWithdrawCommand,
     "entries": entriesCommand,
--- a/src/configCheck/checks.ts
+++ b/src/configCheck/checks.ts
@@ -116,7 +116,7 @@
     },
     "call-above-burst": {
         severity: "warning",
-        hint: "raise the burst, or keep the account off the route",
+        hint: "raise the burst: such calls are refused, however long the account waits",
         list: listLargeCalls,
     },
     "rates-above-capacity": {
--- a/src/configCheck/differences.ts
+++ b/src/configCheck/differences.ts
@@ -1,7 +1,7 @@
 /** Compares two documents and describes each difference by its effect on callers. */
 import type { Difference, Impact, Occurrence, Place } from "./finding";
 import { listRouteDifferences } from "./routeDifferences";
-import type { AccountRow, ConfigView, KeyRow, NamedRow } from "./view";
+import { type AccountRow, type ConfigView, type Field, getFieldPlace, type KeyRow, type NamedRow } from "./view";
 
 /** Index of rows by their id; the last row counts, as for the processes. */
 const buildRowIndex = <Row extends { readonly id: string; }>(rows: readonly Row[]): ReadonlyMap<string, Row> =>
@@ -13,6 +13,7 @@
 type AccountField = Exclude<keyof AccountRow, "id" | "place" | "other">;
 
 interface FieldEffect<Value> {
+    readonly field?: Field;
     readonly impact: (after: Value, before: Value) => Impact;
     readonly describe: (after: Value, before: Value) => string;
 }
@@ -22,14 +23,17 @@
 
 const accountEffects: { readonly [Name in AccountField]-?: FieldEffect<AccountRow[Name]>; } = {
     rate: {
+        field: "rate",
         impact: computeImpact,
         describe: (after, before) => `may use ${formatRate(after)} a second (before: ${formatRate(before)})`,
     },
     burst: {
+        field: "burst",
         impact: computeImpact,
         describe: (after, before) => `may use ${after} tokens at once (before: ${before})`,
     },
     urgency: {
+        field: "priority",
         impact: computeImpact,
         describe: (after, before) => `has ${after < before ? "later" : "earlier"} turns under load`,
     },
@@ -38,6 +42,7 @@
         describe: after => `${after ? "no longer shares" : "shares"} cached prompt parts with other accounts`,
     },
     requestTokens: {
+        field: "requestTokens",
         impact: (after, before) => computeImpact(before, after),
         describe: (after, before) => `is charged ${after} tokens for a request without counts (before: ${before})`,
     },
@@ -48,10 +53,10 @@
     const newAccounts = buildRowIndex(after.accounts);
     const listFieldDifferences = (account: AccountRow, old: AccountRow): readonly Difference[] =>
         (Object.keys(accountEffects) as AccountField[]).filter(field => account[field] !== old[field]).map(field => {
-            const { impact, describe } = accountEffects[field] as FieldEffect<unknown>;
+            const { field: shown, impact, describe } = accountEffects[field] as FieldEffect<unknown>;
             return {
                 code: "account-changed",
-                place: account.place,
+                place: shown ? getFieldPlace(after, account.place, shown) : account.place,
                 impact: impact(account[field], old[field]),
                 message: `account "${account.id}" ${describe(account[field], old[field])}`,
             };
@@ -128,7 +133,7 @@
         .filter(field => after.callerLimits[field] !== before.callerLimits[field])
         .map(field => ({
             code: "caller-limit-changed",
-            place: after.callerLimitsPlace,
+            place: getFieldPlace(after, after.callerLimitsPlace, field),
             impact: computeImpact(after.callerLimits[field], before.callerLimits[field]),
             message: `${callerLimitTexts[field]} ${after.callerLimits[field]} (before: ${before.callerLimits[field]})`,
         }));
--- a/src/configCheck/limits.ts
+++ b/src/configCheck/limits.ts
@@ -135,7 +135,7 @@
     return largest;
 }
 
-/** Accounts whose burst never suffices for one request of a route that they may use. */
+/** Accounts whose burst is below what a call of a route that they may use takes; a call with `max_tokens` may take less. */
 export function listLargeCalls(view: ConfigView): readonly Occurrence[] {
     const largest = view.limitsRequestsToBurst
         ? findLargestCalls(view.routes)
@@ -144,8 +144,8 @@
         const route = [largest.get(id), largest.get(undefined)].find(found => (found?.callTokens ?? 0) > burst);
         return route === undefined ? [] : [{
             place: getFieldPlace(view, place, "burst"),
-            message: `account "${id}" can never call route "${route.id}", which takes ${route.callTokens} tokens where `
-                + `the burst is ${burst}`,
+            message: `account "${id}" has a burst of ${burst} tokens, but a call of route "${route.id}" takes `
+                + `${route.callTokens}`,
         }];
     });
 }
--- a/src/configCheck/routeDifferences.ts
+++ b/src/configCheck/routeDifferences.ts
@@ -1,6 +1,6 @@
 /** Differences between the routes of two documents. */
 import type { Difference, Impact } from "./finding";
-import type { ConfigView, RouteRow } from "./view";
+import { type ConfigView, type Field, getFieldPlace, type RouteRow } from "./view";
 
 /** Key under which callers reach a route: its host and prefix, or its name where they name it. */
 const toRouteKey = ({ id, match }: RouteRow): string => (match ? `${match.host}${match.prefix}` : id);
@@ -14,6 +14,7 @@
 type Comparable = readonly (string | number | boolean | undefined)[] | string | number | boolean | undefined;
 
 interface RouteEffect {
+    readonly field?: Field;
     /** The compared values as JSON-compatible data. */
     readonly select: (route: RouteRow) => Comparable;
     readonly impact: (after: RouteRow, before: RouteRow) => Impact;
@@ -68,22 +69,26 @@
         describe: ({ kind }, before) => `${repeatTexts[kind]} (before: they ${repeatTexts[before.kind]})`,
     },
     "route-access": {
+        field: "isOpen",
         select: ({ isOpen }) => isOpen,
         impact: ({ isOpen }) => (isOpen ? "widens" : "narrows"),
         describe: ({ isOpen }) => (isOpen ? "need no key" : "are refused without a key"),
     },
     "route-accounts": {
+        field: "accounts",
         select: ({ accounts }) => accounts && [...accounts].sort(),
         impact: (after, before) => (hasAllAccounts(after, before) ? "widens" : "narrows"),
         describe: (after, before) =>
             `are served for ${formatAccounts(after.accounts)} (before: ${formatAccounts(before.accounts)})`,
     },
     "route-timeout": {
+        field: "timeoutMs",
         select: ({ timeoutMs }) => timeoutMs,
         impact: createImpact(({ timeoutMs = 0 }) => timeoutMs),
         describe: (after, before) => `end with an error after ${after.timeoutMs} ms (before: ${before.timeoutMs} ms)`,
     },
     "route-objective": {
+        field: "latencyObjectiveMs",
         select: ({ latencyObjectiveMs }) => latencyObjectiveMs,
         impact: createImpact(({ latencyObjectiveMs = 0 }) => latencyObjectiveMs),
         describe: (after, before) =>
@@ -91,17 +96,20 @@
             + `(before: ${before.latencyObjectiveMs} ms)`,
     },
     "route-priority": {
+        field: "priority",
         select: ({ priority }) => priority,
         impact: createImpact(({ priority = 0 }) => -priority),
         describe: (after, before) =>
             `have priority ${after.priority} (before: ${before.priority}), where 0 is the most urgent`,
     },
     "route-attempts": {
+        field: "maxTargets",
         select: ({ maxTargets }) => maxTargets,
         impact: createImpact(({ maxTargets = 1 }) => maxTargets),
         describe: (after, before) => `may run on ${after.maxTargets} targets (before: ${before.maxTargets})`,
     },
     "route-resume": {
+        field: "isResumable",
         select: ({ isResumable }) => isResumable,
         impact: ({ isResumable }) => (isResumable ? "widens" : "narrows"),
         describe: ({ isResumable }) =>
@@ -121,12 +129,12 @@
     },
 };
 
-const listFieldDifferences = (after: RouteRow, before: RouteRow): readonly Difference[] =>
+const listFieldDifferences = (view: ConfigView, after: RouteRow, before: RouteRow): readonly Difference[] =>
     Object.entries(routeEffects)
         .filter(([, { select }]) => JSON.stringify(select(after)) !== JSON.stringify(select(before)))
-        .map(([code, { impact, describe }]) => ({
+        .map(([code, { field, impact, describe }]) => ({
             code,
-            place: after.place,
+            place: field ? getFieldPlace(view, after.place, field) : after.place,
             impact: impact(after, before),
             message: `${formatRequests(after)} ${describe(after, before)}`,
         }));
@@ -179,7 +187,7 @@
     return [
         ...[...newRoutes].flatMap(([key, route]) => {
             const old = oldRoutes.get(key);
-            return old ? listFieldDifferences(route, old) : [buildAdded(route)];
+            return old ? listFieldDifferences(after, route, old) : [buildAdded(route)];
         }),
         ...[...oldRoutes].filter(([key]) => !newRoutes.has(key)).map(([, route]) => buildRemoved(route)),
     ];
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -108,6 +108,9 @@
     it("prints help, and exits with code 4 when the process does not answer", async () => {
         expect((await runCli(["config", "put", "--help"])).out).toContain("--expect VERSION");
         expect((await runCli(["--help"])).out).toContain("key withdraw");
+        const good = writeText("offline.json", JSON.stringify(buildOperatorDocument()));
+        const offline = ["config", "check", good, "--against", "current", "--address", "127.0.0.1:1"];
+        expect((await runCli(offline)).code).toBe(4);
         const { code, err } = await runCli(["key", "grant", "--account", "shop", "--address", "127.0.0.1:1"]);
         expect(code).toBe(4);
         expect(err).toContain("Nothing was changed.");
@@ -155,6 +158,11 @@
         const keyFile = writeText("key", `${operatorKey}\n`);
         const stale = ["config", "put", document, "--expect", "1", "--key-file", keyFile];
         expect(await runAt(stale, "")).toMatchObject({ code: 3, err: "The configuration is at version 3.\n" });
+        const shorter = writeText("shorter.json", JSON.stringify({ ...buildOperatorDocument(engine), routes: {} }));
+        const compared = await runAt(["config", "check", shorter, "--against", "current"]);
+        expect(compared.out).toContain("requests that name catalogue are refused as unknown (before: copywriter@v1)");
+        const refused = await runAt(["config", "check", shorter, "--against", "current"], fleetSecret);
+        expect(refused).toMatchObject({ code: 2, out: "" });
         const history = await runAt(["config", "history"]);
         expect(history.out.trim().split("\n")).toHaveLength(4);
         const status = await runAt(["status"]);
