--- a/bench/costCases.ts
+++ b/bench/costCases.ts
@@ -3,6 +3,10 @@
  * no cases for rates and claims.
  */
 import { Ok } from "ts-results";
+import { readPlatformView } from "../platform/configurationView";
+import { checkDocument } from "../src/configCheck/checkDocument";
+import { parseFileBytes } from "../src/configCheck/input";
+import { formatReport } from "../src/configCheck/report";
 import { createEventBatch, type Event } from "../src/events";
 import { toCallId, toConfigVersion, toIncarnation, toMillis, toPrefixId, toTargetId, toVmId } from "../src/ids";
 import type { Exchange, MemberDigest } from "../src/peers";
@@ -16,6 +20,7 @@
 import { routeRequests } from "../src/systems/routeRequests";
 import { updateTargets } from "../src/systems/updateTargets";
 import type { Tick, World } from "../src/world";
+import { buildManyRoutes } from "../standins/platformConfiguration";
 import { buildArrivalEvent, buildDocument, createBenchWorld, createIdleHandlers } from "./benchWorld";
 import { deployments, faultCases } from "./cases";
 import { createSimulation } from "./simulation";
@@ -276,12 +281,29 @@
     };
 }
 
+/** Checks a document of the forwarding mode and compares it with one that differs in each route, as `config check` does. */
+function createConfigurationCheckCase(count: number): PreparedCase {
+    const before = readPlatformView(buildManyRoutes({ version: 1, count, timeoutMs: 3000 })).unwrap();
+    const bytes = Buffer.from(JSON.stringify(buildManyRoutes({ version: 2, count, timeoutMs: 2000 })));
+    return {
+        run: runs => {
+            for (let index = 0; index < runs; index += 1) {
+                const content = parseFileBytes("document.json", bytes).unwrap();
+                const report = checkDocument({ content, mode: "forward", read: readPlatformView, against: before });
+                formatReport("document.json", report);
+            }
+        },
+    };
+}
+
 /** 12,000 engines over 710 VMs are 17 for each; in a small fleet each VM has all engines in its table. */
 const engineSizes = [6, 17, 68, 272, 1088];
 const accountSizes = [5, 50, 190, 760];
 /** 520 million blocks over 710 VMs are 732,000 for each; the default table holds 200,000 rows. */
 const prefixSizes = [12_500, 50_000, 100_000, 200_000];
 const peerSizes = [4, 45, 178, 710];
+/** Documents of 1,400 routes are to be checked in under a second. */
+const routeSizes = [50, 350, 1400, 5600];
 
 export const costCases: readonly CostCase[] = [
     {
@@ -326,6 +348,12 @@
         sizes: engineSizes,
         prepare: (engines, hasher) => createConfigurationChangeCase(hasher, { engines }),
     },
+    {
+        operation: "configuration check",
+        variable: "routes",
+        sizes: routeSizes,
+        prepare: createConfigurationCheckCase,
+    },
     {
         operation: "gossip exchange",
         variable: "peers",
--- a/standins/platformConfiguration.ts
+++ b/standins/platformConfiguration.ts
@@ -52,3 +52,16 @@
         ...changes,
     };
 }
+
+/** Builds a configuration with a number of plain routes that differ in name and prefix. */
+export const buildManyRoutes = (
+    { version, count, timeoutMs }: { readonly version: number; readonly count: number; readonly timeoutMs: number; },
+): Record<string, unknown> => {
+    const names = Array.from({ length: count }, (_, index) => `lookup-${index}`);
+    const routes = names.map(name => buildPlatformRoute(name, "idempotent", plainService, { "timeout-ms": timeoutMs }));
+    return buildPlatformConfiguration({
+        version,
+        routes,
+        services: [{ "name": plainService, "max-connections": 100 }],
+    });
+};
