Report each change of a document as a difference, and test that none is missed

Cause: changes of a key's label, of a route's name in the forwarding mode and of shares below the rounding of the message were not reported, and a negative priority of an account was not found to be out of range. Change: these are reported. Two properties compare the differences with what the processes' own code reads.

--- a/src/configCheck/completionsView.ts
+++ b/src/configCheck/completionsView.ts
@@ -110,14 +110,16 @@
             id: toAccountId(name),
             place: ["accounts", name],
             other: "",
+            priority,
             urgency: priority,
             rate,
             burst,
             isIsolated: true,
         })),
-        keys: Object.entries<KeyEntry>(document.keys).map(([hash, { account }]) => ({
+        keys: Object.entries<KeyEntry>(document.keys).map(([hash, { account, label }]) => ({
             hash: toKeyHash(hash),
             account: toAccountId(account),
+            label,
             place: ["keys", hash],
             isUsable: true,
         })),
--- a/src/configCheck/differences.ts
+++ b/src/configCheck/differences.ts
@@ -10,7 +10,7 @@
 const formatRate = (rate: number): string =>
     rate === Number.POSITIVE_INFINITY ? "any number of tokens" : `${rate} tokens`;
 
-type AccountField = Exclude<keyof AccountRow, "id" | "place" | "other">;
+type AccountField = Exclude<keyof AccountRow, "id" | "place" | "other" | "priority">;
 
 interface FieldEffect<Value> {
     readonly field?: Field;
@@ -89,18 +89,20 @@
     const toLabel = ({ hash }: KeyRow): string => `key ${hash.slice(0, shownHashDigits)}`;
     return [
         ...[...newKeys.values()].flatMap((key): readonly Difference[] => {
+            const { account, label, place } = key;
             const old = oldKeys.get(key.hash);
-            if (old?.account === key.account) {
-                return [];
+            if (!old) {
+                const message = `${toLabel(key)} of account "${account}" is accepted`;
+                return [{ code: "key-granted", place, impact: "widens", message }];
             }
-            return [{
-                code: old ? "key-moved" : "key-granted",
-                place: key.place,
-                impact: old ? "changes" : "widens",
-                message: old
-                    ? `requests with ${toLabel(key)} count for account "${key.account}" (before: "${old.account}")`
-                    : `${toLabel(key)} of account "${key.account}" is accepted`,
-            }];
+            if (old.account !== account) {
+                const message = `requests with ${
+                    toLabel(key)
+                } count for account "${account}" (before: "${old.account}")`;
+                return [{ code: "key-moved", place, impact: "changes", message }];
+            }
+            const message = `${toLabel(key)} has the label "${label}" (before: "${old.label}")`;
+            return old.label === label ? [] : [{ code: "key-relabelled", place, impact: "changes", message }];
         }),
         ...[...oldKeys.values()].filter(({ hash }) => !newKeys.has(hash)).map((key): Difference => ({
             code: "key-withdrawn",
--- a/src/configCheck/limits.ts
+++ b/src/configCheck/limits.ts
@@ -53,12 +53,12 @@
         ),
         ...routes.flatMap(({ destinations }) => destinations.map(({ place, weight }) => [place, { weight }] as const)),
         ...services.map(({ place, memoryTokens }) => [place, { memoryTokens }] as const),
-        ...accounts.map(({ place, rate, burst, requestTokens, urgency }) =>
+        ...accounts.map(({ place, rate, burst, requestTokens, priority }) =>
             [place, {
                 rate: rate === Number.POSITIVE_INFINITY ? undefined : rate,
                 burst,
                 requestTokens,
-                priority: Math.abs(urgency),
+                priority,
             }] as const
         ),
         [callerLimitsPlace, callerLimits],
--- a/src/configCheck/routeDifferences.ts
+++ b/src/configCheck/routeDifferences.ts
@@ -34,6 +34,12 @@
         .join(", ") || "nothing";
 }
 
+/** Destinations with their exact shares; a change below the rounding of the message is a difference as well. */
+const listShares = ({ destinations }: RouteRow): Comparable => {
+    const total = destinations.reduce((sum, { weight }) => sum + weight, 0);
+    return destinations.flatMap(({ id, weight }) => [id, weight / total]);
+};
+
 const repeatTexts: Readonly<Record<RouteRow["kind"], string>> = {
     repeatable: "may be sent again after a failure",
     single: "run at most once",
@@ -59,7 +65,7 @@
 /** Effects by the field that differs. */
 const routeEffects: Readonly<Record<string, RouteEffect>> = {
     "route-destination": {
-        select: formatShares,
+        select: listShares,
         impact: () => "changes",
         describe: (after, before) => `go to ${formatShares(after)} (before: ${formatShares(before)})`,
     },
@@ -122,6 +128,11 @@
         impact: createImpact(({ callTokens = 0 }) => -callTokens),
         describe: (after, before) => `reserve ${after.callTokens} tokens at least (before: ${before.callTokens})`,
     },
+    "route-renamed": {
+        select: ({ id }) => id,
+        impact: () => "changes",
+        describe: (after, before) => `are logged under route "${after.id}" (before: "${before.id}")`,
+    },
     "route-settings": {
         select: ({ other }) => other,
         impact: () => "changes",
--- a/src/configCheck/view.ts
+++ b/src/configCheck/view.ts
@@ -74,6 +74,8 @@
 
 export interface AccountRow extends Row {
     readonly id: AccountId;
+    /** As in the file; the modes order it differently. */
+    readonly priority: number;
     /** Greater values are more urgent. */
     readonly urgency: number;
     /** Tokens a second; Infinity for no limit. */
@@ -86,6 +88,7 @@
 export interface KeyRow {
     readonly hash: KeyHash;
     readonly account: AccountId;
+    readonly label: string;
     readonly place: Place;
     /** False for a text that no request can carry as its key. */
     readonly isUsable: boolean;
--- a/test/configCheck.test.ts
+++ b/test/configCheck.test.ts
@@ -1,5 +1,6 @@
 /** Configuration checks: every finding, differences from another document, and agreement with the processes. */
 import fc from "fast-check";
+import { isDeepStrictEqual } from "node:util";
 import { describe, expect, it } from "vitest";
 import { decodeConfiguration } from "../platform/documents";
 import { parseDocument } from "../src/config/document";
@@ -300,6 +301,35 @@
         }));
     });
 
+    it("reports a difference for each change that the completions mode acts on, and none for the same document", () => {
+        const read = (text: string): unknown => {
+            const parsed = parseDocument(JSON.parse(text));
+            return parsed.ok && parsed.val;
+        };
+        const base = buildServeDocument();
+        fc.assert(fc.property(buildMutations(base), document => {
+            const text = JSON.stringify(document);
+            fc.pre(read(text) !== false);
+            const report = checkText("serve", text, base);
+            const isSame = isDeepStrictEqual(read(text), read(JSON.stringify(base)));
+            expect(report.differenceCount === 0).toBe(isSame);
+        }));
+    });
+
+    it("reports a difference for each change that the forwarding mode acts on, and none for the same document", () => {
+        const baseText = JSON.stringify(forwardBase);
+        const read = (text: string): unknown => {
+            const { version: _version, ...document } = decodeConfiguration(text) ?? {};
+            return document;
+        };
+        fc.assert(fc.property(buildMutations(forwardBase), document => {
+            const text = JSON.stringify(document);
+            fc.pre(decodeConfiguration(text) !== undefined);
+            const report = checkText("forward", text, forwardBase);
+            expect(report.differenceCount === 0).toBe(isDeepStrictEqual(read(text), read(baseText)));
+        }));
+    });
+
     it("accepts exactly the documents that the forwarding mode reads, and finds the routes that get no request", () => {
         fc.assert(fc.property(buildMutations(forwardBase), document => {
             const text = JSON.stringify(document);
