Tell missing targets from services that a document does not define

Cause: in the forwarding mode targets register themselves, so a service that the document does not define still gets requests, as a plain one. The finding said that they are refused. Part stores were reported as unused, and withdrawn keys as ending streams, which only the completions mode does. Change: `missing-target` (error) for documents that list targets, `unknown-service` (warning) for others. Part stores need no route. Services are compared only where the document defines them.

--- a/src/configCheck/checks.ts
+++ b/src/configCheck/checks.ts
@@ -16,6 +16,7 @@
     listEmptySplits,
     listIgnoredValues,
     listMissingKeys,
+    listMissingTargets,
     listOpenPrefixes,
     listRepeatedEntries,
     listRepeatedKeys,
@@ -55,10 +56,10 @@
         hint: "rename or remove one of the entries",
         list: listRepeatedEntries,
     },
-    "unknown-service": {
+    "missing-target": {
         severity: "error",
-        hint: "correct the name, or define what the route names: its requests are refused until then",
-        list: listUnknownServices,
+        hint: "correct the name, or add a target: requests are refused until there is one",
+        list: listMissingTargets,
     },
     "no-destination": { severity: "error", hint: "give one destination a weight", list: listEmptySplits },
     "value-out-of-range": { severity: "error", hint: "choose a value in the range", list: listOutOfRange },
@@ -73,6 +74,12 @@
         hint: "remove one of the two routes, or change its prefix",
         list: listShadowedRoutes,
     },
+    "unknown-service": {
+        severity: "warning",
+        hint: "correct the name, or define the service: only targets that register under this name get requests, and "
+            + "none of them as an engine",
+        list: listUnknownServices,
+    },
     "route-closed": {
         severity: "warning",
         hint: "name an account with a key, or open the route",
--- a/src/configCheck/completionsView.ts
+++ b/src/configCheck/completionsView.ts
@@ -76,6 +76,7 @@
             id,
             place: before?.place ?? ["targets", name],
             other: "",
+            isPartStore: false,
             ...(added === undefined ? {} : { tokensPerSecond: (before?.tokensPerSecond ?? 0) + added }),
         });
     }
@@ -125,6 +126,7 @@
         })),
         needsKeys: true,
         limitsRequestsToBurst: true,
+        listsTargets: true,
         models: listNamedRows("models", document.models).map(row => ({ ...row, isUsed: usedModels.has(row.id) })),
         targets: listNamedRows("targets", document.targets),
         operators: listNamedRows("operators", document.operators, hash => hash.slice(0, shownHashDigits)),
--- a/src/configCheck/differences.ts
+++ b/src/configCheck/differences.ts
@@ -75,7 +75,7 @@
             code: "account-removed",
             place: [],
             impact: "narrows",
-            message: `account "${id}" is gone: requests with its keys are refused`,
+            message: `account "${id}" is gone, and its keys with it`,
         })),
     ];
 }
@@ -108,7 +108,7 @@
             code: "key-withdrawn",
             place: [],
             impact: "narrows",
-            message: `${toLabel(key)} of account "${key.account}" is refused, and its streams end`,
+            message: `${toLabel(key)} of account "${key.account}" is no longer accepted`,
         })),
     ];
 }
@@ -141,20 +141,24 @@
         }));
 
 interface RowTexts {
+    readonly name: string;
     readonly added: string;
     readonly removed: string;
     readonly changed: string;
+    /** False when a new row serves no more requests and one that is gone no fewer. */
+    readonly bringsCapacity?: boolean;
 }
 
 type RowSection = "services" | "models" | "targets" | "operators";
 
 /** Effects of rows whose fields callers see only indirectly. */
-const rowTexts: Readonly<Record<RowSection, RowTexts & { readonly name: string; }>> = {
+const rowTexts: Readonly<Record<RowSection, RowTexts>> = {
     services: {
         name: "service",
-        added: "can get requests",
-        removed: "gets no requests, and routes that name it refuse theirs",
+        added: "is defined: its targets get requests by its engine settings, if it has any",
+        removed: "is not defined any more: its targets get requests as plain ones",
         changed: "has other engine settings",
+        bringsCapacity: false,
     },
     models: {
         name: "model",
@@ -176,14 +180,19 @@
     },
 };
 
+/** Services that the document defines; where it lists targets, services follow from these. */
+const listDefinedServices = (
+    { listsTargets, services }: ConfigView,
+): ConfigView["services"] => (listsTargets ? [] : services);
+
 function listRowDifferences(section: RowSection, after: ConfigView, before: ConfigView): readonly Difference[] {
     const toRows = (view: ConfigView): readonly NamedRow[] =>
         section === "services"
-            ? view.services.map(row => ({ ...row, other: JSON.stringify([row.other, row.memoryTokens]) }))
+            ? listDefinedServices(view).map(row => ({ ...row, other: JSON.stringify([row.other, row.memoryTokens]) }))
             : view[section];
     const oldRows = buildRowIndex(toRows(before));
     const newRows = buildRowIndex(toRows(after));
-    const { name, added, removed, changed } = rowTexts[section];
+    const { name, added, removed, changed, bringsCapacity = true } = rowTexts[section];
     const build = (kind: string, place: Place, impact: Impact, message: string): Difference => ({
         code: `${name}-${kind}`,
         place,
@@ -194,12 +203,12 @@
         ...[...newRows.values()].flatMap(({ id, place, other }) => {
             const old = oldRows.get(id);
             if (!old) {
-                return [build("added", place, "widens", `${name} "${id}" ${added}`)];
+                return [build("added", place, bringsCapacity ? "widens" : "changes", `${name} "${id}" ${added}`)];
             }
             return old.other === other ? [] : [build("changed", place, "changes", `${name} "${id}" ${changed}`)];
         }),
         ...[...oldRows.keys()].filter(id => !newRows.has(id)).map(id =>
-            build("removed", [], "narrows", `${name} "${id}" ${removed}`)
+            build("removed", [], bringsCapacity ? "narrows" : "changes", `${name} "${id}" ${removed}`)
         ),
     ];
 }
--- a/src/configCheck/limits.ts
+++ b/src/configCheck/limits.ts
@@ -159,6 +159,6 @@
     return largest === undefined || capacities.length === 0 || total <= capacity ? [] : [{
         place: largest.place,
         message:
-            `the accounts may use ${total} tokens a second, but the engines compute at most ${capacity}; account "${largest.id}" has the largest rate`,
+            `the accounts may use ${total} tokens a second, but by the settings of the models the engines compute at most ${capacity}; account "${largest.id}" has the largest rate`,
     }];
 }
--- a/src/configCheck/matching.ts
+++ b/src/configCheck/matching.ts
@@ -91,21 +91,28 @@
         }]
     );
 
-/** Destinations of routes that the document does not offer. */
-export function listUnknownServices({ routes, services }: ConfigView): readonly Occurrence[] {
+function listUnknownDestinations({ routes, services }: ConfigView, reason: string): readonly Occurrence[] {
     const known = new Set(services.map(({ id }) => id));
     return routes.flatMap(route =>
         route.destinations.filter(({ id }) => !known.has(id)).map(({ id, place }) => ({
             place,
-            message: `route "${route.id}" sends to "${id}", which the document does not offer`,
+            message: `route "${route.id}" sends to "${id}", ${reason}`,
         }))
     );
 }
 
+/** Destinations of routes for which the document lists no target that stays. */
+export const listMissingTargets = (view: ConfigView): readonly Occurrence[] =>
+    view.listsTargets ? listUnknownDestinations(view, "for which there is no target, or only leaving ones") : [];
+
+/** Destinations of routes that the document does not define, where it does not list the targets. */
+export const listUnknownServices = (view: ConfigView): readonly Occurrence[] =>
+    view.listsTargets ? [] : listUnknownDestinations(view, "which the document does not define");
+
 /** Services that no route names. */
 export function listUnusedServices({ routes, services }: ConfigView): readonly Occurrence[] {
     const used = new Set(routes.flatMap(route => route.destinations.map(({ id }) => id)));
-    return services.filter(({ id }) => !used.has(id)).map(({ id, place }) => ({
+    return services.filter(({ id, isPartStore }) => !isPartStore && !used.has(id)).map(({ id, place }) => ({
         place,
         message: `no route sends to "${id}"`,
     }));
--- a/src/configCheck/view.ts
+++ b/src/configCheck/view.ts
@@ -67,6 +67,8 @@
 /** A destination that the document offers to routes. */
 export interface ServiceRow extends Row {
     readonly id: DestinationId;
+    /** True for a part store, which is used without a route. */
+    readonly isPartStore: boolean;
     readonly memoryTokens?: number;
     /** Tokens that its engines can compute in a second; undefined where the document does not tell. */
     readonly tokensPerSecond?: number;
@@ -111,6 +113,8 @@
     readonly needsKeys: boolean;
     /** True when a request that needs more tokens than its account's burst is never admitted. */
     readonly limitsRequestsToBurst: boolean;
+    /** False when targets register themselves, also for services that the document does not define. */
+    readonly listsTargets: boolean;
     readonly models: readonly (NamedRow & { readonly isUsed: boolean; })[];
     readonly targets: readonly NamedRow[];
     readonly operators: readonly NamedRow[];
