--- a/bench/costCases.ts
+++ b/bench/costCases.ts
@@ -281,7 +281,7 @@
     };
 }
 
-/** Checks a document of the forwarding mode and compares it with one that differs in each route, as `config check` does. */
+/** Checks a document of the forwarding mode, and compares it with one that differs in each route. */
 function createConfigurationCheckCase(count: number): PreparedCase {
     const before = readPlatformView(buildManyRoutes({ version: 1, count, timeoutMs: 3000 })).unwrap();
     const bytes = Buffer.from(JSON.stringify(buildManyRoutes({ version: 2, count, timeoutMs: 2000 })));
--- a/src/configCheck/limits.ts
+++ b/src/configCheck/limits.ts
@@ -135,7 +135,10 @@
     return largest;
 }
 
-/** Accounts whose burst is below what a call of a route that they may use takes; a call with `max_tokens` may take less. */
+/**
+ * Accounts whose burst is below what a call of a route takes that they may use. For a model this is a call without
+ * `max_tokens`.
+ */
 export function listLargeCalls(view: ConfigView): readonly Occurrence[] {
     const largest = view.limitsRequestsToBurst
         ? findLargestCalls(view.routes)
@@ -158,7 +161,7 @@
     const [largest] = [...accounts].sort((left, right) => right.rate - left.rate);
     return largest === undefined || capacities.length === 0 || total <= capacity ? [] : [{
         place: largest.place,
-        message:
-            `the accounts may use ${total} tokens a second, but by the settings of the models the engines compute at most ${capacity}; account "${largest.id}" has the largest rate`,
+        message: `the accounts may use ${total} tokens a second, but by the settings of the models the engines compute `
+            + `at most ${capacity}; account "${largest.id}" has the largest rate`,
     }];
 }
