--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -36,6 +36,10 @@
         16384,
     )
         .optional(),
+    failures: z.array(
+        z.tuple([z.string(), z.number().min(0), z.number().min(0), z.number().min(0), z.number().min(-1)]),
+    )
+        .max(16384).optional(),
     partsHeard: z.number(),
     partsTold: z.number(),
     parts: z.array(z.tuple([z.string(), z.array(z.tuple([z.string(), z.number()])).max(16384)])).max(4096),
--- a/src/forward/peers.ts
+++ b/src/forward/peers.ts
@@ -60,6 +60,11 @@
     readonly endedLimits?: readonly (readonly [TargetId, number])[];
     /** Targets that leave: age of the evidence in milliseconds, and whether they said so; absent when there are none. */
     readonly departures?: readonly (readonly [TargetId, number, boolean])[];
+    /**
+     * Targets that failed requests of the sender lately: requests failed and answered, and milliseconds since the last
+     * failure and since the target was last found silent (-1 for never). Absent when there are none.
+     */
+    readonly failures?: readonly (readonly [TargetId, number, number, number, number])[];
     /** Requests that the sender has admitted in the last seconds, by service; absent when there are none. */
     readonly requests?: readonly (readonly [ServiceId, number])[];
 }
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -65,6 +65,8 @@
          * taken as last reported.
          */
         estimatesLoad: z.boolean().default(true),
+        /** Tells the other processes of such a fleet which targets have failed requests. */
+        sharesFailures: z.boolean().default(true),
     }).prefault({}),
     log: z.strictObject({
         level: z.enum(["error", "warn", "info", "debug"]).default("info"),
--- a/src/forward/systems/chooseEngine.ts
+++ b/src/forward/systems/chooseEngine.ts
@@ -10,6 +10,7 @@
 import { computeCachedTokens, computeSalt } from "./cacheSalts";
 import { computeRequestPriority, type EngineCandidate, listCandidates } from "./engineCandidates";
 import { computeLoadFreshness, computeLoadScale } from "./engineLoad";
+import { computeFailureShare } from "./failureReports";
 import { canFetchInTime, findPartStore } from "./partStores";
 import { computeLimitScarcity } from "./requestLimits";
 import { buildSlotWaitEstimate } from "./slotUse";
@@ -206,7 +207,7 @@
             rank,
             rankWeight: 1 - loadFreshness,
             outdatedMs: engine.isOutdated ? outdatedMs : 0,
-            failureShare: target.failureShare,
+            failureShare: computeFailureShare(world, target),
             limitScarcity: computeLimitScarcity(target),
         }, loadScale);
         if (!best || scoreMs + noiseMs < lowestMs) {
--- a/src/forward/systems/eligibleTargets.ts
+++ b/src/forward/systems/eligibleTargets.ts
@@ -6,6 +6,7 @@
 import { type ForwardTargetRow, isWorking } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { computeOutdatedAge } from "./chooseEngine";
+import { isReportedUnreachable } from "./failureReports";
 import { hasRequestToken } from "./requestLimits";
 import { overloadBackOffMs } from "./targetHealth";
 
@@ -65,8 +66,8 @@
     const usable = world.tables.targets.listService(row.service).filter(target =>
         isUsable(world, tick, row, target) && hasRequestToken(world, tick, target)
     );
-    // One whose address refused a connection is tried again only when there is no other.
-    const reachable = usable.filter(({ refusedAt }) => refusedAt === undefined);
+    // One that seems to have ended or to be unreachable is tried again only when there is no other.
+    const reachable = usable.filter(target => target.refusedAt === undefined && !isReportedUnreachable(world, target));
     const working = reachable.length > 0 ? reachable : usable;
     const notLoading = working.filter(target => tick.now >= target.unavailableUntil);
     const eligible = notLoading.length > 0 || row.attempts.length > 0
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -11,6 +11,7 @@
 import { computeExchangeIntervalMs, computeOwnTokens, computePeerStaleMs } from "./accountUsage";
 import { applyCrashReports, buildCrashReports } from "./crashReports";
 import { applyEndedRunReports, buildEndedRunReports } from "./endedRunReports";
+import { applyFailureReports, buildFailureReports } from "./failureReports";
 import { applyLoadReports, buildLoadReports } from "./loadReports";
 import { applyLimitReports, buildLimitReports } from "./requestLimits";
 import { applyDepartureReports, buildDepartureReports } from "./targetDepartures";
@@ -136,6 +137,7 @@
         ...buildCrashReports(world, tick),
         ...buildLimitReports(world, tick),
         ...buildDepartureReports(world, tick),
+        ...buildFailureReports(world, tick),
     };
 }
 
@@ -150,6 +152,7 @@
     applyCrashReports(world, tick, state);
     applyLimitReports(world, tick, state);
     applyDepartureReports(world, tick, state);
+    applyFailureReports(world, tick, state);
     // `knownStart` differs when the peer has not noticed the restart yet; its report is then about another run.
     if (state.earlier && state.knownStart === world.startedAt) {
         const isFirst = !peers.ownPreviousRun;
--- a/src/forward/systems/followAttempts.ts
+++ b/src/forward/systems/followAttempts.ts
@@ -9,6 +9,7 @@
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { recordCachedParts } from "./cacheSalts";
+import { recordFailedOutcome } from "./failureReports";
 import { recordAnsweredParts, recordLostAttempt } from "./followCrashes";
 import { recordTransferDelay } from "./partStores";
 import { canRepeat, closeAttempt, requeueRequest, retryOrRefuse } from "./repeatRequests";
@@ -136,6 +137,7 @@
     const isError = status >= 500;
     if (target && (fault !== undefined || isError)) {
         recordErrorAnswer(target);
+        recordFailedOutcome(world, tick, attempt.target, "error");
     }
     if (fault !== undefined || (isError && row.isRepeatable && canRepeat(world, tick, row))) {
         closeAttempt(world, row, attempt, fault ?? `status ${status}`);
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -13,6 +13,7 @@
 import { chooseEngine, type TargetChoice } from "./chooseEngine";
 import { isUsable, listEligible } from "./eligibleTargets";
 import { computeRequestPriority } from "./engineCandidates";
+import { computeFailureShare } from "./failureReports";
 import { refuseForwardRequest } from "./requestEnd";
 import { findFirstToken, reserveRequestToken } from "./requestLimits";
 import { isAdmittedBySlots } from "./slotUse";
@@ -36,7 +37,7 @@
         const remoteMs = target.registration.dataCentre === world.settings.dataCentre ? 0 : serviceRemoteCostMs;
         const scoreMs = target.inFlight.size * serviceRequestCostMs
             + remoteMs
-            + target.failureShare * serviceFailureCostMs
+            + computeFailureShare(world, target) * serviceFailureCostMs
             + world.random();
         if (!best || scoreMs < best.scoreMs) {
             best = {
--- a/src/forward/systems/targetHealth.ts
+++ b/src/forward/systems/targetHealth.ts
@@ -4,6 +4,7 @@
 import type { ForwardTick } from "../events";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
+import { recordFailedOutcome } from "./failureReports";
 
 /** An engine that was ordered to load weights gets no requests for this long, unless it reports them earlier. */
 const expectedLoadingMs = 900;
@@ -56,6 +57,7 @@
     reason: string,
 ): void {
     row.failures += 1;
+    recordFailedOutcome(world, tick, row.registration.id, reason);
     row.failureShare += (1 - row.failureShare) * failureWeight;
     const backOffMs = Math.min(maxBackOffMs, initialBackOffMs * 2 ** (row.failures - 1));
     row.backOffUntil = addMillis(tick.now, backOffMs);
@@ -103,6 +105,7 @@
         logInfo(world.effects, "target:", "Target works again.", { target: row.registration.id });
     }
     recordSignOfLife(world, row);
+    world.tables.targetOutcomes.recordAnswer(row.registration.id);
     row.failures = 0;
     row.failureShare *= 1 - failureWeight;
     row.backOffUntil = 0 as Millis;
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -17,6 +17,7 @@
 import { createSharedPartsTable, type SharedPartsTable } from "./sharedParts";
 import { createSlotUseTable, type SlotUseTable } from "./slotUse";
 import { createStoreRelayTable, type StoreRelayTable } from "./storeRelay";
+import { createTargetOutcomesTable, type TargetOutcomesTable } from "./targetOutcomes";
 import { createForwardTargetsTable, type ForwardTargetsTable } from "./targets";
 import { createTransferDelaysTable, type TransferDelaysTable } from "./transferDelays";
 import { createUsageWindowsTable, type UsageWindowsTable } from "./usageWindows";
@@ -39,6 +40,7 @@
     readonly rollouts: RolloutsTable;
     readonly storeRelay: StoreRelayTable;
     readonly slotUse: SlotUseTable;
+    readonly targetOutcomes: TargetOutcomesTable;
     readonly transferDelays: TransferDelaysTable;
     readonly retryBudgets: Map<ServiceId, RetryBudget>;
     /** Requests of this process by service, for its share in the limits of targets. */
@@ -65,6 +67,7 @@
         rollouts: createRolloutsTable(),
         storeRelay: createStoreRelayTable(),
         slotUse: createSlotUseTable(),
+        targetOutcomes: createTargetOutcomesTable(),
         transferDelays: createTransferDelaysTable(),
         retryBudgets: new Map(),
         serviceLoads: new Map(),
--- a/src/forward/tables/targets.ts
+++ b/src/forward/tables/targets.ts
@@ -53,6 +53,8 @@
     removedAt: Millis | undefined;
     /** The target asked this process to send it nothing before this time; 0 when it did not. */
     deferredUntil: Millis;
+    /** Several processes find the target unreachable, as last logged. */
+    isReportedUnreachable: boolean;
 }
 
 export interface ForwardTargetsTable {
@@ -151,6 +153,7 @@
                 missingUntil: undefined,
                 removedAt: undefined,
                 deferredUntil: 0 as Millis,
+                isReportedUnreachable: false,
             });
             updateServices();
             return row;
