--- a/src/forward/policy/slotWait.ts
+++ b/src/forward/policy/slotWait.ts
@@ -9,19 +9,19 @@
     readonly slots: number;
     /** Mean time for which a request holds a slot. */
     readonly tenureMs: number;
-    /** Fraction of the waiting requests that the engine admits before this one, 0 to 1. */
+    /** Fraction of the requests that the engine admits before this one, 0 to 1. */
     readonly aheadShare: number;
 }
 
 /**
- * Estimates the time until a request that is sent now gets a slot, in milliseconds.
+ * Estimates the time until a request that is sent now gets a slot, in milliseconds. An urgent request waits for the next
+ * slot that comes free, and for urgent requests that found none, but not for the others in the queue.
  *
  * @example
  * estimateSlotWaitMs({ requests: 48, slots: 32, tenureMs: 2000, aheadShare: 1 }); // 1062.5: 17 slots have to come free
  */
 export function estimateSlotWaitMs({ requests, slots, tenureMs, aheadShare }: SlotWaitInput): number {
-    const waiting = requests - slots;
-    return waiting < 0 ? 0 : (1 + waiting * aheadShare) * tenureMs / slots;
+    return requests < slots ? 0 : (1 + Math.max(0, requests * aheadShare - slots)) * tenureMs / slots;
 }
 
 export interface ShareWaitInput {
@@ -82,16 +82,23 @@
 export const canBeginInTime = ({ waitMs, firstEventMs, objectiveMs }: AdmissionInput): boolean =>
     waitMs <= objectiveMs * minWaitFraction || waitMs + firstEventMs <= objectiveMs * maxFirstEventFraction;
 
+/** A refused caller finds room later the more callers are refused: its wait grows by up to this factor. */
+const refusalReturnFactor = 4;
 /** Returns are spread over this fraction of the wait either way, so that refused callers do not come back together. */
 const returnSpread = 0.3;
 /** Callers come back no sooner than this, about the time in which reports from other processes arrive. */
 const minReturnMs = 250;
 
-/**
- * Computes when a refused caller should come back: when the queue is expected to be short enough, spread by `random`
- * (0 to 1).
- */
-export function computeReturnMs({ waitMs, firstEventMs, objectiveMs }: AdmissionInput, random: number): number {
-    const excessMs = waitMs + firstEventMs - objectiveMs * maxFirstEventFraction;
-    return Math.max(minReturnMs, excessMs) * (1 + returnSpread * (2 * random - 1));
+export interface ReturnInput extends AdmissionInput {
+    /** Fraction of recent requests that were refused, 0 to 1. */
+    readonly refusedShare: number;
+    /** Random number in [0, 1). */
+    readonly random: number;
+}
+
+/** Computes when a refused caller should come back: when the queue is expected to be short enough. */
+export function computeReturnMs(input: ReturnInput): number {
+    const { waitMs, firstEventMs, objectiveMs, refusedShare, random } = input;
+    const excessMs = Math.max(minReturnMs, waitMs + firstEventMs - objectiveMs * maxFirstEventFraction);
+    return excessMs * (1 + refusalReturnFactor * refusedShare) * (1 + returnSpread * (2 * random - 1));
 }
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -272,10 +272,16 @@
         return false;
     }
     const admission = { waitMs, firstEventMs, objectiveMs };
-    if (canBeginInTime(admission)) {
+    const isRefused = !canBeginInTime(admission);
+    world.tables.slotUse.recordDecision(row.service, isRefused);
+    if (!isRefused) {
         return false;
     }
-    const returnMs = Math.min(row.route.timeoutMs, computeReturnMs(admission, world.random()));
+    const { refusedShare } = world.tables.slotUse.get(row.service);
+    const returnMs = Math.min(
+        row.route.timeoutMs,
+        computeReturnMs({ ...admission, refusedShare, random: world.random() }),
+    );
     refuseForwardRequest(world, tick, row, "overloaded", returnMs / 1000, { waitMs: Math.round(waitMs) });
     return true;
 }
--- a/src/forward/systems/slotUse.ts
+++ b/src/forward/systems/slotUse.ts
@@ -7,6 +7,7 @@
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { computeExchangeIntervalMs } from "./accountUsage";
+import { computeRequestPriority } from "./engineCandidates";
 import type { TargetLoad } from "./engineLoad";
 import { computeTrafficShare } from "./requestLimits";
 
@@ -24,7 +25,11 @@
     { firstEventAt }: ForwardAttempt,
 ): void {
     if (isAdmittedBySlots(world) && firstEventAt !== undefined) {
-        world.tables.slotUse.recordTenure(row.service, estimateFirstEventMs(0) + tick.now - firstEventAt);
+        world.tables.slotUse.recordTenure(
+            row.service,
+            computeRequestPriority(row),
+            estimateFirstEventMs(0) + tick.now - firstEventAt,
+        );
     }
 }
 
@@ -67,7 +72,7 @@
         return undefined;
     }
     const targets = world.tables.targets.listService(row.service);
-    const { tenureMs, trafficShare, samples } = world.tables.slotUse.get(row.service);
+    const { tenureMs, tenureMsByPriority, trafficShare, samples } = world.tables.slotUse.get(row.service);
     const growth = estimateGrowth(countInFlight(targets), samples[0]?.requests ?? 0);
     const aheadShare = computeAheadShare(targets, priority);
     return ({ target, requests }) => {
@@ -82,7 +87,7 @@
             estimateShareWaitMs({
                 ownRequests: countAhead(target, priority),
                 ownSlots: slots * trafficShare,
-                tenureMs,
+                tenureMs: tenureMsByPriority.get(priority) ?? tenureMs,
             }),
         );
     };
