--- a/src/forward/ids.ts
+++ b/src/forward/ids.ts
@@ -23,3 +23,11 @@
 export const unknownEra: StoreEra = toStoreEra(0);
 export const toCacheSalt = (value: string): CacheSalt => value as CacheSalt;
 export const toCachedPartKey = (salt: CacheSalt, part: PartId): CachedPartKey => `${salt}/${part}` as CachedPartKey;
+
+/** Version of the software of a service's servers. */
+export type ServerVersion = Branded<string, "ServerVersion">;
+/** Revision of the store at which an order for a service rollout was written. */
+export type OrderRevision = Branded<number, "OrderRevision">;
+
+export const toServerVersion = (value: string): ServerVersion => value as ServerVersion;
+export const toOrderRevision = (value: number): OrderRevision => value as OrderRevision;
--- /dev/null
+++ b/src/forward/policy/versionVerdict.ts
@@ -0,0 +1,181 @@
+/** Verdict about a service version from its answers, compared with those of the old version. */
+import type { RouteId } from "../../ids";
+import { addResponses, countAbove, countResponses, findQuantileBucket, listBuckets } from "./responseHistogram";
+import type { ResponseHistogram } from "./responseHistogram";
+import { badScore, computeScore, goodScore, type HitCounts } from "./sequentialTest";
+
+/** Answers of one side, the old or the new version, on one route. */
+export interface SideCounts {
+    answers: number;
+    failures: number;
+    /** Response times of answers that are no failures. */
+    readonly responses: ResponseHistogram;
+}
+
+export interface RouteEvidence {
+    readonly old: SideCounts;
+    readonly new: SideCounts;
+}
+
+export const createSideCounts = (): SideCounts => ({ answers: 0, failures: 0, responses: [] });
+export const createRouteEvidence = (): RouteEvidence => ({ old: createSideCounts(), new: createSideCounts() });
+
+/** Adds the counts of one side to another, or subtracts them with factor -1. */
+export function addSideCounts(total: SideCounts, added: SideCounts, factor = 1): void {
+    total.answers += added.answers * factor;
+    total.failures += added.failures * factor;
+    addResponses(total.responses, listBuckets(added.responses), factor);
+}
+
+/** Answers of the new version by route up to an earlier time. */
+export type EarlierAnswers = ReadonlyMap<RouteId, SideCounts>;
+
+export interface EvidenceToJudge {
+    readonly routes: ReadonlyMap<RouteId, RouteEvidence>;
+    /**
+     * Earlier states of the new version's answers. What was answered since each of them is tested as well, so that a
+     * version that turns bad is not excused by its good answers before.
+     */
+    readonly earlier: readonly EarlierAnswers[];
+    /** True once all requests go to the new version, whose load then differs from that of the old one before. */
+    readonly hasAllTraffic: boolean;
+}
+
+export type VersionTestName = "failures" | "slow answers";
+
+export interface VersionVerdict {
+    readonly kind: "bad" | "good" | "open";
+    /** The test and the route that decided, for the log; the route is undefined for all routes together. */
+    readonly test?: VersionTestName;
+    readonly route?: RouteId | undefined;
+    /** Largest score of all tests. */
+    readonly score: number;
+}
+
+/** Shares of failures that are expected of any version; crashes of single servers are part of it. */
+const minFailureShare = 0.01;
+const detectedFailureIncrease = 0.1;
+/** An answer is slow if it takes longer than this quantile of the old version's on the same route, plus a margin. */
+const slowQuantile = 0.95;
+const minSlowShare = 0.05;
+const detectedSlowIncrease = 0.2;
+/**
+ * Buckets above that of the quantile up to which an answer is not slow. A new server is reached over a new connection
+ * and may be in another data centre; a faulty version is several times slower.
+ */
+const slowMarginBuckets = 1;
+/** Margin while the new version has all traffic; it may have fewer servers than the old one. */
+const slowMarginBucketsUnderAllTraffic = 3;
+/** Answers of the old version on a route without which its response times are not known. */
+const minOldResponses = 20;
+/** Score of a single route from which on the version is not called good: more than one slow answer among a few. */
+const leaningScore = 1.5;
+
+interface TestInput extends HitCounts {
+    readonly expectedShare: number;
+}
+
+interface VersionTest {
+    readonly detectedIncrease: number;
+    /** Counts for the answers in `tested`; undefined when the route does not allow the test. */
+    readonly count: (old: SideCounts, tested: SideCounts, hasAllTraffic: boolean) => TestInput | undefined;
+}
+
+const versionTests: Readonly<Record<VersionTestName, VersionTest>> = {
+    "failures": {
+        detectedIncrease: detectedFailureIncrease,
+        count: (old, tested) => ({
+            answers: tested.answers,
+            hits: tested.failures,
+            expectedShare: Math.max(minFailureShare, old.answers < minOldResponses ? 0 : old.failures / old.answers),
+        }),
+    },
+    "slow answers": {
+        detectedIncrease: detectedSlowIncrease,
+        count: (old, tested, hasAllTraffic) => {
+            const oldResponses = countResponses(old.responses);
+            const quantileBucket = findQuantileBucket(old.responses, slowQuantile);
+            if (quantileBucket === undefined || oldResponses < minOldResponses) {
+                return undefined;
+            }
+            const limit = quantileBucket + (hasAllTraffic ? slowMarginBucketsUnderAllTraffic : slowMarginBuckets);
+            return {
+                answers: countResponses(tested.responses),
+                hits: countAbove(tested.responses, limit),
+                expectedShare: Math.max(minSlowShare, countAbove(old.responses, limit) / oldResponses),
+            };
+        },
+    },
+};
+
+const testNames = Object.keys(versionTests) as VersionTestName[];
+
+/** Counts of all routes together; the expected share is the mean over the tested answers. */
+function mergeInputs(inputs: readonly TestInput[]): TestInput {
+    const answers = inputs.reduce((sum, input) => sum + input.answers, 0);
+    const expected = inputs.reduce((sum, input) => sum + input.answers * input.expectedShare, 0);
+    const hits = inputs.reduce((sum, input) => sum + input.hits, 0);
+    return { answers, hits, expectedShare: answers === 0 ? minFailureShare : expected / answers };
+}
+
+interface TestScore {
+    readonly test: VersionTestName;
+    readonly route: RouteId | undefined;
+    readonly score: number;
+}
+
+/** Scores of one test over the answers since an earlier state: for each route, then for all together. */
+function listScores(
+    { routes, hasAllTraffic }: EvidenceToJudge,
+    test: VersionTestName,
+    earlier: EarlierAnswers,
+): readonly TestScore[] {
+    const { count, detectedIncrease } = versionTests[test];
+    const inputs = [...routes].flatMap(([route, evidence]) => {
+        const tested = createSideCounts();
+        addSideCounts(tested, evidence.new);
+        const before = earlier.get(route);
+        if (before) {
+            addSideCounts(tested, before, -1);
+        }
+        const input = count(evidence.old, tested, hasAllTraffic);
+        return input && input.answers > 0 ? [{ route, input }] : [];
+    });
+    const scores = inputs.map(({ route, input }) => ({
+        test,
+        route,
+        score: computeScore(input, { expectedShare: input.expectedShare, detectedIncrease }),
+    }));
+    const merged = mergeInputs(inputs.map(({ input }) => input));
+    const score = computeScore(merged, { expectedShare: merged.expectedShare, detectedIncrease });
+    return [...scores, { test, route: undefined, score }];
+}
+
+const findHighest = (scores: readonly TestScore[]): TestScore | undefined =>
+    scores.reduce<TestScore | undefined>(
+        (highest, score) => (highest === undefined || score.score > highest.score ? score : highest),
+        undefined,
+    );
+
+const noAnswers: EarlierAnswers = new Map();
+
+/**
+ * Computes the verdict: bad as soon as one test of one route, or of all routes together, says so for all answers or for
+ * those since an earlier time; good when the tests of all routes together say so and no route leans towards bad.
+ *
+ * @example
+ * computeVersionVerdict({ routes: new Map(), earlier: [], hasAllTraffic: false }).kind; // "open"
+ */
+export function computeVersionVerdict(evidence: EvidenceToJudge): VersionVerdict {
+    const whole = testNames.flatMap(test => listScores(evidence, test, noAnswers));
+    const recent = evidence.earlier.flatMap(earlier => testNames.flatMap(test => listScores(evidence, test, earlier)));
+    const highest = findHighest([...whole, ...recent]);
+    const score = highest?.score ?? 0;
+    if (highest && score >= badScore) {
+        return { kind: "bad", test: highest.test, route: highest.route, score };
+    }
+    const isOverallGood = whole.every(entry => entry.route !== undefined || entry.score <= goodScore);
+    const isLeaning = whole.some(entry => entry.route !== undefined && entry.score > leaningScore)
+        || recent.some(entry => entry.score > badScore / 2);
+    return { kind: isOverallGood && !isLeaning ? "good" : "open", score };
+}
--- /dev/null
+++ b/test/forward/serviceRolloutPolicy.test.ts
@@ -0,0 +1,153 @@
+/** Pure rules of service rollouts: share, tests, verdict, states. */
+import { describe, expect, it } from "vitest";
+import { toOrderRevision, toServerVersion } from "../../src/forward/ids";
+import { canSendCanary, computeCanaryCredit, countCanaryServers } from "../../src/forward/policy/canaryShare";
+import { recordResponse } from "../../src/forward/policy/responseHistogram";
+import {
+    chooseNextState,
+    chooseRollout,
+    computeDecisionMs,
+    createRollout,
+    isOldVersion,
+    moveRollout,
+} from "../../src/forward/policy/serviceRolloutRules";
+import {
+    computeVersionVerdict,
+    createRouteEvidence,
+    type RouteEvidence,
+    type SideCounts,
+} from "../../src/forward/policy/versionVerdict";
+import type { RouteId } from "../../src/ids";
+
+const [v1, v2, v3] = ["v1", "v2", "v3"].map(toServerVersion) as [
+    ReturnType<typeof toServerVersion>,
+    ReturnType<typeof toServerVersion>,
+    ReturnType<typeof toServerVersion>,
+];
+const buildOrder = (revision: number, to = v2) => ({ revision: toOrderRevision(revision), to, periodMs: 12_000 });
+
+function addAnswers(side: SideCounts, count: number, { ms = 100, failures = 0 } = {}): void {
+    side.answers += count;
+    side.failures += failures;
+    for (let index = failures; index < count; index += 1) {
+        recordResponse(side.responses, ms * (1 + (index % 10) / 20));
+    }
+}
+
+function buildEvidence(newAnswers: Parameters<typeof addAnswers>[2] & { readonly count: number; }): RouteEvidence {
+    const evidence = createRouteEvidence();
+    addAnswers(evidence.old, 500);
+    addAnswers(evidence.new, newAnswers.count, newAnswers);
+    return evidence;
+}
+
+const computeKind = (routes: readonly RouteEvidence[]): string =>
+    computeVersionVerdict({
+        routes: new Map(routes.map((evidence, index) => [`route-${index}` as RouteId, evidence])),
+        earlier: [],
+        hasAllTraffic: false,
+    }).kind;
+
+describe("the verdict about a version", () => {
+    it("is open without answers, and good after as many as the design note states", () => {
+        expect(computeKind([buildEvidence({ count: 0 })])).toBe("open");
+        expect(computeKind([buildEvidence({ count: 20 })])).toBe("open");
+        expect(computeKind([buildEvidence({ count: 40 })])).toBe("good");
+    });
+
+    it("is bad after few answers when all of them fail or are several times slower", () => {
+        expect(computeKind([buildEvidence({ count: 4, failures: 4 })])).toBe("bad");
+        expect(computeKind([buildEvidence({ count: 5, ms: 400 })])).toBe("bad");
+    });
+
+    // Guards against single failures, as of a server that crashes, that end the rollout of a good version.
+    it("is not bad after one failure among a few answers", () => {
+        expect(computeKind([buildEvidence({ count: 10, failures: 1 })])).toBe("open");
+    });
+
+    // Guards against a bad route that disappears among the good answers of all others.
+    it("is bad when one of several routes fails", () => {
+        const sound = buildEvidence({ count: 60 });
+        expect(computeKind([sound, sound, buildEvidence({ count: 12, failures: 5 })])).toBe("bad");
+    });
+
+    // Guards against a version that is excused by its good answers at the start.
+    it("is bad when the answers since an earlier time are", () => {
+        const route = "route-0" as RouteId;
+        const evidence = buildEvidence({ count: 300 });
+        const before = createRouteEvidence().new;
+        addAnswers(before, 300);
+        addAnswers(evidence.new, 10, { failures: 5 });
+        const routes = new Map([[route, evidence]]);
+        expect(computeVersionVerdict({ routes, earlier: [], hasAllTraffic: false }).kind).not.toBe("bad");
+        const earlier = [new Map([[route, before]])];
+        expect(computeVersionVerdict({ routes, earlier, hasAllTraffic: false }).kind).toBe("bad");
+    });
+
+    it("compares with an old version that fails as often", () => {
+        const evidence = createRouteEvidence();
+        addAnswers(evidence.old, 500, { failures: 150 });
+        addAnswers(evidence.new, 50, { failures: 15 });
+        expect(computeKind([evidence])).not.toBe("bad");
+    });
+});
+
+describe("the share of a version on trial", () => {
+    it("allows a request once the share of those sent reaches it", () => {
+        expect(canSendCanary({ sent: 12, canarySent: 0, credit: 0 }, 0.1)).toBe(false);
+        expect(canSendCanary({ sent: 13, canarySent: 0, credit: 0 }, 0.1)).toBe(true);
+        expect(canSendCanary({ sent: 13, canarySent: 1, credit: 0 }, 0.1)).toBe(false);
+    });
+
+    it("gives all processes together credits of at most half of the slack", () => {
+        for (const processes of [1, 4, 26, 80, 1000]) {
+            expect(processes * computeCanaryCredit({ point: 1, slack: 50, processes })).toBeLessThanOrEqual(25);
+        }
+    });
+
+    it("goes to as many servers as an old one's load needs", () => {
+        expect([1, 4, 12, 24, 63].map(count => countCanaryServers(count, 0.1))).toEqual([1, 1, 1, 2, 6]);
+    });
+});
+
+describe("the rules of a rollout", () => {
+    const rollout = createRollout(undefined, buildOrder(5), 1000);
+
+    it("bar the version of an order that another one replaces", () => {
+        const next = chooseRollout({ kind: "order", order: buildOrder(6, v3) }, rollout, rollout, 2000);
+        expect(next).toMatchObject({ to: v3, state: "observing", barred: [v2], observedAt: 2000 });
+        expect(next && [v1, v2, v3].map(version => isOldVersion(next, version))).toEqual([true, false, false]);
+    });
+
+    it("allow only the completed version beside the one of the next order", () => {
+        const completed = moveRollout(moveRollout(rollout, "shifting"), "completed");
+        const next = createRollout(completed, buildOrder(7, v3), 2000);
+        expect([v1, v2, v3].map(version => isOldVersion(next, version))).toEqual([false, true, false]);
+    });
+
+    it("roll a withdrawn order back unless it was completed", () => {
+        const completed = moveRollout(rollout, "completed");
+        expect(chooseRollout({ kind: "none" }, rollout, rollout, 0)?.state).toBe("rolledBack");
+        expect(chooseRollout({ kind: "none" }, undefined, rollout, 0)?.state).toBe("rolledBack");
+        expect(chooseRollout({ kind: "none" }, completed, completed, 0)?.state).toBe("completed");
+        expect(chooseRollout({ kind: "malformed" }, rollout, rollout, 0)?.state).toBe("observing");
+    });
+
+    it("decide late, wait without servers, and need nothing from servers that are all of the version", () => {
+        const facts = {
+            verdict: "good",
+            newServers: 2,
+            oldServers: 2,
+            isDecisionDue: true,
+            isOldVersionUnused: false,
+        } as const;
+        expect(chooseNextState("observing", facts)).toBe("shifting");
+        expect(chooseNextState("observing", { ...facts, isDecisionDue: false })).toBe("observing");
+        expect(chooseNextState("observing", { ...facts, newServers: 0 })).toBe("observing");
+        expect(chooseNextState("observing", { ...facts, verdict: "open", oldServers: 0 })).toBe("shifting");
+        expect(chooseNextState("shifting", facts)).toBe("shifting");
+        expect(chooseNextState("shifting", { ...facts, isOldVersionUnused: true })).toBe("completed");
+        expect(chooseNextState("shifting", { ...facts, verdict: "bad" })).toBe("rolledBack");
+        expect(computeDecisionMs({ periodMs: 12_000, exchangeMs: 1300, responseMs: 400 })).toBe(7850);
+    });
+});
