Decode orders of service rollouts and versions of servers

Cause: the version of a server was decoded and dropped, and orders below op/rollout/ were ignored. Change: orders with their revision, withdrawals and malformed ones with a reason are part of the published changes; targets have a version; the row of a rollout and its status are written in one transaction, whose keys only the platform's adapter knows; bounds.canaryShare, canarySlack and rollbackMs are optional settings, in the template only where the platform gives them. Test support: processes' targets have version v1, and their read events list orders.

--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -160,6 +160,7 @@
         orderWeights: engines.order,
         followParts: engines.followParts,
         callStore: store.call,
+        recordServiceRollout: store.recordServiceRollout,
         updateStoreSource: store.updateSource,
         callPeer: peers.call,
         answerPeer: peers.answer,
--- a/src/forward/document.ts
+++ b/src/forward/document.ts
@@ -1,6 +1,6 @@
 /** Configuration and target registrations that the store holds, independent of their encoding. */
 import type { AccountId, ConfigVersion, DataCentreId, KeyHash, ModelId, RouteId, TargetId } from "../ids";
-import type { ServiceId, WeightsVersion } from "./ids";
+import type { ServerVersion, ServiceId, WeightsVersion } from "./ids";
 
 /**
  * Whether requests of a route may be retried: `repeatable` ones may run any number of times, `single` ones at most
@@ -95,6 +95,8 @@
     readonly address: string;
     readonly dataCentre: DataCentreId;
     readonly isLeaving: boolean;
+    /** Version of the target's software. */
+    readonly version: ServerVersion;
     /** Version of the weights of each model that the target holds. */
     readonly weights: ReadonlyMap<ModelId, WeightsVersion>;
 }
--- a/src/forward/effects.ts
+++ b/src/forward/effects.ts
@@ -6,7 +6,9 @@
 import type { ForwardCall, WeightsOrder } from "./calls";
 import type { CallerLimits } from "./document";
 import type { ForwardStorePurpose } from "./events";
+import type { ServerVersion, ServiceId } from "./ids";
 import type { PeerState } from "./peers";
+import type { ServiceRolloutState } from "./policy/serviceRolloutRules";
 import type { RelayAnswer } from "./storeChanges";
 
 export type ForwardEffect =
@@ -61,6 +63,17 @@
     }
     /* store */
     | { readonly kind: "callStore"; readonly purpose: ForwardStorePurpose; readonly call: StoreCall; }
+    /** Writes the row of a service rollout and, in the same transaction, its status for the operators. */
+    | {
+        readonly kind: "recordServiceRollout";
+        readonly service: ServiceId;
+        readonly key: string;
+        readonly value: string;
+        /** Revision of the row that is replaced; 0 for none. With another one, nothing is written. */
+        readonly expectedRevision: number;
+        readonly state: ServiceRolloutState;
+        readonly to: ServerVersion;
+    }
     /** Sets where changes of the store come from, and the timing of watch calls. */
     | {
         readonly kind: "updateStoreSource";
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -13,8 +13,9 @@
     WeightsOrderOutcome,
 } from "./calls";
 import type { ForwardDocument, RegisteredTarget } from "./document";
-import type { PartId, WeightsVersion } from "./ids";
+import type { PartId, ServiceId, WeightsVersion } from "./ids";
 import type { PeerState } from "./peers";
+import type { KnownOrder } from "./policy/serviceRolloutRules";
 import type { RelayedChanges, StoreItem, StorePosition } from "./storeChanges";
 
 /** Purpose of a store call, by which its reply reaches the right system. */
@@ -23,7 +24,8 @@
     | { readonly for: "member"; }
     | { readonly for: "leadership"; readonly step: "claim" | "giveUp"; }
     | { readonly for: "order"; readonly target: TargetId; }
-    | { readonly for: "quarantine"; readonly part: PartId; };
+    | { readonly for: "quarantine"; readonly part: PartId; }
+    | { readonly for: "serviceRollout"; readonly service: ServiceId; };
 
 /** A key of the store that a process of the fleet wrote; `value` is undefined for a deleted one. */
 export interface FleetRow {
@@ -31,6 +33,16 @@
     readonly value: string | undefined;
     /** Revision at which the key was created. */
     readonly createRevision: number;
+    /** Revision of the last change of the key; absent where only the creation matters. */
+    readonly revision?: number;
+}
+
+/** Order to move a service to another version of its servers, or its withdrawal. */
+export interface ServiceOrderChange {
+    readonly service: ServiceId;
+    readonly known: KnownOrder;
+    /** Why a malformed order cannot be decoded. */
+    readonly reason?: string;
 }
 
 /** Registration of a target, or its removal. */
@@ -47,6 +59,7 @@
     readonly document: ForwardDocument | undefined;
     readonly weights: readonly { readonly model: ModelId; readonly version: WeightsVersion; }[];
     readonly targets: readonly TargetChange[];
+    readonly serviceOrders: readonly ServiceOrderChange[];
     readonly rows: readonly FleetRow[];
     /** Keys whose values could not be decoded. */
     readonly undecodableKeys: readonly string[];
--- a/src/forward/ports.ts
+++ b/src/forward/ports.ts
@@ -9,6 +9,8 @@
     /** Starts to read and watch the store; its contents and failures are posted as events. */
     start(): void;
     call(effect: ForwardEffectOf<"callStore">): void;
+    /** Writes a service rollout; the reply is posted as `storeReplied`. */
+    recordServiceRollout(effect: ForwardEffectOf<"recordServiceRollout">): void;
     updateSource(effect: ForwardEffectOf<"updateStoreSource">): void;
     close(): void;
 }
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -47,6 +47,15 @@
         contactMs: milliseconds.default(3000),
         /** Interval at which targets report to the store; their rows lapse after three. */
         targetReportMs: milliseconds.default(1200),
+        /**
+         * Largest share of a service's requests that a version on trial may get. Absent where service versions are not
+         * rolled out; servers of all versions are then used alike.
+         */
+        canaryShare: z.number().positive().max(1).optional(),
+        /** Requests that a version on trial may get beyond the share. */
+        canarySlack: z.number().min(0).default(0),
+        /** Time after the first bad answers of a version by which no request may reach it any more. */
+        rollbackMs: milliseconds.default(5000),
         /** Maximum time for which callers cache the list of addresses. */
         addressesKeepSeconds: z.number().positive(),
     }),
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -171,6 +171,8 @@
     order: () => undefined,
     // Handled by `updateQuarantine`.
     quarantine: () => undefined,
+    // Handled by `decideServiceRollouts`.
+    serviceRollout: () => undefined,
     member: (world, _tick, _purpose, { result }) => {
         if (result.err || (result.val.kind === "transaction" && !result.val.succeeded)) {
             world.tables.node.isRegistered = false;
--- a/test/support/forwardNode.ts
+++ b/test/support/forwardNode.ts
@@ -8,7 +8,7 @@
 import type { ForwardDocument, ForwardRoute, RegisteredTarget } from "../../src/forward/document";
 import type { ForwardEffect, ForwardEffectOf } from "../../src/forward/effects";
 import { createForwardBatch, type FleetRow, type ForwardEvent, type PublishedChanges } from "../../src/forward/events";
-import { toPartId, toServiceId, toStoreEra, toWeightsVersion } from "../../src/forward/ids";
+import { toPartId, toServerVersion, toServiceId, toStoreEra, toWeightsVersion } from "../../src/forward/ids";
 import type { PeerState } from "../../src/forward/peers";
 import { parseForwardSettings } from "../../src/forward/settings";
 import type { StorePosition } from "../../src/forward/storeChanges";
@@ -37,7 +37,7 @@
 export const account = toAccountId("shop");
 export const key = toKeyHash("a".repeat(64));
 
-const formatSettings = (name: string): string => `
+export const formatSettings = (name: string): string => `
 vm = "${name}"
 dataCentre = "dc-0"
 [listen]
@@ -113,6 +113,7 @@
         address: "127.0.0.1:9",
         dataCentre: toDataCentreId("dc-0"),
         isLeaving: false,
+        version: toServerVersion("v1"),
         weights: new Map([[model, toWeightsVersion(1)]]),
         ...options,
     };
@@ -146,6 +147,7 @@
     document: undefined,
     weights: [],
     targets: [],
+    serviceOrders: [],
     rows: [],
     undecodableKeys: [],
     items: [],
