Roll services out to ordered versions of their servers

Cause: operators order services to move to another version; the product used servers of all versions alike. Change: a table of rollouts by service; a system that follows orders and rows, one that counts answers by version and route, and one that judges the version, stops requests to a bad one in each process, and, in the process with the rollout leadership, writes the states. Evidence travels in an optional field of the exchange. The versions that a request may go to are chosen in serviceVersions.ts, called by listEligible; routeRequests.ts has one line that counts the send.

--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -21,6 +21,8 @@
     unframed_ends_total: ["state"],
     waits_total: ["missing"],
     orders_total: ["outcome"],
+    service_rollout_states_total: ["service", "state"],
+    canary_requests_total: ["service"],
 };
 
 const histogramNames: readonly HistogramName[] = ["first_token_ms", "queue_ms", "request_ms", "write_delay_ms"];
--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -22,6 +22,20 @@
 /** Maximum size of a state in a request. */
 const maxStateBytes = 4 * 1024 * 1024;
 
+const answersSchema = z.tuple([
+    z.number().min(0),
+    z.number().min(0),
+    z.array(z.tuple([z.number().int().min(0), z.number().min(0)])).max(64),
+]);
+const serviceRolloutSchema = z.tuple([
+    z.string(),
+    z.number(),
+    z.enum(["observing", "shifting", "completed", "rolledBack"]),
+    z.number().min(0),
+    z.boolean(),
+    z.array(z.tuple([z.string(), answersSchema, answersSchema])).max(4096),
+]);
+
 const tokenCounts = z.array(z.tuple([z.string(), z.number()])).max(4096);
 const stateSchema = z.object({
     vm: z.string(),
@@ -44,6 +58,7 @@
     endedLimits: z.array(z.tuple([z.string(), z.number()])).max(16384).optional(),
     departures: z.array(z.tuple([z.string(), z.number(), z.boolean()])).max(4096).optional(),
     requests: tokenCounts.optional(),
+    serviceRollouts: z.array(serviceRolloutSchema).max(1024).optional(),
 });
 
 /** Time-out of a call for changes of the store, on both sides; the answer waits for a change for up to a second. */
--- a/src/forward/codec/fleetRows.ts
+++ b/src/forward/codec/fleetRows.ts
@@ -2,6 +2,7 @@
 import { z } from "zod";
 import type { ModelId, TargetId, VmId } from "../../ids";
 import type { PartId, WeightsVersion } from "../ids";
+import type { StoredServiceRollout } from "../policy/serviceRolloutRules";
 import type { ForwardMemberRow } from "../tables/members";
 
 /** Prefix of all keys that the fleet writes. */
@@ -13,6 +14,9 @@
 /** Prefix of the prompt parts in quarantine; the rest of the key is the part's id. */
 export const quarantinePrefix = `${fleetPrefix}quarantine/`;
 
+/** Prefix of the rollouts of service versions; the rest of the key is the service's id. */
+export const serviceRolloutPrefix = `${fleetPrefix}service-rollouts/`;
+
 const memberSchema = z.object({
     vm: z.string(),
     address: z.string(),
@@ -66,3 +70,18 @@
 
 /** Decodes a quarantine; undefined when the text is invalid. */
 export const decodeQuarantine = (text: string): StoredQuarantine | undefined => parseJsonAs(quarantineSchema, text);
+
+const serviceRolloutSchema = z.object({
+    orderRevision: z.number(),
+    to: z.string(),
+    periodMs: z.number(),
+    state: z.enum(["observing", "shifting", "completed", "rolledBack"]),
+    observedAt: z.number(),
+    base: z.array(z.string()).max(1024).optional(),
+});
+
+export const encodeServiceRollout = (rollout: StoredServiceRollout): string => JSON.stringify(rollout);
+
+/** Decodes a rollout of a service version; undefined when the text is invalid. */
+export const decodeServiceRollout = (text: string): StoredServiceRollout | undefined =>
+    parseJsonAs(serviceRolloutSchema, text);
--- a/src/forward/peers.ts
+++ b/src/forward/peers.ts
@@ -3,8 +3,9 @@
  * needs no repeat. Only changes of cached parts are incremental: they are numbered and sent again until the receiver
  * acknowledges them.
  */
-import type { AccountId, ModelId, TargetId, VmId } from "../ids";
-import type { CachedPartKey, PartId, ServiceId, WeightsVersion } from "./ids";
+import type { AccountId, ModelId, RouteId, TargetId, VmId } from "../ids";
+import type { CachedPartKey, OrderRevision, PartId, ServiceId, WeightsVersion } from "./ids";
+import type { ServiceRolloutState } from "./policy/serviceRolloutRules";
 
 export interface PeerState {
     readonly vm: VmId;
@@ -60,7 +61,26 @@
     readonly departures?: readonly (readonly [TargetId, number, boolean])[];
     /** Requests that the sender has admitted in the last seconds, by service; absent when there are none. */
     readonly requests?: readonly (readonly [ServiceId, number])[];
+    /** Rollouts of service versions that have not ended; absent when there are none. */
+    readonly serviceRollouts?: readonly ServiceRolloutReport[];
 }
 
+/**
+ * A rollout as the sender acts on it: service, revision of the order, state, requests of the sender under way on other
+ * versions than the ordered one, whether the sender finds that version bad, and the answers that the sender's run has
+ * got since it saw the order, by route, of the old version and of the new one.
+ */
+export type ServiceRolloutReport = readonly [
+    ServiceId,
+    OrderRevision,
+    ServiceRolloutState,
+    number,
+    boolean,
+    readonly (readonly [RouteId, AnswersReport, AnswersReport])[],
+];
+
+/** Number of answers, number of failures, and response times: numbers of answers by bucket. */
+export type AnswersReport = readonly [number, number, readonly (readonly [number, number])[]];
+
 /** Changes of one target: stored tokens by part. An empty key invalidates all earlier entries of the target. */
 export type TargetPartChanges = readonly [TargetId, readonly (readonly [CachedPartKey | "", number])[]];
--- a/src/forward/policy/serviceRolloutRules.ts
+++ b/src/forward/policy/serviceRolloutRules.ts
@@ -22,10 +22,11 @@
     readonly state: ServiceRolloutState;
     /** First observation of the order in milliseconds since the Unix epoch. */
     readonly observedAt: number;
-    /** Version of the last completed rollout of the service; undefined before the first one. */
-    readonly settled?: ServerVersion | undefined;
-    /** Versions that were rolled back, or replaced by another order before they were completed. */
-    readonly barred: readonly ServerVersion[];
+    /**
+     * Versions that may get requests besides the ordered one: that of the last completed rollout, or those that were in
+     * use when the first order came. Undefined, for all, when no server was registered then.
+     */
+    readonly base?: readonly ServerVersion[] | undefined;
 }
 
 /** What is known of the operators' order; a malformed one changes nothing. */
@@ -34,38 +35,33 @@
     | { readonly kind: "malformed"; }
     | { readonly kind: "none"; };
 
-export const isFinalState = (state: ServiceRolloutState): boolean => state === "completed" || state === "rolledBack";
+/** What a process knows when it sees an order. */
+export interface OrderContext {
+    /** Milliseconds since the Unix epoch. */
+    readonly wallNow: number;
+    /** Versions of the service's registered servers. */
+    readonly versions: readonly ServerVersion[];
+}
 
-/** Most barred versions that are kept; their servers are gone long before. */
-const maxBarred = 16;
+export const isFinalState = (state: ServiceRolloutState): boolean => state === "completed" || state === "rolledBack";
 
-/** Rollout that an order begins, after an earlier rollout of the service. */
+/**
+ * Rollout that an order begins, after an earlier rollout of the service. A version that was rolled back, or replaced by
+ * another order before it was completed, is in no base, so it gets nothing more.
+ */
 export function createRollout(
     before: StoredServiceRollout | undefined,
     { revision, to, periodMs }: ServiceOrder,
-    wallNow: number,
+    { wallNow, versions }: OrderContext,
 ): StoredServiceRollout {
-    const barred = before && !isFinalState(before.state) ? [...before.barred, before.to] : before?.barred ?? [];
-    return {
-        orderRevision: revision,
-        to,
-        periodMs,
-        state: "observing",
-        observedAt: wallNow,
-        settled: before?.settled,
-        barred: [...new Set(barred)].filter(version => version !== to).slice(-maxBarred),
-    };
+    const inUse = versions.filter(version => version !== to && version !== before?.to);
+    const base = before?.base ?? (inUse.length > 0 ? inUse : undefined);
+    return { orderRevision: revision, to, periodMs, state: "observing", observedAt: wallNow, base };
 }
 
 /** The rollout in its next state. */
-export function moveRollout(rollout: StoredServiceRollout, state: ServiceRolloutState): StoredServiceRollout {
-    if (state === "completed") {
-        return { ...rollout, state, settled: rollout.to, barred: [] };
-    }
-    return state === "rolledBack"
-        ? { ...rollout, state, barred: [...rollout.barred, rollout.to].slice(-maxBarred) }
-        : { ...rollout, state };
-}
+export const moveRollout = (rollout: StoredServiceRollout, state: ServiceRolloutState): StoredServiceRollout =>
+    state === "completed" ? { ...rollout, state, base: [rollout.to] } : { ...rollout, state };
 
 /**
  * The rollout in force: that of the order, or of the row when the row is newer or the order cannot be read. An order
@@ -75,7 +71,7 @@
     known: KnownOrder,
     stored: StoredServiceRollout | undefined,
     current: StoredServiceRollout | undefined,
-    wallNow: number,
+    context: OrderContext,
 ): StoredServiceRollout | undefined {
     if (known.kind === "malformed") {
         return stored ?? current;
@@ -88,14 +84,14 @@
     if (stored && stored.orderRevision >= order.revision) {
         return stored;
     }
-    return current?.orderRevision === order.revision ? current : createRollout(stored ?? current, order, wallNow);
+    return current?.orderRevision === order.revision ? current : createRollout(stored ?? current, order, context);
 }
 
 /** True for a version that may get requests besides the ordered one. */
 export const isOldVersion = (
-    { to, settled, barred }: Pick<StoredServiceRollout, "to" | "settled" | "barred">,
+    { to, base }: Pick<StoredServiceRollout, "to" | "base">,
     version: ServerVersion,
-): boolean => version !== to && !barred.includes(version) && (settled === undefined || version === settled);
+): boolean => version !== to && (base === undefined || base.includes(version));
 
 /** Time for a state to reach all processes through the store. */
 const propagationMs = 1500;
@@ -125,25 +121,25 @@
 
 export interface RolloutFacts {
     readonly verdict: "bad" | "good" | "open";
-    /** Registered servers of the ordered version that do not leave. */
-    readonly newServers: number;
-    /** Registered servers of other versions that may get requests. */
-    readonly oldServers: number;
+    /** Servers of the ordered version are registered and do not leave. */
+    readonly hasNewServers: boolean;
+    /** Servers of other versions that may get requests are registered and do not leave. */
+    readonly hasOldServers: boolean;
     readonly isDecisionDue: boolean;
     /** No process has requests under way on another version or sends any there. */
     readonly isOldVersionUnused: boolean;
 }
 
 const nextStates: Readonly<Record<ServiceRolloutState, (facts: RolloutFacts) => ServiceRolloutState>> = {
-    observing: ({ verdict, newServers, oldServers, isDecisionDue }) => {
+    observing: ({ verdict, hasNewServers, hasOldServers, isDecisionDue }) => {
         if (verdict === "bad") {
             return "rolledBack";
         }
-        const isDecided = oldServers === 0 || (verdict === "good" && isDecisionDue);
-        return newServers > 0 && isDecided ? "shifting" : "observing";
+        const isDecided = !hasOldServers || (verdict === "good" && isDecisionDue);
+        return hasNewServers && isDecided ? "shifting" : "observing";
     },
-    shifting: ({ verdict, newServers, isOldVersionUnused }) => {
-        if (verdict === "bad" || newServers === 0) {
+    shifting: ({ verdict, hasNewServers, isOldVersionUnused }) => {
+        if (verdict === "bad" || !hasNewServers) {
             return "rolledBack";
         }
         return isOldVersionUnused ? "completed" : "shifting";
@@ -156,7 +152,7 @@
  * The state that follows from the facts; the same state when nothing changes.
  *
  * @example
- * chooseNextState("observing", { verdict: "bad", newServers: 2, oldServers: 2, isDecisionDue: false,
+ * chooseNextState("observing", { verdict: "bad", hasNewServers: true, hasOldServers: true, isDecisionDue: false,
  *     isOldVersionUnused: false }); // "rolledBack"
  */
 export const chooseNextState = (state: ServiceRolloutState, facts: RolloutFacts): ServiceRolloutState =>
--- a/src/forward/systems/eligibleTargets.ts
+++ b/src/forward/systems/eligibleTargets.ts
@@ -7,6 +7,7 @@
 import type { ForwardWorld } from "../world";
 import { computeOutdatedAge } from "./chooseEngine";
 import { hasRequestToken } from "./requestLimits";
+import { listVersionChoices } from "./serviceVersions";
 import { overloadBackOffMs } from "./targetHealth";
 
 /** An engine gets no requests once its weights have been outdated for this fraction of `bounds.weightsMs`. */
@@ -62,9 +63,22 @@
  * only overloaded): the orders may have been read late, after a store outage.
  */
 export function listEligible(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow): ForwardTargetRow[] {
-    const usable = world.tables.targets.listService(row.service).filter(target =>
-        isUsable(world, tick, row, target) && hasRequestToken(world, tick, target)
-    );
+    for (const targets of listVersionChoices(world, tick, row)) {
+        const eligible = listEligibleAmong(world, tick, row, targets);
+        if (eligible.length > 0) {
+            return eligible;
+        }
+    }
+    return [];
+}
+
+function listEligibleAmong(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    targets: readonly ForwardTargetRow[],
+): ForwardTargetRow[] {
+    const usable = targets.filter(target => isUsable(world, tick, row, target) && hasRequestToken(world, tick, target));
     // One whose address refused a connection is tried again only when there is no other.
     const reachable = usable.filter(({ refusedAt }) => refusedAt === undefined);
     const working = reachable.length > 0 ? reachable : usable;
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -12,6 +12,7 @@
 import { applyCrashReports, buildCrashReports } from "./crashReports";
 import { applyEndedRunReports, buildEndedRunReports } from "./endedRunReports";
 import { applyLimitReports, buildLimitReports } from "./requestLimits";
+import { applyServiceRolloutReports, buildServiceRolloutReports } from "./serviceRolloutReports";
 import { applyDepartureReports, buildDepartureReports } from "./targetDepartures";
 
 /** Interval at which a group of peers is called. */
@@ -145,6 +146,7 @@
         ...buildCrashReports(world, tick),
         ...buildLimitReports(world, tick),
         ...buildDepartureReports(world, tick),
+        ...buildServiceRolloutReports(world),
     };
 }
 
@@ -157,6 +159,7 @@
     applyCrashReports(world, tick, state);
     applyLimitReports(world, tick, state);
     applyDepartureReports(world, tick, state);
+    applyServiceRolloutReports(world, tick, state);
     // `knownStart` differs when the peer has not noticed the restart yet; its report is then about another run.
     if (state.earlier && state.knownStart === world.startedAt) {
         const isFirst = !peers.ownPreviousRun;
@@ -212,7 +215,8 @@
 }
 
 /**
- * Reads: members, usage windows. Writes: peers, configuration (published weights), cached parts, departures, targets.
+ * Reads: members, usage windows. Writes: peers, configuration (published weights), cached parts, departures, targets,
+ * service rollouts.
  * Effects: calls and answers to peers, log lines.
  */
 export function exchangeWithPeers(world: ForwardWorld, tick: ForwardTick): void {
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -9,20 +9,25 @@
 import { followAttempts } from "./followAttempts";
 import { followCrashes } from "./followCrashes";
 import { followParts } from "./followParts";
+import { followServiceRollouts } from "./followServiceRollouts";
 import { placeWeights } from "./placeWeights";
+import { recordServiceAnswers } from "./recordServiceAnswers";
 import { relayStore } from "./relayStore";
 import { resumeOnOtherEngines } from "./resumeOnOtherEngines";
 import { routeRequests } from "./routeRequests";
+import { settleServiceRollouts } from "./settleServiceRollouts";
 import { updateMembership } from "./updateMembership";
 import { updateQuarantine } from "./updateQuarantine";
 
 export const forwardSystems: readonly ForwardSystem[] = [
     applyPublished,
+    followServiceRollouts,
     updateMembership,
     relayStore,
     exchangeWithPeers,
     followParts,
     followCrashes,
+    recordServiceAnswers,
     followAttempts,
     updateQuarantine,
     resumeOnOtherEngines,
@@ -30,6 +35,7 @@
     admitRequests,
     routeRequests,
     placeWeights,
+    settleServiceRollouts,
     answerAddresses,
     drainNode,
 ];
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -13,6 +13,7 @@
 import { isUsable, listEligible } from "./eligibleTargets";
 import { refuseForwardRequest } from "./requestEnd";
 import { findFirstToken, reserveRequestToken } from "./requestLimits";
+import { recordVersionedSend } from "./serviceVersions";
 import { computeDeferralMs } from "./targetHealth";
 import { findQuarantine, recordTrial } from "./updateQuarantine";
 
@@ -142,6 +143,7 @@
         silentSince: undefined,
         outcome: "",
     });
+    recordVersionedSend(world, tick, row, target);
     if (target.backOffUntil > 0) {
         target.trialRequest = row.id;
     }
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -171,7 +171,7 @@
     order: () => undefined,
     // Handled by `updateQuarantine`.
     quarantine: () => undefined,
-    // Handled by `decideServiceRollouts`.
+    // Handled by `settleServiceRollouts`.
     serviceRollout: () => undefined,
     member: (world, _tick, _purpose, { result }) => {
         if (result.err || (result.val.kind === "transaction" && !result.val.succeeded)) {
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -13,6 +13,7 @@
 import { createQuarantineTable, type QuarantineTable } from "./quarantine";
 import { createForwardRequestsTable, type ForwardRequestsTable } from "./requests";
 import { createRolloutsTable, type RolloutsTable } from "./rollouts";
+import { createServiceRolloutsTable, type ServiceRolloutsTable } from "./serviceRollouts";
 import { createStoreRelayTable, type StoreRelayTable } from "./storeRelay";
 import { createForwardTargetsTable, type ForwardTargetsTable } from "./targets";
 import { createUsageWindowsTable, type UsageWindowsTable } from "./usageWindows";
@@ -31,6 +32,7 @@
     readonly answeredParts: AnsweredPartsTable;
     readonly quarantine: QuarantineTable;
     readonly rollouts: RolloutsTable;
+    readonly serviceRollouts: ServiceRolloutsTable;
     readonly storeRelay: StoreRelayTable;
     readonly retryBudgets: Map<ServiceId, RetryBudget>;
     /** Requests of this process by service, for its share in the limits of targets. */
@@ -53,6 +55,7 @@
         answeredParts: createAnsweredPartsTable(),
         quarantine: createQuarantineTable(),
         rollouts: createRolloutsTable(),
+        serviceRollouts: createServiceRolloutsTable(),
         storeRelay: createStoreRelayTable(),
         retryBudgets: new Map(),
         serviceLoads: new Map(),
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -28,6 +28,7 @@
     | "requestDeadline"
     | "requestRetry"
     | "rollout"
+    | "serviceRollout"
     | "silentAttempt"
     | "slotRenewal"
     | "slotSearch"
