Report the end of requests on an old version to the decider at once

Cause: the decider heard of the last request on an old version with the next exchange, up to 1.3 s later with 26 processes and 4 s later with 80, so that no rollout of 12 s could end in time with 80. Change: while shifting, a process without requests on another version calls the decider at once and then each second. The decision is due later for it, and allows 2 s for the state to reach all processes.

--- a/src/forward/policy/serviceRolloutRules.ts
+++ b/src/forward/policy/serviceRolloutRules.ts
@@ -94,9 +94,9 @@
 ): boolean => version !== to && (base === undefined || base.includes(version));
 
 /** Time for a state to reach all processes through the store. */
-const propagationMs = 1500;
-/** Exchange intervals until the reports of all processes have arrived. */
-const exchangesUntilReported = 1.5;
+const propagationMs = 2000;
+/** Time until the decider has heard of all processes that they are done, also when one call is lost. */
+const reportMs = 1200;
 /** Time for the writes of the store. */
 const writesMs = 300;
 /** Earliest decision, as a fraction of the period. */
@@ -108,14 +108,13 @@
  * processes report so.
  */
 export function computeDecisionMs(
-    { periodMs, exchangeMs, responseMs }: {
+    { periodMs, responseMs }: {
         readonly periodMs: number;
-        readonly exchangeMs: number;
         /** Time in which nearly all requests on the old version end. */
         readonly responseMs: number;
     },
 ): number {
-    const restMs = propagationMs + responseMs + exchangesUntilReported * exchangeMs + writesMs;
+    const restMs = propagationMs + responseMs + reportMs + writesMs;
     return Math.max(periodMs * minDecisionFraction, periodMs - restMs);
 }
 
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -12,7 +12,7 @@
 import { applyCrashReports, buildCrashReports } from "./crashReports";
 import { applyEndedRunReports, buildEndedRunReports } from "./endedRunReports";
 import { applyLimitReports, buildLimitReports } from "./requestLimits";
-import { applyServiceRolloutReports, buildServiceRolloutReports } from "./serviceRolloutReports";
+import { applyServiceRolloutReports, buildServiceRolloutReports, findWaitingDecider } from "./serviceRolloutReports";
 import { applyDepartureReports, buildDepartureReports } from "./targetDepartures";
 
 /** Interval at which a group of peers is called. */
@@ -192,18 +192,28 @@
 
 /** Calls a few peers at a time, so that their reports differ in age and no burst of calls delays streams. */
 function requestStates(world: ForwardWorld, tick: ForwardTick): void {
+    const { peers } = world.tables;
     const intervalMs = computeExchangeIntervalMs(world);
     const polled = listPolledPeers(world, tick);
     const due = polled.filter(({ row }) => !row.isPending && tick.now - row.stateRequestedAt >= intervalMs)
         .sort((left, right) => left.row.stateRequestedAt - right.row.stateRequestedAt);
     for (const { member, row } of due.slice(0, Math.ceil(polled.length * exchangeStepMs / intervalMs))) {
-        row.isPending = true;
-        row.stateRequestedAt = tick.now;
-        const state = buildState(world, tick, row);
-        world.effects.append({ kind: "callPeer", vm: member.vm, address: member.peerAddress, state });
+        requestState(world, tick, member, row);
+    }
+    const waiting = findWaitingDecider(world, tick);
+    const row = waiting && (peers.rows.get(waiting.vm) ?? addPeer(world, tick, waiting));
+    if (row && !row.isPending) {
+        requestState(world, tick, waiting, row);
     }
 }
 
+function requestState(world: ForwardWorld, tick: ForwardTick, member: ForwardMemberRow, row: PeerRow): void {
+    row.isPending = true;
+    row.stateRequestedAt = tick.now;
+    const state = buildState(world, tick, row);
+    world.effects.append({ kind: "callPeer", vm: member.vm, address: member.peerAddress, state });
+}
+
 /** Removes peers that have left the fleet once their usage has left the window. */
 function removeExpiredPeers(world: ForwardWorld, tick: ForwardTick): void {
     const { members, peers } = world.tables;
--- a/src/forward/systems/serviceRolloutReports.ts
+++ b/src/forward/systems/serviceRolloutReports.ts
@@ -1,6 +1,6 @@
 /** What processes tell each other about rollouts of service versions. Shared by systems. */
 import { logWarning } from "../../effects";
-import type { RouteId } from "../../ids";
+import { type RouteId, toVmId } from "../../ids";
 import type { ForwardTick } from "../events";
 import type { AnswersReport, PeerState, ServiceRolloutReport } from "../peers";
 import { addResponses, listBuckets } from "../policy/responseHistogram";
@@ -12,6 +12,7 @@
     type RouteEvidence,
     type SideCounts,
 } from "../policy/versionVerdict";
+import type { ForwardMemberRow } from "../tables/members";
 import { findOpenAttempt, parseAttemptKey } from "../tables/requests";
 import type { ServiceRolloutRow } from "../tables/serviceRollouts";
 import type { ForwardWorld } from "../world";
@@ -108,6 +109,32 @@
     }
 }
 
+/** Interval at which a process repeats to the decider that it has nothing under way on an old version. */
+const doneReportMs = 1000;
+
+/**
+ * The decider, when it waits to hear that this process has no request on an old version any more. It is called at once,
+ * whichever name sorts first, since old servers and the period wait for the slowest report. A call each second reaches it
+ * also when one is lost.
+ */
+export function findWaitingDecider(world: ForwardWorld, tick: ForwardTick): ForwardMemberRow | undefined {
+    const { node, members, serviceRollouts } = world.tables;
+    const { holder } = node.rolloutLeadership;
+    const decider = holder === undefined || holder === world.settings.vm ? undefined : members.get(toVmId(holder));
+    if (!decider) {
+        return undefined;
+    }
+    let isDue = false;
+    for (const row of serviceRollouts.rows.values()) {
+        const isDone = row.current?.state === "shifting" && countUnderWay(world, row) === 0;
+        if (isDone && tick.now - row.doneReportedAt >= doneReportMs) {
+            row.doneReportedAt = tick.now;
+            isDue = true;
+        }
+    }
+    return isDue ? decider : undefined;
+}
+
 function addEvidence(
     total: Map<RouteId, RouteEvidence>,
     routes: ReadonlyMap<RouteId, RouteEvidence>,
--- a/src/forward/systems/settleServiceRollouts.ts
+++ b/src/forward/systems/settleServiceRollouts.ts
@@ -19,7 +19,7 @@
 import { isForwardLeaseValid } from "../tables/node";
 import type { ServiceRolloutRow } from "../tables/serviceRollouts";
 import type { ForwardWorld } from "../world";
-import { computeExchangeIntervalMs, computePeerStaleMs } from "./accountUsage";
+import { computePeerStaleMs } from "./accountUsage";
 import { updateRolloutInForce } from "./followServiceRollouts";
 import { computeTotalEvidence, countUnderWay, removeEndedAttempts } from "./serviceRolloutReports";
 import { hasServers, listSides, scheduleRolloutCheck } from "./serviceVersions";
@@ -149,7 +149,6 @@
 }
 
 function isDecisionDue(
-    world: ForwardWorld,
     tick: ForwardTick,
     row: ServiceRolloutRow,
     { periodMs }: StoredServiceRollout,
@@ -157,7 +156,6 @@
     const bucket = findQuantileBucket(row.oldDurations, durationQuantile);
     const decisionMs = computeDecisionMs({
         periodMs,
-        exchangeMs: computeExchangeIntervalMs(world),
         responseMs: bucket === undefined ? assumedDurationMs : computeBucketEndMs(bucket),
     });
     return computeOrderAgeMs(tick, row) >= decisionMs;
@@ -174,7 +172,7 @@
         verdict: row.isBad ? "bad" : row.verdict.kind,
         hasNewServers: hasServers(servers.new),
         hasOldServers: hasServers(servers.old),
-        isDecisionDue: isDecisionDue(world, tick, row, current),
+        isDecisionDue: isDecisionDue(tick, row, current),
         isOldVersionUnused: current.state === "shifting" && isOldVersionUnused(world, tick, row),
     };
 }
--- a/src/forward/tables/serviceRollouts.ts
+++ b/src/forward/tables/serviceRollouts.ts
@@ -62,6 +62,8 @@
     verdict: VersionVerdict;
     /** True once this process, or a peer, has found the version bad. */
     isBad: boolean;
+    /** Time at which this process last told the decider that it has nothing under way on an old version. */
+    doneReportedAt: Millis;
     /** The rollout that was last sent to the store, until its answer. */
     pendingWrite: StoredServiceRollout | undefined;
     /** The row is not written before this time, when the answer to the last write may still be on its way. */
@@ -100,6 +102,7 @@
     snapshotAt: 0 as Millis,
     verdict: noVerdict,
     isBad: false,
+    doneReportedAt: 0 as Millis,
     pendingWrite: undefined,
     writeNotBefore: 0 as Millis,
 });
--- a/test/forward/serviceRolloutPolicy.test.ts
+++ b/test/forward/serviceRolloutPolicy.test.ts
@@ -158,6 +158,6 @@
         expect(chooseNextState("shifting", facts)).toBe("shifting");
         expect(chooseNextState("shifting", { ...facts, isOldVersionUnused: true })).toBe("completed");
         expect(chooseNextState("shifting", { ...facts, verdict: "bad" })).toBe("rolledBack");
-        expect(computeDecisionMs({ periodMs: 12_000, exchangeMs: 1300, responseMs: 400 })).toBe(7850);
+        expect(computeDecisionMs({ periodMs: 12_000, responseMs: 400 })).toBe(8100);
     });
 });
