Find rare failures, and compare response times of alike requests only

Cause: a version of which one answer in twenty fails was judged good in half of the draws, however many requests the service has. New engines have cold caches, so that their answers are slower than those of engines in use without a fault. Change: a third test, on an increase of failures by 3 %, that is not needed for a good verdict; requests with prompt parts count for the response times only if the engine has to compute at least half of the prompt.

--- a/src/forward/policy/versionVerdict.ts
+++ b/src/forward/policy/versionVerdict.ts
@@ -41,7 +41,7 @@
     readonly hasAllTraffic: boolean;
 }
 
-export type VersionTestName = "failures" | "slow answers";
+export type VersionTestName = "failures" | "rare failures" | "slow answers";
 
 export interface VersionVerdict {
     readonly kind: "bad" | "good" | "open";
@@ -55,6 +55,9 @@
 /** Shares of failures that are expected of any version; crashes of single servers are part of it. */
 const minFailureShare = 0.01;
 const detectedFailureIncrease = 0.1;
+/** The same for services with many requests, where a small part of the answers is many failures. */
+const minRareFailureShare = 0.005;
+const detectedRareFailureIncrease = 0.03;
 /** An answer is slow if it takes longer than this quantile of the old version's on the same route, plus a margin. */
 const slowQuantile = 0.95;
 const minSlowShare = 0.05;
@@ -77,21 +80,31 @@
 
 interface VersionTest {
     readonly detectedIncrease: number;
+    /** False for a test that needs more answers than a trial may have; it must only not lean towards bad. */
+    readonly isNeededForGood: boolean;
     /** Counts for the answers in `tested`; undefined when the route does not allow the test. */
     readonly count: (old: SideCounts, tested: SideCounts, hasAllTraffic: boolean) => TestInput | undefined;
 }
 
+function countFailures(old: SideCounts, tested: SideCounts, minShare: number): TestInput {
+    const oldShare = old.answers < minOldResponses ? 0 : old.failures / old.answers;
+    return { answers: tested.answers, hits: tested.failures, expectedShare: Math.max(minShare, oldShare) };
+}
+
 const versionTests: Readonly<Record<VersionTestName, VersionTest>> = {
     "failures": {
         detectedIncrease: detectedFailureIncrease,
-        count: (old, tested) => ({
-            answers: tested.answers,
-            hits: tested.failures,
-            expectedShare: Math.max(minFailureShare, old.answers < minOldResponses ? 0 : old.failures / old.answers),
-        }),
+        isNeededForGood: true,
+        count: (old, tested) => countFailures(old, tested, minFailureShare),
+    },
+    "rare failures": {
+        detectedIncrease: detectedRareFailureIncrease,
+        isNeededForGood: false,
+        count: (old, tested) => countFailures(old, tested, minRareFailureShare),
     },
     "slow answers": {
         detectedIncrease: detectedSlowIncrease,
+        isNeededForGood: true,
         count: (old, tested, hasAllTraffic) => {
             const oldResponses = countResponses(old.responses);
             const quantileBucket = findQuantileBucket(old.responses, slowQuantile);
@@ -161,7 +174,7 @@
 
 /**
  * Computes the verdict: bad as soon as one test of one route, or of all routes together, says so for all answers or for
- * those since an earlier time; good when the tests of all routes together say so and no route leans towards bad.
+ * those since an earlier time; good when the needed tests of all routes together say so and no test leans towards bad.
  *
  * @example
  * computeVersionVerdict({ routes: new Map(), earlier: [], hasAllTraffic: false }).kind; // "open"
@@ -174,8 +187,9 @@
     if (highest && score >= badScore) {
         return { kind: "bad", test: highest.test, route: highest.route, score };
     }
-    const isOverallGood = whole.every(entry => entry.route !== undefined || entry.score <= goodScore);
-    const isLeaning = whole.some(entry => entry.route !== undefined && entry.score > leaningScore)
+    const overall = whole.filter(({ route }) => route === undefined);
+    const isOverallGood = overall.every(entry => entry.score <= goodScore || !versionTests[entry.test].isNeededForGood);
+    const isLeaning = whole.some(entry => entry.score > leaningScore)
         || recent.some(entry => entry.score > badScore / 2);
     return { kind: isOverallGood && !isLeaning ? "good" : "open", score };
 }
--- a/src/forward/systems/recordServiceAnswers.ts
+++ b/src/forward/systems/recordServiceAnswers.ts
@@ -86,7 +86,9 @@
         side.failures += 1;
         return;
     }
-    recordResponse(side.responses, (attempt.firstEventAt ?? tick.now) - versioned.sentAt);
+    if (versioned.hasComparableTime) {
+        recordResponse(side.responses, (attempt.firstEventAt ?? tick.now) - versioned.sentAt);
+    }
     if (versioned.version !== rollout.current?.to) {
         recordResponse(rollout.oldDurations, tick.now - versioned.sentAt);
     }
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -143,7 +143,6 @@
         silentSince: undefined,
         outcome: "",
     });
-    recordVersionedSend(world, tick, row, target);
     if (target.backOffUntil > 0) {
         target.trialRequest = row.id;
     }
@@ -152,6 +151,7 @@
         sentAt: tick.now,
         hasAnswered: false,
     });
+    recordVersionedSend(world, tick, row, target);
     world.tables.requests.updateState(row, "running");
     const call = buildCall(tick, row, choice);
     if (call.idleTimeoutMs !== undefined) {
--- a/src/forward/systems/serviceVersions.ts
+++ b/src/forward/systems/serviceVersions.ts
@@ -120,13 +120,23 @@
     return sideChoosers[current.state](world, tick, row, rollout, listSides(targets, current));
 }
 
+/**
+ * True when the response time of the request can be compared between versions. The caches of new engines are cold, so
+ * only those requests are compared of whose prompts an engine has to compute at least a half.
+ */
+function isTimeComparable(row: ForwardRequestRow, target: ForwardTargetRow): boolean {
+    const missedTokens = target.inFlight.get(row.id)?.missedTokens ?? 0;
+    return row.arrival.parts.length === 0 || missedTokens >= row.arrival.promptTokens / 2;
+}
+
 /** Counts a request that is sent to the target, and keeps the version for its answer. */
 export function recordVersionedSend(
     world: ForwardWorld,
     tick: ForwardTick,
     row: ForwardRequestRow,
-    { registration: { version } }: ForwardTargetRow,
+    target: ForwardTargetRow,
 ): void {
+    const { version } = target.registration;
     const { canaryShare } = world.settings.bounds;
     if (canaryShare === undefined) {
         return;
@@ -139,6 +149,7 @@
         version,
         sentAt: tick.now,
         orderRevision: rollout?.current?.orderRevision,
+        hasComparableTime: isTimeComparable(row, target),
         isCounted: false,
     });
     scheduleRolloutCheck(world, tick);
--- a/src/forward/tables/serviceRollouts.ts
+++ b/src/forward/tables/serviceRollouts.ts
@@ -13,6 +13,8 @@
     readonly sentAt: Millis;
     /** Order under which the attempt was sent; undefined when there was none. */
     readonly orderRevision: OrderRevision | undefined;
+    /** True when the response time can be compared with that of the other version. */
+    readonly hasComparableTime: boolean;
     /** True once the attempt counts as answered or failed. */
     isCounted: boolean;
 }
--- a/standins/platformServer.ts
+++ b/standins/platformServer.ts
@@ -90,6 +90,8 @@
     readonly service: string;
     /** Name of the model; absent for a plain service. */
     readonly model?: string;
+    /** Version of the server's software. */
+    readonly softwareVersion?: string;
     /** Number of events in a stream. */
     readonly events?: number;
     /** Time between the events of a stream. */
@@ -116,7 +118,7 @@
 
 /** Starts a server on a free port of the loopback address. */
 export async function startPlatformServer(options: PlatformServerOptions): Promise<PlatformServer> {
-    const { instance, service, model, events = 4, eventMs = 5, answerText = "done" } = options;
+    const { instance, service, model, softwareVersion = "v1", events = 4, eventMs = 5, answerText = "done" } = options;
     const receivedRequests: ReceivedRequest[] = [];
     let isClosed = false;
     const orders: PlatformServer["orders"] = [];
@@ -341,7 +343,7 @@
             service,
             address,
             zone: "zone-a",
-            version: "v1",
+            version: softwareVersion,
             slots: 8,
             state,
             "cold-left-ms": 0,
--- a/test/forward/serviceRolloutPolicy.test.ts
+++ b/test/forward/serviceRolloutPolicy.test.ts
@@ -84,6 +84,11 @@
         expect(computeVersionVerdict({ routes, earlier, hasAllTraffic: false }).kind).toBe("bad");
     });
 
+    // Guards against a small part of bad answers that is many requests in a service with much traffic.
+    it("is bad when one of twenty among many answers fails", () => {
+        expect(computeKind([buildEvidence({ count: 200, failures: 10 })])).toBe("bad");
+    });
+
     it("compares with an old version that fails as often", () => {
         const evidence = createRouteEvidence();
         addAnswers(evidence.old, 500, { failures: 150 });
--- a/test/support/platformFleet.ts
+++ b/test/support/platformFleet.ts
@@ -67,6 +67,8 @@
         readonly nodes?: number;
         readonly engine?: Partial<PlatformServerOptions>;
         readonly ports?: PlatformPorts;
+        /** Further lines of the section `bounds` in the settings of processes. */
+        readonly bounds?: string;
     } = {},
 ): Promise<PlatformFleet> {
     const store = await startPlatformStore();
@@ -114,6 +116,7 @@
                 "[bounds]\ngraceMs = 2000\nretryRatio = 0.2\nretryMin = 50\nretryWindowMs = 10000",
                 "quotaWindowMs = 8000\nquotaOverage = 0.1\nquotaSlackTokens = 1000\ndutyGuardMs = 300",
                 "weightsMs = 10000\naddressesKeepSeconds = 5",
+                options.bounds ?? "",
             ].join("\n")).unwrap();
             const logs: string[] = [];
             let handleExit: (code: number) => void = () => undefined;
