Send as many requests as stated in the simulation of service rollouts

Cause: the simulated fleet rounded the requests of a step, so that 80 requests a second were 100. Change: the fraction of a request is drawn.

--- a/test/support/rolloutFleet.ts
+++ b/test/support/rolloutFleet.ts
@@ -312,10 +312,8 @@
 
     function sendArrivals(): void {
         for (const [route, rate] of Object.entries(rates)) {
-            if (getRandom() * 1000 >= rate * stepMs && rate * stepMs < 1000) {
-                continue;
-            }
-            const count = Math.max(1, Math.round(rate * stepMs / 1000));
+            const expected = rate * stepMs / 1000;
+            const count = Math.floor(expected) + (getRandom() < expected % 1 ? 1 : 0);
             for (let sent = 0; sent < count; sent += 1) {
                 const live = nodes.filter(({ isDown }) => !isDown);
                 const node = live[Math.floor(getRandom() * live.length)];
