--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -14,6 +14,7 @@
 import { applyFailureReports, buildFailureReports } from "./failureReports";
 import { applyLoadReports, buildLoadReports } from "./loadReports";
 import { applyLimitReports, buildLimitReports } from "./requestLimits";
+import { applyServiceRolloutReports, buildServiceRolloutReports, findWaitingDecider } from "./serviceRolloutReports";
 import { applyDepartureReports, buildDepartureReports } from "./targetDepartures";
 
 /** Interval at which a group of peers is called. */
@@ -138,6 +139,7 @@
         ...buildLimitReports(world, tick),
         ...buildDepartureReports(world, tick),
         ...buildFailureReports(world, tick),
+        ...buildServiceRolloutReports(world),
     };
 }
 
@@ -153,6 +155,7 @@
     applyLimitReports(world, tick, state);
     applyDepartureReports(world, tick, state);
     applyFailureReports(world, tick, state);
+    applyServiceRolloutReports(world, tick, state);
     // `knownStart` differs when the peer has not noticed the restart yet; its report is then about another run.
     if (state.earlier && state.knownStart === world.startedAt) {
         const isFirst = !peers.ownPreviousRun;
@@ -185,18 +188,28 @@
 
 /** Calls a few peers at a time, so that their reports differ in age and no burst of calls delays streams. */
 function requestStates(world: ForwardWorld, tick: ForwardTick): void {
+    const { peers } = world.tables;
     const intervalMs = computeExchangeIntervalMs(world);
     const polled = listPolledPeers(world, tick);
     const due = polled.filter(({ row }) => !row.isPending && tick.now - row.stateRequestedAt >= intervalMs)
         .sort((left, right) => left.row.stateRequestedAt - right.row.stateRequestedAt);
     for (const { member, row } of due.slice(0, Math.ceil(polled.length * exchangeStepMs / intervalMs))) {
-        row.isPending = true;
-        row.stateRequestedAt = tick.now;
-        const state = buildState(world, tick, row);
-        world.effects.append({ kind: "callPeer", vm: member.vm, address: member.peerAddress, state });
+        requestState(world, tick, member, row);
+    }
+    const waiting = findWaitingDecider(world, tick);
+    const row = waiting && (peers.rows.get(waiting.vm) ?? addPeer(world, tick, waiting));
+    if (row && !row.isPending) {
+        requestState(world, tick, waiting, row);
     }
 }
 
+function requestState(world: ForwardWorld, tick: ForwardTick, member: ForwardMemberRow, row: PeerRow): void {
+    row.isPending = true;
+    row.stateRequestedAt = tick.now;
+    const state = buildState(world, tick, row);
+    world.effects.append({ kind: "callPeer", vm: member.vm, address: member.peerAddress, state });
+}
+
 /** Removes peers that have left the fleet once their usage has left the window. */
 function removeExpiredPeers(world: ForwardWorld, tick: ForwardTick): void {
     const { members, peers } = world.tables;
@@ -208,7 +221,8 @@
 }
 
 /**
- * Reads: members, usage windows. Writes: peers, peer loads, configuration (published weights), cached parts, departures, targets.
+ * Reads: members, usage windows. Writes: peers, peer loads, target outcomes, configuration (published weights), cached
+ * parts, departures, targets, service rollouts.
  * Effects: calls and answers to peers, log lines.
  */
 export function exchangeWithPeers(world: ForwardWorld, tick: ForwardTick): void {
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -9,22 +9,27 @@
 import { followAttempts } from "./followAttempts";
 import { followCrashes } from "./followCrashes";
 import { followParts } from "./followParts";
+import { followServiceRollouts } from "./followServiceRollouts";
 import { placeWeights } from "./placeWeights";
+import { recordServiceAnswers } from "./recordServiceAnswers";
 import { relayStore } from "./relayStore";
 import { resumeOnOtherEngines } from "./resumeOnOtherEngines";
 import { routeRequests } from "./routeRequests";
+import { settleServiceRollouts } from "./settleServiceRollouts";
 import { recordSlotUse } from "./slotUse";
 import { updateMembership } from "./updateMembership";
 import { updateQuarantine } from "./updateQuarantine";
 
 export const forwardSystems: readonly ForwardSystem[] = [
     applyPublished,
+    followServiceRollouts,
     updateMembership,
     relayStore,
     exchangeWithPeers,
     recordSlotUse,
     followParts,
     followCrashes,
+    recordServiceAnswers,
     followAttempts,
     updateQuarantine,
     resumeOnOtherEngines,
@@ -32,6 +37,7 @@
     admitRequests,
     routeRequests,
     placeWeights,
+    settleServiceRollouts,
     answerAddresses,
     drainNode,
 ];
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -16,6 +16,7 @@
 import { computeFailureShare } from "./failureReports";
 import { refuseForwardRequest } from "./requestEnd";
 import { findFirstToken, reserveRequestToken } from "./requestLimits";
+import { recordVersionedSend } from "./serviceVersions";
 import { isAdmittedBySlots } from "./slotUse";
 import { computeDeferralMs } from "./targetHealth";
 import { findQuarantine, recordTrial } from "./updateQuarantine";
@@ -155,6 +156,7 @@
         hasAnswered: false,
         priority: computeRequestPriority(row),
     });
+    recordVersionedSend(world, tick, row, target);
     world.tables.requests.updateState(row, "running");
     const call = buildCall(tick, row, choice);
     if (call.idleTimeoutMs !== undefined) {
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -14,6 +14,7 @@
 import { createQuarantineTable, type QuarantineTable } from "./quarantine";
 import { createForwardRequestsTable, type ForwardRequestsTable } from "./requests";
 import { createRolloutsTable, type RolloutsTable } from "./rollouts";
+import { createServiceRolloutsTable, type ServiceRolloutsTable } from "./serviceRollouts";
 import { createSharedPartsTable, type SharedPartsTable } from "./sharedParts";
 import { createSlotUseTable, type SlotUseTable } from "./slotUse";
 import { createStoreRelayTable, type StoreRelayTable } from "./storeRelay";
@@ -38,6 +39,7 @@
     readonly answeredParts: AnsweredPartsTable;
     readonly quarantine: QuarantineTable;
     readonly rollouts: RolloutsTable;
+    readonly serviceRollouts: ServiceRolloutsTable;
     readonly storeRelay: StoreRelayTable;
     readonly slotUse: SlotUseTable;
     readonly targetOutcomes: TargetOutcomesTable;
@@ -65,6 +67,7 @@
         answeredParts: createAnsweredPartsTable(),
         quarantine: createQuarantineTable(),
         rollouts: createRolloutsTable(),
+        serviceRollouts: createServiceRolloutsTable(),
         storeRelay: createStoreRelayTable(),
         slotUse: createSlotUseTable(),
         targetOutcomes: createTargetOutcomesTable(),
