--- a/bench/costBenchmark.ts
+++ b/bench/costBenchmark.ts
@@ -3,6 +3,7 @@
 import { runInNewContext } from "node:vm";
 import type { Hasher } from "../src/policy/prefix";
 import { buildExchange, type CostCase, costCases, createSizedWorld } from "./costCases";
+import { engineChoiceCases } from "./engineChoiceCases";
 
 export interface CostPoint {
     readonly size: number;
@@ -123,7 +124,7 @@
 
 export function runCostBenchmark(hasher: Hasher): CostResults {
     return {
-        costs: costCases.map(costCase => measureCase(costCase, hasher)),
+        costs: [...costCases, ...engineChoiceCases].map(costCase => measureCase(costCase, hasher)),
         state: measureState(hasher),
         control: listControlMessages(),
     };
--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -23,7 +23,13 @@
     orders_total: ["outcome"],
 };
 
-const histogramNames: readonly HistogramName[] = ["first_token_ms", "queue_ms", "request_ms", "write_delay_ms"];
+const histogramNames: readonly HistogramName[] = [
+    "engine_queue_ms",
+    "first_token_ms",
+    "queue_ms",
+    "request_ms",
+    "write_delay_ms",
+];
 const reportedPercentiles = [50, 95, 99, 99.9] as const;
 /** Longer durations are recorded as this value, one hour. */
 const maxDurationMs = 3_600_000;
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -45,7 +45,7 @@
     | "interrupted_responses_total"
     | "unframed_ends_total"
     | "waits_total";
-export type HistogramName = "first_token_ms" | "queue_ms" | "request_ms" | "write_delay_ms";
+export type HistogramName = "engine_queue_ms" | "first_token_ms" | "queue_ms" | "request_ms" | "write_delay_ms";
 
 export type Effect =
     /* callers */
--- a/src/forward/systems/chooseEngine.ts
+++ b/src/forward/systems/chooseEngine.ts
@@ -29,6 +29,8 @@
     readonly scoreMs: number;
     /** Estimated time until the target begins to compute the prompt. */
     readonly queueMs: number;
+    /** Rank of the engine for the shared part; 0 for all engines over which the part is spread. */
+    readonly rank?: number;
     readonly version: WeightsVersion | undefined;
     /** Prompt tokens that the engine has cached or will fetch. */
     readonly reusedTokens: number;
@@ -195,6 +197,7 @@
                 target,
                 scoreMs,
                 queueMs,
+                rank,
                 version,
                 reusedTokens: cachedTokens + fetchedTokens,
                 fetchFrom: source?.address,
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -143,6 +143,9 @@
     });
     world.tables.requests.updateState(row, "running");
     const call = buildCall(tick, row, choice);
+    if (call.engine) {
+        world.effects.append({ kind: "recordValue", name: "engine_queue_ms", value: choice.queueMs });
+    }
     if (call.idleTimeoutMs !== undefined) {
         const at = addMillis(tick.now, call.idleTimeoutMs);
         world.timers.schedule({ name: "attemptIdleTimeout", at, key: formatAttemptKey(row.id, number) });
@@ -161,6 +164,8 @@
         attempt: number,
         target: target.registration.id,
         scoreMs: Math.round(choice.scoreMs),
+        queueMs: Math.round(choice.queueMs),
+        rank: choice.rank,
         heldTokens: choice.reusedTokens,
         promptTokens: row.arrival.promptTokens,
         fetchFrom: choice.fetchFrom,
