--- a/src/effects.ts
+++ b/src/effects.ts
@@ -48,7 +48,7 @@
     | "waits_total"
     | "service_rollout_states_total"
     | "canary_requests_total";
-export type HistogramName = "first_token_ms" | "queue_ms" | "request_ms" | "write_delay_ms";
+export type HistogramName = "engine_queue_ms" | "first_token_ms" | "queue_ms" | "request_ms" | "write_delay_ms";
 
 export type Effect =
     /* callers */
--- a/src/forward/systems/chooseEngine.ts
+++ b/src/forward/systems/chooseEngine.ts
@@ -34,6 +34,8 @@
     readonly queueMs: number;
     /** Estimated time from then to the first event. */
     readonly firstEventMs: number;
+    /** Rank of the engine for the shared part; 0 for all engines over which the part is spread. */
+    readonly rank?: number;
     readonly version: WeightsVersion | undefined;
     /** Prompt tokens that the engine has cached or will fetch. */
     readonly reusedTokens: number;
@@ -217,6 +219,7 @@
                 scoreMs,
                 queueMs,
                 firstEventMs: estimateFirstEventMs(missedTokens),
+                rank,
                 version,
                 reusedTokens: cachedTokens + fetchedTokens,
                 fetchFrom: source?.address,
