--- a/bench/engineChoiceCases.ts
+++ b/bench/engineChoiceCases.ts
@@ -2,7 +2,7 @@
 import { createEffectQueue } from "../src/effects";
 import type { ForwardEffect } from "../src/forward/effects";
 import { createForwardBatch } from "../src/forward/events";
-import { toPartId, toServiceId, toWeightsVersion } from "../src/forward/ids";
+import { toPartId, toServerVersion, toServiceId, toWeightsVersion } from "../src/forward/ids";
 import { parseForwardSettings } from "../src/forward/settings";
 import { chooseEngine } from "../src/forward/systems/chooseEngine";
 import { createForwardTables } from "../src/forward/tables";
@@ -48,6 +48,7 @@
     address: "127.0.0.1:9",
     dataCentre: toDataCentreId("dc-0"),
     isLeaving: false,
+    version: toServerVersion("v1"),
     weights: new Map([[model, toWeightsVersion(1)]]),
 });
 
