--- a/bench/engineChoiceCases.ts
+++ b/bench/engineChoiceCases.ts
@@ -85,7 +85,7 @@
         tables.peerLoads.apply(vm, loads, now);
     }
     return {
-        settings: { ...settings, routing: { estimatesLoad } },
+        settings: { ...settings, routing: { estimatesLoad, sharesFailures: estimatesLoad } },
         startedAt: 0,
         hasher,
         random,
