--- a/src/forward/policy/failureEvidence.ts
+++ b/src/forward/policy/failureEvidence.ts
@@ -11,15 +11,15 @@
 
 /**
  * Answers that are assumed for each target: processes without failures report nothing, so the pooled counts lack their
- * answers.
+ * answers. A single failure in a fleet is no reason to leave a target.
  */
-const assumedAnswers = 4;
+const assumedAnswers = 20;
 
 /**
  * Estimates the fraction of requests that the target fails.
  *
  * @example
- * estimateFailureShare([{ failed: 2, answered: 0 }, { failed: 1, answered: 1 }]); // 0.375
+ * estimateFailureShare([{ failed: 2, answered: 0 }, { failed: 1, answered: 1 }]); // 0.125
  */
 export function estimateFailureShare(reports: readonly OutcomeCounts[]): number {
     const failed = reports.reduce((sum, report) => sum + report.failed, 0);
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -11,7 +11,7 @@
 import { computeExchangeIntervalMs, computeOwnTokens, computePeerStaleMs } from "./accountUsage";
 import { applyCrashReports, buildCrashReports } from "./crashReports";
 import { applyEndedRunReports, buildEndedRunReports } from "./endedRunReports";
-import { applyFailureReports, buildFailureReports } from "./failureReports";
+import { applyFailureReports, buildFailureReports, removeOutdatedFailures } from "./failureReports";
 import { applyLoadReports, buildLoadReports } from "./loadReports";
 import { applyLimitReports, buildLimitReports } from "./requestLimits";
 import { applyServiceRolloutReports, buildServiceRolloutReports, findWaitingDecider } from "./serviceRolloutReports";
@@ -249,6 +249,7 @@
     if (tick.due.has("exchange") || tick.number === 1) {
         requestStates(world, tick);
         removeExpiredPeers(world, tick);
+        removeOutdatedFailures(world, tick);
         world.timers.schedule({ name: "exchange", at: addMillis(tick.now, exchangeStepMs) });
     }
 }
--- a/src/forward/systems/failureReports.ts
+++ b/src/forward/systems/failureReports.ts
@@ -30,9 +30,7 @@
 
 /** Failures of this process's requests: target, failed, answered, and ages of the last failure and silence (-1: none). */
 export function buildFailureReports(world: ForwardWorld, tick: ForwardTick): Pick<PeerState, "failures"> {
-    const { targetOutcomes } = world.tables;
-    targetOutcomes.removeOutdated(tick.now, computeMaxAgeMs(world));
-    const failures = [...targetOutcomes.own].map(([target, { failed, answered, failedAt, silentAt }]) =>
+    const failures = [...world.tables.targetOutcomes.own].map(([target, { failed, answered, failedAt, silentAt }]) =>
         [
             target,
             failed,
@@ -44,6 +42,11 @@
     return failures.length > 0 ? { failures } : {};
 }
 
+/** Removes failures of this process and of its peers that are too old to say anything. */
+export function removeOutdatedFailures(world: ForwardWorld, tick: ForwardTick): void {
+    world.tables.targetOutcomes.removeOutdated(tick.now, computeMaxAgeMs(world));
+}
+
 /** Applies the failures that a peer reports. */
 export function applyFailureReports(world: ForwardWorld, tick: ForwardTick, { vm, failures = [] }: PeerState): void {
     if (!canShareFailures(world)) {
