Leave out engines that load for as long as loads take

Cause: every process left out an ordered engine for 900 ms, the time of a load on an idle engine. Change: where requests are admitted by slots, each process measures the time from an order's record to the registration with the new weights, and leaves ordered engines out for that time less the lag of registrations, 4 s at most.

--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -16,6 +16,7 @@
 import type { ForwardWorld } from "../world";
 import { closeForwardTarget } from "./closeTarget";
 import { confirmRecordedCrash } from "./followCrashes";
+import { computeExpectedLoadMs, recordLoad } from "./loadPace";
 import { isCopyOutdated, recordReadPosition } from "./restoredStore";
 import { confirmRegistrations, hasAnnouncedDeparture, recordDeparture, recordRemoval } from "./targetDepartures";
 import { endBackOff, expectLoading, recordSignOfLife } from "./targetHealth";
@@ -115,6 +116,7 @@
         }
         if (current && !replaced && hasNewWeights) {
             cachedParts.removeTarget(target.id);
+            recordLoad(world, tick, current);
             current.unavailableUntil = tick.now;
             endBackOff(current, tick.now);
         }
@@ -199,9 +201,11 @@
     if (!order || !target) {
         return;
     }
-    rollouts.lastOrders.set(order.target, { vm: order.vm, seenAt: tick.now });
-    if ((target.weights.get(order.model) ?? 0) < order.version) {
-        expectLoading(target, tick.now);
+    const { vm, model, version } = order;
+    const hasEnded = (target.weights.get(model) ?? 0) >= version;
+    rollouts.lastOrders.set(order.target, { vm, seenAt: tick.now, model, version, hasEnded });
+    if (!hasEnded) {
+        expectLoading(target, tick.now, computeExpectedLoadMs(world));
         world.timers.schedule({ name: "streamMove", at: addMillis(tick.now, streamMoveDelayMs), key: order.target });
     }
 }
--- a/src/forward/systems/loadPace.ts
+++ b/src/forward/systems/loadPace.ts
@@ -4,7 +4,6 @@
 import type { WeightsVersion } from "../ids";
 import { computeNeededLoads, updateCycleMs } from "../policy/loadPace";
 import { getNewestWeights } from "../tables/configuration";
-import type { RolloutRow } from "../tables/rollouts";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { maxOutdatedFraction } from "./eligibleTargets";
@@ -13,14 +12,31 @@
 /** At most this fraction of the working engines loads at once, however late the rollout is. */
 const maxPaceFraction = 1 / 2;
 
-/** Records the duration of a load that has ended well. */
-export function recordLoad(world: ForwardWorld, tick: ForwardTick, { orderedAt }: RolloutRow): void {
+/** The registration of an engine is about this much later than its load. */
+const registrationLagMs = 400;
+/** Longest time for which an ordered engine is left out; after it, requests find out whether it has loaded. */
+const maxExpectedLoadMs = 4000;
+
+/** Records the duration of an ordered load when its engine registers with the new weights. */
+export function recordLoad(world: ForwardWorld, tick: ForwardTick, target: ForwardTargetRow): void {
     const { rollouts } = world.tables;
-    if (orderedAt !== undefined) {
-        rollouts.cycleMs = updateCycleMs(rollouts.cycleMs, tick.now - orderedAt);
+    const order = rollouts.lastOrders.get(target.registration.id);
+    if (order && !order.hasEnded && (target.weights.get(order.model) ?? 0) >= order.version) {
+        order.hasEnded = true;
+        rollouts.cycleMs = updateCycleMs(rollouts.cycleMs, tick.now - order.seenAt);
     }
 }
 
+/**
+ * Time for which an engine that was ordered to load is expected to refuse requests; 0, for the usual time, when that is
+ * off. An engine under load finishes its requests first. Trying it earlier costs each process a refused request.
+ */
+export function computeExpectedLoadMs(world: ForwardWorld): number {
+    return isAdmittedBySlots(world)
+        ? Math.min(maxExpectedLoadMs, world.tables.rollouts.cycleMs - registrationLagMs)
+        : 0;
+}
+
 const isBehind = (target: ForwardTargetRow, model: ModelId, version: WeightsVersion): boolean =>
     (target.weights.get(model) ?? 0) < version;
 
--- a/src/forward/systems/placeWeights.ts
+++ b/src/forward/systems/placeWeights.ts
@@ -11,7 +11,7 @@
 import { type ForwardTargetRow, isWorking } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { listTargetLoads } from "./engineLoad";
-import { computePacedLoads, recordLoad } from "./loadPace";
+import { computeExpectedLoadMs, computePacedLoads } from "./loadPace";
 import { expectLoading } from "./targetHealth";
 import { computeLeaderGuardMs } from "./updateMembership";
 
@@ -194,8 +194,7 @@
     const { rolloutLeadership: leadership, lease } = world.tables.node;
     const { id, address, instance } = target.registration;
     updateRolloutState(rollout, "ordered", tick.now);
-    rollout.orderedAt = tick.now;
-    expectLoading(target, tick.now);
+    expectLoading(target, tick.now, computeExpectedLoadMs(world));
     world.effects.append({
         kind: "orderWeights",
         target: id,
@@ -267,7 +266,6 @@
             target.weights.set(rollout.model, loadedVersion);
             world.tables.cachedParts.removeTarget(id);
             target.unavailableUntil = tick.now;
-            recordLoad(world, tick, rollout);
             endRollout(world, id, "loaded");
         }
         else if (rollout.state === "reading" && !report.val.isBusy && canOrder(world, tick)) {
@@ -322,7 +320,6 @@
     }
     if (!isBehind(target, rollout.model, rollout.version)) {
         target.unavailableUntil = tick.now;
-        recordLoad(world, tick, rollout);
         endRollout(world, rollout.target, "registered with the version");
         return;
     }
--- a/src/forward/systems/targetHealth.ts
+++ b/src/forward/systems/targetHealth.ts
@@ -12,8 +12,9 @@
 /** An overloaded target gets no requests for this long. */
 export const overloadBackOffMs = 60;
 
-export function expectLoading(row: ForwardTargetRow, now: Millis): void {
-    row.unavailableUntil = addMillis(now, expectedLoadingMs);
+/** Expects the target to load weights; by default for the time that a load takes on an idle engine. */
+export function expectLoading(row: ForwardTargetRow, now: Millis, loadingMs: number = expectedLoadingMs): void {
+    row.unavailableUntil = addMillis(now, Math.max(expectedLoadingMs, loadingMs));
 }
 
 /** Longest time for which a target may ask for no requests; a longer one is taken for a fault of the target. */
--- a/src/forward/tables/rollouts.ts
+++ b/src/forward/tables/rollouts.ts
@@ -17,8 +17,6 @@
     acceptedOrderCount: number;
     /** Time of the last change of the state. */
     stateChangedAt: Millis;
-    /** Time at which the order was sent; undefined before. */
-    orderedAt?: Millis;
     /** Time at which a report was last requested. */
     reportRequestedAt: Millis;
 }
@@ -27,13 +25,17 @@
 export interface RecordedOrder {
     readonly vm: VmId;
     readonly seenAt: Millis;
+    readonly model: ModelId;
+    readonly version: WeightsVersion;
+    /** True once the engine has registered with the version. */
+    hasEnded: boolean;
 }
 
 export interface RolloutsTable {
     readonly rows: Map<TargetId, RolloutRow>;
     /** Last order to each engine, by any process. */
     readonly lastOrders: Map<TargetId, RecordedOrder>;
-    /** Mean time from an order to loaded weights. */
+    /** Mean time from an order to the registration of the engine with the new weights. */
     cycleMs: number;
 }
 
