Add tests for clients outside the limits, listed as failing

Cause: clients that pipeline requests and read no answers, that open many connections, or that send many bodies make a process hold memory and descriptors without a bound. Change: tests for every listener of both modes, with a fixed load; scripts/test.mjs runs them after all others, one file and one test at a time, and counts both runs.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -26,20 +26,32 @@
     });
 }
 
-function runTests() {
+/** Runs one set of tests; see `vitest.config.ts`. */
+function runSet(name, extraArgs) {
     const folder = mkdtempSync(path.join(tmpdir(), "marjoramvane-tests-"));
     const reportFile = path.join(folder, "report.json");
-    const args = ["node_modules/vitest/vitest.mjs", "run", "--reporter=default", "--reporter=json"];
+    const args = [
+        "node_modules/vitest/vitest.mjs",
+        "run",
+        "--passWithNoTests",
+        "--reporter=default",
+        "--reporter=json",
+    ];
     const { status } = spawnSync(
         process.execPath,
-        [...args, `--outputFile=${reportFile}`, ...process.argv.slice(2)],
-        { stdio: "inherit" },
+        [...args, ...extraArgs, `--outputFile=${reportFile}`, ...process.argv.slice(2)],
+        { stdio: "inherit", env: { ...process.env, MARJORAMVANE_TESTS: name } },
     );
-    if (!existsSync(reportFile)) {
-        return status || 1;
-    }
-    const results = readResults(reportFile);
+    const results = existsSync(reportFile) ? readResults(reportFile) : undefined;
     rmSync(folder, { recursive: true });
+    const hasOtherError = !results || (status !== 0 && !results.some(({ hasFailed }) => hasFailed));
+    return { results: results ?? [], hasOtherError };
+}
+
+function runTests() {
+    // Tests that load a process run after all others, one file and one test at a time.
+    const sets = [runSet("others", []), runSet("loads", ["--no-file-parallelism", "--maxConcurrency=1"])];
+    const results = sets.flatMap(set => set.results);
     const knownRed = listKnownRed();
     const failed = results.filter(({ hasFailed }) => hasFailed).map(({ name }) => name);
     const unexpected = failed.filter(name => !knownRed.has(name));
@@ -50,7 +62,7 @@
         console.log(`failed: ${name}`);
     }
     console.log(`${results.length - failed.length} passed, ${unexpected.length} failed`);
-    const hasOtherError = status !== 0 && failed.length === 0;
+    const hasOtherError = sets.some(set => set.hasOtherError);
     return unexpected.length > 0 || hasOtherError || results.length === 0 ? 1 : 0;
 }
 
--- a/standins/processes.ts
+++ b/standins/processes.ts
@@ -16,6 +16,8 @@
     readonly peers?: readonly string[];
     /** Settings that replace the defaults, by section. */
     readonly overrides?: Readonly<Record<string, unknown>>;
+    /** Options of Node.js, such as the size of the heap. */
+    readonly nodeOptions?: readonly string[];
 }
 
 export interface RouterProcess {
@@ -55,7 +57,7 @@
             ...options.overrides,
         }),
     );
-    const child = spawn(process.execPath, [programFile, "serve", "--settings", file], {
+    const child = spawn(process.execPath, [...(options.nodeOptions ?? []), programFile, "serve", "--settings", file], {
         stdio: ["ignore", "ignore", "pipe"],
     });
     let log = "";
--- a/test/support/forwardProcess.ts
+++ b/test/support/forwardProcess.ts
@@ -9,6 +9,11 @@
 
 export interface ForwardProcess {
     readonly callerAddress: string;
+    readonly readinessAddress: string;
+    readonly directoryAddress: string;
+    readonly metricsAddress: string;
+    readonly peersAddress: string;
+    readonly pid: number;
     /** Returns what the process has written to its log so far. */
     getLog(): string;
     isRunning(): boolean;
@@ -17,14 +22,28 @@
     kill(): void;
 }
 
+export interface ForwardProcessOptions {
+    /** Options of Node.js that replace those of the deploy file. */
+    readonly nodeOptions?: readonly string[];
+}
+
 /** Options of Node.js in the run command of the deploy file, such as the size of the heap. */
 function listNodeOptions(): string[] {
     const deployed = parse(readFileSync("deploy/system.toml", "utf8")) as { roles: { front: { run: string; }; }; };
     return deployed.roles.front.run.split(" ").filter(word => word.startsWith("--"));
 }
 
+/** Highest resident memory of a running process, in bytes. */
+export function readMaxMemory(pid: number): number {
+    const status = readFileSync(`/proc/${pid}/status`, "utf8");
+    return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * 1024;
+}
+
 /** Starts a process and waits until it is ready. */
-export async function startForwardProcess(storeAddress: string): Promise<ForwardProcess> {
+export async function startForwardProcess(
+    storeAddress: string,
+    { nodeOptions = listNodeOptions() }: ForwardProcessOptions = {},
+): Promise<ForwardProcess> {
     const [callers, readiness, directory, metrics, peers] = (await findPorts(5)).map(port => `127.0.0.1:${port}`) as [
         string,
         string,
@@ -57,7 +76,7 @@
     );
     const child = spawn(
         process.execPath,
-        [...listNodeOptions(), "build/marjoramvane.cjs", "forward", "--settings", file],
+        [...nodeOptions, "build/marjoramvane.cjs", "forward", "--settings", file],
         { stdio: ["ignore", "pipe", "pipe"] },
     );
     let log = "";
@@ -75,12 +94,14 @@
     }, 15_000);
     return {
         callerAddress: callers,
+        readinessAddress: readiness,
+        directoryAddress: directory,
+        metricsAddress: metrics,
+        peersAddress: peers,
+        pid: child.pid ?? 0,
         getLog: () => log,
         isRunning: () => child.exitCode === null && child.signalCode === null,
-        readMaxMemory: () => {
-            const status = readFileSync(`/proc/${child.pid}/status`, "utf8");
-            return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * 1024;
-        },
+        readMaxMemory: () => readMaxMemory(child.pid ?? 0),
         kill: () => {
             child.kill("SIGKILL");
         },
