--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -23,6 +23,7 @@
     orders_total: ["outcome"],
     service_rollout_states_total: ["service", "state"],
     canary_requests_total: ["service"],
+    clients_outside_limits_total: ["listener", "fault"],
 };
 
 const histogramNames: readonly HistogramName[] = [
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -23,7 +23,8 @@
     | "drain:"
     | "store:"
     | "quarantine:"
-    | "version:";
+    | "version:"
+    | "clients:";
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined | readonly string[]>>;
 
@@ -46,8 +47,10 @@
     | "interrupted_responses_total"
     | "unframed_ends_total"
     | "waits_total"
+    | "waits_total"
     | "service_rollout_states_total"
-    | "canary_requests_total";
+    | "canary_requests_total"
+    | "clients_outside_limits_total";
 export type HistogramName = "engine_queue_ms" | "first_token_ms" | "queue_ms" | "request_ms" | "write_delay_ms";
 
 export type Effect =
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -2,6 +2,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
 import { ipAndPort } from "../config/address";
+import { clientSettings } from "../config/clientSettings";
 import { type Fault, listSchemaFaults } from "../config/document";
 import { parseTomlText } from "../config/files";
 import type { DataCentreId, VmId } from "../ids";
@@ -77,10 +78,13 @@
         /** Tells the other processes of such a fleet which targets have failed requests. */
         sharesFailures: z.boolean().default(true),
     }).prefault({}),
+    clients: clientSettings,
     log: z.strictObject({
         level: z.enum(["error", "warn", "info", "debug"]).default("info"),
         /** Maximum lines of level info per second; further ones are counted and dropped. */
         infoLinesPerSecond: z.number().int().positive().default(300),
+        /** Maximum lines of level warn per second; further ones are counted and dropped. */
+        warningLinesPerSecond: z.number().int().positive().default(300),
     }).prefault({}),
 });
 
