Check rollouts of service versions as often as their bound needs

Change: the interval of checks is at most a twentieth of bounds.rollbackMs, and 250 ms as before with 5 s. Tests of a decider that is suspended while another one ends the rollout.

--- a/src/forward/systems/serviceVersions.ts
+++ b/src/forward/systems/serviceVersions.ts
@@ -13,15 +13,18 @@
 import { type ForwardTargetRow, isWorking } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 
-/** Interval at which evidence is judged and states are decided. */
-const rolloutCheckMs = 250;
+/** Longest interval at which evidence is judged and states are decided. */
+const maxCheckMs = 250;
+/** The same as a fraction of the time in which requests to a bad version must end. */
+const checkFraction = 0.05;
 
 /** Has the rollouts checked after the interval. */
 export function scheduleRolloutCheck(world: ForwardWorld, tick: ForwardTick): void {
     const { serviceRollouts } = world.tables;
     if (!serviceRollouts.isCheckScheduled) {
         serviceRollouts.isCheckScheduled = true;
-        world.timers.schedule({ name: "serviceRollout", at: addMillis(tick.now, rolloutCheckMs) });
+        const checkMs = Math.min(maxCheckMs, world.settings.bounds.rollbackMs * checkFraction);
+        world.timers.schedule({ name: "serviceRollout", at: addMillis(tick.now, checkMs) });
     }
 }
 
--- a/test/forward/serviceRolloutFaults.test.ts
+++ b/test/forward/serviceRolloutFaults.test.ts
@@ -7,10 +7,9 @@
     countServed,
     maxWatchMs,
     type RolloutFleet,
-    type RolloutFleetOptions,
-    type ServerLoad,
     startRolloutFleet,
 } from "../support/rolloutFleet";
+import type { RolloutFleetOptions, ServerLoad } from "../support/rolloutFleetTypes";
 
 const periodMs = 12_000;
 
@@ -61,6 +60,24 @@
     }
 });
 
+describe("a decider that is suspended", () => {
+    // Guards against a state that goes back because a decider writes what it knew before another one took over.
+    for (const share of [0, 0.3]) {
+        it(`changes nothing that its successor has decided about a version with ${share * 100} % failures`, async () => {
+            const { fleet } = await startOrdered({ answer: createFailingAnswer(share) });
+            fleet.run(3000);
+            const suspended = fleet.findLeader();
+            fleet.suspendNode(suspended);
+            fleet.run(periodMs);
+            fleet.resumeNode(suspended, periodMs);
+            fleet.run(periodMs);
+            const final = share === 0 ? "completed" : "rolled_back";
+            expect(fleet.statuses.map(({ state }) => state)).toEqual(["serving", final]);
+            expect(fleet.findLeader()).not.toBe(suspended);
+        });
+    }
+});
+
 describe("a fleet that is split", () => {
     it("sends a bad version no more than its share, and rolls it back", async () => {
         const { fleet, orderedAt } = await startOrdered({ nodes: 8, answer: createFailingAnswer(0.5) });
--- a/test/forward/serviceRollouts.test.ts
+++ b/test/forward/serviceRollouts.test.ts
@@ -7,10 +7,9 @@
     maxWatchMs,
     rollbackMs,
     type RolloutFleet,
-    type RolloutFleetOptions,
-    type ServerLoad,
     startRolloutFleet,
 } from "../support/rolloutFleet";
+import type { RolloutFleetOptions, ServerLoad } from "../support/rolloutFleetTypes";
 
 const periodMs = 12_000;
 
--- a/test/support/rolloutFleet.ts
+++ b/test/support/rolloutFleet.ts
@@ -21,47 +21,9 @@
     type ForwardTestNode,
     plainService,
 } from "./forwardNode";
+import type { RolloutFleetOptions, ServedRequest, ServerAnswer } from "./rolloutFleetTypes";
 import { createVirtualStore } from "./virtualStore";
 
-/** Answer of a server: its time and status. */
-export interface ServerAnswer {
-    readonly ms: number;
-    readonly status?: number;
-}
-
-/** A request that reached a server. */
-export interface ServedRequest {
-    readonly node: number;
-    readonly version: string;
-    readonly server: string;
-    readonly route: string;
-    readonly at: number;
-    /** True when the answer counts against the version. */
-    readonly isBad: boolean;
-    readonly answersAt: number;
-    isOpen: boolean;
-}
-
-/** What a server knows when it answers: its own requests under way, this one included. */
-export interface ServerLoad {
-    readonly version: string;
-    readonly route: string;
-    readonly at: number;
-    readonly underWay: number;
-    readonly random: number;
-}
-
-export interface RolloutFleetOptions {
-    readonly nodes?: number;
-    readonly seed?: number;
-    readonly oldServers?: number;
-    readonly newServers?: number;
-    /** Requests a second, by route. */
-    readonly rates?: Readonly<Record<string, number>>;
-    /** Answers of the servers; without a result, as a sound version. */
-    readonly answer?: (load: ServerLoad) => ServerAnswer | undefined;
-}
-
 interface SimulatedNode {
     test: ForwardTestNode;
     events: ForwardEvent[];
@@ -384,6 +346,15 @@
                 }
             }
         },
+        /** Stops a process with its clocks, as a suspension of the VM does, until `resumeNode`. */
+        suspendNode: (index: number): void => {
+            (nodes[index] as SimulatedNode).isDown = true;
+        },
+        resumeNode: (index: number, suspendedMs: number): void => {
+            const node = nodes[index] as SimulatedNode;
+            node.isDown = false;
+            node.test.suspend(suspendedMs);
+        },
         restartNode: async (index: number): Promise<void> => {
             nodes[index] = await createNode(index);
         },
@@ -393,13 +364,6 @@
         setGroup: (index: number, group: number): void => {
             (nodes[index] as SimulatedNode).group = group;
         },
-        writeRolloutRow: (value: string): void => {
-            store.run({
-                kind: "transaction",
-                compare: [],
-                success: [{ kind: "put", key: `marjoramvane/service-rollouts/${plainService}`, value }],
-            });
-        },
     };
 }
 
