Put a single server that hangs aside instead of blaming its version

Cause: all trial requests may go to one server, so that a server that hangs for two seconds rolled a good version back. Change: new answers are counted by server. When a test says bad, the score is computed without what each server in turn is slow or silent in; a server but for which the version would not be bad is put aside and others are tried. Failures that a server answers with still count against the version at once. The report in the exchange lists the new version's answers by server.

--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -22,7 +22,9 @@
 /** Maximum size of a state in a request. */
 const maxStateBytes = 4 * 1024 * 1024;
 
-const answersSchema = z.tuple([
+const routeAnswersSchema = z.tuple([
+    z.string(),
+    z.number().min(0),
     z.number().min(0),
     z.number().min(0),
     z.array(z.tuple([z.number().int().min(0), z.number().min(0)])).max(64),
@@ -33,7 +35,8 @@
     z.enum(["observing", "shifting", "completed", "rolledBack"]),
     z.number().min(0),
     z.boolean(),
-    z.array(z.tuple([z.string(), answersSchema, answersSchema])).max(4096),
+    z.array(routeAnswersSchema).max(4096),
+    z.array(z.tuple([z.string(), z.array(routeAnswersSchema).max(4096)])).max(16384),
 ]);
 
 const tokenCounts = z.array(z.tuple([z.string(), z.number()])).max(4096);
--- a/src/forward/peers.ts
+++ b/src/forward/peers.ts
@@ -68,7 +68,7 @@
 /**
  * A rollout as the sender acts on it: service, revision of the order, state, requests of the sender under way on other
  * versions than the ordered one, whether the sender finds that version bad, and the answers that the sender's run has
- * got since it saw the order, by route, of the old version and of the new one.
+ * got since it saw the order: of the old version by route, of the new one by server and route.
  */
 export type ServiceRolloutReport = readonly [
     ServiceId,
@@ -76,11 +76,12 @@
     ServiceRolloutState,
     number,
     boolean,
-    readonly (readonly [RouteId, AnswersReport, AnswersReport])[],
+    readonly RouteAnswersReport[],
+    readonly (readonly [TargetId, readonly RouteAnswersReport[]])[],
 ];
 
-/** Number of answers, number of failures, and response times: numbers of answers by bucket. */
-export type AnswersReport = readonly [number, number, readonly (readonly [number, number])[]];
+/** Route, numbers of answers, of failures and of failures without an answer, and response times by bucket. */
+export type RouteAnswersReport = readonly [RouteId, number, number, number, readonly (readonly [number, number])[]];
 
 /** Changes of one target: stored tokens by part. An empty key invalidates all earlier entries of the target. */
 export type TargetPartChanges = readonly [TargetId, readonly (readonly [CachedPartKey | "", number])[]];
--- a/src/forward/policy/versionVerdict.ts
+++ b/src/forward/policy/versionVerdict.ts
@@ -1,5 +1,5 @@
 /** Verdict about a service version from its answers, compared with those of the old version. */
-import type { RouteId } from "../../ids";
+import type { RouteId, TargetId } from "../../ids";
 import { addResponses, countAbove, countResponses, findQuantileBucket, listBuckets } from "./responseHistogram";
 import type { ResponseHistogram } from "./responseHistogram";
 import { badScore, computeScore, goodScore, type HitCounts } from "./sequentialTest";
@@ -8,6 +8,8 @@
 export interface SideCounts {
     answers: number;
     failures: number;
+    /** Failures without an answer: time-outs and lost connections, as of a server that hangs or has crashed. */
+    lost: number;
     /** Response times of answers that are no failures. */
     readonly responses: ResponseHistogram;
 }
@@ -17,16 +19,58 @@
     readonly new: SideCounts;
 }
 
-export const createSideCounts = (): SideCounts => ({ answers: 0, failures: 0, responses: [] });
+export const createSideCounts = (): SideCounts => ({ answers: 0, failures: 0, lost: 0, responses: [] });
 export const createRouteEvidence = (): RouteEvidence => ({ old: createSideCounts(), new: createSideCounts() });
 
 /** Adds the counts of one side to another, or subtracts them with factor -1. */
 export function addSideCounts(total: SideCounts, added: SideCounts, factor = 1): void {
     total.answers += added.answers * factor;
     total.failures += added.failures * factor;
+    total.lost += added.lost * factor;
     addResponses(total.responses, listBuckets(added.responses), factor);
 }
 
+/** Answers of the new version by server and route. */
+export type ServerAnswers = ReadonlyMap<TargetId, ReadonlyMap<RouteId, SideCounts>>;
+
+/** Answers of both versions: of the old one by route, of the new one by server and route. */
+export interface VersionEvidence {
+    readonly old: ReadonlyMap<RouteId, SideCounts>;
+    readonly servers: ServerAnswers;
+}
+
+/** What a server's answers say apart from its being slow or out of reach. */
+const buildAnsweredCounts = ({ answers, failures, lost }: SideCounts): SideCounts => ({
+    answers: answers - lost,
+    failures: failures - lost,
+    lost: 0,
+    responses: [],
+});
+
+/** Sums the answers of all servers by route. Of the server `except`, only the contents of its answers count. */
+export function mergeServerAnswers(servers: ServerAnswers, except?: TargetId): Map<RouteId, SideCounts> {
+    const sums = new Map<RouteId, SideCounts>();
+    for (const [server, routes] of servers) {
+        for (const [route, counts] of routes) {
+            const sum = sums.get(route) ?? createSideCounts();
+            sums.set(route, sum);
+            addSideCounts(sum, server === except ? buildAnsweredCounts(counts) : counts);
+        }
+    }
+    return sums;
+}
+
+/** The evidence by route; of the server `except`, only the contents of its answers count. */
+export function mergeEvidence({ old, servers }: VersionEvidence, except?: TargetId): Map<RouteId, RouteEvidence> {
+    const added = mergeServerAnswers(servers, except);
+    return new Map(
+        [...new Set([...old.keys(), ...added.keys()])].map(route => [route, {
+            old: old.get(route) ?? createSideCounts(),
+            new: added.get(route) ?? createSideCounts(),
+        }]),
+    );
+}
+
 /** Answers of the new version by route up to an earlier time. */
 export type EarlierAnswers = ReadonlyMap<RouteId, SideCounts>;
 
@@ -193,3 +237,30 @@
         || recent.some(entry => entry.score > badScore / 2);
     return { kind: isOverallGood && !isLeaning ? "good" : "open", score };
 }
+
+/**
+ * Score that the answers must have without those of any one server: twice a server that hangs is unlikely, and a version
+ * that is bad reaches it on a second server after a few answers.
+ */
+const confirmingScore = 2;
+
+/**
+ * Finds the server but for which the version would not count as bad, because it hangs, is slow or has crashed; undefined
+ * when the version is to blame. Failures that a server answers with are never put down to the server.
+ */
+export function findSickServer(
+    { evidence, earlier, hasAllTraffic }: {
+        readonly evidence: VersionEvidence;
+        readonly earlier: readonly ServerAnswers[];
+        readonly hasAllTraffic: boolean;
+    },
+): TargetId | undefined {
+    return [...evidence.servers.keys()].find(server => {
+        const { score } = computeVersionVerdict({
+            routes: mergeEvidence(evidence, server),
+            earlier: earlier.map(servers => mergeServerAnswers(servers, server)),
+            hasAllTraffic,
+        });
+        return score < confirmingScore;
+    });
+}
--- a/src/forward/systems/recordServiceAnswers.ts
+++ b/src/forward/systems/recordServiceAnswers.ts
@@ -1,10 +1,10 @@
 /** Counts answers and failures of service versions on trial, and of the old versions beside them. */
-import type { RequestId } from "../../ids";
+import type { RequestId, RouteId } from "../../ids";
 import type { AttemptFault } from "../calls";
 import type { ForwardEventOf, ForwardTick } from "../events";
 import { recordResponse } from "../policy/responseHistogram";
 import { isOldVersion } from "../policy/serviceRolloutRules";
-import { createRouteEvidence, type SideCounts } from "../policy/versionVerdict";
+import { createSideCounts, type SideCounts } from "../policy/versionVerdict";
 import {
     findOpenAttempt,
     formatAttemptKey,
@@ -16,23 +16,23 @@
 import type { ForwardWorld } from "../world";
 
 /** Faults of the target's version. Connections that were not made say nothing about answers. */
-const versionFaults: ReadonlySet<AttemptFault> = new Set([
-    "closed",
-    "cut_short",
-    "target_ended",
-    "end_unconfirmed",
-    "too_long",
-    "malformed",
-    "mismatched",
-    "unsigned",
-]);
+const versionFaults: Readonly<Partial<Record<AttemptFault, AttemptEnd>>> = {
+    closed: "lost",
+    cut_short: "lost",
+    target_ended: "lost",
+    end_unconfirmed: "lost",
+    too_long: "failed",
+    malformed: "failed",
+    mismatched: "failed",
+    unsigned: "failed",
+};
 /** Statuses with which a target refuses a request as not run. */
 const refusalStatuses: ReadonlySet<number> = new Set([421, 429]);
 /** An attempt that began later than this fraction of the request's time is not at fault when that time ends. */
 const minDeadlineFraction = 0.5;
 
-/** How an attempt ended: an answer, a failure of the target, or an end that says nothing about it. */
-type AttemptEnd = "answered" | "failed" | "none";
+/** How an attempt ended: an answer, a failed answer, no answer, or an end that says nothing about the target. */
+type AttemptEnd = "answered" | "failed" | "lost" | "none";
 
 /** An open attempt with its version. */
 interface OpenAttempt {
@@ -51,7 +51,7 @@
 /** Counts of the attempt's side; undefined for an attempt of an earlier order or of neither side. */
 function findSide(
     rollout: ServiceRolloutRow,
-    { route, version, orderRevision }: VersionedAttempt,
+    { route, target, version, orderRevision }: VersionedAttempt,
 ): SideCounts | undefined {
     const { current, evidence } = rollout;
     if (!current || orderRevision !== current.orderRevision) {
@@ -61,9 +61,13 @@
     if (!isNew && !isOldVersion(current, version)) {
         return undefined;
     }
-    const counts = evidence.get(route) ?? createRouteEvidence();
-    evidence.set(route, counts);
-    return isNew ? counts.new : counts.old;
+    const counts = isNew ? evidence.servers.get(target) ?? new Map<RouteId, SideCounts>() : evidence.old;
+    if (isNew) {
+        evidence.servers.set(target, counts);
+    }
+    const side = counts.get(route) ?? createSideCounts();
+    counts.set(route, side);
+    return side;
 }
 
 function recordEnd(
@@ -82,8 +86,9 @@
         return;
     }
     side.answers += 1;
-    if (end === "failed") {
+    if (end !== "answered") {
         side.failures += 1;
+        side.lost += end === "lost" ? 1 : 0;
         return;
     }
     if (versioned.hasComparableTime) {
@@ -116,9 +121,9 @@
     readonly [Kind in EndingKind]: (open: OpenAttempt, event: ForwardEventOf<Kind>) => AttemptEnd | undefined;
 } = {
     attemptAnswered: computeAnswerEnd,
-    attemptSilent: () => "failed",
+    attemptSilent: () => "lost",
     attemptFinished: () => "answered",
-    attemptFailed: (_open, { fault }) => (versionFaults.has(fault) ? "failed" : "none"),
+    attemptFailed: (_open, { fault }) => versionFaults[fault] ?? "none",
 };
 
 function handleEvents<Kind extends EndingKind>(world: ForwardWorld, tick: ForwardTick, kind: Kind): void {
@@ -140,7 +145,7 @@
         const isBusy = open !== undefined && open.row.route.kind === "stream" && target !== undefined
             && target.lastResponseAt >= open.attempt.sentAt;
         if (open?.attempt.evidence.answer === "none" && !isBusy) {
-            recordEnd(world, tick, open, "failed");
+            recordEnd(world, tick, open, "lost");
         }
     }
 }
@@ -152,7 +157,7 @@
         const open = row && findVersioned(world, id, row.attempts.length);
         const wholeMs = row ? row.deadline - row.arrival.arrivedAt : 0;
         if (open && tick.now - open.attempt.sentAt >= wholeMs * minDeadlineFraction) {
-            recordEnd(world, tick, open, "failed");
+            recordEnd(world, tick, open, "lost");
         }
     }
 }
--- a/src/forward/systems/serviceRolloutReports.ts
+++ b/src/forward/systems/serviceRolloutReports.ts
@@ -1,17 +1,11 @@
 /** What processes tell each other about rollouts of service versions. Shared by systems. */
 import { logWarning } from "../../effects";
-import { type RouteId, toVmId } from "../../ids";
+import { type RouteId, type TargetId, toVmId } from "../../ids";
 import type { ForwardTick } from "../events";
-import type { AnswersReport, PeerState, ServiceRolloutReport } from "../peers";
+import type { PeerState, RouteAnswersReport, ServiceRolloutReport } from "../peers";
 import { addResponses, listBuckets } from "../policy/responseHistogram";
 import { isFinalState } from "../policy/serviceRolloutRules";
-import {
-    addSideCounts,
-    createRouteEvidence,
-    createSideCounts,
-    type RouteEvidence,
-    type SideCounts,
-} from "../policy/versionVerdict";
+import { addSideCounts, createSideCounts, type SideCounts, type VersionEvidence } from "../policy/versionVerdict";
 import type { ForwardMemberRow } from "../tables/members";
 import { findOpenAttempt, parseAttemptKey } from "../tables/requests";
 import type { ServiceRolloutRow } from "../tables/serviceRollouts";
@@ -45,18 +39,17 @@
     return count;
 }
 
-const toReport = ({ answers, failures, responses }: SideCounts): AnswersReport => [
-    answers,
-    failures,
-    listBuckets(responses),
-];
+const listRouteAnswers = (routes: ReadonlyMap<RouteId, SideCounts>): RouteAnswersReport[] =>
+    [...routes].map(([route, { answers, failures, lost, responses }]) =>
+        [route, answers, failures, lost, listBuckets(responses)] as const
+    );
 
-function toSideCounts([answers, failures, buckets]: AnswersReport): SideCounts {
-    const counts = createSideCounts();
-    counts.answers = answers;
-    counts.failures = failures;
-    addResponses(counts.responses, buckets);
-    return counts;
+function toRouteAnswers(reports: readonly RouteAnswersReport[]): Map<RouteId, SideCounts> {
+    return new Map(reports.map(([route, answers, failures, lost, buckets]) => {
+        const counts: SideCounts = { answers, failures, lost, responses: [] };
+        addResponses(counts.responses, buckets);
+        return [route, counts];
+    }));
 }
 
 /** Builds the reports for the state that this process sends to its peers. */
@@ -66,10 +59,10 @@
         if (!current || isFinalState(current.state)) {
             return [];
         }
-        const routes = [...evidence].map(([route, counts]) =>
-            [route, toReport(counts.old), toReport(counts.new)] as const
-        );
-        return [[service, current.orderRevision, current.state, countUnderWay(world, row), isBad, routes]];
+        const servers = [...evidence.servers].map(([server, routes]) => [server, listRouteAnswers(routes)] as const);
+        const { orderRevision, state } = current;
+        const underWay = countUnderWay(world, row);
+        return [[service, orderRevision, state, underWay, isBad, listRouteAnswers(evidence.old), servers]];
     });
     return serviceRollouts.length > 0 ? { serviceRollouts } : {};
 }
@@ -80,7 +73,7 @@
     tick: ForwardTick,
     { vm, startedAt, serviceRollouts = [] }: PeerState,
 ): void {
-    for (const [service, orderRevision, state, underWay, isBad, routes] of serviceRollouts) {
+    for (const [service, orderRevision, state, underWay, isBad, old, servers] of serviceRollouts) {
         const row = world.tables.serviceRollouts.rows.get(service);
         const key = `${vm} ${startedAt}`;
         if (
@@ -94,9 +87,10 @@
             receivedAt: tick.now,
             state,
             underWay,
-            routes: new Map(
-                routes.map(([route, old, added]) => [route, { old: toSideCounts(old), new: toSideCounts(added) }]),
-            ),
+            evidence: {
+                old: toRouteAnswers(old),
+                servers: new Map(servers.map(([server, routes]) => [server, toRouteAnswers(routes)])),
+            },
         });
         if (isBad && !row.isBad && !isFinalState(row.current.state)) {
             row.isBad = true;
@@ -135,24 +129,25 @@
     return isDue ? decider : undefined;
 }
 
-function addEvidence(
-    total: Map<RouteId, RouteEvidence>,
-    routes: ReadonlyMap<RouteId, RouteEvidence>,
-): void {
-    for (const [route, counts] of routes) {
-        const sum = total.get(route) ?? createRouteEvidence();
+function addRouteAnswers(total: Map<RouteId, SideCounts>, added: ReadonlyMap<RouteId, SideCounts>): void {
+    for (const [route, counts] of added) {
+        const sum = total.get(route) ?? createSideCounts();
         total.set(route, sum);
-        addSideCounts(sum.old, counts.old);
-        addSideCounts(sum.new, counts.new);
+        addSideCounts(sum, counts);
     }
 }
 
 /** Sums the answers of this process and the last report of each run of each peer. */
-export function computeTotalEvidence({ evidence, reports }: ServiceRolloutRow): ReadonlyMap<RouteId, RouteEvidence> {
-    const total = new Map<RouteId, RouteEvidence>();
-    addEvidence(total, evidence);
-    for (const { routes } of reports.values()) {
-        addEvidence(total, routes);
+export function computeTotalEvidence({ evidence, reports }: ServiceRolloutRow): VersionEvidence {
+    const old = new Map<RouteId, SideCounts>();
+    const servers = new Map<TargetId, Map<RouteId, SideCounts>>();
+    for (const known of [evidence, ...[...reports.values()].map(report => report.evidence)]) {
+        addRouteAnswers(old, known.old);
+        for (const [server, routes] of known.servers) {
+            const sum = servers.get(server) ?? new Map<RouteId, SideCounts>();
+            servers.set(server, sum);
+            addRouteAnswers(sum, routes);
+        }
     }
-    return total;
+    return { old, servers };
 }
--- a/src/forward/systems/serviceVersions.ts
+++ b/src/forward/systems/serviceVersions.ts
@@ -34,10 +34,10 @@
 const routeWaitMs = 500;
 
 /** True when the route has at most as many answers of the new version as the mean of the service's routes. */
-function isRouteBehind({ total }: ServiceRolloutRow, { route }: ForwardRequestRow): boolean {
-    const answers = [...total.values()].map(evidence => evidence.new.answers);
+function isRouteBehind({ routes }: ServiceRolloutRow, { route }: ForwardRequestRow): boolean {
+    const answers = [...routes.values()].map(evidence => evidence.new.answers);
     const mean = answers.reduce((sum, count) => sum + count, 0) / Math.max(1, answers.length);
-    return (total.get(route.id)?.new.answers ?? 0) <= mean;
+    return (routes.get(route.id)?.new.answers ?? 0) <= mean;
 }
 
 /** True when the request may be one of the few that go to the version on trial. Repeated requests never are. */
@@ -54,13 +54,13 @@
 function listCanaryServers(
     world: ForwardWorld,
     tick: ForwardTick,
-    { service, current }: ServiceRolloutRow,
+    { service, current, sickServer }: ServiceRolloutRow,
     newTargets: Targets,
     oldCount: number,
 ): Targets {
     const working = newTargets.filter(target => isWorking(target, tick.now) && target.refusedAt === undefined);
     const count = countCanaryServers(oldCount, world.settings.bounds.canaryShare ?? 0);
-    const ids = working.map(({ registration }) => registration.id);
+    const ids = working.map(({ registration }) => registration.id).filter(id => id !== sickServer);
     const chosen = new Set(
         listByRendezvous(world.hasher, `${service} ${current?.orderRevision ?? 0}`, ids).slice(0, count),
     );
@@ -149,6 +149,7 @@
     attempts.set(formatAttemptKey(row.id, row.attempts.length), {
         service: row.service,
         route: row.route.id,
+        target: target.registration.id,
         version,
         sentAt: tick.now,
         orderRevision: rollout?.current?.orderRevision,
--- a/src/forward/systems/settleServiceRollouts.ts
+++ b/src/forward/systems/settleServiceRollouts.ts
@@ -3,7 +3,7 @@
  * leadership writes the states.
  */
 import { logInfo, logWarning } from "../../effects";
-import { addMillis, type Millis, type VmId } from "../../ids";
+import { addMillis, type Millis, type TargetId, type VmId } from "../../ids";
 import { encodeServiceRollout, serviceRolloutPrefix } from "../codec/fleetRows";
 import type { ForwardTick } from "../events";
 import { computeBucketEndMs, findQuantileBucket } from "../policy/responseHistogram";
@@ -15,7 +15,17 @@
     type RolloutFacts,
     type StoredServiceRollout,
 } from "../policy/serviceRolloutRules";
-import { addSideCounts, computeVersionVerdict, createSideCounts } from "../policy/versionVerdict";
+import {
+    addSideCounts,
+    computeVersionVerdict,
+    createSideCounts,
+    findSickServer,
+    mergeEvidence,
+    mergeServerAnswers,
+    type ServerAnswers,
+    type VersionEvidence,
+    type VersionVerdict,
+} from "../policy/versionVerdict";
 import { isForwardLeaseValid } from "../tables/node";
 import type { ServiceRolloutRow } from "../tables/serviceRollouts";
 import type { ForwardWorld } from "../world";
@@ -37,38 +47,59 @@
 const assumedDurationMs = 500;
 const durationQuantile = 0.99;
 
-function updateSnapshots(tick: ForwardTick, row: ServiceRolloutRow): void {
-    if (tick.now - row.snapshotAt < snapshotMs) {
-        return;
+function updateSnapshots(tick: ForwardTick, row: ServiceRolloutRow, servers: ServerAnswers): void {
+    if (tick.now - row.snapshotAt >= snapshotMs) {
+        row.snapshotAt = tick.now;
+        row.snapshots.push(servers);
+        row.snapshots.splice(0, row.snapshots.length - maxSnapshots);
     }
-    row.snapshotAt = tick.now;
-    row.snapshots.push(
-        new Map([...row.total].map(([route, evidence]) => {
-            const copy = createSideCounts();
-            addSideCounts(copy, evidence.new);
-            return [route, copy];
-        })),
-    );
-    row.snapshots.splice(0, row.snapshots.length - maxSnapshots);
 }
 
 const listServers = (world: ForwardWorld, { service }: ServiceRolloutRow, rollout: StoredServiceRollout) =>
     listSides(world.tables.targets.listService(service), rollout);
 
+/**
+ * Computes the verdict by all answers. While a single server is to blame, its being slow or out of reach does not count;
+ * other servers are then tried, if there are any.
+ */
+function computeVerdict(row: ServiceRolloutRow, evidence: VersionEvidence, hasAllTraffic: boolean): VersionVerdict {
+    const computeWithout = (except?: TargetId): VersionVerdict =>
+        computeVersionVerdict({
+            routes: mergeEvidence(evidence, except),
+            earlier: row.snapshots.map(servers => mergeServerAnswers(servers, except)),
+            hasAllTraffic,
+        });
+    const verdict = computeWithout();
+    row.sickServer = verdict.kind === "bad"
+        ? findSickServer({ evidence, earlier: row.snapshots, hasAllTraffic })
+        : undefined;
+    return row.sickServer === undefined ? verdict : computeWithout(row.sickServer);
+}
+
 /** Judges the version by all answers that this process knows of. Without an old version there is nothing to go back to. */
 function updateVerdict(world: ForwardWorld, tick: ForwardTick, row: ServiceRolloutRow): void {
     const { current } = row;
-    row.total = computeTotalEvidence(row);
-    if (!current || isFinalState(current.state) || !hasServers(listServers(world, row, current).old)) {
+    const evidence = computeTotalEvidence(row);
+    row.routes = mergeEvidence(evidence);
+    const servers = current && listServers(world, row, current);
+    if (!servers || isFinalState(current.state) || !hasServers(servers.old)) {
         row.verdict = { kind: "open", score: 0 };
         return;
     }
-    row.verdict = computeVersionVerdict({
-        routes: row.total,
-        earlier: row.snapshots,
-        hasAllTraffic: current.state === "shifting",
-    });
-    updateSnapshots(tick, row);
+    const sickBefore = row.sickServer;
+    row.verdict = computeVerdict(row, evidence, current.state === "shifting");
+    updateSnapshots(tick, row, evidence.servers);
+    const isOnlyServer = servers.new.filter(({ registration }) => !registration.isLeaving).length < 2;
+    if (row.sickServer !== undefined && isOnlyServer) {
+        row.verdict = { ...row.verdict, kind: "bad" };
+    }
+    if (row.sickServer !== undefined && row.sickServer !== sickBefore) {
+        logWarning(world.effects, "version:", "A single server of a service version is slow or out of reach.", {
+            service: row.service,
+            server: row.sickServer,
+            isOnlyServer,
+        });
+    }
     if (row.verdict.kind === "bad" && !row.isBad) {
         row.isBad = true;
         logWarning(world.effects, "version:", "A service version is bad; it gets no further requests.", {
@@ -79,9 +110,9 @@
 }
 
 /** Inputs of a decision, for the log. */
-function buildVerdictFields({ service, current, total, verdict, canarySent, sent }: ServiceRolloutRow) {
+function buildVerdictFields({ service, current, routes, verdict, canarySent, sent }: ServiceRolloutRow) {
     const sum = { old: createSideCounts(), new: createSideCounts() };
-    for (const evidence of total.values()) {
+    for (const evidence of routes.values()) {
         addSideCounts(sum.old, evidence.old);
         addSideCounts(sum.new, evidence.new);
     }
@@ -96,7 +127,7 @@
         newFailures: sum.new.failures,
         oldAnswers: sum.old.answers,
         oldFailures: sum.old.failures,
-        routes: total.size,
+        routes: routes.size,
         sent,
         canarySent,
     };
--- a/src/forward/tables/serviceRollouts.ts
+++ b/src/forward/tables/serviceRollouts.ts
@@ -1,14 +1,21 @@
 /** Rollouts of service versions: orders, states, and the answers by which versions are judged. */
-import type { Millis, RouteId, VmId } from "../../ids";
+import type { Millis, RouteId, TargetId, VmId } from "../../ids";
 import type { OrderRevision, ServerVersion, ServiceId } from "../ids";
 import type { ResponseHistogram } from "../policy/responseHistogram";
 import type { KnownOrder, ServiceRolloutState, StoredServiceRollout } from "../policy/serviceRolloutRules";
-import type { EarlierAnswers, RouteEvidence, VersionVerdict } from "../policy/versionVerdict";
+import type {
+    RouteEvidence,
+    ServerAnswers,
+    SideCounts,
+    VersionEvidence,
+    VersionVerdict,
+} from "../policy/versionVerdict";
 
 /** Attempt of this process, with the version of its target. */
 export interface VersionedAttempt {
     readonly service: ServiceId;
     readonly route: RouteId;
+    readonly target: TargetId;
     readonly version: ServerVersion;
     readonly sentAt: Millis;
     /** Order under which the attempt was sent; undefined when there was none. */
@@ -27,7 +34,7 @@
     readonly state: ServiceRolloutState;
     /** Requests under way on other versions than the ordered one. */
     readonly underWay: number;
-    readonly routes: ReadonlyMap<RouteId, RouteEvidence>;
+    readonly evidence: VersionEvidence;
 }
 
 export interface ServiceRolloutRow {
@@ -51,15 +58,20 @@
     /** Time since which another request may go to the new version; undefined while none may. */
     canaryReadySince: Millis | undefined;
     /** Answers that this process has got. */
-    readonly evidence: Map<RouteId, RouteEvidence>;
+    readonly evidence: {
+        readonly old: Map<RouteId, SideCounts>;
+        readonly servers: Map<TargetId, Map<RouteId, SideCounts>>;
+    };
     /** Times from sending to the end of the answer on the old version. */
     readonly oldDurations: ResponseHistogram;
     /** By VM and start of the run. */
     readonly reports: Map<string, RolloutReport>;
-    /** Answers of all processes at the last check. */
-    total: ReadonlyMap<RouteId, RouteEvidence>;
+    /** Answers of all processes at the last check, by route. */
+    routes: ReadonlyMap<RouteId, RouteEvidence>;
+    /** Server of the new version that hangs, is slow or has crashed, unlike the others; undefined for none. */
+    sickServer: TargetId | undefined;
     /** Earlier answers of the new version, oldest first, with the time of the newest entry. */
-    readonly snapshots: EarlierAnswers[];
+    readonly snapshots: ServerAnswers[];
     snapshotAt: Millis;
     verdict: VersionVerdict;
     /** True once this process, or a peer, has found the version bad. */
@@ -96,10 +108,11 @@
     canarySent: 0,
     credit: 0,
     canaryReadySince: undefined,
-    evidence: new Map(),
+    evidence: { old: new Map(), servers: new Map() },
     oldDurations: [],
     reports: new Map(),
-    total: new Map(),
+    routes: new Map(),
+    sickServer: undefined,
     snapshots: [],
     snapshotAt: 0 as Millis,
     verdict: noVerdict,
@@ -125,12 +138,14 @@
         canarySent: 0,
         credit,
         canaryReadySince: undefined,
-        total: new Map(),
+        routes: new Map(),
+        sickServer: undefined,
         snapshotAt: now,
         verdict: noVerdict,
         isBad: false,
     });
-    row.evidence.clear();
+    row.evidence.old.clear();
+    row.evidence.servers.clear();
     row.oldDurations.length = 0;
     row.reports.clear();
     row.snapshots.length = 0;
--- a/test/forward/serviceRolloutPolicy.test.ts
+++ b/test/forward/serviceRolloutPolicy.test.ts
@@ -14,10 +14,12 @@
 import {
     computeVersionVerdict,
     createRouteEvidence,
+    createSideCounts,
+    findSickServer,
     type RouteEvidence,
     type SideCounts,
 } from "../../src/forward/policy/versionVerdict";
-import type { RouteId } from "../../src/ids";
+import { type RouteId, type TargetId, toTargetId } from "../../src/ids";
 
 const [v1, v2, v3] = ["v1", "v2", "v3"].map(toServerVersion) as [
     ReturnType<typeof toServerVersion>,
@@ -97,6 +99,31 @@
     });
 });
 
+describe("a server that has no answers", () => {
+    const route = "route-0" as RouteId;
+    const servers = ["s1", "s2"].map(toTargetId) as [TargetId, TargetId];
+
+    function findSick(counts: readonly { readonly lost: number; readonly failures?: number; }[]) {
+        const old = createSideCounts();
+        addAnswers(old, 500);
+        const added = counts.map(({ lost, failures = 0 }, index) => {
+            const side = createSideCounts();
+            addAnswers(side, 20, { failures: lost + failures });
+            side.lost = lost;
+            return [servers[index] as TargetId, new Map([[route, side]])] as const;
+        });
+        const evidence = { old: new Map([[route, old]]), servers: new Map(added) };
+        return findSickServer({ evidence, earlier: [], hasAllTraffic: false });
+    }
+
+    it("is found when it is the only one, and not when others are like it or it answers with failures", () => {
+        expect(findSick([{ lost: 8 }, { lost: 0 }])).toBe(servers[0]);
+        expect(findSick([{ lost: 8 }])).toBe(servers[0]);
+        expect(findSick([{ lost: 8 }, { lost: 8 }])).toBeUndefined();
+        expect(findSick([{ lost: 0, failures: 8 }, { lost: 0 }])).toBeUndefined();
+    });
+});
+
 describe("the share of a version on trial", () => {
     it("allows a request once the share of those sent reaches it", () => {
         expect(canSendCanary({ sent: 12, canarySent: 0, credit: 0 }, 0.1)).toBe(false);
--- a/test/forward/serviceRollouts.test.ts
+++ b/test/forward/serviceRollouts.test.ts
@@ -71,6 +71,21 @@
         expect(fleet.getStatus()).toBe("completed");
     });
 
+    // Guards against a version that is blamed for the one server that has all trial requests while it hangs.
+    it("completes although one of its servers hangs for two seconds", async () => {
+        let trialServer: string | undefined;
+        let hangsFrom = Infinity;
+        const answer = ({ server, version, at }: ServerLoad) => {
+            trialServer ??= version === "v2" ? server : undefined;
+            const isHanging = server === trialServer && at >= hangsFrom && at < hangsFrom + 2000;
+            return isHanging ? { ms: hangsFrom + 2000 - at + 60 } : undefined;
+        };
+        const { fleet, orderedAt } = await startOrdered({ nodes: 26, answer });
+        hangsFrom = orderedAt + 4000;
+        fleet.run(periodMs);
+        expect(fleet.getStatus()).toBe("completed");
+    });
+
     // Guards against requests to a version that its order does not name.
     it("sends nothing to a third version that is started without an order", async () => {
         const { fleet } = await startOrdered();
@@ -129,6 +144,10 @@
         });
     });
 
+    // Guards against a version that hangs on every server and is excused as single servers that do.
+    it("when half of its requests get no answer", () =>
+        checkBadVersion({ answer: load => (isNew(load) && load.random < 0.5 ? { ms: 10_000 } : undefined) }));
+
     it("when it turns bad in the middle of its trial", async () => {
         let turnsBadAt = Infinity;
         const { fleet, orderedAt } = await startOrdered({
--- a/test/support/rolloutFleet.ts
+++ b/test/support/rolloutFleet.ts
@@ -118,8 +118,9 @@
         const { name, version } = server;
         const load = [...underWay.values()].filter(entry => entry.server === name).length + 1;
         const sound: ServerAnswer = { ms: 60 * (0.5 + getRandom()) + (getRandom() < 0.02 ? 150 : 0) };
-        const { ms, status = 200 } = answer?.({ version, route, at: now, underWay: load, random: getRandom() })
-            ?? sound;
+        const { ms, status = 200 } =
+            answer?.({ server: name, version, route, at: now, underWay: load, random: getRandom() })
+                ?? sound;
         const key = `${index} ${request} ${attempt}`;
         const entry: ServedRequest = {
             node: index,
--- a/test/support/rolloutFleetTypes.ts
+++ b/test/support/rolloutFleetTypes.ts
@@ -21,6 +21,7 @@
 
 /** What a server knows when it answers: its own requests under way, this one included. */
 export interface ServerLoad {
+    readonly server: string;
     readonly version: string;
     readonly route: string;
     readonly at: number;
