Pace loads by each engine's own deadline, and admit by the wait alone

Admission added the time for the prompt to the wait and refused 125 urgent requests whose wait was 154 to 526 ms.

--- a/src/forward/policy/loadPace.ts
+++ b/src/forward/policy/loadPace.ts
@@ -1,11 +1,9 @@
-/** Number of engines that have to load new weights at the same time so that all have them in time. */
+/** How many engines have to load new weights at the same time, so that each has them in time. */
 export interface LoadPaceInput {
-    /** Engines that still have older weights. */
-    readonly remaining: number;
+    /** For each engine with older weights, the time until it gets no requests because of them. */
+    readonly timesLeftMs: readonly number[];
     /** Mean time from an order to loaded weights; an engine finishes its requests first, so it grows with the load. */
     readonly cycleMs: number;
-    /** Time until engines with older weights get no requests. */
-    readonly timeLeftMs: number;
 }
 
 /**
@@ -13,10 +11,16 @@
  * capacity than loading more of them earlier.
  *
  * @example
- * computeNeededLoads({ remaining: 48, cycleMs: 3300, timeLeftMs: 7000 }); // 23
+ * computeNeededLoads({ timesLeftMs: [7000, 7000, 7000], cycleMs: 3500 }); // 2: one after the other takes 10.5 s
  */
-export const computeNeededLoads = ({ remaining, cycleMs, timeLeftMs }: LoadPaceInput): number =>
-    remaining === 0 ? 0 : Math.ceil(remaining * cycleMs / Math.max(cycleMs, timeLeftMs));
+export function computeNeededLoads({ timesLeftMs, cycleMs }: LoadPaceInput): number {
+    const sorted = [...timesLeftMs].sort((left, right) => left - right);
+    return sorted.reduce(
+        (needed, timeLeftMs, index) =>
+            Math.max(needed, Math.ceil((index + 1) * cycleMs / Math.max(cycleMs, timeLeftMs))),
+        0,
+    );
+}
 
 /** Weight of the newest load in the mean. */
 const cycleWeight = 0.2;
--- a/src/forward/policy/slotWait.ts
+++ b/src/forward/policy/slotWait.ts
@@ -62,25 +62,22 @@
     return Math.min(maxGrowth, Math.max(minGrowth, requestsNow / Math.max(1, requestsThen)));
 }
 
-/** A wait of this fraction of the objective refuses nothing: a long prompt must not starve because of its own length. */
-const minWaitFraction = 0.25;
-/** Fraction of the objective that the first event of an admitted request may take by the estimate. */
-const maxFirstEventFraction = 0.9;
+/** Fraction of the objective that a request may wait by the estimate. */
+const maxWaitFraction = 0.9;
 
 export interface AdmissionInput {
     /** Estimated time until the target begins with the request. */
     readonly waitMs: number;
-    /** Estimated time from then to the first event. */
-    readonly firstEventMs: number;
     readonly objectiveMs: number;
 }
 
 /**
  * True when a request can be expected to begin within its objective. One that cannot would only delay others: the
- * engines finish no more requests for a longer queue, and everything in it comes late.
+ * engines finish no more requests for a longer queue, and everything in it comes late. The time for the prompt itself
+ * does not count, so that a long prompt is not refused for its own length.
  */
-export const canBeginInTime = ({ waitMs, firstEventMs, objectiveMs }: AdmissionInput): boolean =>
-    waitMs <= objectiveMs * minWaitFraction || waitMs + firstEventMs <= objectiveMs * maxFirstEventFraction;
+export const canBeginInTime = ({ waitMs, objectiveMs }: AdmissionInput): boolean =>
+    waitMs <= objectiveMs * maxWaitFraction;
 
 /** A refused caller finds room later the more callers are refused: its wait grows by up to this factor. */
 const refusalReturnFactor = 4;
@@ -98,7 +95,7 @@
 
 /** Computes when a refused caller should come back: when the queue is expected to be short enough. */
 export function computeReturnMs(input: ReturnInput): number {
-    const { waitMs, firstEventMs, objectiveMs, refusedShare, random } = input;
-    const excessMs = Math.max(minReturnMs, waitMs + firstEventMs - objectiveMs * maxFirstEventFraction);
+    const { waitMs, objectiveMs, refusedShare, random } = input;
+    const excessMs = Math.max(minReturnMs, waitMs - objectiveMs * maxWaitFraction);
     return excessMs * (1 + refusalReturnFactor * refusedShare) * (1 + returnSpread * (2 * random - 1));
 }
--- a/src/forward/systems/loadPace.ts
+++ b/src/forward/systems/loadPace.ts
@@ -1,16 +1,16 @@
 /** Pace of a rollout of weights: how many engines have to load at once to be in time. Shared by systems. */
 import type { ModelId } from "../../ids";
 import type { ForwardTick } from "../events";
-import type { WeightsVersion } from "../ids";
+import { toWeightsVersion } from "../ids";
 import { computeNeededLoads, updateCycleMs } from "../policy/loadPace";
-import { getNewestWeights } from "../tables/configuration";
+import { findOutdatedSince } from "../tables/configuration";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { maxOutdatedFraction } from "./eligibleTargets";
 import { isAdmittedBySlots } from "./slotUse";
 
 /** At most this fraction of the working engines loads at once, however late the rollout is. */
-const maxPaceFraction = 1 / 2;
+const maxPaceFraction = 1 / 3;
 
 /** The registration of an engine is about this much later than its load. */
 const registrationLagMs = 400;
@@ -37,9 +37,6 @@
         : 0;
 }
 
-const isBehind = (target: ForwardTargetRow, model: ModelId, version: WeightsVersion): boolean =>
-    (target.weights.get(model) ?? 0) < version;
-
 /** Loads that are needed at once so that no engine loses its requests for outdated weights; 0 when that is off. */
 export function computePacedLoads(
     world: ForwardWorld,
@@ -47,15 +44,15 @@
     model: ModelId,
     working: readonly ForwardTargetRow[],
 ): number {
-    const newest = getNewestWeights(world.tables.configuration, model);
-    if (!newest || !isAdmittedBySlots(world)) {
+    if (!isAdmittedBySlots(world)) {
         return 0;
     }
-    const deadlineMs = newest.publishedAt + world.settings.bounds.weightsMs * maxOutdatedFraction;
-    const needed = computeNeededLoads({
-        remaining: working.filter(target => isBehind(target, model, newest.version)).length,
-        cycleMs: world.tables.rollouts.cycleMs,
-        timeLeftMs: deadlineMs - tick.now,
+    const usableMs = world.settings.bounds.weightsMs * maxOutdatedFraction;
+    const timesLeftMs = working.flatMap(target => {
+        const version = target.weights.get(model) ?? toWeightsVersion(0);
+        const outdatedSince = findOutdatedSince(world.tables.configuration, model, version);
+        return outdatedSince === undefined ? [] : [outdatedSince + usableMs - tick.now];
     });
+    const needed = computeNeededLoads({ timesLeftMs, cycleMs: world.tables.rollouts.cycleMs - registrationLagMs });
     return Math.min(needed, Math.floor(working.length * maxPaceFraction));
 }
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -268,7 +268,7 @@
     world: ForwardWorld,
     tick: ForwardTick,
     row: ForwardRequestRow,
-    { queueMs: waitMs, firstEventMs }: TargetChoice,
+    { queueMs: waitMs }: TargetChoice,
 ): boolean {
     const objectiveMs = row.route.latencyObjectiveMs;
     if (!isAdmittedBySlots(world)) {
@@ -278,7 +278,7 @@
         }
         return false;
     }
-    const admission = { waitMs, firstEventMs, objectiveMs };
+    const admission = { waitMs, objectiveMs };
     const isRefused = !canBeginInTime(admission);
     world.tables.slotUse.recordDecision(row.service, isRefused);
     if (!isRefused) {
