Bound what clients can make a process hold

Cause: Node's parser reports every request of a read of up to 64 KiB at once, each of them started a request, and answers, bodies and connections had no bound in all. Change: all listeners share bounds (src/adapters/clientBounds.ts, settings [clients]): reads are passed to the parser in slices, requests of a connection start one after the other, and reading stops while one waits; connections are bounded by address and in all; unread answers, unparsed bytes, bodies and large answers are bounded in all; a connection without progress is closed. A large answer is read only while there is room, so that its target waits. Node's checks of Host and Expect run in the order of the requests. readBody counts pieces as they arrive. Warnings have a rate limit, as info lines have. limits.connections of the completions mode has no default of its own any more; it follows the descriptors.

--- a/src/adapters/callerServer.ts
+++ b/src/adapters/callerServer.ts
@@ -10,7 +10,8 @@
 import { formatRefusal, type Refusal } from "../refusals";
 import type { Endpoint } from "../requests";
 import type { Clock, FailureReporter } from "../runner";
-import { createHttpServer, readBody, sendJson, sendRefusal, startListening } from "./httpServer";
+import type { ClientBounds } from "./clientBounds";
+import { createHttpServer, readBoundedBody, sendJson, sendRefusal, startListening } from "./httpServer";
 import { hasKey } from "./keyCheck";
 import { createListenerGuard } from "./listenerGuard";
 import type { OpenRequests } from "./openRequests";
@@ -25,6 +26,7 @@
     /** True when the process can admit requests; reported by `/readyz`. */
     readonly isReady: () => boolean;
     readonly getMetrics: () => Promise<string>;
+    readonly clients: ClientBounds;
     readonly reportFailure?: FailureReporter;
 }
 
@@ -90,7 +92,7 @@
 
 /** Creates the server for callers. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-    const { settings, clock, post, openRequests, isReady, getMetrics, reportFailure } = options;
+    const { settings, clock, post, openRequests, isReady, getMetrics, clients, reportFailure } = options;
     const part = "callerServer";
     const openResponses = createOpenResponses({ reportFailure });
     const pendingCalls = new Map<CallId, http.ServerResponse>();
@@ -158,7 +160,7 @@
     ): Promise<void> {
         const id = toRequestId(randomUUID());
         const arrivedAt = clock.getNow();
-        const body = await readBody(request, settings.limits.bodyBytes);
+        const body = await readBoundedBody(clients, request, response, settings.limits.bodyBytes);
         const key = readKey(request);
         if (!body) {
             writeRefusal(response, id, { code: "body_too_large", verdict: "not_run" });
@@ -211,7 +213,7 @@
         const id = toRequestId(randomUUID());
         const arrivedAt = clock.getNow();
         const method = request.method ?? "GET";
-        const body = await readBody(request, settings.limits.bodyBytes);
+        const body = await readBoundedBody(clients, request, response, settings.limits.bodyBytes);
         const key = readKey(request);
         if (!body) {
             writeRefusal(response, id, { code: "body_too_large", verdict: "not_run" });
@@ -280,14 +282,15 @@
 
     const server = createHttpServer({
         part,
+        listener: "callers",
         handle: handleRequest,
+        clients,
         reportFailure,
         maxHeaderSize: settings.limits.headerBytes,
         headersTimeout: 10_000,
         requestTimeout: settings.timeouts.requestMs,
         keepAliveTimeout: 30_000,
     });
-    server.maxConnections = settings.limits.connections;
 
     return {
         server,
--- a/src/adapters/clientErrors.ts
+++ b/src/adapters/clientErrors.ts
@@ -55,5 +55,6 @@
     }
 
     server.on("request", handleRequest);
+    server.on("checkContinue", handleRequest);
     server.on("clientError", handleClientError);
 }
--- a/src/adapters/httpServer.ts
+++ b/src/adapters/httpServer.ts
@@ -1,14 +1,26 @@
 /** HTTP servers whose unexpected errors end only the request or the connection during which they occur. */
 import { randomUUID } from "node:crypto";
 import * as http from "node:http";
+import type { ListenerKind } from "../policy/clientLimits";
 import { formatRefusal, type Refusal, refusalKinds } from "../refusals";
 import type { FailureReporter } from "../runner";
 import { createBodyCollector } from "./bodyCollector";
+import { type ClientBounds, createClientBounds } from "./clientBounds";
 import { subscribeToClientErrors } from "./clientErrors";
 import { parseAddress } from "./httpClient";
-import { handleUnreportedFailure } from "./listenerGuard";
+import { createListenerGuard, handleUnreportedFailure } from "./listenerGuard";
+import { BodyDiscardedError, type BodyRoom } from "./requestBodies";
 import { createResponseBuffers } from "./responseBuffers";
 
+/** Interval at which Node closes connections whose heads or requests take too long; its default is 30 s. */
+const connectionsCheckingInterval = 1000;
+
+/**
+ * Bytes of a refused body that are still read. A connection that is closed while bytes of its client are unread is reset,
+ * and the client may lose the answer.
+ */
+const maxUnusedBytes = 256 * 1024;
+
 export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void | Promise<void>;
 
 export interface HttpServerOptions extends http.ServerOptions {
@@ -18,19 +30,72 @@
     readonly handle: RequestHandler;
     /** The default throws the error again, so that a test sees it. */
     readonly reportFailure?: FailureReporter | undefined;
+    /** Limits that apply to the connections; the default is those of callers. */
+    readonly listener?: ListenerKind;
+    /** Bounds of the process; the default are bounds of this server alone. */
+    readonly clients?: ClientBounds;
 }
 
-/** Reads a body of at most `maxBytes`; undefined when it is longer, or in too many pieces. */
-export async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+/**
+ * Reads a body of at most `maxBytes`; undefined when it is longer, or in too many pieces. With `openRoom`, rejects when
+ * there is no room for the body beside those of other requests.
+ */
+export async function readBody(
+    request: http.IncomingMessage,
+    maxBytes: number,
+    openRoom?: (onDiscarded: () => void) => BodyRoom,
+): Promise<Buffer | undefined> {
     const body = createBodyCollector(createResponseBuffers({ maxBytes, maxTotalBytes: Number.POSITIVE_INFINITY }));
-    for await (const piece of request as AsyncIterable<Buffer>) {
-        if (!body.add(piece)) {
-            return undefined;
+    const room = openRoom?.(body.release);
+    let isTooLong = false;
+    let unusedBytes = 0;
+    await new Promise<void>((resolve, reject) => {
+        const guard = createListenerGuard({
+            part: "readBody",
+            end: reject,
+            reportFailure: ({ error }) => {
+                reject(error);
+            },
+        });
+        const handleData = (piece: Buffer): void => {
+            if (isTooLong) {
+                unusedBytes += piece.length;
+            }
+            else {
+                room?.add(piece.length);
+                isTooLong = !body.add(piece);
+            }
+            if (unusedBytes > maxUnusedBytes) {
+                resolve();
+            }
+        };
+        // Pieces are counted as they arrive: a stream that is read in another way joins those that it has buffered.
+        request.on("data", guard(handleData));
+        request.on("end", guard(resolve));
+        request.on("error", guard(reject));
+        request.on(
+            "close",
+            guard(() => {
+                reject(new Error("The connection was closed."));
+            }),
+        );
+        if (request.destroyed) {
+            reject(new Error("The connection was closed."));
         }
-    }
-    return body.take();
+    });
+    room?.endReading();
+    return isTooLong ? undefined : body.take();
 }
 
+/** Reads a body of at most `maxBytes` beside those that the process holds already; see `readBody`. */
+export const readBoundedBody = (
+    { bodies }: ClientBounds,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    maxBytes: number,
+): Promise<Buffer | undefined> =>
+    readBody(request, maxBytes, onDiscarded => bodies.open({ request, response, maxBytes, onDiscarded }));
+
 /** Sends a JSON answer, unless the response has already started or is closed. */
 export function sendJson(
     response: http.ServerResponse,
@@ -63,6 +128,23 @@
 /** True when the caller closed the connection before its request was read whole, which no one has to examine. */
 export const isIncomplete = (request: http.IncomingMessage): boolean => request.destroyed && !request.complete;
 
+/** Refuses a request whose body was discarded; the rest of it is not read. */
+function refuseDiscarded(response: http.ServerResponse): void {
+    const id = randomUUID();
+    const refusal: Refusal = { code: "overloaded", verdict: "not_run" };
+    sendRefusal(response, id, refusal, { "connection": "close", "retry-after": "1", "x-request-id": id });
+}
+
+/** Node's own check answers before earlier requests of the connection, and without a bound on their number. */
+function refuseWithoutHost({ httpVersion, headers }: http.IncomingMessage, response: http.ServerResponse): boolean {
+    if (httpVersion !== "1.1" || headers.host !== undefined) {
+        return false;
+    }
+    response.writeHead(400, { connection: "close" });
+    response.end();
+    return true;
+}
+
 /** Ends a request whose handler failed: with an answer, or by closing the connection of an answer that has begun. */
 function endFailedRequest(response: http.ServerResponse): void {
     if (response.headersSent) {
@@ -80,13 +162,26 @@
  * await startListening(server, "127.0.0.1:8080");
  */
 export function createHttpServer(
-    { part, handle, reportFailure = handleUnreportedFailure, ...serverOptions }: HttpServerOptions,
+    {
+        part,
+        handle,
+        reportFailure = handleUnreportedFailure,
+        listener = "callers",
+        clients = createClientBounds({ reportFailure }),
+        ...serverOptions
+    }: HttpServerOptions,
 ): http.Server {
     async function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         try {
-            await handle(request, response);
+            if (!refuseWithoutHost(request, response)) {
+                await handle(request, response);
+            }
         }
         catch (error) {
+            if (error instanceof BodyDiscardedError) {
+                refuseDiscarded(response);
+                return;
+            }
             if (isIncomplete(request)) {
                 response.destroy();
                 return;
@@ -95,7 +190,13 @@
             reportFailure({ part, error, fields: { method: request.method } });
         }
     }
-    const server = http.createServer(serverOptions, (request, response) => {
+    const server = http.createServer({
+        requestTimeout: clients.limits.requestMs,
+        connectionsCheckingInterval,
+        ...serverOptions,
+        requireHostHeader: false,
+    });
+    clients.followServer(server, listener, (request, response) => {
         void handleRequest(request, response);
     });
     subscribeToClientErrors(server, reportFailure);
--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -21,6 +21,7 @@
     unframed_ends_total: ["state"],
     waits_total: ["missing"],
     orders_total: ["outcome"],
+    clients_outside_limits_total: ["listener", "fault"],
 };
 
 const histogramNames: readonly HistogramName[] = ["first_token_ms", "queue_ms", "request_ms", "write_delay_ms"];
--- a/src/adapters/node.ts
+++ b/src/adapters/node.ts
@@ -3,6 +3,7 @@
 import type { Settings } from "../config/settings";
 import { createEffectQueue, type EffectHandlers } from "../effects";
 import { toIncarnation } from "../ids";
+import { computeClientLimits } from "../policy/clientLimits";
 import { canTrustKeys } from "../policy/freshness";
 import { createRunner } from "../runner";
 import { systems } from "../systems";
@@ -11,6 +12,8 @@
 import type { World } from "../world";
 import { createCallerServer } from "./callerServer";
 import { createEndReporter } from "./checkedEnds";
+import { createClientBounds } from "./clientBounds";
+import { createClientReporter } from "./clientReports";
 import { createProcessClock } from "./clock";
 import { createFailureReporter } from "./failures";
 import { loadHasher } from "./hasher";
@@ -62,8 +65,14 @@
         runner.post(event);
     };
     const metrics = createMetrics();
-    const write = writeLog ?? createLogWriter(settings);
+    const write = writeLog ?? createLogWriter({ ...settings, ...settings.log });
     const reportFailure = createFailureReporter({ writeLog: write, metrics });
+    const { connections } = settings.limits;
+    const clients = createClientBounds({
+        limits: computeClientLimits({ connections, ...settings.clients }),
+        report: createClientReporter({ writeLog: write, metrics }),
+        reportFailure,
+    });
     const openRequests = createOpenRequests();
     const callerServer = createCallerServer({
         settings,
@@ -72,17 +81,19 @@
         openRequests,
         isReady: () => world.tables.node.state === "live" && canTrustKeys(world.tables.configuration.freshness),
         getMetrics: metrics.format,
+        clients,
         reportFailure,
     });
     const { fleetSecret, listen } = settings;
-    const peerServer = createPeerServer({ listen: listen.peers, fleetSecret, post, reportFailure });
-    const operatorServer = createOperatorServer({ settings, post, reportFailure });
+    const peerServer = createPeerServer({ listen: listen.peers, fleetSecret, post, clients, reportFailure });
+    const operatorServer = createOperatorServer({ settings, post, clients, reportFailure });
     const peerClient = createPeerClient({ fleetSecret, post });
     const storeClient = createStoreClient({ ...settings.store, clock, post, reportFailure });
     const targetClient = createTargetClient({
         settings,
         post,
         openRequests,
+        answers: clients.answers,
         onEndChecked: createEndReporter({ writeLog: write, metrics }),
         reportFailure,
     });
--- a/src/adapters/operatorServer.ts
+++ b/src/adapters/operatorServer.ts
@@ -8,12 +8,14 @@
 import { type CallId, toAccountId, toCallId, toConfigVersion, toKeyHash, toRequestId } from "../ids";
 import type { OperatorAnswer, OperatorCommand } from "../operators";
 import type { FailureReporter } from "../runner";
-import { createHttpServer, readBody, sendJson, startListening } from "./httpServer";
+import type { ClientBounds } from "./clientBounds";
+import { createHttpServer, readBoundedBody, sendJson, startListening } from "./httpServer";
 import { parseRequestTarget } from "./requestTarget";
 
 export interface OperatorServerOptions {
     readonly settings: Settings;
     readonly post: (event: Event) => void;
+    readonly clients: ClientBounds;
     readonly reportFailure?: FailureReporter;
 }
 
@@ -25,7 +27,6 @@
 
 /** A call that no system answers within this time ends with an unknown outcome. Systems answer within 9 s. */
 const answerTimeoutMs = 12_000;
-const maxConnections = 64;
 /** Random bytes of a key: 256 bits. */
 const keyBytes = 32;
 
@@ -197,7 +198,8 @@
 }
 
 /** Creates the server for operators. */
-export function createOperatorServer({ settings, post, reportFailure }: OperatorServerOptions): OperatorServer {
+export function createOperatorServer(options: OperatorServerOptions): OperatorServer {
+    const { settings, post, clients, reportFailure } = options;
     const pendingCalls = new Map<CallId, (answer: OperatorAnswer) => void>();
 
     function sendFault(response: http.ServerResponse, status: number, message: string): void {
@@ -231,7 +233,7 @@
             sendJson(response, 404, buildError("not_found", "There is no such path."));
             return;
         }
-        const bytes = await readBody(request, settings.limits.bodyBytes);
+        const bytes = await readBoundedBody(clients, request, response, settings.limits.bodyBytes);
         const body = bytes && parseBody(bytes);
         if (!body) {
             sendFault(response, bytes ? 400 : 413, bytes ? "expected a JSON body" : "The body is too large.");
@@ -255,13 +257,14 @@
 
     const server = createHttpServer({
         part: "operatorServer",
+        listener: "operators",
+        clients,
         handle: handleRequest,
         reportFailure,
         maxHeaderSize: settings.limits.headerBytes,
         headersTimeout: 10_000,
         requestTimeout: 30_000,
     });
-    server.maxConnections = maxConnections;
 
     return {
         start: () => startListening(server, settings.listen.operators),
--- a/src/adapters/peerServer.ts
+++ b/src/adapters/peerServer.ts
@@ -6,13 +6,15 @@
 import { type CallId, toCallId } from "../ids";
 import type { PeerAnswer } from "../peers";
 import type { FailureReporter } from "../runner";
-import { createHttpServer, startListening } from "./httpServer";
+import type { ClientBounds } from "./clientBounds";
+import { createHttpServer, readBoundedBody, type RequestHandler, startListening } from "./httpServer";
 import { peerRouter } from "./peerProtocol";
 
 export interface PeerServerOptions {
     readonly listen: string;
     readonly fleetSecret: string;
     readonly post: (event: Event) => void;
+    readonly clients: ClientBounds;
     readonly reportFailure?: FailureReporter;
 }
 
@@ -25,6 +27,9 @@
 /** Calls that no system answers within this time fail. */
 const answerTimeoutMs = 2000;
 
+/** Maximum size of a call; an exchange takes a few kilobytes. */
+const maxBodyBytes = 4 * 1024 * 1024;
+
 function isFleetSecret(header: string | undefined, secret: string): boolean {
     const receivedSecret = Buffer.from((header ?? "").replace(/^Bearer +/i, ""));
     const expectedSecret = Buffer.from(secret);
@@ -32,7 +37,9 @@
 }
 
 /** Creates the server for peers. */
-export function createPeerServer({ listen, fleetSecret, post, reportFailure }: PeerServerOptions): PeerServer {
+export function createPeerServer(
+    { listen, fleetSecret, post, clients, reportFailure }: PeerServerOptions,
+): PeerServer {
     const pendingCalls = new Map<CallId, (answer: PeerAnswer) => void>();
 
     const handler = createHTTPHandler({
@@ -54,7 +61,25 @@
                 }),
         }),
     });
-    const server = createHttpServer({ part: "peerServer", handle: handler, reportFailure, keepAliveTimeout: 30_000 });
+
+    /** Reads the body before the adapter of tRPC, which has no bound for all bodies together. */
+    const handleCall: RequestHandler = async (request, response) => {
+        const body = await readBoundedBody(clients, request, response, maxBodyBytes);
+        if (!body) {
+            response.writeHead(413, { connection: "close" }).end();
+            return;
+        }
+        handler(Object.assign(request, { body: body.toString() }), response);
+    };
+
+    const server = createHttpServer({
+        part: "peerServer",
+        listener: "peers",
+        clients,
+        handle: handleCall,
+        reportFailure,
+        keepAliveTimeout: 30_000,
+    });
 
     return {
         start: () => startListening(server, listen),
--- a/src/adapters/targetClient.ts
+++ b/src/adapters/targetClient.ts
@@ -7,6 +7,7 @@
 import type { RequestId } from "../ids";
 import type { AttemptFailure, TargetCall } from "../requests";
 import type { FailureReporter } from "../runner";
+import type { AnswerRoom } from "./answerRoom";
 import { type BufferedAnswer, buildAnswerRecord, buildBufferedAnswer, type WholeResponse } from "./bufferedAnswer";
 import type { CheckedEnd } from "./checkedEnds";
 import { applyHeadLimit } from "./headLimit";
@@ -35,6 +36,8 @@
     readonly settings: Settings;
     readonly post: (event: Event) => void;
     readonly openRequests: OpenRequests;
+    /** Room for large answers; the default is no bound. */
+    readonly answers?: AnswerRoom;
     /** Called for each answer without framing whose end was checked. */
     readonly onEndChecked?: (end: CheckedEnd) => void;
     readonly reportFailure?: FailureReporter;
@@ -78,6 +81,7 @@
         settings,
         post,
         openRequests,
+        answers,
         onEndChecked = () => undefined,
         reportFailure = handleUnreportedFailure,
     }: TargetClientOptions,
@@ -129,6 +133,7 @@
             end,
             guard: runningAttempt.guard,
             buffers,
+            room: answers && { answers, caller: openRequest.response },
             // An engine's answer is decoded, which fails when a part of it is missing.
             checkEnd: call.engine ? undefined : checkEnd,
             onWhole: handleWhole,
--- a/src/adapters/wholeResponse.ts
+++ b/src/adapters/wholeResponse.ts
@@ -1,5 +1,6 @@
 /** Reads a response of a target to its end, in both modes. */
 import type * as http from "node:http";
+import { type AnswerRoom, maxSmallAnswerBytes } from "./answerRoom";
 import { createBodyCollector } from "./bodyCollector";
 import type { ListenerState } from "./listenerCheck";
 import type { ListenerGuard } from "./listenerGuard";
@@ -23,11 +24,16 @@
     unknown: "end_unconfirmed",
 };
 
+/** Room for an answer that does not announce its length. */
+const unannouncedBytes = 4 * 1024 * 1024;
+
 export interface WholeResponseOptions {
     readonly response: http.IncomingMessage;
     readonly end: ResponseEnd;
     readonly guard: ListenerGuard;
     readonly buffers: ResponseBuffers;
+    /** Response to the caller, and the room that a large answer needs; the default is no bound. */
+    readonly room?: { readonly answers: AnswerRoom; readonly caller: http.ServerResponse; } | undefined;
     /**
      * Checks whether the target of a response that its connection ended still listens: the system of a target that
      * crashes closes its connections in the orderly way, too. Undefined when the end is certain in another way.
@@ -45,16 +51,34 @@
  * readWholeResponse({ response, end, guard, buffers, checkEnd: undefined, onWhole: relayBody, onFailed: postFailure });
  */
 export function readWholeResponse(options: WholeResponseOptions): void {
-    const { response, end, guard, buffers, checkEnd, onWhole, onFailed } = options;
+    const { response, end, guard, buffers, room, checkEnd, onWhole, onFailed } = options;
     const handleTooLong = guard(() => {
         onFailed("too_long");
         response.destroy();
     });
     const collector = createBodyCollector(buffers, { onDiscarded: handleTooLong });
     let hasEnded = false;
+    let hasAskedForRoom = false;
+    let receivedBytes = 0;
+    /** Stops reading until there is room, so that the target waits. */
+    const acquireRoom = (bytes: number): void => {
+        if (!room || hasAskedForRoom || bytes <= maxSmallAnswerBytes) {
+            return;
+        }
+        hasAskedForRoom = true;
+        const handleGranted = guard(() => response.resume());
+        if (!room.answers.acquire({ bytes, caller: room.caller, onGranted: handleGranted })) {
+            response.pause();
+        }
+    };
     const handleData = (chunk: Buffer): void => {
+        receivedBytes += chunk.length;
         if (!response.destroyed && !collector.add(chunk)) {
             handleTooLong();
+            return;
+        }
+        if (receivedBytes > maxSmallAnswerBytes) {
+            acquireRoom(unannouncedBytes);
         }
     };
     const handleEnd = (): void => {
@@ -95,4 +119,5 @@
     response.on("end", guard(handleEnd));
     response.on("error", guard(handleError));
     response.on("close", guard(handleClose));
+    acquireRoom(Number(response.headers["content-length"] ?? 0));
 }
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -3,6 +3,7 @@
 import { z } from "zod";
 import type { DataCentreId, VmId } from "../ids";
 import { ipAndPort } from "./address";
+import { clientSettings } from "./clientSettings";
 import { type Fault, listSchemaFaults } from "./document";
 import { parseTomlText } from "./files";
 
@@ -34,7 +35,8 @@
             bodyBytes: z.number().int().positive().default(8 * 1024 * 1024),
             headerBytes: z.number().int().positive().default(16 * 1024),
             answerBytes: z.number().int().positive().default(16 * 1024 * 1024),
-            connections: z.number().int().positive().default(10_000),
+            /** Maximum connections of callers; the default is a share of `clients.maxDescriptors`. */
+            connections: z.number().int().positive().optional(),
             /** Maximum requests of one account waiting for a target. */
             queuedRequests: z.number().int().positive().default(256),
             /** Maximum requests of one priority waiting for a target, over all accounts. */
@@ -81,7 +83,15 @@
         })
         .prefault({}),
     claims: z.strictObject({ retentionHours: z.number().positive().default(168) }).prefault({}),
-    log: z.strictObject({ level: z.enum(["error", "warn", "info", "debug"]).default("info") }).prefault({}),
+    clients: clientSettings,
+    log: z
+        .strictObject({
+            level: z.enum(["error", "warn", "info", "debug"]).default("info"),
+            /** Maximum lines of level info, and of level warn, per second; further ones are counted and dropped. */
+            infoLinesPerSecond: z.number().int().positive().default(300),
+            warningLinesPerSecond: z.number().int().positive().default(300),
+        })
+        .prefault({}),
 });
 
 type ParsedSettings = z.output<typeof settingsSchema>;
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -22,7 +22,8 @@
     | "peer:"
     | "drain:"
     | "store:"
-    | "quarantine:";
+    | "quarantine:"
+    | "clients:";
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined | readonly string[]>>;
 
@@ -44,7 +45,8 @@
     | "internal_failures_total"
     | "interrupted_responses_total"
     | "unframed_ends_total"
-    | "waits_total";
+    | "waits_total"
+    | "clients_outside_limits_total";
 export type HistogramName = "first_token_ms" | "queue_ms" | "request_ms" | "write_delay_ms";
 
 export type Effect =
--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -1,5 +1,6 @@
 /** Sends requests to targets, buffers plain responses and relays event streams. */
 import * as http from "node:http";
+import type { AnswerRoom } from "../../adapters/answerRoom";
 import type { CheckedEnd } from "../../adapters/checkedEnds";
 import { applyHeadLimit } from "../../adapters/headLimit";
 import { isConnectionRefused, parseAddress, subscribeToFirstWrite } from "../../adapters/httpClient";
@@ -32,6 +33,8 @@
     readonly codec: HeaderCodec;
     readonly post: (event: ForwardEvent) => void;
     readonly openRequests: OpenForwardRequests;
+    /** Room for large answers; the default is no bound. */
+    readonly answers?: AnswerRoom;
     /** True when responses must carry `Connection: close`. */
     readonly isClosing: () => boolean;
     /** Finds out whether a target still runs that has ended a response without framing. */
@@ -86,7 +89,7 @@
 
 /** Creates the client for all targets of a process. */
 export function createForwardClient(options: ForwardClientOptions): ForwardClient {
-    const { codec, post, openRequests, isClosing, reportFailure = handleUnreportedFailure } = options;
+    const { codec, post, openRequests, answers, isClosing, reportFailure = handleUnreportedFailure } = options;
     const { checkListener = createListenerCheck(), onEndChecked = () => undefined } = options;
     const agents = createTargetAgents();
     const attempts = new Map<RequestId, RunningAttempt>();
@@ -156,6 +159,7 @@
                 end,
                 guard: running.guard,
                 buffers: responseBuffers,
+                room: answers && { answers, caller: openRequest.response },
                 checkEnd: isSuccess(targetResponse) ? () => checkEnd(id, call) : undefined,
                 onWhole: body => {
                     recordBufferedResponse(id, running, { targetResponse, framing: end.framing, body });
--- a/src/forward/adapters/frontServer.ts
+++ b/src/forward/adapters/frontServer.ts
@@ -1,7 +1,14 @@
 /** HTTP server for callers: buffers requests, posts them as events and writes refusals. */
 import { createHash, randomUUID } from "node:crypto";
 import type * as http from "node:http";
-import { createHttpServer, isIncomplete, readBody, sendRefusal, startListening } from "../../adapters/httpServer";
+import type { ClientBounds } from "../../adapters/clientBounds";
+import {
+    createHttpServer,
+    isIncomplete,
+    readBoundedBody,
+    sendRefusal,
+    startListening,
+} from "../../adapters/httpServer";
 import { createListenerGuard } from "../../adapters/listenerGuard";
 import { createOpenResponses, isEndedByConnection } from "../../adapters/openResponses";
 import { isSendable } from "../../adapters/requestTarget";
@@ -31,6 +38,7 @@
     readonly clock: Clock;
     readonly post: (event: ForwardEvent) => void;
     readonly openRequests: OpenForwardRequests;
+    readonly clients: ClientBounds;
     /** Called for a request that could not be read whole. */
     readonly onIncompleteRequest: (reason: string) => void;
     /** Called for a response that ends early. */
@@ -85,7 +93,7 @@
 /** Creates the server for callers. */
 export function createFrontServer(options: FrontServerOptions): FrontServer {
     const { address, codec, clock, post, openRequests, onIncompleteRequest, onInterruptedResponse } = options;
-    const { reportFailure } = options;
+    const { clients, reportFailure } = options;
     const part = "frontServer";
     const openResponses = createOpenResponses({ reportFailure });
     let currentMaxBodyBytes = initialMaxBodyBytes;
@@ -113,8 +121,11 @@
     }
 
     /** Reads the body of a request; undefined when it is longer than the limit. */
-    function readRequestBody(request: http.IncomingMessage): Promise<Buffer | undefined> {
-        return readBody(request, currentMaxBodyBytes).catch((error: unknown) => {
+    function readRequestBody(
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+    ): Promise<Buffer | undefined> {
+        return readBoundedBody(clients, request, response, currentMaxBodyBytes).catch((error: unknown) => {
             if (isIncomplete(request)) {
                 onIncompleteRequest(error instanceof Error ? error.message : String(error));
             }
@@ -125,7 +136,7 @@
     async function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const arrivedAt = clock.getNow();
         const { key, isWellFormed, ...headerFields } = codec.decodeRequest(request.headers);
-        const body = await readRequestBody(request);
+        const body = await readRequestBody(request, response);
         const id = createUniqueRequestId(headerFields.attemptId);
         if (!body) {
             writeRefusal(codec, response, id, { code: "body_too_large", verdict: "not_run" }, isClosing);
@@ -169,7 +180,9 @@
 
     const server = createHttpServer({
         part,
+        listener: "callers",
         handle: handleRequest,
+        clients,
         reportFailure,
         maxHeaderSize: maxParsedHeaderBytes,
     });
--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -1,6 +1,8 @@
 /** Assembles one process of the forwarding mode: tables, systems, timers and all adapters. */
 import type * as http from "node:http";
 import { createEndReporter } from "../../adapters/checkedEnds";
+import { type ClientBounds, createClientBounds } from "../../adapters/clientBounds";
+import { createClientReporter } from "../../adapters/clientReports";
 import { createProcessClock } from "../../adapters/clock";
 import { createFailureReporter } from "../../adapters/failures";
 import { loadHasher } from "../../adapters/hasher";
@@ -8,6 +10,7 @@
 import { createLogWriter, type LogWriter } from "../../adapters/logger";
 import { createMetrics, type Metrics } from "../../adapters/metrics";
 import { createEffectQueue } from "../../effects";
+import { computeClientLimits } from "../../policy/clientLimits";
 import { createTickRunner, type FailureReporter } from "../../runner";
 import { createTimerService } from "../../timers";
 import type { ForwardEffect, ForwardHandlers } from "../effects";
@@ -44,13 +47,13 @@
     stop(): void;
 }
 
-function createMetricsServer(metrics: Metrics, reportFailure: FailureReporter): http.Server {
+function createMetricsServer(metrics: Metrics, clients: ClientBounds, reportFailure: FailureReporter): http.Server {
     async function handleRequest(_request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const text = await metrics.format();
         response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
         response.end(text);
     }
-    return createHttpServer({ part: "metrics", handle: handleRequest, reportFailure });
+    return createHttpServer({ part: "metrics", listener: "metrics", clients, handle: handleRequest, reportFailure });
 }
 
 /**
@@ -80,15 +83,21 @@
     const openRequests = createOpenForwardRequests();
     const { listen, store: storeSettings, bounds, log, vm } = settings;
     const write = writeLog
-        ?? createLogWriter({ log, vm, stream: "stdout", infoLinesPerSecond: log.infoLinesPerSecond });
+        ?? createLogWriter({ log, vm, stream: "stdout", ...log });
     const reportFailure = createFailureReporter({ writeLog: write, metrics });
-    const metricsServer = createMetricsServer(metrics, reportFailure);
+    const clients = createClientBounds({
+        limits: computeClientLimits(settings.clients),
+        report: createClientReporter({ writeLog: write, metrics }),
+        reportFailure,
+    });
+    const metricsServer = createMetricsServer(metrics, clients, reportFailure);
     const front = createFrontServer({
         address: listen.callers,
         codec: ports.headers,
         clock,
         post,
         openRequests,
+        clients,
         onIncompleteRequest: reason => {
             const message = "Request could not be read completely.";
             write({ kind: "writeLog", level: "info", prefix: "admit:", message, fields: { reason } });
@@ -106,16 +115,18 @@
         codec: ports.headers,
         post,
         openRequests,
+        answers: clients.answers,
         isClosing: front.isClosing,
         onEndChecked: createEndReporter({ writeLog: write, metrics }),
         reportFailure,
     });
-    const peers = createPeerLink({ address: listen.peers, post, reportFailure });
+    const peers = createPeerLink({ address: listen.peers, post, clientBounds: clients, reportFailure });
     const portOptions = { clock, post, reportFailure };
     const store = ports.createStore({ ...portOptions, ...storeSettings, requestChanges: peers.requestChanges });
     const engines = ports.createEngines(portOptions);
     const directory = ports.createDirectory({
         ...portOptions,
+        clients,
         directoryAddress: listen.directory,
         readinessAddress: listen.readiness,
         keepSeconds: bounds.addressesKeepSeconds * addressTtlFraction,
--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -6,8 +6,10 @@
 import type * as http from "node:http";
 import { Err, Ok } from "ts-results";
 import { z } from "zod";
+import { type ClientBounds, createClientBounds } from "../../adapters/clientBounds";
 import { createKeepAliveAgent, sendHttpCall } from "../../adapters/httpClient";
-import { createHttpServer, readBody, sendJson, startListening } from "../../adapters/httpServer";
+import { createHttpServer, readBoundedBody, sendJson, startListening } from "../../adapters/httpServer";
+import { BodyDiscardedError } from "../../adapters/requestBodies";
 import { type CallId, toCallId } from "../../ids";
 import type { FailureReporter } from "../../runner";
 import type { ForwardEffectOf } from "../effects";
@@ -189,11 +191,15 @@
     /** IP:PORT of this process. */
     readonly address: string;
     readonly post: (event: ForwardEvent) => void;
+    /** The default are bounds of this listener alone. */
+    readonly clientBounds?: ClientBounds;
     readonly reportFailure?: FailureReporter;
 }
 
 /** Creates the tRPC server and the clients of one process. */
-export function createPeerLink({ address, post, reportFailure }: PeerLinkOptions): PeerLink {
+export function createPeerLink(
+    { address, post, clientBounds = createClientBounds(), reportFailure }: PeerLinkOptions,
+): PeerLink {
     const pendingStates = createPendingAnswers<PeerState>(timeoutsMs.exchange);
     const pendingChanges = createPendingAnswers<RelayAnswer>(timeoutsMs.changes);
     const agent = createKeepAliveAgent();
@@ -214,13 +220,16 @@
         let reply: { readonly status: number; readonly body: unknown; };
         try {
             const name = request.url?.slice(1) ?? "";
-            const bytes = await readBody(request, maxStateBytes);
+            const bytes = await readBoundedBody(clientBounds, request, response, maxStateBytes);
             const input: unknown = JSON.parse(bytes?.toString() ?? "");
             reply = isPeerProcedure(name)
                 ? { status: 200, body: await localCaller[name](input as never) }
                 : { status: 404, body: { message: "There is no such procedure." } };
         }
         catch (error) {
+            if (error instanceof BodyDiscardedError) {
+                throw error;
+            }
             const isBadRequest = error instanceof SyntaxError
                 || (error instanceof TRPCError && error.code === "BAD_REQUEST");
             const message = error instanceof Error ? error.message : String(error);
@@ -229,7 +238,13 @@
         sendJson(response, reply.status, reply.body);
     }
 
-    const server = createHttpServer({ part: "peerLink", handle: handleCall, reportFailure });
+    const server = createHttpServer({
+        part: "peerLink",
+        listener: "peers",
+        clients: clientBounds,
+        handle: handleCall,
+        reportFailure,
+    });
 
     function createClient(peer: string): PeerClient {
         return createTRPCClient<typeof peerRouter>({ links: [createPeerCallLink(peer, agent)] });
--- a/src/forward/ports.ts
+++ b/src/forward/ports.ts
@@ -1,4 +1,5 @@
 /** Interfaces that a platform provides to the forwarding mode. Adapters outside `src` implement them. */
+import type { ClientBounds } from "../adapters/clientBounds";
 import type { Clock, FailureReporter } from "../runner";
 import type { HeaderCodec } from "./calls";
 import type { ForwardEffectOf } from "./effects";
@@ -52,6 +53,7 @@
             readonly readinessAddress: string;
             readonly keepSeconds: number;
             readonly isReady: () => boolean;
+            readonly clients: ClientBounds;
         },
     ): DirectoryPort;
 }
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -2,6 +2,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import { z } from "zod";
 import { ipAndPort } from "../config/address";
+import { clientSettings } from "../config/clientSettings";
 import { type Fault, listSchemaFaults } from "../config/document";
 import { parseTomlText } from "../config/files";
 import type { DataCentreId, VmId } from "../ids";
@@ -50,10 +51,13 @@
         /** Maximum time for which callers cache the list of addresses. */
         addressesKeepSeconds: z.number().positive(),
     }),
+    clients: clientSettings,
     log: z.strictObject({
         level: z.enum(["error", "warn", "info", "debug"]).default("info"),
         /** Maximum lines of level info per second; further ones are counted and dropped. */
         infoLinesPerSecond: z.number().int().positive().default(300),
+        /** Maximum lines of level warn per second; further ones are counted and dropped. */
+        warningLinesPerSecond: z.number().int().positive().default(300),
     }).prefault({}),
 });
 
--- a/test/support/forwardProcess.ts
+++ b/test/support/forwardProcess.ts
@@ -25,6 +25,8 @@
 export interface ForwardProcessOptions {
     /** Options of Node.js that replace those of the deploy file. */
     readonly nodeOptions?: readonly string[];
+    /** Section `[clients]` of the settings. */
+    readonly clients?: Readonly<Record<string, number>>;
 }
 
 /** Options of Node.js in the run command of the deploy file, such as the size of the heap. */
@@ -42,7 +44,7 @@
 /** Starts a process and waits until it is ready. */
 export async function startForwardProcess(
     storeAddress: string,
-    { nodeOptions = listNodeOptions() }: ForwardProcessOptions = {},
+    { nodeOptions = listNodeOptions(), clients = {} }: ForwardProcessOptions = {},
 ): Promise<ForwardProcess> {
     const [callers, readiness, directory, metrics, peers] = (await findPorts(5)).map(port => `127.0.0.1:${port}`) as [
         string,
@@ -72,6 +74,7 @@
                 weightsMs: 10_000,
                 addressesKeepSeconds: 5,
             },
+            clients,
         }),
     );
     const child = spawn(
