Add clients that read no answers to the soak

Cause: the soak had callers inside the limits only. Change: one load of 24 connections with 20,000 pipelined requests each in every run, drawn with a generator of its own, so that the other faults of earlier seeds stay the same.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,10 +1,16 @@
 /** Faults of a soak run, injected from outside the router processes: signals, TCP proxies, store and server faults. */
+import * as net from "node:net";
+import { parseAddress } from "../src/adapters/httpClient";
 import type { ServerBehaviour } from "../standins/platformServer";
 import type { PlatformStoreFaults } from "../standins/platformStore";
 import { startRouter, writeConfiguration } from "./fleet";
 import type { ProxyMode } from "./proxy";
 import { crashingPart, getSoakTime, type SoakFault, type SoakRouter, type SoakServer, type SoakWorld } from "./tables";
 
+/** Clients of one fault that read no answers, and the requests that each of them sends. */
+const unreadClients = 24;
+const unreadRequests = 20_000;
+
 /** Starts a fault and returns the function that ends it. */
 type FaultStart = (world: SoakWorld, fault: SoakFault) => () => void;
 
@@ -221,8 +227,31 @@
     },
 };
 
+/** Clients outside the limits, drawn apart for the same reason. */
+const clientFaultKinds: typeof faultKinds = {
+    "clients pipeline requests and read no answers": (world, { selector }) => {
+        const { callerAddress } = choose(world.routers, selector);
+        const clients = Array.from({ length: unreadClients }, () => net.connect(parseAddress(callerAddress)));
+        clients.forEach(client => {
+            client.pause();
+            client.on("error", () => client.destroy());
+            client.write("GET /x HTTP/1.1\r\nHost: shop.example\r\n\r\n".repeat(unreadRequests));
+        });
+        return () => {
+            clients.forEach(client => client.destroy());
+        };
+    },
+};
+
 const startFault = (world: SoakWorld, fault: SoakFault): () => void =>
-    ({ ...faultKinds, ...engineFaultKinds, ...contentFaultKinds, ...framingFaultKinds, ...deathFaultKinds })
+    ({
+        ...faultKinds,
+        ...engineFaultKinds,
+        ...contentFaultKinds,
+        ...framingFaultKinds,
+        ...deathFaultKinds,
+        ...clientFaultKinds,
+    })
         [fault.kind]?.(world, fault)
         ?? endNothing;
 
@@ -271,6 +300,10 @@
 export const createDeathFaults = (random: () => number, { durationMs }: SoakWorld, count: number): SoakFault[] =>
     createFaultsOf({ random, durationMs, count, kinds: Object.keys(deathFaultKinds) });
 
+/** Draws the loads of clients outside the limits with a generator of their own. */
+export const createClientFaults = (random: () => number, { durationMs }: SoakWorld, count: number): SoakFault[] =>
+    createFaultsOf({ random, durationMs, count, kinds: Object.keys(clientFaultKinds) });
+
 /** Starts and ends the faults that are due. Skips a fault of a process that another fault already disturbs. */
 export function runFaults(world: SoakWorld): void {
     const now = getSoakTime(world);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -7,6 +7,7 @@
 import { deadlineMs, sendRequests } from "./callers";
 import { checkGuarantees } from "./checks";
 import {
+    createClientFaults,
     createContentFaults,
     createDeathFaults,
     createEngineFaults,
@@ -30,6 +31,8 @@
 const framingFaultSeedOffset = 3_000_000;
 const deathFaultsPerRun = 2;
 const deathFaultSeedOffset = 4_000_000;
+const clientFaultsPerRun = 1;
+const clientFaultSeedOffset = 5_000_000;
 /** Time after the last deadline in which answers can still arrive. */
 const lateAnswerMs = 1500;
 
@@ -67,12 +70,14 @@
     const contentFaultGenerator = xoroshiro128plus(seed + contentFaultSeedOffset);
     const framingFaultGenerator = xoroshiro128plus(seed + framingFaultSeedOffset);
     const deathFaultGenerator = xoroshiro128plus(seed + deathFaultSeedOffset);
+    const clientFaultGenerator = xoroshiro128plus(seed + clientFaultSeedOffset);
     world.faults.push(
         ...createFaults(world, faultsPerRun),
         ...createEngineFaults(() => uniformFloat64(engineFaultGenerator), world, engineFaultsPerRun),
         ...createContentFaults(() => uniformFloat64(contentFaultGenerator), world, contentFaultsPerRun),
         ...createFramingFaults(() => uniformFloat64(framingFaultGenerator), world, framingFaultsPerRun),
         ...createDeathFaults(() => uniformFloat64(deathFaultGenerator), world, deathFaultsPerRun),
+        ...createClientFaults(() => uniformFloat64(clientFaultGenerator), world, clientFaultsPerRun),
     );
     for (let tick = 0; getSoakTime(world) < durationMs; tick += 1) {
         runFaults(world);
