--- a/src/adapters/clientBounds.ts
+++ b/src/adapters/clientBounds.ts
@@ -177,7 +177,6 @@
         table.add(row);
         socket.once("close", guard(handleClose));
         subscribeToSlices(socket, {
-            guard,
             isBlocked: () => row.waiting.length > 0,
             getReading: () => {
                 const request = row.waiting.length === 0 ? row.current?.request : undefined;
--- a/src/adapters/slicedReads.ts
+++ b/src/adapters/slicedReads.ts
@@ -1,7 +1,6 @@
 /** Passes what a connection receives to the parser in small slices, so that reading can stop between two requests. */
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import type { ListenerGuard } from "./listenerGuard";
 
 /** The shortest valid requests have 18 bytes, so that a slice holds at most 28 of them. */
 const minSliceBytes = 512;
@@ -24,9 +23,8 @@
 export interface SlicedReadsOptions {
     /** Returns the request whose body is read; undefined between requests. */
     readonly getReading: () => IncomingMessage | undefined;
-    /** True while requests wait, so that nothing more is read. */
+    /** True while requests wait: the paused stream is not resumed then. */
     readonly isBlocked: () => boolean;
-    readonly guard: ListenerGuard;
 }
 
 /**
@@ -34,9 +32,9 @@
  * it before anything can stop it: more than 3,000. A paused stream keeps slices that come after the pause.
  *
  * @example
- * server.on("connection", socket => subscribeToSlices(socket, { getReading, isBlocked, guard }));
+ * server.on("connection", socket => subscribeToSlices(socket, { getReading, isBlocked }));
  */
-export function subscribeToSlices(socket: Socket, { getReading, isBlocked, guard }: SlicedReadsOptions): void {
+export function subscribeToSlices(socket: Socket, { getReading, isBlocked }: SlicedReadsOptions): void {
     const push = socket.push.bind(socket);
     socket.push = (chunk: unknown, encoding?: BufferEncoding): boolean => {
         if (!Buffer.isBuffer(chunk)) {
@@ -50,13 +48,9 @@
         }
         return wantsMore;
     };
-    // With a listener for data, Node's parser reads from the stream instead of from the system's handle. The parser
-    // resumes the stream after each request, so that it has to be paused again after each slice.
-    const handleSlice = (): void => {
-        if (isBlocked()) {
-            socket.pause();
-        }
-    };
-    socket.on("data", guard(handleSlice));
-    socket.on("resume", guard(handleSlice));
+    // Node's parser resumes the stream after each request, and when an answer has been taken.
+    const resume = socket.resume.bind(socket);
+    socket.resume = () => isBlocked() ? socket : resume();
+    // With a listener for data, Node's parser reads from the stream instead of from the system's handle.
+    socket.on("data", () => undefined);
 }
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -47,7 +47,6 @@
     | "interrupted_responses_total"
     | "unframed_ends_total"
     | "waits_total"
-    | "waits_total"
     | "service_rollout_states_total"
     | "canary_requests_total"
     | "clients_outside_limits_total";
--- a/test/clientBounds.test.ts
+++ b/test/clientBounds.test.ts
@@ -73,6 +73,32 @@
         expect(faults).toEqual([]);
     });
 
+    // Guards against reading that goes on, or never again, while Node itself has paused a connection with unread answers.
+    it("gets all answers when they are written at once and read with pauses", async () => {
+        const filler = "x".repeat(100_000);
+        const server = createHttpServer({
+            part: "test",
+            handle: ({ url }, response) => {
+                sendJson(response, 200, { url, filler });
+            },
+        });
+        servers.push(server);
+        await startListening(server, "127.0.0.1:0");
+        const caller = openRawCaller(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+        callers.push(caller);
+        const count = 300;
+        caller.write(Array.from({ length: count }, (_, index) => `GET /${index} HTTP/1.1\r\nHost: h\r\n\r\n`).join(""));
+        for (let pause = 0; pause < 30; pause += 1) {
+            caller.pause();
+            await new Promise(resolve => setTimeout(resolve, 10));
+            caller.resume();
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        await caller.waitForText(new RegExp(`"/${count - 1}"`));
+        const urls = [...caller.text.matchAll(/"url":"\/(\d+)"/g)].map(([, index]) => Number(index));
+        expect(urls).toEqual(Array.from({ length: count }, (_, index) => index));
+    });
+
     it("is closed without a further answer when too many requests wait on it", async () => {
         const { open, faults } = await startServer({ waitingPerConnection: 2 });
         const caller = open();
