Compute the return time of long prompts from the wait that admits them

The time to come back was the excess over the bound on the first event, which a long prompt exceeds by its own length, although it is admitted as soon as the wait is a quarter of the objective. The smaller excess of the two counts now. With a wait of 900 ms, an objective of 600 ms and a first event 5,000 ms after the begin, that is 750 ms, not 5,360 ms.

--- a/src/forward/policy/slotWait.ts
+++ b/src/forward/policy/slotWait.ts
@@ -99,6 +99,11 @@
 /** Computes when a refused caller should come back: when the queue is expected to be short enough. */
 export function computeReturnMs(input: ReturnInput): number {
     const { waitMs, firstEventMs, objectiveMs, refusedShare, random } = input;
-    const excessMs = Math.max(minReturnMs, waitMs + firstEventMs - objectiveMs * maxFirstEventFraction);
-    return excessMs * (1 + refusalReturnFactor * refusedShare) * (1 + returnSpread * (2 * random - 1));
+    // A long prompt is admitted by its wait alone.
+    const excessMs = Math.min(
+        waitMs - objectiveMs * minWaitFraction,
+        waitMs + firstEventMs - objectiveMs * maxFirstEventFraction,
+    );
+    return Math.max(minReturnMs, excessMs) * (1 + refusalReturnFactor * refusedShare)
+        * (1 + returnSpread * (2 * random - 1));
 }
