Count a request that waits for an engine once in the demand for its part

A request without an eligible engine is routed again in each tick, and each time was added to the demand by which its shared part is spread. After 21 ticks one request of 8 ms counted as 167 ms, so its part would be spread over more engines than it needs. Without an eligible engine no candidates are listed and nothing is recorded.

--- a/src/forward/systems/engineCandidates.ts
+++ b/src/forward/systems/engineCandidates.ts
@@ -118,6 +118,11 @@
 
 const methods = { reports: listFromReports, estimates: listFromEstimates } as const;
 
-/** Engines among which one is chosen for the request, by the method that fits the age of the reports. */
+/**
+ * Engines among which one is chosen for the request, by the method that fits the age of the reports. A request without an
+ * eligible engine is routed again in each tick, and would count as demand each time.
+ */
 export const listCandidates: ListCandidates = (world, tick, row, eligible) =>
-    methods[canEstimateLoad(world) ? "estimates" : "reports"](world, tick, row, eligible);
+    eligible.length === 0
+        ? []
+        : methods[canEstimateLoad(world) ? "estimates" : "reports"](world, tick, row, eligible);
