Sample the use of slots after a reload that switches admission on

The samples followed a timer that only the first tick of a process started. A process that got admission by slots by a reload never sampled and took all slots of each engine for its own part (traffic share 1 among 24 processes).

--- a/src/forward/systems/slotUse.ts
+++ b/src/forward/systems/slotUse.ts
@@ -99,7 +99,9 @@
  * Reads: targets, configuration, members. Writes: slot use.
  */
 export function recordSlotUse(world: ForwardWorld, tick: ForwardTick): void {
-    if (!isAdmittedBySlots(world) || !(tick.due.has("slotSample") || tick.number === 1)) {
+    const { slotUse } = world.tables;
+    // Not only when the timer is due: a reload of the settings may switch admission by slots on.
+    if (!isAdmittedBySlots(world) || tick.now < slotUse.sampleDueAt) {
         return;
     }
     // A report is half an interval old on average.
@@ -107,10 +109,11 @@
     for (const { id, engine } of world.tables.configuration.document?.services.values() ?? []) {
         if (engine) {
             const requests = countInFlight(world.tables.targets.listService(id));
-            const row = world.tables.slotUse.get(id);
+            const row = slotUse.get(id);
             row.trafficShare = computeTrafficShare(world, tick.now, id, world.tables.members.listVms());
-            world.tables.slotUse.recordRequests(id, { at: tick.now, requests }, reportAgeMs);
+            slotUse.recordRequests(id, { at: tick.now, requests }, reportAgeMs);
         }
     }
-    world.timers.schedule({ name: "slotSample", at: addMillis(tick.now, sampleIntervalMs) });
+    slotUse.sampleDueAt = addMillis(tick.now, sampleIntervalMs);
+    world.timers.schedule({ name: "slotSample", at: slotUse.sampleDueAt });
 }
--- a/src/forward/tables/slotUse.ts
+++ b/src/forward/tables/slotUse.ts
@@ -1,5 +1,5 @@
 /** How this process uses the slots of each service's engines: the time for which requests hold them, and their number. */
-import type { Millis } from "../../ids";
+import { type Millis, toMillis } from "../../ids";
 import type { ServiceId } from "../ids";
 
 interface Sample {
@@ -21,6 +21,8 @@
 }
 
 export interface SlotUseTable {
+    /** Time at which the requests in flight are sampled next. */
+    sampleDueAt: Millis;
     get(service: ServiceId): SlotUseRow;
     /** Adds one observed tenure to the moving average. */
     recordTenure(service: ServiceId, priority: number, tenureMs: number): void;
@@ -54,6 +56,7 @@
     }
 
     return {
+        sampleDueAt: toMillis(0),
         get,
         recordTenure: (service, priority, tenureMs) => {
             const row = get(service);
