Let requests give way to more urgent ones that are refused more often

Requests of low urgency have a longer objective and may queue at engines, so all slots stay taken and urgent requests beside them are refused. A request now gives way while a more urgent priority of its service has the higher share of refusals. The log line of a refusal names its cause. All decisions are as before when admission by slots is off.

--- /dev/null
+++ b/src/forward/policy/refusalParity.ts
@@ -0,0 +1,57 @@
+/**
+ * Parity of refusals between priorities. A request of low urgency has a long objective and may queue, while an urgent one
+ * next to it is refused as soon as all slots are taken. So a request gives way to more urgent ones of its service that
+ * are refused more often than its own priority.
+ */
+import type { Millis } from "../../ids";
+
+/** Recent decisions on the requests of one priority, with exponential decay. */
+export interface RefusalRate {
+    readonly decided: number;
+    readonly refused: number;
+    readonly at: Millis;
+}
+
+/** Time constant of the decay: slots that long requests hold come free over several seconds. */
+const decayMs = 10_000;
+/** Added to the decisions, so that the first refusals of a priority do not count as a rate of 1. */
+const priorDecisions = 4;
+
+/** Adds a decision to the rate. */
+export function updateRefusalRate(rate: RefusalRate | undefined, isRefused: boolean, now: Millis): RefusalRate {
+    const weight = rate ? Math.exp(-Math.max(0, now - rate.at) / decayMs) : 0;
+    return {
+        decided: (rate?.decided ?? 0) * weight + 1,
+        refused: (rate?.refused ?? 0) * weight + (isRefused ? 1 : 0),
+        at: now,
+    };
+}
+
+/** Computes the share of refusals among recent decisions; it falls to 0 when no more are made. */
+export function computeRefusalShare(rate: RefusalRate | undefined, now: Millis): number {
+    if (!rate) {
+        return 0;
+    }
+    const weight = Math.exp(-Math.max(0, now - rate.at) / decayMs);
+    return rate.refused * weight / (rate.decided * weight + priorDecisions);
+}
+
+/**
+ * True when a more urgent priority is refused more often than the given one.
+ *
+ * @example
+ * // Priority 1 is refused, priority 3 is not yet.
+ * const rates = [undefined, { decided: 10, refused: 5, at: now }];
+ * isGivingWay({ rates, priority: 3, now }); // true
+ */
+export function isGivingWay(
+    { rates, priority, now }: {
+        /** By priority. */
+        readonly rates: readonly (RefusalRate | undefined)[];
+        readonly priority: number;
+        readonly now: Millis;
+    },
+): boolean {
+    const ownShare = computeRefusalShare(rates[priority], now);
+    return rates.slice(0, priority).some(rate => computeRefusalShare(rate, now) > ownShare);
+}
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -5,7 +5,7 @@
 import type { ForwardCall } from "../calls";
 import type { RouteKind } from "../document";
 import type { ForwardTick } from "../events";
-import { canBeginInTime, computeReturnMs } from "../policy/slotWait";
+import { computeReturnMs } from "../policy/slotWait";
 import { formatAttemptKey, type ForwardRequestRow, type MissingResource } from "../tables/requests";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
@@ -17,7 +17,7 @@
 import { refuseForwardRequest } from "./requestEnd";
 import { findFirstToken, reserveRequestToken } from "./requestLimits";
 import { recordVersionedSend } from "./serviceVersions";
-import { isAdmittedBySlots } from "./slotUse";
+import { checkAdmission, isAdmittedBySlots } from "./slotUse";
 import { computeDeferralMs } from "./targetHealth";
 import { findQuarantine, recordTrial } from "./updateQuarantine";
 
@@ -279,9 +279,8 @@
         return false;
     }
     const admission = { waitMs, firstEventMs, objectiveMs };
-    const isRefused = !canBeginInTime(admission);
-    world.tables.slotUse.recordDecision(row.service, isRefused);
-    if (!isRefused) {
+    const cause = checkAdmission(world, tick, row, admission);
+    if (!cause) {
         return false;
     }
     const { refusedShare } = world.tables.slotUse.get(row.service);
@@ -289,7 +288,7 @@
         row.route.timeoutMs,
         computeReturnMs({ ...admission, refusedShare, random: world.random() }),
     );
-    refuseForwardRequest(world, tick, row, "overloaded", returnMs / 1000, { waitMs: Math.round(waitMs) });
+    refuseForwardRequest(world, tick, row, "overloaded", returnMs / 1000, { waitMs: Math.round(waitMs), cause });
     return true;
 }
 
--- a/src/forward/systems/slotUse.ts
+++ b/src/forward/systems/slotUse.ts
@@ -2,7 +2,14 @@
 import { addMillis } from "../../ids";
 import type { ForwardTick } from "../events";
 import { estimateFirstEventMs } from "../policy/engineScore";
-import { estimateGrowth, estimateShareWaitMs, estimateSlotWaitMs } from "../policy/slotWait";
+import { isGivingWay, updateRefusalRate } from "../policy/refusalParity";
+import {
+    type AdmissionInput,
+    canBeginInTime,
+    estimateGrowth,
+    estimateShareWaitMs,
+    estimateSlotWaitMs,
+} from "../policy/slotWait";
 import type { ForwardAttempt, ForwardRequestRow } from "../tables/requests";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
@@ -93,6 +100,23 @@
     };
 }
 
+/** Decides whether a request is admitted and records the decision. Returns the cause of a refusal. */
+export function checkAdmission(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    admission: AdmissionInput,
+): "late" | "gives_way" | undefined {
+    const { slotUse } = world.tables;
+    const { refusalRates } = slotUse.get(row.service);
+    const priority = computeRequestPriority(row);
+    const isLate = !canBeginInTime(admission);
+    const isRefused = isLate || isGivingWay({ rates: refusalRates, priority, now: tick.now });
+    refusalRates[priority] = updateRefusalRate(refusalRates[priority], isRefused, tick.now);
+    slotUse.recordDecision(row.service, isRefused);
+    return isLate ? "late" : isRefused ? "gives_way" : undefined;
+}
+
 /**
  * Samples the requests in flight on engines, from which the growth since the reports of peers follows.
  *
--- a/src/forward/tables/slotUse.ts
+++ b/src/forward/tables/slotUse.ts
@@ -1,6 +1,7 @@
 /** How this process uses the slots of each service's engines: the time for which requests hold them, and their number. */
 import { type Millis, toMillis } from "../../ids";
 import type { ServiceId } from "../ids";
+import type { RefusalRate } from "../policy/refusalParity";
 
 interface Sample {
     readonly at: Millis;
@@ -18,6 +19,8 @@
     trafficShare: number;
     /** Requests of this process in flight, oldest sample first. */
     readonly samples: Sample[];
+    /** Recent admission decisions by priority of the request. */
+    readonly refusalRates: (RefusalRate | undefined)[];
 }
 
 export interface SlotUseTable {
@@ -50,6 +53,7 @@
             refusedShare: 0,
             trafficShare: 1,
             samples: [],
+            refusalRates: [],
         };
         rows.set(service, row);
         return row;
