Count whole rounds and running loads in the pace of a rollout

The pace assumed 1,500 ms for a load until the first one had ended, and counted a part of a round as if engines could load in it. With 48 engines and loads of 3,300 ms, 11 engines lacked the weights at the bound of 10 s, and one at 85 % of the bound in a second rollout.

--- a/src/forward/policy/loadPace.ts
+++ b/src/forward/policy/loadPace.ts
@@ -10,13 +10,13 @@
 
 /**
  * Computes how many engines have to load at once. Engines that are too late get no requests at all, which costs more
- * capacity than loading more of them earlier.
+ * capacity than loading more of them earlier. Counted in whole rounds: the part of a round that is left loads nothing.
  *
  * @example
- * computeNeededLoads({ remaining: 48, cycleMs: 3300, timeLeftMs: 7000 }); // 23
+ * computeNeededLoads({ remaining: 48, cycleMs: 3300, timeLeftMs: 7000 }); // 24
  */
 export const computeNeededLoads = ({ remaining, cycleMs, timeLeftMs }: LoadPaceInput): number =>
-    remaining === 0 ? 0 : Math.ceil(remaining * cycleMs / Math.max(cycleMs, timeLeftMs));
+    Math.ceil(remaining / Math.max(1, Math.floor(timeLeftMs / cycleMs)));
 
 /** Weight of the newest load in the mean. */
 const cycleWeight = 0.2;
--- a/src/forward/systems/loadPace.ts
+++ b/src/forward/systems/loadPace.ts
@@ -40,6 +40,20 @@
 const isBehind = (target: ForwardTargetRow, model: ModelId, version: WeightsVersion): boolean =>
     (target.weights.get(model) ?? 0) < version;
 
+/**
+ * Estimates the time of a load. Loads that still run count with their age where it is above the mean; otherwise nothing
+ * would show that loads take longer until the first of them have ended.
+ */
+function estimateCycleMs(world: ForwardWorld, tick: ForwardTick, model: ModelId): number {
+    const { rows, lastOrders, cycleMs } = world.tables.rollouts;
+    const running = [...rows.values()].filter(row => row.model === model && row.state === "loading");
+    const sumMs = running.reduce((sum, { target }) => {
+        const seenAt = lastOrders.get(target)?.seenAt ?? tick.now;
+        return sum + Math.max(cycleMs, tick.now - seenAt);
+    }, 0);
+    return running.length === 0 ? cycleMs : sumMs / running.length;
+}
+
 /** Loads that are needed at once so that no engine loses its requests for outdated weights; 0 when that is off. */
 export function computePacedLoads(
     world: ForwardWorld,
@@ -54,7 +68,7 @@
     const deadlineMs = newest.publishedAt + world.settings.bounds.weightsMs * maxOutdatedFraction;
     const needed = computeNeededLoads({
         remaining: working.filter(target => isBehind(target, model, newest.version)).length,
-        cycleMs: world.tables.rollouts.cycleMs,
+        cycleMs: estimateCycleMs(world, tick, model),
         timeLeftMs: deadlineMs - tick.now,
     });
     return Math.min(needed, Math.floor(working.length * maxPaceFraction));
