Let requests give way to long prompts of their priority that are refused more often

A prompt that takes most of the objective is admitted only at a wait of a quarter of it, and under a lasting overload the other requests of its kind keep the wait longer than that. Long prompts are a rank of their own before the others of their priority.

--- a/src/forward/policy/refusalParity.ts
+++ b/src/forward/policy/refusalParity.ts
@@ -1,11 +1,11 @@
 /**
  * Parity of refusals between priorities. A request of low urgency has a long objective and may queue, while an urgent one
  * next to it is refused as soon as all slots are taken. So a request gives way to more urgent ones of its service that
- * are refused more often than its own priority.
+ * are refused more often, and to long prompts of its own priority.
  */
 import type { Millis } from "../../ids";
 
-/** Recent decisions on the requests of one priority, with exponential decay. */
+/** Recent decisions on the requests of one rank, with exponential decay. */
 export interface RefusalRate {
     readonly decided: number;
     readonly refused: number;
@@ -14,7 +14,7 @@
 
 /** Time constant of the decay: slots that long requests hold come free over several seconds. */
 const decayMs = 10_000;
-/** Added to the decisions, so that the first refusals of a priority do not count as a rate of 1. */
+/** Added to the decisions, so that the first refusals of a rank do not count as a rate of 1. */
 const priorDecisions = 4;
 
 /** Adds a decision to the rate. */
@@ -37,21 +37,21 @@
 }
 
 /**
- * True when a more urgent priority is refused more often than the given one.
+ * True when a rank with precedence is refused more often than the given one.
  *
  * @example
- * // Priority 1 is refused, priority 3 is not yet.
+ * // Rank 1 is refused, rank 3 is not yet.
  * const rates = [undefined, { decided: 10, refused: 5, at: now }];
- * isGivingWay({ rates, priority: 3, now }); // true
+ * isGivingWay({ rates, rank: 3, now }); // true
  */
 export function isGivingWay(
-    { rates, priority, now }: {
-        /** By priority. */
+    { rates, rank, now }: {
+        /** By rank; lower ranks have precedence. */
         readonly rates: readonly (RefusalRate | undefined)[];
-        readonly priority: number;
+        readonly rank: number;
         readonly now: Millis;
     },
 ): boolean {
-    const ownShare = computeRefusalShare(rates[priority], now);
-    return rates.slice(0, priority).some(rate => computeRefusalShare(rate, now) > ownShare);
+    const ownShare = computeRefusalShare(rates[rank], now);
+    return rates.slice(0, rank).some(rate => computeRefusalShare(rate, now) > ownShare);
 }
--- a/src/forward/policy/slotWait.ts
+++ b/src/forward/policy/slotWait.ts
@@ -82,6 +82,10 @@
 export const canBeginInTime = ({ waitMs, firstEventMs, objectiveMs }: AdmissionInput): boolean =>
     waitMs <= objectiveMs * minWaitFraction || waitMs + firstEventMs <= objectiveMs * maxFirstEventFraction;
 
+/** True when the prompt alone takes so much of the objective that it is admitted by its wait only. */
+export const isLongPrompt = ({ firstEventMs, objectiveMs }: Omit<AdmissionInput, "waitMs">): boolean =>
+    firstEventMs > objectiveMs * (maxFirstEventFraction - minWaitFraction);
+
 /** A refused caller finds room later the more callers are refused: its wait grows by up to this factor. */
 const refusalReturnFactor = 4;
 /** Returns are spread over this fraction of the wait either way, so that refused callers do not come back together. */
--- a/src/forward/systems/slotUse.ts
+++ b/src/forward/systems/slotUse.ts
@@ -9,6 +9,7 @@
     estimateGrowth,
     estimateShareWaitMs,
     estimateSlotWaitMs,
+    isLongPrompt,
 } from "../policy/slotWait";
 import type { ForwardAttempt, ForwardRequestRow } from "../tables/requests";
 import type { ForwardTargetRow } from "../tables/targets";
@@ -109,10 +110,11 @@
 ): "late" | "gives_way" | undefined {
     const { slotUse } = world.tables;
     const { refusalRates } = slotUse.get(row.service);
-    const priority = computeRequestPriority(row);
+    // Long prompts come first within a priority: the others would take all slots before the wait is short enough for them.
+    const rank = 2 * computeRequestPriority(row) + (isLongPrompt(admission) ? 0 : 1);
     const isLate = !canBeginInTime(admission);
-    const isRefused = isLate || isGivingWay({ rates: refusalRates, priority, now: tick.now });
-    refusalRates[priority] = updateRefusalRate(refusalRates[priority], isRefused, tick.now);
+    const isRefused = isLate || isGivingWay({ rates: refusalRates, rank, now: tick.now });
+    refusalRates[rank] = updateRefusalRate(refusalRates[rank], isRefused, tick.now);
     slotUse.recordDecision(row.service, isRefused);
     return isLate ? "late" : isRefused ? "gives_way" : undefined;
 }
--- a/src/forward/tables/slotUse.ts
+++ b/src/forward/tables/slotUse.ts
@@ -19,7 +19,7 @@
     trafficShare: number;
     /** Requests of this process in flight, oldest sample first. */
     readonly samples: Sample[];
-    /** Recent admission decisions by priority of the request. */
+    /** Recent admission decisions by rank: by priority, then long prompts before others. */
     readonly refusalRates: (RefusalRate | undefined)[];
 }
 
--- a/test/forward/slotAdmission.test.ts
+++ b/test/forward/slotAdmission.test.ts
@@ -78,13 +78,26 @@
         expect([...figures.values()].map(({ refused }) => refused)).toEqual([0, 0]);
     });
 
+    // A long prompt leaves less of the objective for the wait, so under a lasting overload it is always refused.
+    it("serves the largest tenth of a kind at least half as often as the kind", async () => {
+        const usual = { name: "usual", objectiveMs: 600, priority: 1, outputMs: 500, intervalMs: 15 };
+        const large = { ...usual, name: "large", intervalMs: 150, promptTokens: 20_000 };
+        const figures = await runSlotLoad({ engines: 4, slots: 4, durationMs: 20_000, kinds: [usual, large] });
+        const computeServed = (names: readonly string[]): number => {
+            const rows = names.map(name => figures.get(name) ?? { sent: 0, refused: 0 });
+            return 1
+                - rows.reduce((sum, { refused }) => sum + refused, 0) / rows.reduce((sum, { sent }) => sum + sent, 0);
+        };
+        expect(computeServed(["large"])).toBeGreaterThanOrEqual(computeServed(["usual", "large"]) / 2);
+    });
+
     // Refusals of a less urgent kind spread to a more urgent one.
     it("lets a request give way to more urgent ones only, and only while they are refused more often", () => {
         const now = toMillis(1000);
         const refusedRate = updateRefusalRate(undefined, true, now);
-        expect(isGivingWay({ rates: [undefined, refusedRate], priority: 3, now })).toBe(true);
-        expect(isGivingWay({ rates: [undefined, undefined, undefined, refusedRate], priority: 1, now })).toBe(false);
-        expect(isGivingWay({ rates: [refusedRate, refusedRate], priority: 1, now })).toBe(false);
+        expect(isGivingWay({ rates: [undefined, refusedRate], rank: 3, now })).toBe(true);
+        expect(isGivingWay({ rates: [undefined, undefined, undefined, refusedRate], rank: 1, now })).toBe(false);
+        expect(isGivingWay({ rates: [refusedRate, refusedRate], rank: 1, now })).toBe(false);
     });
 });
 
