--- a/src/forward/policy/loadPace.ts
+++ b/src/forward/policy/loadPace.ts
@@ -8,16 +8,16 @@
 
 /**
  * Computes how many engines have to load at once. Engines that are too late get no requests at all, which costs more
- * capacity than loading more of them earlier.
+ * capacity than loading more of them earlier. Counted in whole rounds: the part of a round that is left loads nothing.
  *
  * @example
- * computeNeededLoads({ timesLeftMs: [7000, 7000, 7000], cycleMs: 3500 }); // 2: one after the other takes 10.5 s
+ * computeNeededLoads({ timesLeftMs: [7000, 7000, 7000], cycleMs: 3300 }); // 2: there is time for two rounds
  */
 export function computeNeededLoads({ timesLeftMs, cycleMs }: LoadPaceInput): number {
     const sorted = [...timesLeftMs].sort((left, right) => left - right);
     return sorted.reduce(
         (needed, timeLeftMs, index) =>
-            Math.max(needed, Math.ceil((index + 1) * cycleMs / Math.max(cycleMs, timeLeftMs))),
+            Math.max(needed, Math.ceil((index + 1) / Math.max(1, Math.floor(timeLeftMs / cycleMs)))),
         0,
     );
 }
--- a/src/forward/systems/loadPace.ts
+++ b/src/forward/systems/loadPace.ts
@@ -10,7 +10,7 @@
 import { isAdmittedBySlots } from "./slotUse";
 
 /** At most this fraction of the working engines loads at once, however late the rollout is. */
-const maxPaceFraction = 1 / 3;
+const maxPaceFraction = 1 / 2;
 
 /** The registration of an engine is about this much later than its load. */
 const registrationLagMs = 400;
@@ -37,6 +37,20 @@
         : 0;
 }
 
+/**
+ * Estimates the time of a load. Loads that still run count with their age where it is above the mean; otherwise nothing
+ * would show that loads take longer until the first of them have ended.
+ */
+function estimateCycleMs(world: ForwardWorld, tick: ForwardTick, model: ModelId): number {
+    const { rows, lastOrders, cycleMs } = world.tables.rollouts;
+    const running = [...rows.values()].filter(row => row.model === model && row.state === "loading");
+    const sumMs = running.reduce((sum, { target }) => {
+        const seenAt = lastOrders.get(target)?.seenAt ?? tick.now;
+        return sum + Math.max(cycleMs, tick.now - seenAt);
+    }, 0);
+    return running.length === 0 ? cycleMs : sumMs / running.length;
+}
+
 /** Loads that are needed at once so that no engine loses its requests for outdated weights; 0 when that is off. */
 export function computePacedLoads(
     world: ForwardWorld,
@@ -53,6 +67,6 @@
         const outdatedSince = findOutdatedSince(world.tables.configuration, model, version);
         return outdatedSince === undefined ? [] : [outdatedSince + usableMs - tick.now];
     });
-    const needed = computeNeededLoads({ timesLeftMs, cycleMs: world.tables.rollouts.cycleMs - registrationLagMs });
+    const needed = computeNeededLoads({ timesLeftMs, cycleMs: estimateCycleMs(world, tick, model) });
     return Math.min(needed, Math.floor(working.length * maxPaceFraction));
 }
--- a/src/forward/systems/slotUse.ts
+++ b/src/forward/systems/slotUse.ts
@@ -2,7 +2,14 @@
 import { addMillis } from "../../ids";
 import type { ForwardTick } from "../events";
 import { estimateFirstEventMs } from "../policy/engineScore";
-import { estimateGrowth, estimateShareWaitMs, estimateSlotWaitMs } from "../policy/slotWait";
+import { isGivingWay, updateRefusalRate } from "../policy/refusalParity";
+import {
+    type AdmissionInput,
+    canBeginInTime,
+    estimateGrowth,
+    estimateShareWaitMs,
+    estimateSlotWaitMs,
+} from "../policy/slotWait";
 import type { ForwardAttempt, ForwardRequestRow } from "../tables/requests";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
@@ -93,13 +100,32 @@
     };
 }
 
+/** Decides whether a request is admitted and records the decision. Returns the cause of a refusal. */
+export function checkAdmission(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    row: ForwardRequestRow,
+    admission: AdmissionInput,
+): "late" | "gives_way" | undefined {
+    const { slotUse } = world.tables;
+    const { refusalRates } = slotUse.get(row.service);
+    const rank = computeRequestPriority(row);
+    const isLate = !canBeginInTime(admission);
+    const isRefused = isLate || isGivingWay({ rates: refusalRates, rank, now: tick.now });
+    refusalRates[rank] = updateRefusalRate(refusalRates[rank], isRefused, tick.now);
+    slotUse.recordDecision(row.service, isRefused);
+    return isLate ? "late" : isRefused ? "gives_way" : undefined;
+}
+
 /**
  * Samples the requests in flight on engines, from which the growth since the reports of peers follows.
  *
  * Reads: targets, configuration, members. Writes: slot use.
  */
 export function recordSlotUse(world: ForwardWorld, tick: ForwardTick): void {
-    if (!isAdmittedBySlots(world) || !(tick.due.has("slotSample") || tick.number === 1)) {
+    const { slotUse } = world.tables;
+    // Not only when the timer is due: a reload of the settings may switch admission by slots on.
+    if (!isAdmittedBySlots(world) || tick.now < slotUse.sampleDueAt) {
         return;
     }
     // A report is half an interval old on average.
@@ -107,10 +133,11 @@
     for (const { id, engine } of world.tables.configuration.document?.services.values() ?? []) {
         if (engine) {
             const requests = countInFlight(world.tables.targets.listService(id));
-            const row = world.tables.slotUse.get(id);
+            const row = slotUse.get(id);
             row.trafficShare = computeTrafficShare(world, tick.now, id, world.tables.members.listVms());
-            world.tables.slotUse.recordRequests(id, { at: tick.now, requests }, reportAgeMs);
+            slotUse.recordRequests(id, { at: tick.now, requests }, reportAgeMs);
         }
     }
-    world.timers.schedule({ name: "slotSample", at: addMillis(tick.now, sampleIntervalMs) });
+    slotUse.sampleDueAt = addMillis(tick.now, sampleIntervalMs);
+    world.timers.schedule({ name: "slotSample", at: slotUse.sampleDueAt });
 }
--- a/src/forward/tables/slotUse.ts
+++ b/src/forward/tables/slotUse.ts
@@ -1,6 +1,7 @@
 /** How this process uses the slots of each service's engines: the time for which requests hold them, and their number. */
-import type { Millis } from "../../ids";
+import { type Millis, toMillis } from "../../ids";
 import type { ServiceId } from "../ids";
+import type { RefusalRate } from "../policy/refusalParity";
 
 interface Sample {
     readonly at: Millis;
@@ -18,9 +19,13 @@
     trafficShare: number;
     /** Requests of this process in flight, oldest sample first. */
     readonly samples: Sample[];
+    /** Recent admission decisions by priority. */
+    readonly refusalRates: (RefusalRate | undefined)[];
 }
 
 export interface SlotUseTable {
+    /** Time at which the requests in flight are sampled next. */
+    sampleDueAt: Millis;
     get(service: ServiceId): SlotUseRow;
     /** Adds one observed tenure to the moving average. */
     recordTenure(service: ServiceId, priority: number, tenureMs: number): void;
@@ -48,12 +53,14 @@
             refusedShare: 0,
             trafficShare: 1,
             samples: [],
+            refusalRates: [],
         };
         rows.set(service, row);
         return row;
     }
 
     return {
+        sampleDueAt: toMillis(0),
         get,
         recordTenure: (service, priority, tenureMs) => {
             const row = get(service);
