Keep refusals for parity within an account, and shares for busy fleets

Change: only requests of the same account give way. The wait by a process's own part counts only while half of the usable slots are taken.

--- a/src/adapters/requestTarget.ts
+++ b/src/adapters/requestTarget.ts
@@ -13,7 +13,7 @@
  * Splits the target of a request. Never fails, unlike `URL`, which takes `//?name=x` for an address without a host.
  *
  * @example
- * parseRequestTarget("/-/resolve?name=shop.example").path; // "/-/resolve"
+ * parseRequestTarget("/v1/entries?name=shop").path; // "/v1/entries"
  */
 export function parseRequestTarget(target: string): RequestTarget {
     const [path = "", ...rest] = target.replace(originPattern, "").split("?");
--- a/src/configCheck/differences.ts
+++ b/src/configCheck/differences.ts
@@ -155,7 +155,7 @@
 const rowTexts: Readonly<Record<RowSection, RowTexts>> = {
     services: {
         name: "service",
-        added: "is defined: its targets get requests by its engine settings, if it has any",
+        added: "is defined: its targets get requests by its engine settings, if there are some",
         removed: "is not defined any more: its targets get requests as plain ones",
         changed: "has other engine settings",
         bringsCapacity: false,
--- a/src/forward/systems/slotUse.ts
+++ b/src/forward/systems/slotUse.ts
@@ -11,16 +11,22 @@
     estimateSlotWaitMs,
 } from "../policy/slotWait";
 import type { ForwardAttempt, ForwardRequestRow } from "../tables/requests";
-import type { ForwardTargetRow } from "../tables/targets";
+import { type ForwardTargetRow, isWorking } from "../tables/targets";
 import type { ForwardWorld } from "../world";
 import { computeExchangeIntervalMs } from "./accountUsage";
 import { computeRequestPriority } from "./engineCandidates";
-import type { TargetLoad } from "./engineLoad";
+import { listTargetLoads, type TargetLoad } from "./engineLoad";
 import { computeTrafficShare } from "./requestLimits";
 
 /** Interval at which the requests in flight are sampled. */
 const sampleIntervalMs = 200;
 
+/**
+ * Below this use of all slots, an engine that this process uses more than its part is no sign of a queue: its requests
+ * have a prompt part that the engine holds.
+ */
+const minSharedUtilisation = 0.5;
+
 /** True when the settings, or the terms of the platform, ask for admission by the slots of engines. */
 export const isAdmittedBySlots = (world: ForwardWorld): boolean => world.settings.admission.bySlots === true;
 
@@ -79,7 +85,7 @@
         return undefined;
     }
     const targets = world.tables.targets.listService(row.service);
-    const { tenureMs, tenureMsByPriority, trafficShare, samples } = world.tables.slotUse.get(row.service);
+    const { tenureMs, tenureMsByPriority, trafficShare, samples, utilisation } = world.tables.slotUse.get(row.service);
     const growth = estimateGrowth(countInFlight(targets), samples[0]?.requests ?? 0);
     const aheadShare = computeAheadShare(targets, priority);
     return ({ target, requests }) => {
@@ -91,7 +97,7 @@
         const estimated = ownRequests + (requests - ownRequests) * growth;
         return Math.max(
             estimateSlotWaitMs({ requests: estimated, slots, tenureMs, aheadShare }),
-            estimateShareWaitMs({
+            utilisation < minSharedUtilisation ? 0 : estimateShareWaitMs({
                 ownRequests: countAhead(target, priority),
                 ownSlots: slots * trafficShare,
                 tenureMs: tenureMsByPriority.get(priority) ?? tenureMs,
@@ -108,15 +114,26 @@
     admission: AdmissionInput,
 ): "late" | "gives_way" | undefined {
     const { slotUse } = world.tables;
+    // Only requests of the same account give way, so that an account that floods pays for its refusals itself.
     const { refusalRates } = slotUse.get(row.service);
+    const ownRates = refusalRates.get(row.accountId) ?? [];
+    refusalRates.set(row.accountId, ownRates);
     const rank = computeRequestPriority(row);
     const isLate = !canBeginInTime(admission);
-    const isRefused = isLate || isGivingWay({ rates: refusalRates, rank, now: tick.now });
-    refusalRates[rank] = updateRefusalRate(refusalRates[rank], isRefused, tick.now);
+    const isRefused = isLate || isGivingWay({ rates: ownRates, rank, now: tick.now });
+    ownRates[rank] = updateRefusalRate(ownRates[rank], isRefused, tick.now);
     slotUse.recordDecision(row.service, isRefused);
     return isLate ? "late" : isRefused ? "gives_way" : undefined;
 }
 
+/** Requests for each slot of the engines that get requests now. */
+function computeUtilisation(world: ForwardWorld, tick: ForwardTick, targets: readonly ForwardTargetRow[]): number {
+    const available = targets.filter(target => isWorking(target, tick.now) && tick.now >= target.unavailableUntil);
+    const slots = available.reduce((sum, { registration }) => sum + (registration.slots ?? 0), 0);
+    const requests = listTargetLoads(world, tick, targets).reduce((sum, load) => sum + load.requests, 0);
+    return requests / Math.max(1, slots);
+}
+
 /**
  * Samples the requests in flight on engines, from which the growth since the reports of peers follows.
  *
@@ -132,8 +149,10 @@
     const reportAgeMs = computeExchangeIntervalMs(world) / 2;
     for (const { id, engine } of world.tables.configuration.document?.services.values() ?? []) {
         if (engine) {
-            const requests = countInFlight(world.tables.targets.listService(id));
+            const targets = world.tables.targets.listService(id);
+            const requests = countInFlight(targets);
             const row = slotUse.get(id);
+            row.utilisation = computeUtilisation(world, tick, targets);
             row.trafficShare = computeTrafficShare(world, tick.now, id, world.tables.members.listVms());
             slotUse.recordRequests(id, { at: tick.now, requests }, reportAgeMs);
         }
--- a/src/forward/tables/slotUse.ts
+++ b/src/forward/tables/slotUse.ts
@@ -1,5 +1,5 @@
 /** How this process uses the slots of each service's engines: the time for which requests hold them, and their number. */
-import { type Millis, toMillis } from "../../ids";
+import { type AccountId, type Millis, toMillis } from "../../ids";
 import type { ServiceId } from "../ids";
 import type { RefusalRate } from "../policy/refusalParity";
 
@@ -19,8 +19,10 @@
     trafficShare: number;
     /** Requests of this process in flight, oldest sample first. */
     readonly samples: Sample[];
-    /** Recent admission decisions by priority. */
-    readonly refusalRates: (RefusalRate | undefined)[];
+    /** Requests at the engines, as reported and own, for each of their slots. */
+    utilisation: number;
+    /** Recent admission decisions of each account, by priority. */
+    readonly refusalRates: Map<AccountId | undefined, (RefusalRate | undefined)[]>;
 }
 
 export interface SlotUseTable {
@@ -53,7 +55,8 @@
             refusedShare: 0,
             trafficShare: 1,
             samples: [],
-            refusalRates: [],
+            utilisation: 0,
+            refusalRates: new Map<AccountId | undefined, (RefusalRate | undefined)[]>(),
         };
         rows.set(service, row);
         return row;
