Read the terms of the platform as text, and describe how parts keep to the shape

Cause: a platform that names no terms would have rendered a settings file that cannot be parsed, and the process would not have started. Change: the terms are a text separated by commas; unknown ones are ignored.

--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -59,7 +59,7 @@
 /** Completes settings that have no value by what the terms of the platform ask for. */
 function applyAgreements(settings: ForwardSettings, ports: Pick<PlatformPorts, "decodeAgreements">): ForwardSettings {
     const { admitsBySlots } = ports.decodeAgreements(settings.agreements);
-    return { ...settings, admission: { bySlots: settings.admission.bySlots ?? admitsBySlots } };
+    return { ...settings, admission: { ...settings.admission, bySlots: settings.admission.bySlots ?? admitsBySlots } };
 }
 
 /**
--- a/src/forward/settings.ts
+++ b/src/forward/settings.ts
@@ -60,8 +60,11 @@
         /** Maximum time for which callers cache the list of addresses. */
         addressesKeepSeconds: z.number().positive(),
     }),
-    /** Terms of the platform that are in force, by its names; its port says which settings they ask for. */
-    agreements: z.array(z.string().max(64)).max(64).default([]),
+    /**
+     * Terms of the platform that are in force, by its names, separated by commas. The platform's port says which settings
+     * they ask for, and ignores others.
+     */
+    agreements: z.string().default("").transform(text => text.split(",").map(name => name.trim())),
     admission: z.strictObject({
         /**
          * Refuses at once what the slots of the engines cannot begin in time, instead of queueing it at the engines.
