Detect resets of connections whose request is still being written

Callers saw a part of an answer, or of an event stream, as complete. A target that answers a long upload before it has read it, without a length or chunks, writes a part of the body and resets its connection.

Cause: Node reports a reset that arrives together with the last bytes as the end of the connection, and its HTTP client closes the connection at that end. The check for a reset is an empty write, which waits behind the rest of the upload, so it never ran. Without an upload that is pending it fails at once, which is why short requests did not show the fault.

Connections to other processes are now sockets that report the end one turn of the event loop later while something is being written. The pending write fails in the same turn when the connection was reset, and that error ends the attempt. A write that fails because the target had ended its side before it closed the connection (EPIPE instead of ECONNRESET) ends nothing: such an answer is complete, and it stays so.

--- a/src/adapters/httpClient.ts
+++ b/src/adapters/httpClient.ts
@@ -4,6 +4,7 @@
 import { createBodyCollector } from "./bodyCollector";
 import { applyHeadLimit } from "./headLimit";
 import { createListenerGuard } from "./listenerGuard";
+import { OutgoingAgent } from "./outgoingSocket";
 import { createResponseBuffers } from "./responseBuffers";
 
 export interface HttpCall {
@@ -14,6 +15,7 @@
     readonly headers?: http.OutgoingHttpHeaders;
     readonly body?: string;
     readonly timeoutMs: number;
+    /** The default opens a connection for the call. */
     readonly agent?: http.Agent;
     /** Maximum length of the answer. */
     readonly maxBytes?: number;
@@ -70,7 +72,8 @@
 
 /** Sends a request and reads the whole answer. The timeout covers both. */
 export function sendHttpCall(call: HttpCall): Promise<HttpAnswer> {
-    const { method, address, path, headers = {}, body, timeoutMs, agent, maxBytes = maxAnswerBytes } = call;
+    const { method, address, path, headers = {}, body, timeoutMs, maxBytes = maxAnswerBytes } = call;
+    const { agent = singleUseAgent } = call;
     return new Promise((resolve, reject) => {
         let mayHaveBeenSent = false;
         const request = http.request({
@@ -78,7 +81,7 @@
             method,
             path,
             headers: body === undefined ? headers : { "content-length": Buffer.byteLength(body), ...headers },
-            ...(agent ? { agent } : {}),
+            agent,
         });
         const timer = setTimeout(() => {
             request.destroy(new Error("The call timed out."));
@@ -137,5 +140,8 @@
 
 /** Creates an agent that keeps a bounded number of idle connections. */
 export function createKeepAliveAgent({ maxSockets = 64 }: { readonly maxSockets?: number; } = {}): http.Agent {
-    return new http.Agent({ keepAlive: true, maxSockets, maxFreeSockets: 16, timeout: 30_000 });
+    return new OutgoingAgent({ keepAlive: true, maxSockets, maxFreeSockets: 16, timeout: 30_000 });
 }
+
+/** Agent that opens a connection for each request. */
+export const singleUseAgent: http.Agent = new OutgoingAgent();
--- a/src/adapters/responseFraming.ts
+++ b/src/adapters/responseFraming.ts
@@ -1,6 +1,7 @@
 /** Message framing: how the end of an HTTP response is marked (RFC 9112, section 6.3). */
 import type * as http from "node:http";
 import type { Socket } from "node:net";
+import { isOrderlyClose } from "./outgoingSocket";
 
 /** What marks the end of a response. */
 export type ResponseFraming =
@@ -38,7 +39,7 @@
     length: ({ complete }) => complete,
     chunks: ({ complete }) => complete,
     // Node's parser takes a connection reset for the end of a response without framing.
-    connection: ({ complete }, { errored }) => complete && !errored,
+    connection: ({ complete }, { errored }) => complete && (errored === null || isOrderlyClose(errored)),
 };
 
 export interface ResponseEnd {
--- a/src/adapters/storeClient.ts
+++ b/src/adapters/storeClient.ts
@@ -7,7 +7,7 @@
 import type { Clock, FailureReporter } from "../runner";
 import type { StoreAnswer, StoreFailure } from "../store";
 import { applyHeadLimit } from "./headLimit";
-import { createKeepAliveAgent, HttpCallError, parseAddress, sendHttpCall } from "./httpClient";
+import { createKeepAliveAgent, HttpCallError, parseAddress, sendHttpCall, singleUseAgent } from "./httpClient";
 import { createLineReader } from "./lineReader";
 import { createListenerGuard, type ListenerGuard } from "./listenerGuard";
 
@@ -86,7 +86,7 @@
             method: "POST",
             path: watchPath,
             headers: { "content-type": "application/json" },
-            agent: false,
+            agent: singleUseAgent,
             timeout: maxWatchSilenceMs,
         });
         watches.set(effect.watch, request);
--- a/src/adapters/targetClient.ts
+++ b/src/adapters/targetClient.ts
@@ -11,7 +11,7 @@
 import { type BufferedAnswer, buildAnswerRecord, buildBufferedAnswer, type WholeResponse } from "./bufferedAnswer";
 import type { CheckedEnd } from "./checkedEnds";
 import { applyHeadLimit } from "./headLimit";
-import { createKeepAliveAgent, parseAddress, subscribeToFirstWrite } from "./httpClient";
+import { createKeepAliveAgent, parseAddress, singleUseAgent, subscribeToFirstWrite } from "./httpClient";
 import { sendRefusal } from "./httpServer";
 import { createListenerCheck, type ListenerState } from "./listenerCheck";
 import { createListenerGuard, handleUnreportedFailure, type ListenerGuard } from "./listenerGuard";
@@ -273,7 +273,7 @@
                 ...(hasBody ? { "content-length": body.length } : {}),
                 ...(call.needsNewConnection ? { connection: "close" } : {}),
             },
-            agent: call.needsNewConnection ? false : agent,
+            agent: call.needsNewConnection ? singleUseAgent : agent,
         }, "closed");
         const handleHead = (response: http.IncomingMessage): void => {
             if (attempts.get(id) !== runningAttempt) {
--- a/src/adapters/targetReader.ts
+++ b/src/adapters/targetReader.ts
@@ -8,7 +8,7 @@
 import type { Clock, FailureReporter } from "../runner";
 import type { OrderOutcome } from "../targets";
 import { applyHeadLimit } from "./headLimit";
-import { createKeepAliveAgent, HttpCallError, parseAddress, sendHttpCall } from "./httpClient";
+import { createKeepAliveAgent, HttpCallError, parseAddress, sendHttpCall, singleUseAgent } from "./httpClient";
 import { createListenerGuard, type ListenerGuard } from "./listenerGuard";
 import { createPieceCounter } from "./pieceCounter";
 import { createResponseBuffers } from "./responseBuffers";
@@ -131,7 +131,7 @@
             ...parseAddress(address),
             method: "GET",
             path: `/cache-events?after=${after}`,
-            agent: false,
+            agent: singleUseAgent,
         });
         const guard = createListenerGuard({
             part: "targetReader",
--- a/src/forward/adapters/targetAgents.ts
+++ b/src/forward/adapters/targetAgents.ts
@@ -1,6 +1,7 @@
 /** Keep-alive connections to targets, one pool per target. */
-import * as http from "node:http";
+import type * as http from "node:http";
 import type { Socket } from "node:net";
+import { OutgoingAgent } from "../../adapters/outgoingSocket";
 import type { TargetId } from "../../ids";
 
 /** Well below the idle timeout of targets, so that they do not close a connection that is being reused. */
@@ -18,7 +19,7 @@
  * Agent that closes an idle connection on which data arrives. Such data belongs to no request and would otherwise be
  * read as the response to the next one.
  */
-class IdleGuardAgent extends http.Agent {
+class IdleGuardAgent extends OutgoingAgent {
     readonly #idleDataHandlers = new WeakMap<Socket, () => void>();
 
     override keepSocketAlive(socket: Socket): boolean {
--- a/test/support/rawConnections.ts
+++ b/test/support/rawConnections.ts
@@ -29,26 +29,43 @@
     return { method, path, getHeader: name => headers.get(name) ?? "" };
 }
 
+export interface RawTargetOptions {
+    /**
+     * Calls `answer` when the head of a request has arrived. The target reads no body that arrives later than its head,
+     * and no further request on such a connection.
+     */
+    readonly answersEarly?: boolean;
+}
+
 /** Starts a target that calls `answer` for each request, once its body has arrived. */
 export async function startRawTarget(
     answer: (socket: net.Socket, request: RawRequest) => void,
+    { answersEarly = false }: RawTargetOptions = {},
 ): Promise<RawTarget> {
     const sockets = new Set<net.Socket>();
     const requests: RawRequest[] = [];
     let connectionCount = 0;
-    const server = net.createServer(socket => {
+    const server = net.createServer({ noDelay: true }, socket => {
         connectionCount += 1;
         sockets.add(socket);
         let text = "";
+        let hasStoppedReading = false;
         socket.setEncoding("latin1");
         socket.on("error", () => undefined);
         socket.on("close", () => sockets.delete(socket));
         socket.on("data", (chunk: string) => {
+            if (hasStoppedReading) {
+                return;
+            }
             text += chunk;
             for (let headEnd = text.indexOf("\r\n\r\n"); headEnd >= 0; headEnd = text.indexOf("\r\n\r\n")) {
                 const request = parseHead(text.slice(0, headEnd));
                 const bodyEnd = headEnd + 4 + Number(request.getHeader("content-length"));
-                if (text.length < bodyEnd) {
+                hasStoppedReading = answersEarly && text.length < bodyEnd;
+                if (hasStoppedReading) {
+                    socket.pause();
+                }
+                else if (text.length < bodyEnd) {
                     return;
                 }
                 text = text.slice(bodyEnd);
--- a/test/support/rawFleet.ts
+++ b/test/support/rawFleet.ts
@@ -2,7 +2,7 @@
 import type * as net from "node:net";
 import { apiKey, buildPlatformRoute } from "../../standins/platformConfiguration";
 import { type FleetNode, type PlatformFleet, sendRequest, startPlatformFleet, waitUntil } from "./platformFleet";
-import { type RawRequest, type RawTarget, startRawTarget } from "./rawConnections";
+import { type RawRequest, type RawTarget, type RawTargetOptions, startRawTarget } from "./rawConnections";
 
 const rawService = "raw";
 
@@ -25,10 +25,15 @@
     close(): Promise<void>;
 }
 
+export type RawFleetOptions = NonNullable<Parameters<typeof startPlatformFleet>[0]> & RawTargetOptions & {
+    /** Maximum length of a request body; the default is that of the platform. */
+    readonly maxBodyBytes?: number;
+};
+
 /** Starts a process and a target that answers `/raw-...` with the bytes that `answer` writes. */
 export async function startRawFleet(
     answer: (socket: net.Socket, request: RawRequest) => void,
-    options: Parameters<typeof startPlatformFleet>[0] = {},
+    { answersEarly = false, maxBodyBytes, ...options }: RawFleetOptions = {},
 ): Promise<RawFleet> {
     const target = await startRawTarget((socket, request) => {
         if (request.path === "/raw-lookup/ready") {
@@ -36,9 +41,13 @@
             return;
         }
         answer(socket, request);
-    });
+    }, { answersEarly });
     const fleet = await startPlatformFleet(options);
-    fleet.writeConfiguration({ routes: rawRoutes, services: [{ "name": rawService, "max-connections": 100 }] });
+    fleet.writeConfiguration({
+        routes: rawRoutes,
+        services: [{ "name": rawService, "max-connections": 100 }],
+        ...(maxBodyBytes === undefined ? {} : { limits: { "max-body-bytes": maxBodyBytes } }),
+    });
     const registration = fleet.services[0]?.buildRegistration();
     const register = (name: string, { address: targetAddress }: RawTarget): void => {
         fleet.store.put(`servers/${name}`, { ...registration, service: rawService, address: targetAddress });
@@ -78,7 +87,11 @@
 let lastAttempt = 0;
 
 /** Formats a request with the headers that the platform's callers send. */
-export function formatRequest(method: string, path: string, { version = "1.1", deadlineMs = 3000 } = {}): string {
+export function formatRequest(
+    method: string,
+    path: string,
+    { version = "1.1", deadlineMs = 3000, body = "" } = {},
+): string {
     lastAttempt += 1;
     return [
         `${method} ${path} HTTP/${version}`,
@@ -86,8 +99,8 @@
         `X-Marjoramvane-Attempt-Id: a${lastAttempt}`,
         `X-Marjoramvane-Deadline-Ms: ${deadlineMs}`,
         `Authorization: Token ${apiKey}`,
-        "Content-Length: 0",
-        "",
+        `Content-Length: ${body.length}`,
         "",
+        body,
     ].join("\r\n");
 }
