Keep a listener for errors of outgoing connections

A target that answers a long upload whole and with a length, and resets its connection while the upload is still being written, could end the process: the error of the pending write was uncaught.

Cause: Node's HTTP client removes its listeners from a connection that it will reuse when the response ends, although its request may still be unwritten. A socket error without a listener is an uncaught exception, after which the process stops.

Outgoing sockets now have a listener of their own that does nothing. The HTTP client reports errors to the request as before while it listens.

--- a/src/adapters/outgoingSocket.ts
+++ b/src/adapters/outgoingSocket.ts
@@ -14,6 +14,13 @@
  * turn of the event loop, but the HTTP client has closed the socket by that time.
  */
 export class OutgoingSocket extends net.Socket {
+    constructor(options?: net.SocketConstructorOpts) {
+        super(options);
+        // The HTTP client stops listening when a response ends, also while its request is still being written. An error
+        // without a listener would end the process.
+        this.on("error", () => undefined);
+    }
+
     override push(chunk: unknown, encoding?: BufferEncoding): boolean {
         if (chunk !== null || this.writableLength === 0) {
             return super.push(chunk, encoding);
--- a/test/resetUploads.test.ts
+++ b/test/resetUploads.test.ts
@@ -139,6 +139,30 @@
         expect(await caller.waitForEnd()).toBe("orderly");
         expect(caller.text).toMatch(/^HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\nthe whole answer$/);
     });
+
+    // Guards against an answer that is dropped although all of its bytes have arrived, and against the end of the process:
+    // the error of the upload came when nothing listened to the connection any more.
+    it("is relayed whole when it has a length and its connection is reset after it", async () => {
+        const uncaught: unknown[] = [];
+        const handleUncaught = (error: unknown): void => {
+            uncaught.push(error);
+        };
+        process.on("uncaughtException", handleUncaught);
+        closers.push(() => {
+            process.off("uncaughtException", handleUncaught);
+        });
+        const caller = await modes[mode]({
+            path: "/raw-order/framed",
+            headers: ["Content-Length: 16"],
+            answer: socket => {
+                socket.write("the whole answer");
+                socket.resetAndDestroy();
+            },
+        });
+        await caller.waitForText(/the whole answer$/);
+        expect(caller.text).toMatch(/^HTTP\/1\.1 200 OK\r\n/);
+        expect(uncaught).toEqual([]);
+    });
 });
 
 describe("an event stream that answers a request that is not read", () => {
