Reject answers to calls whose connection was reset

Calls to engines, peers, the store and the VM list took a part of an answer as the whole: an answer without a length or chunks whose connection is reset together with its last bytes. A page of the store, a state report or the outcome of an order could be such a part; most, but not all, were then rejected as invalid JSON.

Cause: `sendHttpCall` asked only whether Node's parser had seen the end of the answer, and the parser takes a reset for the end of an answer without framing.

Calls now follow the end of the connection as relayed answers do. The call fails as one that may have been sent.

--- a/src/adapters/httpClient.ts
+++ b/src/adapters/httpClient.ts
@@ -6,6 +6,7 @@
 import { createListenerGuard } from "./listenerGuard";
 import { OutgoingAgent } from "./outgoingSocket";
 import { createResponseBuffers } from "./responseBuffers";
+import { followResponseEnd } from "./responseFraming";
 
 export interface HttpCall {
     readonly method: string;
@@ -106,6 +107,7 @@
                 request.destroy(new Error("The answer is longer, or in more pieces, than the limit."));
             };
             const body = createBodyCollector(callBuffers, { onDiscarded: guard(handleTooLong), minMeanBytes });
+            const end = followResponseEnd(method, response);
             let length = 0;
             const handleData = (chunk: Buffer): void => {
                 length += chunk.length;
@@ -115,7 +117,7 @@
             };
             const handleEnd = (): void => {
                 clearTimeout(timer);
-                if (response.complete) {
+                if (end.isComplete()) {
                     const text = body.take().toString("utf8");
                     resolve({ status: response.statusCode ?? 0, text, headers: response.headers });
                 }
