Rename the check of response heads

It decides whether a response can be used at all, not only whether it can be relayed, and calls to engines, peers and the store need it next.

--- a/src/adapters/relayableHead.ts
+++ b/src/adapters/responseHead.ts
@@ -1,14 +1,14 @@
-/** Heads of responses that Node's parser accepts and its server refuses to write. */
+/** Heads of responses that Node's parser accepts and that no sound server writes. */
 import * as http from "node:http";
 
 /** Final responses begin here; a caller would take a lower status for the announcement of another response. */
 const minFinalStatus = 200;
 
 /**
- * True when the status and the headers of a response can be written to a caller. The parser accepts a status below 100
- * and a space in the name of a header.
+ * True when the status and the headers of a response are valid, so that it can be used and written to a caller. The
+ * parser accepts a status below 100, and some versions a space in the name of a header.
  */
-export function isRelayable({ statusCode = 0, rawHeaders }: http.IncomingMessage): boolean {
+export function isValidHead({ statusCode = 0, rawHeaders }: http.IncomingMessage): boolean {
     if (statusCode < minFinalStatus) {
         return false;
     }
--- a/src/adapters/targetClient.ts
+++ b/src/adapters/targetClient.ts
@@ -16,9 +16,9 @@
 import { createListenerCheck, type ListenerState } from "./listenerCheck";
 import { createListenerGuard, handleUnreportedFailure, type ListenerGuard } from "./listenerGuard";
 import type { OpenRequest, OpenRequests } from "./openRequests";
-import { isRelayable } from "./relayableHead";
 import { createResponseBuffers } from "./responseBuffers";
 import { endBodilessResponse, followResponseEnd, removeFraming } from "./responseFraming";
+import { isValidHead } from "./responseHead";
 import { createStreamRelay, type StreamRelay } from "./streamRelay";
 import { buildTargetHeaders } from "./targetHeaders";
 import { type ReadFault, readWholeResponse } from "./wholeResponse";
@@ -280,7 +280,7 @@
                 response.destroy();
                 return;
             }
-            if (!isRelayable(response)) {
+            if (!isValidHead(response)) {
                 postFailure(id, runningAttempt, "malformed_answer");
                 request.destroy();
                 return;
--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -6,9 +6,9 @@
 import { isConnectionRefused, parseAddress, subscribeToFirstWrite } from "../../adapters/httpClient";
 import { createListenerCheck, type ListenerCheck, type ListenerState } from "../../adapters/listenerCheck";
 import { createListenerGuard, handleUnreportedFailure, type ListenerGuard } from "../../adapters/listenerGuard";
-import { isRelayable } from "../../adapters/relayableHead";
 import { createResponseBuffers } from "../../adapters/responseBuffers";
 import { endBodilessResponse, followResponseEnd } from "../../adapters/responseFraming";
+import { isValidHead } from "../../adapters/responseHead";
 import { endFaults, type ReadFault, readWholeResponse } from "../../adapters/wholeResponse";
 import type { RequestId, TargetId } from "../../ids";
 import type { FailureReporter } from "../../runner";
@@ -286,7 +286,7 @@
                 targetResponse.destroy();
                 return;
             }
-            if (!isRelayable(targetResponse)) {
+            if (!isValidHead(targetResponse)) {
                 postFailure(id, running, "malformed");
                 request.destroy();
                 return;
