Reject answers to calls that have an invalid status

A server in trouble answers a call with the status 000. The completions mode took an order to load weights as accepted, as it did with 099 and 101; state reports and calls of the store were rejected later, by their bodies or as an unknown status.

Cause: relayed answers have their heads checked, answers to calls had not: every status below 300 counted as success.

`sendHttpCall` now applies the same check. The call fails as one that may have been sent, so the outcome of an order is unknown and is read from the engine's next report.

Evidence: six new cases of test/interruptedCalls.test.ts fail before the change, three of them with the outcome "accepted", and pass with it.

--- a/src/adapters/httpClient.ts
+++ b/src/adapters/httpClient.ts
@@ -7,6 +7,7 @@
 import { OutgoingAgent } from "./outgoingSocket";
 import { createResponseBuffers } from "./responseBuffers";
 import { followResponseEnd } from "./responseFraming";
+import { isValidHead } from "./responseHead";
 
 export interface HttpCall {
     readonly method: string;
@@ -103,6 +104,10 @@
             },
         });
         const handleHead = (response: http.IncomingMessage): void => {
+            if (!isValidHead(response)) {
+                request.destroy(new Error("The head of the answer is malformed."));
+                return;
+            }
             const handleTooLong = (): void => {
                 request.destroy(new Error("The answer is longer, or in more pieces, than the limit."));
             };
--- a/test/interruptedCalls.test.ts
+++ b/test/interruptedCalls.test.ts
@@ -1,7 +1,12 @@
 /** Calls to engines, peers and the store whose answers end early or are malformed. */
 import type { Socket } from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
+import { createProcessClock } from "../src/adapters/clock";
 import { type HttpAnswer, HttpCallError, sendHttpCall } from "../src/adapters/httpClient";
+import { createTargetReader } from "../src/adapters/targetReader";
+import { toMillis, toTargetId } from "../src/ids";
+import type { OrderOutcome } from "../src/targets";
+import { waitUntil } from "./support/platformFleet";
 import { startRawTarget } from "./support/rawConnections";
 import { followStalledUploads, uploadBytes } from "./support/stalledUploads";
 
@@ -79,3 +84,46 @@
         expect(answer).toMatchObject({ status: 200, text: "{\"a\":1}" });
     });
 });
+
+/** Status lines of servers in trouble that Node's parser accepts. */
+const invalidStatuses = ["000 OK", "099 OK", "101 Switching Protocols"];
+
+const answerDone = (socket: Socket): void => {
+    socket.write("{}");
+};
+
+describe("the answer to a call with an invalid status", () => {
+    // Guards against an answer of a server in trouble that is read like one of a sound server.
+    it.each(invalidStatuses)("is an error of the call: %s", async status => {
+        const head = `HTTP/1.1 ${status}\r\nContent-Length: 2\r\n\r\n`;
+        await expect(sendCall({ head, answer: answerDone })).rejects.toMatchObject({ mayHaveBeenSent: true });
+    });
+
+    // Guards against an order to load weights that counts as accepted although no sound engine has answered it.
+    it.each(invalidStatuses)("leaves the outcome of an order unknown: %s", async status => {
+        const server = await startRawTarget(socket => {
+            socket.write(`HTTP/1.1 ${status}\r\nContent-Length: 2\r\n\r\n{}`);
+        });
+        closers.push(server.close);
+        const outcomes: OrderOutcome[] = [];
+        const reader = createTargetReader({
+            clock: createProcessClock(),
+            post: event => {
+                if (event.kind === "orderAnswered") {
+                    outcomes.push(event.outcome);
+                }
+            },
+        });
+        closers.push(reader.close);
+        reader.sendOrder({
+            kind: "sendOrder",
+            target: toTargetId("engine-1"),
+            address: server.address,
+            order: { order: "order-1" } as never,
+            timeoutMs: 2000,
+            expiresAt: toMillis(Number.MAX_SAFE_INTEGER),
+        });
+        await waitUntil(() => outcomes.length > 0);
+        expect(outcomes).toEqual(["unknown"]);
+    });
+});
