End a watch whose answer is not a success

The completions mode took changes of the configuration and of the members from any answer to a watch, also from one with the status 000 or 500 of a store in trouble.

Cause: the status of the answer was not read; only lines that could not be decoded ended the watch.

A watch that is answered with another status than 200 is closed and reported as ended, after which its owner reads the store again.

Evidence: test/watchAnswers.test.ts delivers the change of an answer with 000 and with 500 before the fix, and none with it; 101 was held already.

--- a/src/adapters/storeClient.ts
+++ b/src/adapters/storeClient.ts
@@ -103,9 +103,13 @@
             }
         });
         const handleHead = (response: http.IncomingMessage): void => {
-            readWatch(effect.watch, response, guard, () => request.destroy());
             response.on("error", handleEnd);
             response.on("close", handleEnd);
+            if (response.statusCode !== 200) {
+                request.destroy();
+                return;
+            }
+            readWatch(effect.watch, response, guard, () => request.destroy());
         };
         applyHeadLimit(request, { guard, onTooLong: () => request.destroy() });
         request.on("timeout", guard(() => request.destroy()));
