Test further malformed heads of responses in both modes

Guards against a response in whose head the name of a field holds a blank or a control byte, or whose length or coding has such a name: it ends its request as one that may have run, and neither the line nor a body of another extent reaches the caller.

Node's parser rejects the names, and the check of response heads the statuses.

--- a/test/malformedHeads.test.ts
+++ b/test/malformedHeads.test.ts
@@ -28,16 +28,20 @@
 interface Head {
     readonly status: string;
     readonly header?: string;
+    /** Header in place of the length of the body. */
+    readonly length?: string;
 }
 
+const soundLength = "Content-Length: 4";
+
 const parseVerdict = (body: string): string => /"verdict":"(\w+)"/.exec(body)?.[1] ?? "";
 
 const modes: { readonly [Name in "forwarding" | "completions"]: (head: Head) => Promise<Mode>; } = {
-    forwarding: async ({ status, header }) => {
+    forwarding: async ({ status, header, length = soundLength }) => {
         const rawFleet = await startRawFleet((socket, request) => {
             const isFaulty = request.path.endsWith("/faulty");
-            const headers = isFaulty && header !== undefined ? [header] : [];
-            const head = formatSignedHead(request, isFaulty ? status : "200 OK", ["Content-Length: 4", ...headers]);
+            const headers = isFaulty ? [length, ...(header === undefined ? [] : [header])] : [soundLength];
+            const head = formatSignedHead(request, isFaulty ? status : "200 OK", headers);
             socket.write(`${head}done`);
         });
         closers.push(rawFleet.close);
@@ -50,11 +54,11 @@
             lookUp: path => send("GET", `/raw-lookup${path}`),
         };
     },
-    completions: async ({ status, header }) => {
+    completions: async ({ status, header, length = soundLength }) => {
         const target = await startRawTarget((socket, request) => {
             const isFaulty = request.path.endsWith("/faulty");
-            const headers = isFaulty && header !== undefined ? [header] : [];
-            const lines = [`HTTP/1.1 ${isFaulty ? status : "200 OK"}`, "Content-Length: 4", ...headers, "", "done"];
+            const headers = isFaulty ? [length, ...(header === undefined ? [] : [header])] : [soundLength];
+            const lines = [`HTTP/1.1 ${isFaulty ? status : "200 OK"}`, ...headers, "", "done"];
             socket.write(lines.join("\r\n"));
         });
         closers.push(target.close);
@@ -75,6 +79,13 @@
         { what: "a status of 0", status: "000 OK" },
         { what: "a status that announces another response", status: "101 Switching Protocols" },
         { what: "a space in the name of a header", status: "200 OK", header: "X More: 1" },
+        { what: "a space after the name of a header", status: "200 OK", header: "X-More : 1" },
+        { what: "a space before the name of a header", status: "200 OK", header: " X-More: 1" },
+        { what: "a control byte in the name of a header", status: "200 OK", header: "X\u0001More: 1" },
+        { what: "a header without a name", status: "200 OK", header: ": 1" },
+        { what: "a space after the name of the length", status: "200 OK", length: "Content-Length : 4" },
+        { what: "a control byte in the name of the length", status: "200 OK", length: "Content\u0000-Length: 4" },
+        { what: "a space after the name of the coding", status: "200 OK", length: "Transfer-Encoding : chunked" },
     ])("ends its request as one that may have run, and the next one is served: $what", async head => {
         const { order, lookUp } = await modes[mode](head);
         expect(await order("/faulty")).toEqual({ status: 502, verdict: expect.stringMatching(/^(ran|may_have_run)$/) });
