Reject answers in a transfer coding that is not decoded

Callers got a body that was not the server's: an answer with `Transfer-Encoding: gzip, chunked`, `chunked, identity` or another coding than chunks was relayed with what is left of its coding in the body, as complete and without the header that names it. Calls read such bodies too.

Cause: Node's parser decodes chunks if they are the last coding and leaves everything else; the product neither decodes nor names the rest.

The check of response heads now also asks whether the parser removes all codings. A coded answer is a failed attempt that may have run, or an error of its call. `identity` and answers without a body are relayed as before.

--- a/src/adapters/httpClient.ts
+++ b/src/adapters/httpClient.ts
@@ -104,7 +104,7 @@
             },
         });
         const handleHead = (response: http.IncomingMessage): void => {
-            if (!isValidHead(response)) {
+            if (!isValidHead(method, response)) {
                 request.destroy(new Error("The head of the answer is malformed."));
                 return;
             }
--- a/src/adapters/responseFraming.ts
+++ b/src/adapters/responseFraming.ts
@@ -15,23 +15,48 @@
 const noContentStatus = 204;
 const bodilessStatuses: ReadonlySet<number> = new Set([noContentStatus, 304]);
 
+const chunkedCoding = "chunked";
+/** Codings of a body that is sent as it is: the obsolete name for it, and an empty entry of the list. */
+const plainCodings: ReadonlySet<string> = new Set(["identity", ""]);
+
+/** Lists the codings that `Transfer-Encoding` names, in the order in which they were applied. */
+function listTransferCodings({ headers }: http.IncomingMessage): readonly string[] {
+    return headers["transfer-encoding"]?.split(",").map(coding => coding.trim().toLowerCase()) ?? [];
+}
+
 /**
  * Finds what marks the end of a response to a request with this method.
  *
  * @example
  * findFraming("GET", response); // "head" for a 204, whatever its headers say
  */
-export function findFraming(method: string, { statusCode = 0, headers }: http.IncomingMessage): ResponseFraming {
+export function findFraming(method: string, response: http.IncomingMessage): ResponseFraming {
+    const { statusCode = 0, headers } = response;
     if (method === "HEAD" || bodilessStatuses.has(statusCode)) {
         return "head";
     }
-    const transferEncoding = headers["transfer-encoding"];
-    if (transferEncoding !== undefined) {
-        return /\bchunked\s*$/i.test(transferEncoding) ? "chunks" : "connection";
+    const codings = listTransferCodings(response);
+    if (codings.length > 0) {
+        return codings.at(-1) === chunkedCoding ? "chunks" : "connection";
     }
     return headers["content-length"] === undefined ? "connection" : "length";
 }
 
+/**
+ * True when the parser removes all transfer codings of a response. It decodes chunks if they are the last coding; what
+ * it leaves would reach the caller without the header that names it.
+ *
+ * @example
+ * isDecodable("GET", response); // false for `Transfer-Encoding: gzip, chunked`
+ */
+export function isDecodable(method: string, response: http.IncomingMessage): boolean {
+    const codings = listTransferCodings(response);
+    return findFraming(method, response) === "head"
+        || codings.every((coding, index) =>
+            coding === chunkedCoding || (plainCodings.has(coding) && codings[index - 1] !== chunkedCoding)
+        );
+}
+
 type CompletenessCheck = (response: http.IncomingMessage, socket: Socket) => boolean;
 
 const completenessChecks: { readonly [Framing in ResponseFraming]: CompletenessCheck; } = {
--- a/src/adapters/responseHead.ts
+++ b/src/adapters/responseHead.ts
@@ -1,15 +1,18 @@
 /** Heads of responses that Node's parser accepts and that no sound server writes. */
 import * as http from "node:http";
+import { isDecodable } from "./responseFraming";
 
 /** Final responses begin here; a caller would take a lower status for the announcement of another response. */
 const minFinalStatus = 200;
 
 /**
- * True when the status and the headers of a response are valid, so that it can be used and written to a caller. The
- * parser accepts a status below 100, and some versions a space in the name of a header.
+ * True when the status and the headers of a response to a request with this method are valid, so that it can be used and
+ * written to a caller. The parser accepts a status below 100, a coding that it does not decode, and some versions a
+ * space in the name of a header.
  */
-export function isValidHead({ statusCode = 0, rawHeaders }: http.IncomingMessage): boolean {
-    if (statusCode < minFinalStatus) {
+export function isValidHead(method: string, response: http.IncomingMessage): boolean {
+    const { statusCode = 0, rawHeaders } = response;
+    if (statusCode < minFinalStatus || !isDecodable(method, response)) {
         return false;
     }
     try {
--- a/src/adapters/targetClient.ts
+++ b/src/adapters/targetClient.ts
@@ -280,7 +280,7 @@
                 response.destroy();
                 return;
             }
-            if (!isValidHead(response)) {
+            if (!isValidHead(call.method, response)) {
                 postFailure(id, runningAttempt, "malformed_answer");
                 request.destroy();
                 return;
--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -286,7 +286,7 @@
                 targetResponse.destroy();
                 return;
             }
-            if (!isValidHead(targetResponse)) {
+            if (!isValidHead(openRequest.method, targetResponse)) {
                 postFailure(id, running, "malformed");
                 request.destroy();
                 return;
