Fail a response in chunks that its connection has ended

Callers got the framing of the chunks as a part of the body when the header of the coding had a tab after its value, which RFC 9110 allows: a plain answer with a length, or a stream that looked complete.

Cause: Node's parser does not recognize the coding then and reads to the end of the connection, while the product, whose view of the header is trimmed, takes the end for that of the last chunk.

The end of the connection is now watched for responses in chunks: one that is not complete before it cannot have been decoded. It is a failed attempt, a stream without its last chunk, or an error of the call.

Evidence: four new cases of test/transferCodings.test.ts fail before the change (both modes, a stream, a call) and pass with it.

--- a/src/adapters/responseFraming.ts
+++ b/src/adapters/responseFraming.ts
@@ -93,6 +93,26 @@
     }
 }
 
+/**
+ * Finds out whether the connection of a response ends before the response is complete. The parser reads to the end of the
+ * connection when it does not recognize the coding, such as chunks with a tab after their name; the body is then coded.
+ */
+function recordEarlyEnd(response: http.IncomingMessage): () => boolean {
+    const { socket } = response;
+    let hasEndedEarly = false;
+    const handleEnd = (): void => {
+        hasEndedEarly = !response.complete;
+    };
+    const removeHandlers = (): void => {
+        socket.off("end", handleEnd);
+        socket.off("error", handleEnd);
+    };
+    socket.prependOnceListener("end", handleEnd);
+    socket.prependOnceListener("error", handleEnd);
+    response.once("close", removeHandlers);
+    return () => hasEndedEarly;
+}
+
 /**
  * Follows a response from its head to its end. A reset that arrives together with the last bytes is reported by Node as
  * the end of the connection, so the connection is checked before its "end" event reaches the response.
@@ -107,6 +127,10 @@
     if (end.framing === "connection") {
         socket.prependOnceListener("end", checkForReset.bind(undefined, socket));
     }
+    if (end.framing === "chunks") {
+        const hasEndedEarly = recordEarlyEnd(response);
+        return { framing: end.framing, isComplete: () => end.isComplete() && !hasEndedEarly() };
+    }
     return end;
 }
 
--- a/test/transferCodings.test.ts
+++ b/test/transferCodings.test.ts
@@ -2,8 +2,8 @@
 import { afterEach, describe, expect, it } from "vitest";
 import { sendHttpCall } from "../src/adapters/httpClient";
 import { sendRequest } from "./support/platformFleet";
-import { startRawTarget } from "./support/rawConnections";
-import { formatSignedHead, startRawFleet } from "./support/rawFleet";
+import { lastChunk, openRawCaller, startRawTarget } from "./support/rawConnections";
+import { formatRequest, formatSignedHead, startRawFleet } from "./support/rawFleet";
 import { sendCall, startServiceFleet } from "./support/services";
 
 const closers: (() => void | Promise<void>)[] = [];
@@ -54,9 +54,12 @@
 /** Codings that the parser leaves in the body, in whole or in part. */
 const undecodedCodings = ["gzip, chunked", "gzip", "chunked, identity", "chunked;q=1", "xchunked", "chunked,"];
 
+/** The parser does not recognize this coding, although white space may follow a value. */
+const tabbedCoding = "chunked\t";
+
 describe.each(["forwarding", "completions"] as const)("an answer with a transfer coding, in %s mode", mode => {
     // Guards against a body that the target has not sent, since the header that names its coding is not relayed.
-    it.each(undecodedCodings)(
+    it.each([...undecodedCodings, tabbedCoding])(
         "is a failed attempt when the body is still coded: %j",
         async coding => {
             const answer = await modes[mode]({ coding, body: chunkedBody });
@@ -84,8 +87,22 @@
     expect(answer).toMatchObject({ status: 200, body: "" });
 });
 
+// Guards against the last chunk after a stream that its caller gets in its coded form.
+it("an event stream lacks its last chunk when it is still coded", async () => {
+    const rawFleet = await startRawFleet((socket, request) => {
+        const head = ["Content-Type: text/event-stream", `Transfer-Encoding: ${tabbedCoding}`];
+        socket.end(`${formatSignedHead(request, "200 OK", head)}f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n`);
+    });
+    closers.push(rawFleet.close);
+    const caller = openRawCaller(rawFleet.address);
+    closers.push(caller.close);
+    caller.write(formatRequest("POST", "/raw-stream/1"));
+    expect(await caller.waitForEnd()).not.toBe("open");
+    expect(caller.text).not.toMatch(lastChunk);
+});
+
 // Guards against a report or a page of the store that is read in its coded form.
-it.each(undecodedCodings)("a call fails when its answer is still coded: %j", async coding => {
+it.each([...undecodedCodings, tabbedCoding])("a call fails when its answer is still coded: %j", async coding => {
     const server = await startRawTarget(socket => {
         socket.end(`HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\n${chunkedBody}`);
     });
