--- a/src/adapters/httpClient.ts
+++ b/src/adapters/httpClient.ts
@@ -17,7 +17,7 @@
     readonly headers?: http.OutgoingHttpHeaders;
     readonly body?: string;
     readonly timeoutMs: number;
-    /** The default opens a connection for the call. */
+    /** The default keeps connections for 5 s, as the agent of Node does. */
     readonly agent?: http.Agent;
     /** Maximum length of the answer. */
     readonly maxBytes?: number;
@@ -72,10 +72,12 @@
     request.once("socket", handleSocket);
 }
 
+const defaultAgent = new OutgoingAgent({ keepAlive: true, scheduling: "lifo", timeout: 5000 });
+
 /** Sends a request and reads the whole answer. The timeout covers both. */
 export function sendHttpCall(call: HttpCall): Promise<HttpAnswer> {
     const { method, address, path, headers = {}, body, timeoutMs, maxBytes = maxAnswerBytes } = call;
-    const { agent = singleUseAgent } = call;
+    const { agent = defaultAgent } = call;
     return new Promise((resolve, reject) => {
         let mayHaveBeenSent = false;
         const request = http.request({
--- a/src/adapters/responseFraming.ts
+++ b/src/adapters/responseFraming.ts
@@ -64,7 +64,7 @@
     length: ({ complete }) => complete,
     chunks: ({ complete }) => complete,
     // Node's parser takes a connection reset for the end of a response without framing.
-    connection: ({ complete }, { errored }) => complete && (errored === null || isOrderlyClose(errored)),
+    connection: ({ complete }, { errored }) => complete && (!errored || isOrderlyClose(errored)),
 };
 
 export interface ResponseEnd {
