--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -66,6 +66,11 @@
         + " > ArrowFunctionExpression[body.type!='Identifier']",
     message: "Wrap the listener with a guard (src/adapters/listenerGuard.ts).",
 };
+// A connection of another kind takes a reset for the end of a response while its request is still being written.
+const noOtherAgent = {
+    selector: "NewExpression[callee.property.name='Agent'], Property[key.name='agent'][value.value=false]",
+    message: "Use an OutgoingAgent (src/adapters/outgoingSocket.ts).",
+};
 
 export default tseslint.config(
     { ignores: ["node_modules/**", "dist/**", "build/**", "target/**"] },
@@ -93,7 +98,7 @@
     },
     {
         files: ["src/adapters/**/*.ts", "src/forward/adapters/**/*.ts", "platform/**/*.ts"],
-        rules: { "no-restricted-syntax": ["error", noDefaultExport, noUnguardedListener] },
+        rules: { "no-restricted-syntax": ["error", noDefaultExport, noUnguardedListener, noOtherAgent] },
     },
     { files: ["vitest.config.ts"], rules: { "no-restricted-syntax": "off" } },
     ...inwardImports,
