Test streams that reset during an upload for callers without chunks

Guards against a stream that was reset and that a caller of HTTP/1.0, which sees only the end of its connection, takes for a complete one.

--- a/src/adapters/outgoingSocket.ts
+++ b/src/adapters/outgoingSocket.ts
@@ -5,6 +5,9 @@
 /**
  * True for the error of a write to a peer that had ended its side of the connection before it closed it. The system
  * reports a reset without such an end with another code.
+ *
+ * @example
+ * socket.on("error", error => isOrderlyClose(error)); // false for ECONNRESET
  */
 export const isOrderlyClose = (error: NodeJS.ErrnoException | null | undefined): boolean => error?.code === "EPIPE";
 
@@ -65,7 +68,12 @@
     }
 }
 
-/** Agent whose connections are outgoing sockets; the base of all agents of a process. */
+/**
+ * Agent whose connections are outgoing sockets; the base of all agents of a process.
+ *
+ * @example
+ * const agent = new OutgoingAgent({ keepAlive: true, timeout: 30_000 }); // milliseconds
+ */
 export class OutgoingAgent extends http.Agent {
     override createConnection(options: net.NetConnectOpts): net.Socket {
         const socket = new OutgoingSocket(options);
--- a/src/adapters/responseHead.ts
+++ b/src/adapters/responseHead.ts
@@ -9,6 +9,9 @@
  * True when the status and the headers of a response to a request with this method are valid, so that it can be used and
  * written to a caller. The parser accepts a status below 100, a coding that it does not decode, and some versions a
  * space in the name of a header.
+ *
+ * @example
+ * isValidHead("GET", response); // false for the status 000
  */
 export function isValidHead(method: string, response: http.IncomingMessage): boolean {
     const { statusCode = 0, rawHeaders } = response;
--- a/test/resetUploads.test.ts
+++ b/test/resetUploads.test.ts
@@ -21,6 +21,8 @@
     readonly path: string;
     readonly status?: string;
     readonly headers?: readonly string[];
+    /** HTTP version of the caller in the forwarding mode. */
+    readonly version?: string;
     /** Writes the body. */
     readonly answer: Answer;
 }
@@ -29,7 +31,7 @@
 
 /** Sends a request with a long body to a target that answers it unread, and returns the connection of the caller. */
 const modes: { readonly [Name in "forwarding" | "completions"]: (exchange: Exchange) => Promise<RawCaller>; } = {
-    forwarding: async ({ path, status = "200 OK", headers = [], answer }) => {
+    forwarding: async ({ path, status = "200 OK", headers = [], version = "1.1", answer }) => {
         const uploads = followStalledUploads();
         closers.push(uploads.close);
         const rawFleet = await startRawFleet((socket, request) => {
@@ -41,7 +43,7 @@
         closers.push(rawFleet.close);
         const caller = openRawCaller(rawFleet.address);
         closers.push(caller.close);
-        caller.write(formatRequest("POST", path, { body }));
+        caller.write(formatRequest("POST", path, { version, body }));
         return caller;
     },
     completions: async ({ path, status = "200 OK", headers = [], answer }) => {
@@ -170,10 +172,11 @@
     const headers = ["Content-Type: text/event-stream"];
 
     /** Opens a stream whose target calls `answer` after it has written its first events. */
-    const openStream = (answer: Answer): Promise<RawCaller> =>
+    const openStream = (answer: Answer, version = "1.1"): Promise<RawCaller> =>
         modes.forwarding({
             path: "/raw-stream/1",
             headers,
+            version,
             answer: socket => {
                 socket.write(events);
                 answer(socket);
@@ -182,18 +185,31 @@
 
     const readBody = ({ text }: RawCaller): string => text.slice(text.indexOf("\r\n\r\n") + 4);
 
-    // Guards against the last chunk after a stream that was reset.
-    it("lacks its last chunk when its connection was reset with its last event", async () => {
+    /** Opens a stream whose connection is reset together with its last event, after the caller got those before it. */
+    async function openResetStream(version?: string): Promise<RawCaller> {
         const sockets: Socket[] = [];
-        const caller = await openStream(socket => sockets.push(socket));
+        const caller = await openStream(socket => sockets.push(socket), version);
         await caller.waitForText(/data: two/);
         sockets[0]?.write("id: 3\ndata: three\n\n");
         sockets[0]?.resetAndDestroy();
+        return caller;
+    }
+
+    // Guards against the last chunk after a stream that was reset.
+    it("lacks its last chunk when its connection was reset with its last event", async () => {
+        const caller = await openResetStream();
         expect(await caller.waitForEnd()).not.toBe("open");
         expect(caller.text).toMatch(/^HTTP\/1\.1 200 OK\r\n/);
         expect(caller.text).not.toMatch(lastChunk);
     });
 
+    // Guards against a stream that was reset and that a caller without chunks takes for a complete one.
+    it("is reset for a caller of HTTP/1.0 when its connection was reset with its last event", async () => {
+        const caller = await openResetStream("1.0");
+        expect(await caller.waitForEnd()).toBe("reset");
+        expect(caller.text).toMatch(/^HTTP\/1\.1 200 OK\r\n/);
+    });
+
     // Guards against a stream that looks complete although the connection was reset before any event was relayed.
     it("is answered with a failure when its connection was reset with its first events", async () => {
         const caller = await openStream(socket => socket.resetAndDestroy());
