Cut short a resumed stream without framing that has no event

A caller got two of the events of a stream and its last chunk. Its engine had broken off, and the one that the stream was resumed on ended under the prompt before its first event.

Cause: an empty stream without framing was taken for one that a crash had cut off only when the request had no events yet. The system of a crashed engine closes its connections in order, and the check whether its address still listens can be answered by what stands before it.

An empty stream without framing is now cut short in any case. It is sent again if it may be and otherwise ends without its last chunk. A stream that broke off after its very last event and is answered so is not taken as complete any more: its caller cannot tell either.

--- a/soak/regressionSeeds.ts
+++ b/soak/regressionSeeds.ts
@@ -24,4 +24,9 @@
             "All processes were killed in the middle of streams that they relayed without framing, as their targets sent "
             + "them; the orderly close of their connections looked like the end. They are relayed in chunks since.",
     },
+    {
+        seed: 470035,
+        cause: "An engine ended under a prompt part before the first event of an unframed stream that was resumed; the "
+            + "stream was relayed as complete. Seen in one of three runs.",
+    },
 ];
--- a/src/forward/adapters/eventRelay.ts
+++ b/src/forward/adapters/eventRelay.ts
@@ -139,8 +139,9 @@
             return;
         }
         remainder = splitter.takeRemainder();
-        // Without framing, a target that crashes before its first event ends its stream like one that has sent all.
-        const isEmpty = end.framing === "connection" && !hasRelayedEvent && lastEventId === undefined;
+        // Without framing, a target that crashes before its first event ends its stream like one that has sent all. This
+        // holds for a resumed stream as well: its caller may lack events.
+        const isEmpty = end.framing === "connection" && !hasRelayedEvent;
         if (!end.isComplete() || isEmpty || !isBlank(remainder)) {
             endWithFault("cut_short");
             return;
--- a/test/forward/interruptedStreams.test.ts
+++ b/test/forward/interruptedStreams.test.ts
@@ -262,6 +262,22 @@
         expect(caller.text).not.toMatch(/text\/event-stream/);
     });
 
+    // Guards against a resumed stream that looks complete after the events of the engine before.
+    it("lacks its last chunk when it was resumed and no engine goes on with it", async () => {
+        const { caller } = await requestStream({
+            framing: "connection",
+            version: "1.1",
+            path: "/raw-resumable/1",
+            breakOff: ({ socket }) => socket.resetAndDestroy(),
+            answerAgain: (socket, request) => {
+                socket.end(formatSignedHead(request, "200 OK", head));
+            },
+        });
+        expect(await caller.waitForEnd()).not.toBe("open");
+        expect(caller.text).not.toMatch(lastChunk);
+        expect(decodeChunks(readBody(caller))).toBe(formatEvents(eventsBeforeBreak));
+    });
+
     it("is sent again when it may be", async () => {
         const { address } = await startFleet();
         const caller = openRawCaller(address);
