Log and count how far answers of the store have come

A failed read or watch of the store was logged with its error only, and only once an outage, so that an answer that was cut short by its time limit, one that is too long and a silent store looked alike. The line now names the call, the bytes that had arrived and the time taken, and comes for each answer that is cut short. The line of an active configuration says where it was learned from and how its answer came over the link. store_failures_total{call} counts in the forwarding mode, too; store_received_bytes_total{call} and store_transfer_ms are new.

No logic is changed.

--- a/src/adapters/httpClient.ts
+++ b/src/adapters/httpClient.ts
@@ -34,18 +34,31 @@
     readonly status: number;
     readonly text: string;
     readonly headers: http.IncomingHttpHeaders;
+    /** Length of the body. */
+    readonly receivedBytes: number;
+    /** Milliseconds from the head of the answer to its end. */
+    readonly receivedMs: number;
 }
 
-/** Error of an HTTP call. `mayHaveBeenSent` is true when the request may have reached the server. */
-export class HttpCallError extends Error {
+export interface CallProgress {
+    /** True when the request may have reached the server. */
     readonly mayHaveBeenSent: boolean;
+    /** Bytes of the answer's body that had arrived. */
+    readonly receivedBytes: number;
+}
+
+/** Error of an HTTP call, with how far the call had come. */
+export class HttpCallError extends Error implements CallProgress {
+    readonly mayHaveBeenSent: boolean;
+    readonly receivedBytes: number;
     /** True when no process listens at the address. */
     readonly isConnectionRefused: boolean;
 
-    constructor(cause: Error, mayHaveBeenSent: boolean) {
+    constructor(cause: Error, { mayHaveBeenSent, receivedBytes }: CallProgress) {
         super(cause.message);
         this.name = "HttpCallError";
         this.mayHaveBeenSent = mayHaveBeenSent;
+        this.receivedBytes = receivedBytes;
         this.isConnectionRefused = isConnectionRefused(cause);
     }
 }
@@ -80,6 +93,7 @@
     const { agent = defaultAgent } = call;
     return new Promise((resolve, reject) => {
         let mayHaveBeenSent = false;
+        let receivedBytes = 0;
         const request = http.request({
             ...parseAddress(address),
             method,
@@ -92,7 +106,7 @@
         }, timeoutMs);
         const handleError = (error: Error): void => {
             clearTimeout(timer);
-            reject(new HttpCallError(error, mayHaveBeenSent));
+            reject(new HttpCallError(error, { mayHaveBeenSent, receivedBytes }));
         };
         subscribeToFirstWrite(request, () => {
             mayHaveBeenSent = true;
@@ -115,18 +129,19 @@
             };
             const body = createBodyCollector(callBuffers, { onDiscarded: guard(handleTooLong), minMeanBytes });
             const end = followResponseEnd(method, response);
-            let length = 0;
+            const headAt = performance.now();
             const handleData = (chunk: Buffer): void => {
-                length += chunk.length;
-                if (!request.destroyed && (length > maxBytes || !body.add(chunk))) {
+                receivedBytes += chunk.length;
+                if (!request.destroyed && (receivedBytes > maxBytes || !body.add(chunk))) {
                     handleTooLong();
                 }
             };
             const handleEnd = (): void => {
                 clearTimeout(timer);
                 if (end.isComplete()) {
+                    const { statusCode: status = 0, headers } = response;
                     const text = body.take().toString("utf8");
-                    resolve({ status: response.statusCode ?? 0, text, headers: response.headers });
+                    resolve({ status, text, headers, receivedBytes, receivedMs: performance.now() - headAt });
                 }
                 else {
                     handleError(new Error("The connection closed before the answer was complete."));
--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -12,6 +12,7 @@
     cached_tokens_total: ["account"],
     generated_tokens_total: ["account"],
     store_failures_total: ["call"],
+    store_received_bytes_total: ["call"],
     grants_total: ["outcome"],
     engine_crashes_total: [],
     quarantines_total: ["reason"],
@@ -31,6 +32,7 @@
     "first_token_ms",
     "queue_ms",
     "request_ms",
+    "store_transfer_ms",
     "write_delay_ms",
 ];
 const reportedPercentiles = [50, 95, 99, 99.9] as const;
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -38,6 +38,7 @@
     | "cached_tokens_total"
     | "generated_tokens_total"
     | "store_failures_total"
+    | "store_received_bytes_total"
     | "grants_total"
     | "orders_total"
     | "engine_crashes_total"
@@ -50,7 +51,13 @@
     | "service_rollout_states_total"
     | "canary_requests_total"
     | "clients_outside_limits_total";
-export type HistogramName = "engine_queue_ms" | "first_token_ms" | "queue_ms" | "request_ms" | "write_delay_ms";
+export type HistogramName =
+    | "engine_queue_ms"
+    | "first_token_ms"
+    | "queue_ms"
+    | "request_ms"
+    | "store_transfer_ms"
+    | "write_delay_ms";
 
 export type Effect =
     /* callers */
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -69,6 +69,16 @@
     readonly position: StorePosition;
 }
 
+/** `read` is a read of the whole store, page by page; `watch` waits for changes after a position. */
+export type StoreFeedCall = "read" | "watch";
+
+/** How the store's answer came over the link. */
+export interface StoreTransfer {
+    readonly bytes: number;
+    /** Milliseconds from the head of the answer to its end; for a read of several pages, their sum. */
+    readonly ms: number;
+}
+
 export type ForwardEvent =
     /* callers */
     | { readonly kind: "requestArrived"; readonly arrival: ForwardArrival; }
@@ -124,7 +134,12 @@
     }
     /* store */
     /** The whole store was read. The store's contents are known to be current as of `confirmedAt`. */
-    | { readonly kind: "publishedRead"; readonly changes: PublishedChanges; readonly confirmedAt: Millis; }
+    | {
+        readonly kind: "publishedRead";
+        readonly changes: PublishedChanges;
+        readonly confirmedAt: Millis;
+        readonly transfer?: StoreTransfer;
+    }
     /**
      * A watch call ended, with or without changes. `confirmedAt` is as in `publishedRead`. `reader` is defined when
      * another process passed the changes on.
@@ -133,10 +148,18 @@
         readonly kind: "publishedChanged";
         readonly changes: PublishedChanges;
         readonly confirmedAt: Millis;
+        readonly transfer?: StoreTransfer;
         readonly reader?: Pick<RelayedChanges, "reachableMs" | "rowsMayReturnMs">;
     }
     /** A read or a watch call of the store failed. */
-    | { readonly kind: "storeUnreachable"; readonly message: string; readonly sentAt: Millis; }
+    | {
+        readonly kind: "storeUnreachable";
+        readonly call: StoreFeedCall;
+        readonly message: string;
+        readonly sentAt: Millis;
+        /** Bytes of the answer that had arrived. */
+        readonly receivedBytes: number;
+    }
     /** The process that passes the store's changes on gave no usable answer. */
     | { readonly kind: "relayFailed"; readonly vm: VmId; readonly message: string; }
     | { readonly kind: "storeReplied"; readonly purpose: ForwardStorePurpose; readonly outcome: StoreOutcome; }
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -1,6 +1,6 @@
 /** Applies what operators, targets and other processes publish in the store. */
 import { logInfo, logWarning } from "../../effects";
-import { addMillis, type TargetId, toMillis } from "../../ids";
+import { addMillis, type TargetId } from "../../ids";
 import {
     decodeMember,
     decodeOrder,
@@ -9,15 +9,15 @@
     quarantinePrefix,
     rolloutLeaderKey,
 } from "../codec/fleetRows";
-import type { FleetRow, ForwardEventOf, ForwardTick, PublishedChanges, TargetChange } from "../events";
+import type { FleetRow, ForwardTick, PublishedChanges, StoreTransfer, TargetChange } from "../events";
 import type { StoreEra } from "../ids";
-import { computeRowReturnMs } from "../policy/rowReturn";
 import { addPublishedWeights, getNewestWeights } from "../tables/configuration";
 import type { ForwardWorld } from "../world";
 import { closeForwardTarget } from "./closeTarget";
 import { confirmRecordedCrash } from "./followCrashes";
 import { computeExpectedLoadMs, recordLoad } from "./loadPace";
 import { isCopyOutdated, recordReadPosition } from "./restoredStore";
+import { recordStoreContact, recordStoreFailures, recordStoreTransfer } from "./storeContact";
 import { confirmRegistrations, hasAnnouncedDeparture, recordDeparture, recordRemoval } from "./targetDepartures";
 import { endBackOff, expectLoading, recordSignOfLife } from "./targetHealth";
 import { applyQuarantineRow, writeQuarantinesAgain } from "./updateQuarantine";
@@ -25,7 +25,20 @@
 /** Assumed age of a version that is found at the start of the process, until a peer reports when it was published. */
 const assumedWeightsAgeMs = 6500;
 
-function applyDocument(world: ForwardWorld, { document }: PublishedChanges): void {
+/** How this process learned of a change, for its log line. */
+interface ChangeSource {
+    readonly learnedFrom: "read" | "watch" | "reader";
+    /** Position in the store's history up to which the delivery reaches. */
+    readonly era: StoreEra;
+    readonly revision: number;
+}
+
+function applyDocument(
+    world: ForwardWorld,
+    { document }: PublishedChanges,
+    source: ChangeSource,
+    transfer: StoreTransfer | undefined,
+): void {
     const { configuration } = world.tables;
     if (!document) {
         return;
@@ -47,6 +60,8 @@
         routes: document.routes.length,
         accounts: document.accounts.size,
         keys: [...document.accounts.values()].reduce((sum, { keys }) => sum + keys.length, 0),
+        ...source,
+        ...(transfer ? { answerBytes: transfer.bytes, transferMs: Math.round(transfer.ms) } : {}),
     });
 }
 
@@ -66,14 +81,6 @@
     }
 }
 
-/** How this process learned of a change, for its log line. */
-interface ChangeSource {
-    readonly learnedFrom: "read" | "watch" | "reader";
-    /** Position in the store's history up to which the delivery reaches. */
-    readonly era: StoreEra;
-    readonly revision: number;
-}
-
 /**
  * A target that left by deleting its row may stand in a restored copy again. It is not used until the time has passed in
  * which such rows are deleted again, unless it registers in the new era.
@@ -246,9 +253,10 @@
     world: ForwardWorld,
     tick: ForwardTick,
     changes: PublishedChanges,
-    learnedFrom: ChangeSource["learnedFrom"],
+    source: ChangeSource,
+    transfer: StoreTransfer | undefined,
 ): void {
-    applyDocument(world, changes);
+    applyDocument(world, changes, source, transfer);
     applyWeights(world, tick, changes);
     for (const key of changes.undecodableKeys) {
         logWarning(world.effects, "store:", "A row of the store cannot be read and is ignored.", {
@@ -257,7 +265,7 @@
         });
     }
     for (const change of changes.targets) {
-        applyTarget(world, tick, change, { learnedFrom, ...changes.position });
+        applyTarget(world, tick, change, source);
     }
     for (const row of changes.rows) {
         applyFleetRow(world, tick, row);
@@ -293,75 +301,29 @@
     }
 }
 
-/** Records the end of an outage: for how long rows may return that lapsed in it. */
-function recordOutageEnd(world: ForwardWorld, tick: ForwardTick): void {
-    const { node } = world.tables;
-    const { targetReportMs, contactMs } = world.settings.bounds;
-    const outageMs = Math.max(tick.now - node.storeAnsweredAt, tick.wallNow - node.storeWallAnsweredAt);
-    const rowReturnMs = computeRowReturnMs({
-        outageMs,
-        lastFailureMs: tick.now - node.storeFailedAt,
-        reportMs: targetReportMs,
-        contactMs,
-    });
-    node.rowsMayReturnUntil = toMillis(Math.max(node.copyOutdatedUntil, addMillis(tick.now, rowReturnMs)));
-    logInfo(world.effects, "store:", "The store answers again.", { outageMs: Math.round(outageMs), rowReturnMs });
-}
-
-function recordStoreContact(
-    world: ForwardWorld,
-    tick: ForwardTick,
-    confirmedAt: ForwardTick["now"],
-    reader?: ForwardEventOf<"publishedChanged">["reader"],
-): void {
-    const { node } = world.tables;
-    const wasReachable = node.storeReachableSince !== undefined;
-    node.storeConfirmedAt = confirmedAt;
-    node.storeWallConfirmedAt = tick.wallNow - (tick.now - confirmedAt);
-    if (reader) {
-        // Changes that were passed on are judged by the outages that their reader saw.
-        node.storeReachableSince = addMillis(tick.now, -reader.reachableMs);
-        node.rowsMayReturnUntil = addMillis(tick.now, reader.rowsMayReturnMs ?? 0);
-    }
-    else if (!wasReachable) {
-        node.storeReachableSince = tick.now;
-        if (node.isStoreUnread) {
-            logInfo(world.effects, "store:", "The store was read for the first time.", {});
-        }
-        else {
-            recordOutageEnd(world, tick);
-        }
-    }
-    node.storeAnsweredAt = tick.now;
-    node.storeWallAnsweredAt = tick.wallNow;
-}
-
 /**
  * Writes: configuration, targets, departures, crashes, quarantine, members, rollouts (last orders), cached parts, node (contact with the store, leader).
  * Effects: caller limits, closed targets, log lines.
  */
 export function applyPublished(world: ForwardWorld, tick: ForwardTick): void {
     const { node } = world.tables;
-    for (const { message, sentAt } of tick.events.list("storeUnreachable")) {
-        node.storeFailedAt = sentAt;
-        if (node.storeReachableSince !== undefined || node.isStoreUnread) {
-            logWarning(world.effects, "store:", "The store does not answer.", { message });
-        }
-        node.storeReachableSince = undefined;
-    }
-    for (const { changes, confirmedAt } of tick.events.list("publishedRead")) {
+    recordStoreFailures(world, tick);
+    for (const { changes, confirmedAt, transfer } of tick.events.list("publishedRead")) {
         recordReadPosition(world, tick, changes.position);
-        recordStoreContact(world, tick, confirmedAt);
-        applyChanges(world, tick, changes, "read");
+        recordStoreContact(world, tick, { confirmedAt });
+        recordStoreTransfer(world, "read", transfer);
+        applyChanges(world, tick, changes, { learnedFrom: "read", ...changes.position }, transfer);
         removeUnpublished(world, tick, changes);
         if (node.isStoreUnread) {
             node.isStoreUnread = false;
             node.storeFirstReadAt = tick.now;
         }
     }
-    for (const { changes, confirmedAt, reader } of tick.events.list("publishedChanged")) {
-        recordStoreContact(world, tick, confirmedAt, reader);
-        applyChanges(world, tick, changes, reader ? "reader" : "watch");
+    for (const { changes, confirmedAt, transfer, reader } of tick.events.list("publishedChanged")) {
+        recordStoreContact(world, tick, { confirmedAt, reader });
+        recordStoreTransfer(world, "watch", transfer);
+        const learnedFrom = reader ? "reader" : "watch";
+        applyChanges(world, tick, changes, { learnedFrom, ...changes.position }, transfer);
     }
     removeMissingTargets(world, tick);
     removeMissingMembers(world, tick);
--- /dev/null
+++ b/src/forward/systems/storeContact.ts
@@ -0,0 +1,86 @@
+/** Records when the store has answered this process, directly or through a reader, and when it has not. */
+import { logInfo, logWarning } from "../../effects";
+import { addMillis, type Millis, toMillis } from "../../ids";
+import type { ForwardEventOf, ForwardTick, StoreFeedCall, StoreTransfer } from "../events";
+import { computeRowReturnMs } from "../policy/rowReturn";
+import type { ForwardWorld } from "../world";
+
+/** Records the end of an outage: for how long rows may return that lapsed in it. */
+function recordOutageEnd(world: ForwardWorld, tick: ForwardTick): void {
+    const { node } = world.tables;
+    const { targetReportMs, contactMs } = world.settings.bounds;
+    const outageMs = Math.max(tick.now - node.storeAnsweredAt, tick.wallNow - node.storeWallAnsweredAt);
+    const rowReturnMs = computeRowReturnMs({
+        outageMs,
+        lastFailureMs: tick.now - node.storeFailedAt,
+        reportMs: targetReportMs,
+        contactMs,
+    });
+    node.rowsMayReturnUntil = toMillis(Math.max(node.copyOutdatedUntil, addMillis(tick.now, rowReturnMs)));
+    logInfo(world.effects, "store:", "The store answers again.", { outageMs: Math.round(outageMs), rowReturnMs });
+}
+
+export interface StoreConfirmation {
+    /** Time at which the store's contents were as this process knows them now. */
+    readonly confirmedAt: Millis;
+    /** State of the process that passed the contents on; undefined when the store itself has answered. */
+    readonly reader?: ForwardEventOf<"publishedChanged">["reader"];
+}
+
+/** Records that the published state was confirmed. */
+export function recordStoreContact(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    { confirmedAt, reader }: StoreConfirmation,
+): void {
+    const { node } = world.tables;
+    const wasReachable = node.storeReachableSince !== undefined;
+    node.storeConfirmedAt = confirmedAt;
+    node.storeWallConfirmedAt = tick.wallNow - (tick.now - confirmedAt);
+    if (reader) {
+        // Changes that were passed on are judged by the outages that their reader saw.
+        node.storeReachableSince = addMillis(tick.now, -reader.reachableMs);
+        node.rowsMayReturnUntil = addMillis(tick.now, reader.rowsMayReturnMs ?? 0);
+    }
+    else if (!wasReachable) {
+        node.storeReachableSince = tick.now;
+        if (node.isStoreUnread) {
+            logInfo(world.effects, "store:", "The store was read for the first time.", {});
+        }
+        else {
+            recordOutageEnd(world, tick);
+        }
+    }
+    node.storeAnsweredAt = tick.now;
+    node.storeWallAnsweredAt = tick.wallNow;
+}
+
+/** Counts what the store's answer to a call has moved over the link. */
+export function recordStoreTransfer(
+    world: ForwardWorld,
+    call: StoreFeedCall,
+    transfer: StoreTransfer | undefined,
+): void {
+    if (transfer) {
+        const name = "store_received_bytes_total";
+        world.effects.append({ kind: "addCount", name, value: transfer.bytes, labels: { call } });
+        world.effects.append({ kind: "recordValue", name: "store_transfer_ms", value: transfer.ms });
+    }
+}
+
+/** Records the calls of this process that have failed. */
+export function recordStoreFailures(world: ForwardWorld, tick: ForwardTick): void {
+    const { node } = world.tables;
+    for (const { call, message, sentAt, receivedBytes } of tick.events.list("storeUnreachable")) {
+        node.storeFailedAt = sentAt;
+        world.effects.append({ kind: "addCount", name: "store_failures_total", value: 1, labels: { call } });
+        const fields = { call, message, receivedBytes, elapsedMs: Math.round(tick.now - sentAt) };
+        if (receivedBytes > 0) {
+            logWarning(world.effects, "store:", "An answer of the store was not received whole.", fields);
+        }
+        else if (node.storeReachableSince !== undefined || node.isStoreUnread) {
+            logWarning(world.effects, "store:", "The store does not answer.", fields);
+        }
+        node.storeReachableSince = undefined;
+    }
+}
--- a/test/forward/leavingTargets.test.ts
+++ b/test/forward/leavingTargets.test.ts
@@ -53,7 +53,7 @@
 /** Lets a read or watch call fail that was sent `callMs` before. */
 function runFailedCall(node: ForwardTestNode, afterMs: number, callMs = 0): void {
     const sentAt = toMillis(node.getNow() + afterMs - callMs);
-    node.run([{ kind: "storeUnreachable", message: "timed out", sentAt }], afterMs);
+    node.run([{ kind: "storeUnreachable", call: "watch", message: "timed out", receivedBytes: 0, sentAt }], afterMs);
 }
 
 /** State that the process reports to its peers. */
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -346,7 +346,13 @@
     /** Lets a call fail in an outage that is long enough for rows to lapse. */
     function runOutage(node: ForwardTestNode, outageMs = 4000): void {
         node.runFor(outageMs, createGrantingStore(node.getNow));
-        node.run([{ kind: "storeUnreachable", message: "closed", sentAt: toMillis(node.getNow()) }], 100);
+        node.run([{
+            kind: "storeUnreachable",
+            call: "watch",
+            message: "closed",
+            receivedBytes: 0,
+            sentAt: toMillis(node.getNow()),
+        }], 100);
     }
 
     it("keeps a target whose row expired until the store has been reachable for some time", async () => {
--- a/test/forward/storeRelay.test.ts
+++ b/test/forward/storeRelay.test.ts
@@ -135,7 +135,13 @@
 
     it("pass nothing on while the store does not answer them", async () => {
         const node = await startReader();
-        node.run([{ kind: "storeUnreachable", message: "status 503", sentAt: toMillis(node.getNow()) }]);
+        node.run([{
+            kind: "storeUnreachable",
+            call: "watch",
+            message: "status 503",
+            receivedBytes: 0,
+            sentAt: toMillis(node.getNow()),
+        }]);
         expect(requestChanges(node, 1)).toEqual({ kind: "unavailable", reason: "outdated" });
     });
 
