Move the formats of the store's items to a module of their own

storeFeed.ts decides when the store is read and watched; what its answers hold is now in storeItems.ts.

--- a/test/forward/serviceRolloutPlatform.test.ts
+++ b/test/forward/serviceRolloutPlatform.test.ts
@@ -4,7 +4,7 @@
 import { decodeTarget } from "../../platform/documents";
 import { buildServiceRolloutCall } from "../../platform/serviceRollouts";
 import { encodeValue, sendStoreCall } from "../../platform/store";
-import { decodeItems } from "../../platform/storeFeed";
+import { decodeItems } from "../../platform/storeItems";
 import { createKeepAliveAgent } from "../../src/adapters/httpClient";
 import { toServerVersion, toServiceId } from "../../src/forward/ids";
 import { parseForwardSettings } from "../../src/forward/settings";
