Let the time limits of calls follow from what has arrived

Cause: calls had one fixed time for the whole answer. A watch of the store had 1.65 s, 0.75 s after a failure, a read of the whole store 0.9 s. The answer of 1.3 MB takes 1.5 s over the link alone. What a failed call had asked for still filled the link, so that the retries received less and less of it, and small calls, such as renewals of the lease, waited behind it and failed as well.

Change: the time limit of a call holds until its answer begins. From then on each byte extends it by the time that it takes at 1 Mbit/s, and a pause that is too long ends it, so an answer of bounded length still ends in bounded time. The body of the call counts in the same way. Time for which a large answer of the store occupies the link does not count against its other calls. All calls in both modes go through sendHttpCall, so reads of the store, state reports, exchanges between processes and operators' commands in the completions mode have the same limits.

Why it works: the store's answer is no longer given up while it arrives, so it is sent once, and nothing that was given up delays other calls.

--- a/src/adapters/httpClient.ts
+++ b/src/adapters/httpClient.ts
@@ -2,7 +2,9 @@
 import * as http from "node:http";
 import type { Socket } from "node:net";
 import { createBodyCollector } from "./bodyCollector";
+import { startCallTimer } from "./callTimer";
 import { applyHeadLimit } from "./headLimit";
+import type { LinkMeter } from "./linkMeter";
 import { createListenerGuard } from "./listenerGuard";
 import { OutgoingAgent } from "./outgoingSocket";
 import { createResponseBuffers } from "./responseBuffers";
@@ -16,7 +18,12 @@
     readonly path: string;
     readonly headers?: http.OutgoingHttpHeaders;
     readonly body?: string;
+    /** Time until the answer begins. It grows with the length of the body and with what of the answer has arrived. */
     readonly timeoutMs: number;
+    /** Longest pause between two pieces of the answer; the default is `timeoutMs`. */
+    readonly silenceMs?: number;
+    /** Meter of the link that large answers of this server occupy; their time does not count against other calls. */
+    readonly link?: LinkMeter;
     /** The default keeps connections for 5 s, as the agent of Node does. */
     readonly agent?: http.Agent;
     /** Maximum length of the answer. */
@@ -87,9 +94,9 @@
 
 const defaultAgent = new OutgoingAgent({ keepAlive: true, scheduling: "lifo", timeout: 5000 });
 
-/** Sends a request and reads the whole answer. The timeout covers both. */
+/** Sends a request and reads the whole answer. */
 export function sendHttpCall(call: HttpCall): Promise<HttpAnswer> {
-    const { method, address, path, headers = {}, body, timeoutMs, maxBytes = maxAnswerBytes } = call;
+    const { method, address, path, headers = {}, body, maxBytes = maxAnswerBytes } = call;
     const { agent = defaultAgent } = call;
     return new Promise((resolve, reject) => {
         let mayHaveBeenSent = false;
@@ -101,11 +108,12 @@
             headers: body === undefined ? headers : { "content-length": Buffer.byteLength(body), ...headers },
             agent,
         });
-        const timer = setTimeout(() => {
+        const handleTimeout = (): void => {
             request.destroy(new Error("The call timed out."));
-        }, timeoutMs);
+        };
+        const timer = startCallTimer({ ...call, onTimeout: handleTimeout });
         const handleError = (error: Error): void => {
-            clearTimeout(timer);
+            timer.end();
             reject(new HttpCallError(error, { mayHaveBeenSent, receivedBytes }));
         };
         subscribeToFirstWrite(request, () => {
@@ -130,14 +138,16 @@
             const body = createBodyCollector(callBuffers, { onDiscarded: guard(handleTooLong), minMeanBytes });
             const end = followResponseEnd(method, response);
             const headAt = performance.now();
+            timer.addBytes(0);
             const handleData = (chunk: Buffer): void => {
                 receivedBytes += chunk.length;
+                timer.addBytes(chunk.length);
                 if (!request.destroyed && (receivedBytes > maxBytes || !body.add(chunk))) {
                     handleTooLong();
                 }
             };
             const handleEnd = (): void => {
-                clearTimeout(timer);
+                timer.end();
                 if (end.isComplete()) {
                     const { statusCode: status = 0, headers } = response;
                     const text = body.take().toString("utf8");
--- a/src/adapters/storeClient.ts
+++ b/src/adapters/storeClient.ts
@@ -9,6 +9,7 @@
 import { applyHeadLimit } from "./headLimit";
 import { createKeepAliveAgent, HttpCallError, parseAddress, sendHttpCall, singleUseAgent } from "./httpClient";
 import { createLineReader } from "./lineReader";
+import { createLinkMeter } from "./linkMeter";
 import { createListenerGuard, type ListenerGuard } from "./listenerGuard";
 
 /** A watch that receives nothing for this long is closed and opened again, in case its connection is dead. */
@@ -40,6 +41,7 @@
     { address, timeoutMs, clock, post, reportFailure }: StoreClientOptions,
 ): StoreClient {
     const agent = createKeepAliveAgent();
+    const link = createLinkMeter();
     const watches = new Map<WatchName, http.ClientRequest>();
 
     async function sendCall(effect: EffectOf<"callStore">): Promise<Result<StoreAnswer, StoreFailure>> {
@@ -53,6 +55,7 @@
                 body: JSON.stringify(body),
                 timeoutMs,
                 agent,
+                link,
             });
             if (answer.status === 200) {
                 return Ok(decode(JSON.parse(answer.text)));
@@ -125,12 +128,17 @@
         closeRequest: () => void,
     ): void {
         const reader = createLineReader({ maxLineBytes: maxWatchLineBytes });
+        let message = link.open();
         const handleData = (piece: Buffer): void => {
+            message.addBytes(piece.length);
             const lines = reader.add(piece);
             if (!lines) {
                 closeRequest();
                 return;
             }
+            if (lines.length > 0) {
+                message = link.open();
+            }
             for (const line of lines.filter(text => text.trim() !== "")) {
                 handleWatchLine(watch, line, closeRequest);
             }
--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -19,7 +19,7 @@
 import type { RequestChanges } from "../ports";
 import type { RelayAnswer, RelayedChanges, StorePosition } from "../storeChanges";
 
-/** Timeout of a call, on both sides; a failed call is retried at the next exchange. */
+/** Timeout of a call, on both sides, and longest pause within an answer; a failed call is retried at the next exchange. */
 const callTimeoutMs = 600;
 /** Maximum size of a state in a request. */
 const maxStateBytes = 4 * 1024 * 1024;
@@ -189,6 +189,7 @@
                 headers: { "content-type": "application/json" },
                 body: JSON.stringify(op.input),
                 timeoutMs: isPeerProcedure(op.path) ? timeoutsMs[op.path] : callTimeoutMs,
+                silenceMs: callTimeoutMs,
                 agent,
             }).then(({ status, text }) => {
                 if (status !== 200) {
--- /dev/null
+++ b/test/forward/largeConfigurations.test.ts
@@ -0,0 +1,144 @@
+/** Configurations whose transfer over the smallest link takes longer than the time limits of small calls. */
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { sendStoreCall } from "../../platform/store";
+import { createStoreFeed, type StoreFeed } from "../../platform/storeFeed";
+import { createKeepAliveAgent } from "../../src/adapters/httpClient";
+import { createLinkMeter } from "../../src/adapters/linkMeter";
+import type { ForwardEvent, ForwardEventKind, ForwardEventOf } from "../../src/forward/events";
+import { computeWatchTiming } from "../../src/forward/policy/watchTiming";
+import { toLeaseId, toMillis } from "../../src/ids";
+import { buildManyRoutes } from "../../standins/platformConfiguration";
+import {
+    type PacedRequest,
+    type PacedServer,
+    startMovedClock,
+    startPacedServer,
+    waitForConnections,
+} from "../support/pacedServer";
+
+/** 0.94 MB, 1.3 MB in base64: less than the largest value of the platform, 1 MiB. */
+const routeCount = 4500;
+/** 7 Mbit/s. */
+const linkPieces = { pieceBytes: 87_500, everyMs: 100 };
+const accessTimeoutMs = 900;
+
+let server: PacedServer;
+let feed: StoreFeed;
+let events: ForwardEvent[];
+let access: Parameters<typeof createStoreFeed>[0]["access"];
+
+beforeEach(async () => {
+    startMovedClock();
+    server = await startPacedServer();
+    events = [];
+    const { address } = server;
+    access = { address, agent: createKeepAliveAgent(), timeoutMs: accessTimeoutMs, link: createLinkMeter() };
+    feed = createStoreFeed({
+        access,
+        clock: { getNow: () => toMillis(performance.now()) },
+        post: event => {
+            events.push(event);
+        },
+        requestChanges: () => Promise.reject(new Error("no relay is set")),
+    });
+    feed.updateSource({ relay: undefined, pauseMs: 300, ...computeWatchTiming(3000) });
+});
+
+afterEach(async () => {
+    feed.stop();
+    vi.useRealTimers();
+    await server.close();
+});
+
+const listEvents = <Kind extends ForwardEventKind>(kind: Kind): readonly ForwardEventOf<Kind>[] =>
+    events.filter((event): event is ForwardEventOf<Kind> => event.kind === kind);
+
+const buildConfigurationItem = (version: number, count = routeCount) => ({
+    "key": "op/config",
+    "value": Buffer.from(JSON.stringify(buildManyRoutes({ version, count, timeoutMs: 500 }))).toString("base64"),
+    "revision": version,
+    "create-revision": 1,
+});
+
+const formatPage = (version: number, count?: number): string =>
+    JSON.stringify({ "items": [buildConfigurationItem(version, count)], "truncated": false, "as-of": version });
+
+const formatChanges = (...versions: readonly number[]): string =>
+    JSON.stringify({ "events": versions.map(version => buildConfigurationItem(version)), "as-of": versions.at(-1) });
+
+/** Takes the next call of the store; lets the pauses of the feed pass until it comes. */
+async function waitForCall(name: string): Promise<PacedRequest> {
+    let request: PacedRequest | undefined;
+    void server.waitForRequest().then(taken => {
+        request = taken;
+    });
+    while (!request) {
+        await vi.advanceTimersByTimeAsync(10);
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    expect(request.url.pathname).toBe(`/-/${name}`);
+    return request;
+}
+
+/** Answers the first read with a small configuration. */
+async function startFeed(): Promise<void> {
+    feed.start();
+    const { response } = await waitForCall("kv-range");
+    response.end(formatPage(1, 1));
+    await waitForConnections(() => listEvents("publishedRead").length > 0);
+}
+
+describe("a configuration of the largest size over a link of 7 Mbit/s", () => {
+    // Guards against CONFIG: the watch call ended before the answer had arrived, and every retry did, too.
+    it("comes into force with the watch call that it was sent to", async () => {
+        await startFeed();
+        const { response } = await waitForCall("kv-watch");
+        await vi.advanceTimersByTimeAsync(1000);
+        await server.sendPieces(response, formatChanges(2), linkPieces);
+        response.end();
+        await waitForConnections(() => listEvents("publishedChanged").length > 0);
+        expect(listEvents("publishedChanged")[0]?.changes.document?.version).toBe(2);
+        expect(listEvents("storeUnreachable")).toEqual([]);
+    });
+
+    // Guards against a retry that has less time than the call before it.
+    it("comes into force with the call after one that was cut short", async () => {
+        await startFeed();
+        const { response: cutResponse } = await waitForCall("kv-watch");
+        await server.sendPieces(cutResponse, formatChanges(2).slice(0, 400_000), linkPieces);
+        cutResponse.destroy();
+        await waitForConnections(() => listEvents("storeUnreachable").length > 0);
+        const { response } = await waitForCall("kv-watch");
+        await server.sendPieces(response, formatChanges(2), linkPieces);
+        response.end();
+        await waitForConnections(() => listEvents("publishedChanged").length > 0);
+        expect(listEvents("publishedChanged")[0]?.changes.document?.version).toBe(2);
+        expect(listEvents("storeUnreachable")).toHaveLength(1);
+    });
+
+    // Guards against a process that starts and never becomes ready.
+    it("is read by a process that starts", async () => {
+        feed.start();
+        const { response } = await waitForCall("kv-range");
+        await server.sendPieces(response, formatPage(5), linkPieces);
+        response.end();
+        await waitForConnections(() => listEvents("publishedRead").length > 0);
+        expect(listEvents("publishedRead")[0]?.changes.document?.version).toBe(5);
+        expect(listEvents("storeUnreachable")).toEqual([]);
+    });
+
+    // Guards against a lease that is lost because its renewals wait behind the configuration on the link.
+    it("does not fail a renewal of the lease that is answered after it", async () => {
+        await startFeed();
+        const { response } = await waitForCall("kv-watch");
+        const text = formatChanges(2);
+        await server.sendPieces(response, text.slice(0, 175_000), linkPieces);
+        const renewal = sendStoreCall(access, { kind: "renewLease", lease: toLeaseId("7") });
+        const { response: renewalResponse } = await waitForCall("kv-keep/7");
+        await server.sendPieces(response, text.slice(175_000), linkPieces);
+        response.end();
+        await waitForConnections(() => listEvents("publishedChanged").length > 0);
+        renewalResponse.end(JSON.stringify({ "ttl-ms": 2000 }));
+        expect((await renewal).ok).toBe(true);
+    });
+});
