Confirm the store's contents as of the head of its answer

With members' rows in it, an answer to a watch call confirmed what a process knows as of the moment at which it had arrived whole. For a configuration of the largest size over 7 Mbit/s that is 1.5 s after the store wrote it. A process counted its state, and what it passes on to others, as that much newer, and a target that a peer had reported gone meanwhile as registered again.

The head of an answer arrives when the store has written it, so its time counts.

--- a/test/forward/largeConfigurations.test.ts
+++ b/test/forward/largeConfigurations.test.ts
@@ -127,6 +127,23 @@
         expect(listEvents("storeUnreachable")).toEqual([]);
     });
 
+    // Guards against a process that takes what it knows for as new as the end of the answer: a target that was reported to
+    // leave meanwhile counts as registered again.
+    it("confirms the contents of the store as of the head of the answer", async () => {
+        await startFeed();
+        const { response } = await waitForCall("kv-watch");
+        const row = { "key": "marjoramvane/members/front-2", "value": "e30=", "revision": 3, "create-revision": 3 };
+        const answeredAt = performance.now();
+        await server.sendPieces(
+            response,
+            JSON.stringify({ "events": [buildConfigurationItem(2), row], "as-of": 3 }),
+            linkPieces,
+        );
+        response.end();
+        await waitForConnections(() => listEvents("publishedChanged").length > 0);
+        expect(listEvents("publishedChanged")[0]?.confirmedAt).toBe(answeredAt);
+    });
+
     // Guards against a lease that is lost because its renewals wait behind the configuration on the link.
     it("does not fail a renewal of the lease that is answered after it", async () => {
         await startFeed();
