--- a/test/forward/largeConfigurations.test.ts
+++ b/test/forward/largeConfigurations.test.ts
@@ -144,6 +144,17 @@
         expect(listEvents("publishedChanged")[0]?.confirmedAt).toBe(answeredAt);
     });
 
+    // Guards against changes that wait for the pause of the feed after they have waited for the answer.
+    it("is followed by the next watch call at once", async () => {
+        await startFeed();
+        const { response } = await waitForCall("kv-watch");
+        await server.sendPieces(response, formatChanges(2), linkPieces);
+        const endedAt = performance.now();
+        response.end();
+        await waitForCall("kv-watch");
+        expect(performance.now() - endedAt).toBeLessThanOrEqual(10);
+    });
+
     // Guards against a lease that is lost because its renewals wait behind the configuration on the link.
     it("does not fail a renewal of the lease that is answered after it", async () => {
         await startFeed();
