Read the newest values when the changes of the store are too long

Four versions came between two watch calls, 5 MB in base64. An answer over 4 MiB fails the call, the failure counted as one of the store, and the same changes were asked for again while their number only grew.

A longer answer ends the call, at its head if that names the length, and has the store read from the newest values on. The log says what was skipped.

--- a/src/adapters/httpClient.ts
+++ b/src/adapters/httpClient.ts
@@ -54,10 +54,18 @@
     readonly receivedBytes: number;
 }
 
+class AnswerTooLongError extends Error {
+    constructor() {
+        super("The answer is longer, or in more pieces, than the limit.");
+    }
+}
+
 /** Error of an HTTP call, with how far the call had come. */
 export class HttpCallError extends Error implements CallProgress {
     readonly mayHaveBeenSent: boolean;
     readonly receivedBytes: number;
+    /** True when the answer was longer than allowed; the same call would fail again. */
+    readonly isTooLong: boolean;
     /** True when no process listens at the address. */
     readonly isConnectionRefused: boolean;
 
@@ -66,6 +74,7 @@
         this.name = "HttpCallError";
         this.mayHaveBeenSent = mayHaveBeenSent;
         this.receivedBytes = receivedBytes;
+        this.isTooLong = cause instanceof AnswerTooLongError;
         this.isConnectionRefused = isConnectionRefused(cause);
     }
 }
@@ -133,8 +142,12 @@
                 return;
             }
             const handleTooLong = (): void => {
-                request.destroy(new Error("The answer is longer, or in more pieces, than the limit."));
+                request.destroy(new AnswerTooLongError());
             };
+            if (Number(response.headers["content-length"]) > maxBytes) {
+                handleTooLong();
+                return;
+            }
             const body = createBodyCollector(callBuffers, { onDiscarded: guard(handleTooLong), minMeanBytes });
             const end = followResponseEnd(method, response);
             const headAt = performance.now();
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -160,6 +160,14 @@
         /** Bytes of the answer that had arrived. */
         readonly receivedBytes: number;
     }
+    /** The changes after a position are not asked for again; the whole store is read instead. */
+    | {
+        readonly kind: "storeChangesSkipped";
+        readonly after: StorePosition;
+        readonly reason: string;
+        /** Bytes of the answer that had arrived. */
+        readonly receivedBytes: number;
+    }
     /** The process that passes the store's changes on gave no usable answer. */
     | { readonly kind: "relayFailed"; readonly vm: VmId; readonly message: string; }
     | { readonly kind: "storeReplied"; readonly purpose: ForwardStorePurpose; readonly outcome: StoreOutcome; }
--- a/src/forward/systems/storeContact.ts
+++ b/src/forward/systems/storeContact.ts
@@ -83,4 +83,8 @@
         }
         node.storeReachableSince = undefined;
     }
+    for (const { after, reason, receivedBytes } of tick.events.list("storeChangesSkipped")) {
+        const fields = { reason, receivedBytes, ...after };
+        logInfo(world.effects, "store:", "Changes are skipped; the store is read.", fields);
+    }
 }
