Go on with the page of a read that has failed

A read of the whole store begins anew when one of its pages fails, so that over a link that often cuts answers the first page, which has the configuration, is read again and again, and the last one never. Found while checking which retries get further than the call before them.

--- a/test/forward/largeConfigurations.test.ts
+++ b/test/forward/largeConfigurations.test.ts
@@ -142,6 +142,26 @@
         expect(listEvents("storeUnreachable")).toEqual([]);
     });
 
+    // Guards against a read that begins from its first page after each failure and never reaches the last one.
+    it("is not read again when a later page was cut short", async () => {
+        feed.start();
+        const { response } = await waitForCall("kv-range");
+        const firstPage = { "items": [buildConfigurationItem(5)], "truncated": true, "as-of": 5 };
+        await server.sendPieces(response, JSON.stringify(firstPage), linkPieces);
+        response.end();
+        const { response: cutResponse } = await waitForCall("kv-range");
+        cutResponse.destroy();
+        const { url, response: lastResponse } = await waitForCall("kv-range");
+        expect(url.searchParams.get("after")).toBe("op/config");
+        const weights = { "key": "op/version/m", "value": "eyJtb2RlbCI6Im0iLCJ2ZXJzaW9uIjoyfQ==", "revision": 6 };
+        lastResponse.end(JSON.stringify({ "items": [weights], "truncated": false, "as-of": 9 }));
+        await waitForConnections(() => listEvents("publishedRead").length > 0);
+        const changes = listEvents("publishedRead")[0]?.changes;
+        expect(changes?.document?.version).toBe(5);
+        expect(changes?.weights).toEqual([{ model: "m", version: 2 }]);
+        expect(changes?.position.revision).toBe(5);
+    });
+
     // Guards against a process that takes what it knows for as new as the end of the answer: a target that was reported to
     // leave meanwhile counts as registered again.
     it("confirms the contents of the store as of the head of the answer", async () => {
