Send followers to the store when a large answer begins to arrive

In a fleet of ten processes and more, followers learned of a configuration when their reader had received all of it, or when the reader's state had become older than 1.5 s; then they counted it as failed for 5 s and read the value themselves. Over links of 7 Mbit/s the two transfers come one after the other.

The wire is unchanged: older processes know this answer. The new test got no answer before.

--- a/src/adapters/httpClient.ts
+++ b/src/adapters/httpClient.ts
@@ -28,6 +28,8 @@
     readonly agent?: http.Agent;
     /** Maximum length of the answer. */
     readonly maxBytes?: number;
+    /** Called with the bytes of the answer that have arrived, at each piece. */
+    readonly onReceived?: (receivedBytes: number) => void;
 }
 
 /** Maximum size of one answer, whatever its call allows, and of all answers that this process is reading. */
@@ -157,7 +159,9 @@
                 timer.addBytes(chunk.length);
                 if (!request.destroyed && (receivedBytes > maxBytes || !body.add(chunk))) {
                     handleTooLong();
+                    return;
                 }
+                call.onReceived?.(receivedBytes);
             };
             const handleEnd = (): void => {
                 timer.end();
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -151,6 +151,8 @@
         readonly transfer?: StoreTransfer;
         readonly reader?: Pick<RelayedChanges, "reachableMs" | "rowsMayReturnMs">;
     }
+    /** An answer of the store to a watch call has become large and goes on. Its changes are not known yet. */
+    | { readonly kind: "largeAnswerStarted"; }
     /** A read or a watch call of the store failed. */
     | {
         readonly kind: "storeUnreachable";
--- a/src/forward/systems/relayStore.ts
+++ b/src/forward/systems/relayStore.ts
@@ -51,6 +51,10 @@
     if (storeRelay.source !== undefined) {
         return { kind: "unavailable", reason: "not_a_reader" };
     }
+    if (storeRelay.isAnswerArriving) {
+        // Over a slow link a large value takes seconds. The callers need it as well and can read it meanwhile.
+        return { kind: "readStore" };
+    }
     if (node.storeReachableSince === undefined || ageMs >= maxRelayedAgeMs) {
         return { kind: "unavailable", reason: "outdated" };
     }
@@ -81,8 +85,17 @@
     };
 }
 
+/** The store answers one call of this process after the other, so any outcome of a call ends the large answer. */
+function isAnswerArriving(world: ForwardWorld, { events }: ForwardTick): boolean {
+    const hasEnded = events.list("publishedRead").length > 0 || events.list("publishedChanged").length > 0
+        || events.list("storeUnreachable").length > 0 || events.list("storeChangesSkipped").length > 0;
+    return !hasEnded && (world.tables.storeRelay.isAnswerArriving || events.list("largeAnswerStarted").length > 0);
+}
+
 function recordChanges(world: ForwardWorld, tick: ForwardTick): void {
-    const { history } = world.tables.storeRelay;
+    const { storeRelay } = world.tables;
+    const { history } = storeRelay;
+    storeRelay.isAnswerArriving = isAnswerArriving(world, tick);
     for (const { changes } of tick.events.list("publishedRead")) {
         history.restart(changes.position);
     }
--- a/src/forward/tables/storeRelay.ts
+++ b/src/forward/tables/storeRelay.ts
@@ -32,6 +32,8 @@
     readers: { readonly membersRevision: number; readonly vms: readonly VmId[]; } | undefined;
     /** Reader from which this process gets changes; undefined while it reads the store itself. */
     source: VmId | undefined;
+    /** True while a large answer of the store arrives, whose changes are not known yet. */
+    isAnswerArriving: boolean;
     /** Timing that was last requested of the store's reader; empty before the first request. */
     requestedSource: string;
 }
@@ -81,5 +83,6 @@
     failedUntil: new Map(),
     readers: undefined,
     source: undefined,
+    isAnswerArriving: false,
     requestedSource: "",
 });
--- a/test/forward/largeConfigurations.test.ts
+++ b/test/forward/largeConfigurations.test.ts
@@ -190,6 +190,19 @@
         expect(performance.now() - endedAt).toBeLessThanOrEqual(10);
     });
 
+    // Guards against processes that learn of a configuration only when their reader has all of it.
+    it("is announced once, when its first bytes have arrived", async () => {
+        await startFeed();
+        const { response } = await waitForCall("kv-watch");
+        const text = formatChanges(2);
+        await server.sendPieces(response, text.slice(0, 175_000), linkPieces);
+        expect(listEvents("largeAnswerStarted")).toHaveLength(1);
+        await server.sendPieces(response, text.slice(175_000), linkPieces);
+        response.end();
+        await waitForConnections(() => listEvents("publishedChanged").length > 0);
+        expect(listEvents("largeAnswerStarted")).toHaveLength(1);
+    });
+
     // Guards against a lease that is lost because its renewals wait behind the configuration on the link.
     it("does not fail a renewal of the lease that is answered after it", async () => {
         await startFeed();
--- a/test/forward/storeRelay.test.ts
+++ b/test/forward/storeRelay.test.ts
@@ -145,6 +145,31 @@
         expect(requestChanges(node, 1)).toEqual({ kind: "unavailable", reason: "outdated" });
     });
 
+    // Guards against CONFIG: a process that waits for a reader with a slow link has less time to read a large value itself.
+    it("send their callers to the store as soon as a large answer arrives, and keep the others waiting", async () => {
+        const node = await startReader();
+        requestChanges(node, 1);
+        const answers = listEffects(node.run([{ kind: "largeAnswerStarted" }], 100), "answerRelayCall");
+        expect(answers.map(({ answer }) => answer)).toEqual([{ kind: "readStore" }]);
+        node.run([], 1600);
+        expect(requestChanges(node, 1)).toEqual({ kind: "readStore" });
+        node.run([node.buildChangeEvent({ items: [buildItem(5)], position: buildPosition(5) })]);
+        expect(requestChanges(node, 5)).toBeUndefined();
+    });
+
+    // Guards against callers that are sent to the store for ever after a large answer that did not arrive.
+    it.each(
+        [
+            { kind: "storeUnreachable", call: "watch", message: "reset", receivedBytes: 99_000, sentAt: toMillis(0) },
+            { kind: "storeChangesSkipped", after: buildPosition(1), reason: "too long", receivedBytes: 99_000 },
+        ] as const,
+    )("take up their answers when a large answer ends: $kind", async event => {
+        const node = await startReader();
+        node.run([{ kind: "largeAnswerStarted" }]);
+        node.run([event]);
+        expect(requestChanges(node, 1)).not.toEqual({ kind: "readStore" });
+    });
+
     it("send a caller to the store for a large value, or for changes before their first read", async () => {
         const node = await startReader();
         expect(requestChanges(node, 0)).toEqual({ kind: "readStore" });
