Bound what is kept of the store for others by its length

Each process kept the last 2,048 changes of the store for other processes, with the values of the configuration, 1.3 MB each, which are never passed on.

Change: a value that is too long to be passed on ends the history before it; who is further behind reads the store, as before. What is kept has 2 MiB at most, and one answer to another process 256 KiB, since a reader sends it to dozens of processes over its link.

--- a/src/forward/systems/relayStore.ts
+++ b/src/forward/systems/relayStore.ts
@@ -11,7 +11,7 @@
 import { computeWatchTiming } from "../policy/watchTiming";
 import { isAtOrAfter, type RelayAnswer } from "../storeChanges";
 import { computeStoreAgeMs } from "../tables/node";
-import type { RelayCall } from "../tables/storeRelay";
+import { computeLength, type RelayCall } from "../tables/storeRelay";
 import type { ForwardWorld } from "../world";
 
 /** Longest time for which a call for changes waits for one. */
@@ -23,8 +23,8 @@
 const maxRelayedAgeMs = 1500;
 /** Time for which a reader that failed is not asked again. */
 const readerBackOffMs = 5000;
-/** Changes with a longer value are read from the store: a reader would send it to dozens of processes over its link. */
-const maxRelayedValueLength = 8192;
+/** Longer changes are read from the store: a reader would send them to dozens of processes over its link. */
+const maxRelayedLength = 256 * 1024;
 const maxPendingCalls = 1024;
 
 /** Pause between two deliveries of changes to a process of a small fleet, which reads the store itself. */
@@ -67,7 +67,7 @@
         return { kind: "readStore" };
     }
     const items = history.listAfter(after.revision);
-    if (items.some(({ value = "" }) => value.length > maxRelayedValueLength)) {
+    if (computeLength(items) > maxRelayedLength) {
         return { kind: "readStore" };
     }
     if (items.length === 0 && tick.now < answerAt) {
--- a/src/forward/tables/storeRelay.ts
+++ b/src/forward/tables/storeRelay.ts
@@ -17,7 +17,10 @@
     readonly position: StorePosition;
     /** Forgets all changes; those after the position are added from now on. */
     restart(position: StorePosition): void;
-    /** Adds changes of the era in which the history was started; others are ignored. */
+    /**
+     * Adds changes of the era in which the history was started; others are ignored. A change whose value is too long to be
+     * passed on ends the history before it: who is further behind reads the store in any case.
+     */
     add(items: readonly StoreItem[], position: StorePosition): void;
     /** Changes of the era after the given revision, oldest first. */
     listAfter(revision: number): readonly StoreItem[];
@@ -40,6 +43,15 @@
 
 /** Changes that are kept for other processes; a process that is further behind reads the store. */
 const maxKeptItems = 2048;
+/** Length of their keys and values. Rows of members, orders and targets have a few hundred bytes. */
+const maxKeptLength = 2 * 1024 * 1024;
+/** A reader would send a longer value to dozens of processes over its link. */
+const maxKeptValueLength = 8192;
+
+/** Length of the keys and values of changes. */
+export const computeLength = (items: readonly StoreItem[]): number =>
+    items.reduce((sum, { key, value = "" }) => sum + key.length + value.length, 0);
+const isTooLong = ({ value = "" }: StoreItem): boolean => value.length > maxKeptValueLength;
 
 /** Creates a history without changes. */
 export function createStoreHistory(): StoreHistory {
@@ -47,6 +59,31 @@
     let era = unknownEra;
     let revision = 0;
     let items: StoreItem[] = [];
+    let keptLength = 0;
+
+    /** All changes of one revision are removed together, since readers continue after a revision. */
+    function removeUpTo(lastRevision: number): void {
+        startRevision = lastRevision;
+        items = items.filter(item => item.revision > lastRevision);
+        keptLength = computeLength(items);
+    }
+
+    /** Revision up to which changes exceed the bounds; undefined when none do. */
+    function findExcess(): number | undefined {
+        let length = keptLength;
+        let count = items.length;
+        let lastRevision: number | undefined;
+        for (const item of items) {
+            if (count <= maxKeptItems && length <= maxKeptLength) {
+                break;
+            }
+            length -= computeLength([item]);
+            count -= 1;
+            lastRevision = item.revision;
+        }
+        return lastRevision;
+    }
+
     return {
         get startRevision() {
             return startRevision;
@@ -59,17 +96,23 @@
             startRevision = position.revision;
             revision = position.revision;
             items = [];
+            keptLength = 0;
         },
         add: (added, position) => {
             if (position.era !== era) {
                 return;
             }
-            items.push(...added.filter(item => item.revision > revision));
+            const newItems = added.filter(item => item.revision > revision);
+            items.push(...newItems);
+            keptLength += computeLength(newItems);
             revision = Math.max(revision, position.revision);
-            if (items.length > maxKeptItems) {
-                // All changes of one revision are dropped together, since readers continue after a revision.
-                startRevision = items[items.length - maxKeptItems - 1]?.revision ?? revision;
-                items = items.filter(item => item.revision > (startRevision ?? 0));
+            const lastTooLong = newItems.findLast(isTooLong);
+            if (lastTooLong) {
+                removeUpTo(lastTooLong.revision);
+            }
+            const lastExcess = findExcess();
+            if (lastExcess !== undefined) {
+                removeUpTo(lastExcess);
             }
         },
         listAfter: after => items.filter(item => item.revision > after),
--- a/test/forward/storeRelay.test.ts
+++ b/test/forward/storeRelay.test.ts
@@ -8,7 +8,7 @@
 import type { ForwardEvent } from "../../src/forward/events";
 import { chooseReader, computeReaderCount, listReaders } from "../../src/forward/policy/storeReaders";
 import type { RelayAnswer, StoreItem, StorePosition } from "../../src/forward/storeChanges";
-import { createStoreHistory } from "../../src/forward/tables/storeRelay";
+import { computeLength, createStoreHistory } from "../../src/forward/tables/storeRelay";
 import { toCallId, toMillis, toVmId } from "../../src/ids";
 import { closeServer, openServer } from "../../standins/platformHttp";
 import { startPlatformStore } from "../../standins/platformStore";
@@ -178,6 +178,15 @@
         expect(requestChanges(node, 5)).toBeUndefined();
     });
 
+    // Guards against an answer of megabytes to each of dozens of processes over a slow link.
+    it("send a caller to the store for more changes than 256 KiB", async () => {
+        const node = await startReader();
+        const items = Array.from({ length: 40 }, (_, index) => buildItem(index + 2, "A".repeat(8000)));
+        node.run([node.buildChangeEvent({ items, position: buildPosition(41) })]);
+        expect(requestChanges(node, 1)).toEqual({ kind: "readStore" });
+        expect(requestChanges(node, 30)).toMatchObject({ kind: "changes" });
+    });
+
     it("are not processes that get the changes from another one", async () => {
         expect(requestChanges(await startFollower(), 1)).toEqual({ kind: "unavailable", reason: "not_a_reader" });
     });
@@ -238,6 +247,28 @@
         expect(history.position).toEqual(buildPosition(5010));
     });
 
+    // Guards against a process that runs out of memory by configurations that it keeps for others and never passes on.
+    it("keeps no value that is too long to be passed on, nor what came before it", () => {
+        const history = createStoreHistory();
+        history.restart(buildPosition(1));
+        history.add([buildItem(2), buildItem(3, "A".repeat(1_400_000)), buildItem(4)], buildPosition(4));
+        expect(history.startRevision).toBe(3);
+        expect(history.listAfter(0).map(({ revision }) => revision)).toEqual([4]);
+    });
+
+    // Guards against a bound of items only, with which the memory that is kept grows with the length of their values.
+    it("keeps at most 2 MiB of keys and values", () => {
+        const history = createStoreHistory();
+        history.restart(buildPosition(1));
+        for (let revision = 2; revision < 1000; revision += 1) {
+            history.add([buildItem(revision, "A".repeat(8000))], buildPosition(revision));
+        }
+        const kept = history.listAfter(0);
+        expect(computeLength(kept)).toBeLessThanOrEqual(2 * 1024 * 1024);
+        expect(kept.length).toBeGreaterThan(200);
+        expect(kept[0]?.revision).toBe((history.startRevision ?? 0) + 1);
+    });
+
     it("adds a change only once when it is delivered again", () => {
         const history = createStoreHistory();
         history.restart(buildPosition(1));
