Group the routes of a host without copying its list for each

Applying a configuration of 4,605 routes of one host took 14 ms of 20 ms in copies of the list of routes, a time that grows with its square; on a VM with a quarter of a core that is 60 ms in which nothing else runs.

--- a/src/forward/tables/configuration.ts
+++ b/src/forward/tables/configuration.ts
@@ -49,7 +49,13 @@
             routesByHost.clear();
             accountsByKey.clear();
             for (const route of document.routes) {
-                routesByHost.set(route.host, [...(routesByHost.get(route.host) ?? []), route]);
+                const routes = routesByHost.get(route.host);
+                if (routes) {
+                    routes.push(route);
+                }
+                else {
+                    routesByHost.set(route.host, [route]);
+                }
             }
             for (const routes of routesByHost.values()) {
                 routes.sort((left, right) => right.prefix.length - left.prefix.length);
