Let the soak grow the configuration over a narrow link and in storms

Two kinds of faults, drawn by a generator of their own so that the faults of earlier seeds stay the same: the configuration grows to 0.95 MB while a process reads the store at 7 Mbit/s, and 25 such versions come 80 ms apart. The checks of withdrawn keys and of configurations that go back apply to both.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -227,6 +227,43 @@
     },
 };
 
+/** Routes with which a configuration has 0.95 MB. */
+const largeRouteCount = 4500;
+const stormVersions = 25;
+const stormPauseMs = 80;
+
+/** Has the configuration grow until the fault ends. */
+function startLargeConfiguration(world: SoakWorld): () => void {
+    world.idleRouteCount = largeRouteCount;
+    writeConfiguration(world);
+    return () => {
+        world.idleRouteCount = 0;
+        writeConfiguration(world);
+    };
+}
+
+/** Large configurations, drawn apart for the same reason. */
+const configurationFaultKinds: typeof faultKinds = {
+    "configuration grows over a narrow link": (world, { selector }) => {
+        const { storeProxy } = choose(world.routers, selector);
+        storeProxy.update("narrow");
+        const end = startLargeConfiguration(world);
+        return () => {
+            storeProxy.update("pass");
+            end();
+        };
+    },
+    "large configurations come in a storm": world => {
+        const end = startLargeConfiguration(world);
+        const timer = setInterval(writeConfiguration, stormPauseMs, world);
+        setTimeout(clearInterval, stormVersions * stormPauseMs, timer);
+        return () => {
+            clearInterval(timer);
+            end();
+        };
+    },
+};
+
 /** Clients outside the limits, drawn apart for the same reason. */
 const clientFaultKinds: typeof faultKinds = {
     "clients pipeline requests and read no answers": (world, { selector }) => {
@@ -251,6 +288,7 @@
         ...framingFaultKinds,
         ...deathFaultKinds,
         ...clientFaultKinds,
+        ...configurationFaultKinds,
     })
         [fault.kind]?.(world, fault)
         ?? endNothing;
@@ -304,6 +342,13 @@
 export const createClientFaults = (random: () => number, { durationMs }: SoakWorld, count: number): SoakFault[] =>
     createFaultsOf({ random, durationMs, count, kinds: Object.keys(clientFaultKinds) });
 
+/** Draws large configurations with a generator of their own. */
+export const createConfigurationFaults = (
+    random: () => number,
+    { durationMs }: SoakWorld,
+    count: number,
+): SoakFault[] => createFaultsOf({ random, durationMs, count, kinds: Object.keys(configurationFaultKinds) });
+
 /** Starts and ends the faults that are due. Skips a fault of a process that another fault already disturbs. */
 export function runFaults(world: SoakWorld): void {
     const now = getSoakTime(world);
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -113,6 +113,10 @@
                 { length: world.configurationVersion },
                 (_, index) => buildPlatformRoute(`v${index + 1}`, "idempotent", plainService, { "no-auth": true }),
             ),
+            ...Array.from(
+                { length: world.idleRouteCount },
+                (_, index) => buildPlatformRoute(`idle-${index}`, "idempotent", plainService),
+            ),
         ],
     });
 }
@@ -171,6 +175,7 @@
         configurationVersion: 0,
         withdrawnAt: undefined,
         startedAt: performance.now(),
+        idleRouteCount: 0,
         durationMs,
     };
     writeConfiguration(world);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -8,6 +8,7 @@
 import { checkGuarantees } from "./checks";
 import {
     createClientFaults,
+    createConfigurationFaults,
     createContentFaults,
     createDeathFaults,
     createEngineFaults,
@@ -33,6 +34,8 @@
 const deathFaultSeedOffset = 4_000_000;
 const clientFaultsPerRun = 1;
 const clientFaultSeedOffset = 5_000_000;
+const configurationFaultsPerRun = 1;
+const configurationFaultSeedOffset = 6_000_000;
 /** Time after the last deadline in which answers can still arrive. */
 const lateAnswerMs = 1500;
 
@@ -71,6 +74,7 @@
     const framingFaultGenerator = xoroshiro128plus(seed + framingFaultSeedOffset);
     const deathFaultGenerator = xoroshiro128plus(seed + deathFaultSeedOffset);
     const clientFaultGenerator = xoroshiro128plus(seed + clientFaultSeedOffset);
+    const configurationFaultGenerator = xoroshiro128plus(seed + configurationFaultSeedOffset);
     world.faults.push(
         ...createFaults(world, faultsPerRun),
         ...createEngineFaults(() => uniformFloat64(engineFaultGenerator), world, engineFaultsPerRun),
@@ -78,6 +82,11 @@
         ...createFramingFaults(() => uniformFloat64(framingFaultGenerator), world, framingFaultsPerRun),
         ...createDeathFaults(() => uniformFloat64(deathFaultGenerator), world, deathFaultsPerRun),
         ...createClientFaults(() => uniformFloat64(clientFaultGenerator), world, clientFaultsPerRun),
+        ...createConfigurationFaults(
+            () => uniformFloat64(configurationFaultGenerator),
+            world,
+            configurationFaultsPerRun,
+        ),
     );
     for (let tick = 0; getSoakTime(world) < durationMs; tick += 1) {
         runFaults(world);
--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -4,10 +4,10 @@
 
 /**
  * `pass` forwards; `reset` resets every connection; `silent` drops all data; `oneWay` drops data from the server;
- * `slow` forwards with a delay; `paused` forwards when the mode ends; `closed` closes every connection in the orderly way
+ * `slow` forwards with a delay; `narrow` forwards what the server sends at 7 Mbit/s in all; `paused` forwards when the mode ends; `closed` closes every connection in the orderly way
  * and refuses new ones, as the system of a killed process does.
  */
-export type ProxyMode = "pass" | "reset" | "silent" | "oneWay" | "slow" | "paused" | "closed";
+export type ProxyMode = "pass" | "reset" | "silent" | "oneWay" | "slow" | "narrow" | "paused" | "closed";
 
 export interface Proxy {
     readonly address: string;
@@ -19,12 +19,16 @@
 /** Delay of the mode `slow` in each direction. */
 const slowDelayMs = 120;
 
+const narrowBytesPerMs = 875;
+
 /** Starts a proxy for the server at the address. */
 export async function startProxy(target: string): Promise<Proxy> {
     const sockets = new Set<net.Socket>();
     /** Connections of which the proxy has dropped bytes. */
     const lossySockets = new WeakSet<net.Socket>();
-    const getDelayMs = (): number => proxy.mode === "slow" ? slowDelayMs : 0;
+    /** Time until which the narrow link is occupied; what follows waits for it, in the other modes as well. */
+    let linkFreeAt = 0;
+    const getDelayMs = (): number => Math.max(proxy.mode === "slow" ? slowDelayMs : 0, linkFreeAt - performance.now());
 
     function addSocket(socket: net.Socket, other: net.Socket): void {
         sockets.add(socket);
@@ -51,6 +55,9 @@
                 lossySockets.add(from);
                 return;
             }
+            if (proxy.mode === "narrow" && isFromServer) {
+                linkFreeAt = Math.max(linkFreeAt, performance.now()) + bytes.length / narrowBytesPerMs;
+            }
             setTimeout(() => {
                 if (!to.destroyed) {
                     to.write(bytes);
--- a/soak/tables.ts
+++ b/soak/tables.ts
@@ -70,6 +70,8 @@
     readonly faults: SoakFault[];
     /** Descriptions of the guarantees that were violated, without duplicates. */
     readonly violations: Set<string>;
+    /** Routes of the configuration that get no requests. */
+    idleRouteCount: number;
     /** Version of the last configuration in the store. */
     configurationVersion: number;
     /** Time at which the second key was withdrawn; undefined while it is valid. */
