Check in the soak that configurations come into force

Large configurations last for 6 to 8.5 s now, longer than a change may take. A new check: the route of a version that was written more than 5 s before is found, at processes that ran and reached the store.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -4,7 +4,7 @@
 
 /** Number of events in each stream of the stand-in engine. */
 const streamEventCount = 4;
-/** Time from the withdrawal of a key until no process may accept it. */
+/** Time from the withdrawal of a key until no process may accept it, and from a configuration until it is in force. */
 const maxRevocationMs = 5000;
 /** Time after its deadline within which each request must end. */
 const deadlineToleranceMs = 1000;
@@ -15,6 +15,10 @@
 /** Fraction of a run, at its end, in which no fault is active. */
 const faultFreeFraction = 0.15;
 
+/** A process that gets no answers from the store, or does not run, cannot receive a change. */
+const hasRecentFault = ({ faults }: SoakWorld, at: number, kinds: RegExp): boolean =>
+    faults.some(({ kind, startsAt, endsAt }) => kinds.test(kind) && startsAt < at && endsAt > at - maxRevocationMs);
+
 type Check = (world: SoakWorld, request: SoakRequest) => string | undefined;
 
 const isStream = (kind: RequestKind): boolean => kind === "review" || kind === "reply";
@@ -66,6 +70,12 @@
         }
         return answer?.status === 404 && kind !== "probe" ? "its route was not found" : undefined;
     },
+    "a configuration is in force after a while": (world, { answer, configurationVersion, sentAt, kind }) => {
+        const isLate = sentAt > (world.versionTimes.get(configurationVersion) ?? sentAt) + maxRevocationMs;
+        return isLate && kind === "probe" && answer?.status === 404 && !hasRecentFault(world, sentAt, /^store|process/)
+            ? `its route of version ${configurationVersion} was not found`
+            : undefined;
+    },
     "a withdrawn key is not accepted any more": ({ withdrawnAt, faults }, { answer, key, sentAt, kind }) => {
         const isLate = withdrawnAt !== undefined && sentAt > withdrawnAt + maxRevocationMs;
         // A process that gets no answers from the store cannot receive the withdrawal.
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -302,15 +302,20 @@
     readonly durationMs: number;
     readonly count: number;
     readonly kinds: readonly string[];
+    /** Fraction of the run in which the faults start. */
+    readonly startFraction?: number;
+    readonly minFaultMs?: number;
 }
 
-function createFaultsOf({ random, durationMs, count, kinds }: FaultDraw): SoakFault[] {
+function createFaultsOf(
+    { random, durationMs, count, kinds, startFraction = faultyFraction, minFaultMs = 200 }: FaultDraw,
+): SoakFault[] {
     return Array.from({ length: count }, () => {
-        const startsAt = random() * durationMs * faultyFraction;
+        const startsAt = random() * durationMs * startFraction;
         return {
             kind: kinds[Math.floor(random() * kinds.length)] ?? "",
             startsAt,
-            endsAt: startsAt + 200 + random() * faultDurationRangeMs,
+            endsAt: startsAt + minFaultMs + random() * faultDurationRangeMs,
             selector: random(),
             state: "waiting" as const,
             end: endNothing,
@@ -342,12 +347,23 @@
 export const createClientFaults = (random: () => number, { durationMs }: SoakWorld, count: number): SoakFault[] =>
     createFaultsOf({ random, durationMs, count, kinds: Object.keys(clientFaultKinds) });
 
-/** Draws large configurations with a generator of their own. */
+/**
+ * Draws large configurations with a generator of their own. They last longer than a change may take to come into force,
+ * and end before the fault-free end of the run.
+ */
 export const createConfigurationFaults = (
     random: () => number,
     { durationMs }: SoakWorld,
     count: number,
-): SoakFault[] => createFaultsOf({ random, durationMs, count, kinds: Object.keys(configurationFaultKinds) });
+): SoakFault[] =>
+    createFaultsOf({
+        random,
+        durationMs,
+        count,
+        kinds: Object.keys(configurationFaultKinds),
+        startFraction: 0.25,
+        minFaultMs: 6000,
+    });
 
 /** Starts and ends the faults that are due. Skips a fault of a process that another fault already disturbs. */
 export function runFaults(world: SoakWorld): void {
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -102,6 +102,7 @@
 /** Writes the next configuration. Each version adds a route, by which callers can tell which version a process uses. */
 export function writeConfiguration(world: SoakWorld): void {
     world.configurationVersion += 1;
+    world.versionTimes.set(world.configurationVersion, getSoakTime(world));
     const base = buildPlatformConfiguration({ version: world.configurationVersion });
     const keys = world.withdrawnAt === undefined ? [apiKey, secondKey] : [apiKey];
     world.store.put("op/config", {
@@ -176,6 +177,7 @@
         withdrawnAt: undefined,
         startedAt: performance.now(),
         idleRouteCount: 0,
+        versionTimes: new Map(),
         durationMs,
     };
     writeConfiguration(world);
--- a/soak/tables.ts
+++ b/soak/tables.ts
@@ -74,6 +74,8 @@
     idleRouteCount: number;
     /** Version of the last configuration in the store. */
     configurationVersion: number;
+    /** Times at which configurations were written. */
+    readonly versionTimes: Map<number, number>;
     /** Time at which the second key was withdrawn; undefined while it is valid. */
     withdrawnAt: number | undefined;
     startedAt: number;
