Have the stand-in reset streams without framing that it cuts

Found by the soak, in one of two runs: a caller got two of four events of a stream without framing as a complete one. No receiver can tell this from the proper end of such a stream, as the stand-in says where it ends its run.

--- a/soak/regressionSeeds.ts
+++ b/soak/regressionSeeds.ts
@@ -29,4 +29,10 @@
         cause: "An engine ended under a prompt part before the first event of an unframed stream that was resumed; the "
             + "stream was relayed as complete. Seen in one of three runs.",
     },
+    {
+        seed: 500051036,
+        cause:
+            "The stand-in engine cut a stream that it had begun without framing by an orderly close after a whole event, "
+            + "which is the proper end of such a stream. It resets the connection since. Seen in one of two runs.",
+    },
 ];
--- a/standins/platformServer.ts
+++ b/standins/platformServer.ts
@@ -190,6 +190,10 @@
         for (let id = firstEventId; id <= events && !response.destroyed; id += 1) {
             if (server.behaviour === "cut" && id === firstEventId + 2) {
                 response.write(`id: ${id}\nda`);
+                // The bytes of the event may be lost, and an orderly close would then be the proper end of the stream.
+                if (isUnframed) {
+                    request.socket.resetAndDestroy();
+                }
                 response.destroy();
                 return;
             }
