Confirm the store's contents at once after an answer that took long

A reader whose large answer has arrived knows the store as of its head, 2 s before over 7 Mbit/s.

The watch call after such an answer waits 50 ms only, and until it confirms the contents the callers are sent to the store, without counting the reader as failed.

--- a/src/forward/systems/relayStore.ts
+++ b/src/forward/systems/relayStore.ts
@@ -85,11 +85,17 @@
     };
 }
 
-/** The store answers one call of this process after the other, so any outcome of a call ends the large answer. */
-function isAnswerArriving(world: ForwardWorld, { events }: ForwardTick): boolean {
-    const hasEnded = events.list("publishedRead").length > 0 || events.list("publishedChanged").length > 0
-        || events.list("storeUnreachable").length > 0 || events.list("storeChangesSkipped").length > 0;
-    return !hasEnded && (world.tables.storeRelay.isAnswerArriving || events.list("largeAnswerStarted").length > 0);
+/**
+ * The store answers one call of this process after the other, so a failure ends the large answer. When it has arrived, its
+ * contents are as old as its transfer; the next answer brings them up to date.
+ */
+function isAnswerArriving(world: ForwardWorld, tick: ForwardTick): boolean {
+    const { events, now, wallNow } = tick;
+    const { node, storeRelay } = world.tables;
+    const hasFailed = events.list("storeUnreachable").length > 0 || events.list("storeChangesSkipped").length > 0;
+    const hasAnswer = events.list("publishedRead").length > 0 || events.list("publishedChanged").length > 0;
+    const hasEnded = hasFailed || (hasAnswer && computeStoreAgeMs(node, now, wallNow) < maxRelayedAgeMs);
+    return !hasEnded && (storeRelay.isAnswerArriving || events.list("largeAnswerStarted").length > 0);
 }
 
 function recordChanges(world: ForwardWorld, tick: ForwardTick): void {
--- a/src/forward/tables/storeRelay.ts
+++ b/src/forward/tables/storeRelay.ts
@@ -35,7 +35,7 @@
     readers: { readonly membersRevision: number; readonly vms: readonly VmId[]; } | undefined;
     /** Reader from which this process gets changes; undefined while it reads the store itself. */
     source: VmId | undefined;
-    /** True while a large answer of the store arrives, whose changes are not known yet. */
+    /** True while a large answer of the store arrives, and until its contents are confirmed as up to date. */
     isAnswerArriving: boolean;
     /** Timing that was last requested of the store's reader; empty before the first request. */
     requestedSource: string;
--- a/test/forward/largeConfigurations.test.ts
+++ b/test/forward/largeConfigurations.test.ts
@@ -186,8 +186,10 @@
         await server.sendPieces(response, formatChanges(2), linkPieces);
         const endedAt = performance.now();
         response.end();
-        await waitForCall("kv-watch");
+        const { url } = await waitForCall("kv-watch");
         expect(performance.now() - endedAt).toBeLessThanOrEqual(10);
+        // A longer wait would leave the process with contents that are as old as the answer took to arrive.
+        expect(url.searchParams.get("wait-ms")).toBe("50");
     });
 
     // Guards against processes that learn of a configuration only when their reader has all of it.
--- a/test/forward/storeRelay.test.ts
+++ b/test/forward/storeRelay.test.ts
@@ -157,6 +157,17 @@
         expect(requestChanges(node, 5)).toBeUndefined();
     });
 
+    // Guards against callers that count their reader as failed because its answer took longer than its state may be old.
+    it("send their callers to the store until the contents of a large answer are confirmed again", async () => {
+        const node = await startReader();
+        node.run([{ kind: "largeAnswerStarted" }]);
+        const event = node.buildChangeEvent({ items: [buildItem(5)], position: buildPosition(5) });
+        node.run([event], 2000);
+        expect(requestChanges(node, 5)).toEqual({ kind: "readStore" });
+        node.run([node.buildChangeEvent({ position: buildPosition(5) })]);
+        expect(requestChanges(node, 5)).toBeUndefined();
+    });
+
     // Guards against callers that are sent to the store for ever after a large answer that did not arrive.
     it.each(
         [
