Bound the length of state reports and of answers to orders

Reports and answers to orders of the completions mode are bounded at 64 KiB now, as those of the forwarding mode are, so the call ends after 1.5 s at most.

--- a/src/adapters/targetReader.ts
+++ b/src/adapters/targetReader.ts
@@ -14,6 +14,8 @@
 import { createResponseBuffers } from "./responseBuffers";
 
 const stateTimeoutMs = 1000;
+/** State reports and answers to orders have a few kilobytes. Longer ones would keep the call for as long as they go on. */
+const maxAnswerBytes = 64 * 1024;
 /** Cache events of one target are collected for this long and posted as one batch, to need fewer ticks. */
 const cacheBatchMs = 50;
 /** Events after which a target is not read until the batch is posted. */
@@ -61,6 +63,7 @@
                 address,
                 path: "/state",
                 timeoutMs: stateTimeoutMs,
+                maxBytes: maxAnswerBytes,
                 agent,
             });
             const report = answer.status === 200 ? decodeState(answer.text) : undefined;
@@ -178,6 +181,7 @@
                 headers: { "content-type": "application/json" },
                 body: encodeOrder(order),
                 timeoutMs,
+                maxBytes: maxAnswerBytes,
                 agent,
             });
             postOutcome(toOrderOutcome(answer.status));
--- a/test/slowAnswers.test.ts
+++ b/test/slowAnswers.test.ts
@@ -4,8 +4,9 @@
 import { type HttpAnswer, type HttpCall, HttpCallError, sendHttpCall } from "../src/adapters/httpClient";
 import { createLinkMeter } from "../src/adapters/linkMeter";
 import { createStoreClient, type StoreClient } from "../src/adapters/storeClient";
-import type { EventOf } from "../src/events";
-import { toLeaseId } from "../src/ids";
+import { createTargetReader } from "../src/adapters/targetReader";
+import type { Event, EventOf } from "../src/events";
+import { toLeaseId, toTargetId } from "../src/ids";
 import { type PacedServer, startMovedClock, startPacedServer, waitForConnections } from "./support/pacedServer";
 
 let server: PacedServer;
@@ -98,6 +99,20 @@
     });
 });
 
+// Guards against a target that keeps its state unknown by a report that arrives slowly and has no end.
+it("a state report that goes on at 1.3 Mbit/s ends its call in less than two seconds", async () => {
+    const events: Event[] = [];
+    const reader = createTargetReader({ post: event => events.push(event), clock: createProcessClock() });
+    reader.readState({ kind: "readTarget", target: toTargetId("t1"), address: server.address });
+    const { response } = await server.waitForRequest();
+    const startedAt = performance.now();
+    await server.sendPieces(response, largeText, slowPieces);
+    await waitForConnections(() => events.length > 0);
+    expect(events).toEqual([{ kind: "targetUnreachable", target: "t1" }]);
+    expect(performance.now() - startedAt).toBeLessThan(2000);
+    reader.close();
+});
+
 describe("a small call while a large answer occupies the link", () => {
     // Guards against renewals of a lease that fail because they wait behind a configuration on the link.
     it("does not count the time for which the large answer arrives", async () => {
