Confirm a read as of the call that brought its first page

With pages kept over failures, a read whose first tries got no page confirmed the contents as of the first try, up to 10 s before.

--- a/test/forward/largeConfigurations.test.ts
+++ b/test/forward/largeConfigurations.test.ts
@@ -162,6 +162,18 @@
         expect(changes?.position.revision).toBe(5);
     });
 
+    // Guards against contents that count as old because earlier tries of the read have failed.
+    it("is confirmed as of the call that brought the first page", async () => {
+        feed.start();
+        const { response: busyResponse } = await waitForCall("kv-range");
+        busyResponse.writeHead(503).end();
+        const { response } = await waitForCall("kv-range");
+        const sentAt = performance.now();
+        response.end(formatPage(5, 1));
+        await waitForConnections(() => listEvents("publishedRead").length > 0);
+        expect(sentAt - (listEvents("publishedRead")[0]?.confirmedAt ?? 0)).toBeLessThanOrEqual(10);
+    });
+
     // Guards against a process that takes what it knows for as new as the end of the answer: a target that was reported to
     // leave meanwhile counts as registered again.
     it("confirms the contents of the store as of the head of the answer", async () => {
