--- a/test/forward/largeConfigurations.test.ts
+++ b/test/forward/largeConfigurations.test.ts
@@ -260,3 +260,40 @@
         expect(url.searchParams.get("after")).toBe("6");
     });
 });
+
+describe("a configuration that cannot be decoded", () => {
+    const removeValueStart = (text: string): string => text.replace(/"value":".{200}/, "\"value\":\"");
+
+    // Guards against CONFIG: a process whose copy of a configuration was damaged kept the one before until the next.
+    it("is read once more after a watch call", async () => {
+        await startFeed();
+        const { response } = await waitForCall("kv-watch");
+        response.end(removeValueStart(formatChanges(2)));
+        const { response: pageResponse } = await waitForCall("kv-range");
+        pageResponse.end(formatPage(2));
+        await waitForConnections(() => listEvents("publishedRead").length > 1);
+        expect(listEvents("publishedRead")[1]?.changes.document?.version).toBe(2);
+    });
+
+    it("is read once more by a process that starts", async () => {
+        feed.start();
+        const { response } = await waitForCall("kv-range");
+        response.end(removeValueStart(formatPage(2)));
+        const { response: pageResponse } = await waitForCall("kv-range");
+        pageResponse.end(formatPage(2));
+        await waitForConnections(() => listEvents("publishedRead").length > 1);
+        expect(listEvents("publishedRead")[1]?.changes.document?.version).toBe(2);
+    });
+
+    // Guards against reads without end where the configuration cannot be decoded at all.
+    it("is not read for a third time", async () => {
+        await startFeed();
+        const { response } = await waitForCall("kv-watch");
+        response.end(removeValueStart(formatChanges(2)));
+        const { response: pageResponse } = await waitForCall("kv-range");
+        pageResponse.end(removeValueStart(formatPage(2)));
+        const { url } = await waitForCall("kv-watch");
+        expect(url.searchParams.get("after")).toBe("2");
+        expect(listEvents("publishedChanged").at(-1)?.changes.undecodableKeys).toEqual(["op/config"]);
+    });
+});
