Log calls to the store that keep failing, and report the version in force

Now a line every two seconds gives the number of failures in a row, and the gauges store_failures_in_a_row and configuration_version show a process that is behind the others. No logic changes.

--- a/bench/benchWorld.ts
+++ b/bench/benchWorld.ts
@@ -135,6 +135,7 @@
         writeLog: handleNothing,
         addCount: handleNothing,
         recordValue: handleNothing,
+        updateGauge: handleNothing,
         closeListeners: handleNothing,
         exitProcess: handleNothing,
     };
--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -1,7 +1,7 @@
 /** Metrics: counters and latency histograms in the Prometheus text format. */
 import { build, type Histogram } from "hdr-histogram-js";
 import { Counter, Gauge, Registry } from "prom-client";
-import type { CounterName, EffectOf, HistogramName } from "../effects";
+import type { CounterName, EffectOf, GaugeName, HistogramName } from "../effects";
 
 const counterLabels: { readonly [Name in CounterName]: readonly string[]; } = {
     requests_total: ["route", "account"],
@@ -35,6 +35,7 @@
     "store_transfer_ms",
     "write_delay_ms",
 ];
+const gaugeNames: readonly GaugeName[] = ["configuration_version", "store_failures_in_a_row"];
 const reportedPercentiles = [50, 95, 99, 99.9] as const;
 /** Longer durations are recorded as this value, one hour. */
 const maxDurationMs = 3_600_000;
@@ -42,6 +43,7 @@
 export interface Metrics {
     addCount(effect: EffectOf<"addCount">): void;
     recordValue(effect: EffectOf<"recordValue">): void;
+    updateGauge(effect: EffectOf<"updateGauge">): void;
     format(): Promise<string>;
 }
 
@@ -59,6 +61,10 @@
         });
         counters.set(name as CounterName, counter);
     }
+    const gauges = new Map(gaugeNames.map(name => {
+        const help = name.replaceAll("_", " ");
+        return [name, new Gauge({ name: `marjoramvane_${name}`, help, registers: [registry] })];
+    }));
     for (const name of histogramNames) {
         const histogram = build({ highestTrackableValue: maxDurationMs, numberOfSignificantValueDigits: 3 });
         histograms.set(name, histogram);
@@ -83,6 +89,9 @@
         recordValue: ({ name, value }) => {
             histograms.get(name)?.recordValue(Math.min(maxDurationMs, Math.max(0, Math.round(value))));
         },
+        updateGauge: ({ name, value }) => {
+            gauges.get(name)?.set(value);
+        },
         format: () => registry.metrics(),
     };
 }
--- a/src/adapters/node.ts
+++ b/src/adapters/node.ts
@@ -145,6 +145,7 @@
         writeLog: write,
         addCount: metrics.addCount,
         recordValue: metrics.recordValue,
+        updateGauge: metrics.updateGauge,
         closeListeners: callerServer.closeListener,
         exitProcess: ({ code }) => {
             stop();
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -59,6 +59,13 @@
     | "store_transfer_ms"
     | "write_delay_ms";
 
+/** Names of the levels that systems report; each update replaces the value. */
+export type GaugeName =
+    /** Version of the configuration in force; 0 before the first one. */
+    | "configuration_version"
+    /** Calls to the store that have failed one after the other; 0 while it answers. */
+    | "store_failures_in_a_row";
+
 export type Effect =
     /* callers */
     | { readonly kind: "refuseRequest"; readonly request: RequestId; readonly refusal: Refusal; }
@@ -146,6 +153,7 @@
         readonly labels: Readonly<Record<string, string>>;
     }
     | { readonly kind: "recordValue"; readonly name: HistogramName; readonly value: number; }
+    | { readonly kind: "updateGauge"; readonly name: GaugeName; readonly value: number; }
     | { readonly kind: "closeListeners"; }
     | { readonly kind: "exitProcess"; readonly code: number; };
 
--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -185,6 +185,7 @@
         writeLog: write,
         addCount: metrics.addCount,
         recordValue: metrics.recordValue,
+        updateGauge: metrics.updateGauge,
         closeListeners: front.closeListener,
         exitProcess: ({ code }) => {
             stop();
--- a/src/forward/effects.ts
+++ b/src/forward/effects.ts
@@ -94,6 +94,7 @@
     | EffectOf<"writeLog">
     | EffectOf<"addCount">
     | EffectOf<"recordValue">
+    | EffectOf<"updateGauge">
     | { readonly kind: "closeListeners"; }
     | { readonly kind: "exitProcess"; readonly code: number; };
 
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -54,6 +54,7 @@
         return;
     }
     world.effects.append({ kind: "applyLimits", limits: document.limits });
+    world.effects.append({ kind: "updateGauge", name: "configuration_version", value: document.version });
     logInfo(world.effects, "config:", "Configuration is active.", {
         version: document.version,
         before,
--- a/src/forward/systems/storeContact.ts
+++ b/src/forward/systems/storeContact.ts
@@ -53,6 +53,16 @@
     }
     node.storeAnsweredAt = tick.now;
     node.storeWallAnsweredAt = tick.wallNow;
+    recordFailureCount(world, 0);
+}
+
+/** Records how many calls have failed since the store last answered. */
+function recordFailureCount(world: ForwardWorld, count: number): void {
+    const { node } = world.tables;
+    if (node.storeFailures !== count) {
+        node.storeFailures = count;
+        world.effects.append({ kind: "updateGauge", name: "store_failures_in_a_row", value: count });
+    }
 }
 
 /** Counts what the store's answer to a call has moved over the link. */
@@ -68,18 +78,26 @@
     }
 }
 
+/** Interval of the log lines about calls that fail one after the other. */
+const failureLogIntervalMs = 2000;
+
 /** Records the calls of this process that have failed. */
 export function recordStoreFailures(world: ForwardWorld, tick: ForwardTick): void {
     const { node } = world.tables;
     for (const { call, message, sentAt, receivedBytes } of tick.events.list("storeUnreachable")) {
         node.storeFailedAt = sentAt;
+        recordFailureCount(world, node.storeFailures + 1);
         world.effects.append({ kind: "addCount", name: "store_failures_total", value: 1, labels: { call } });
-        const fields = { call, message, receivedBytes, elapsedMs: Math.round(tick.now - sentAt) };
+        const failures = node.storeFailures;
+        const fields = { call, message, receivedBytes, elapsedMs: Math.round(tick.now - sentAt), failures };
+        const isFirst = failures === 1;
         if (receivedBytes > 0) {
             logWarning(world.effects, "store:", "An answer of the store was not received whole.", fields);
         }
-        else if (node.storeReachableSince !== undefined || node.isStoreUnread) {
-            logWarning(world.effects, "store:", "The store does not answer.", fields);
+        else if (isFirst || tick.now - node.storeFailureLoggedAt >= failureLogIntervalMs) {
+            const message = isFirst ? "The store does not answer." : "The store still does not answer.";
+            logWarning(world.effects, "store:", message, fields);
+            node.storeFailureLoggedAt = tick.now;
         }
         node.storeReachableSince = undefined;
     }
--- a/src/forward/tables/node.ts
+++ b/src/forward/tables/node.ts
@@ -49,6 +49,10 @@
     storeWallAnsweredAt: number;
     /** Time at which the last failed read or watch call was sent; the store may have returned at any time after it. */
     storeFailedAt: Millis;
+    /** Calls that have failed since the store last answered. */
+    storeFailures: number;
+    /** Time of the last log line about them. */
+    storeFailureLoggedAt: Millis;
     /**
      * Time until which a row that vanished from the store may return, because its lease may have ended in a store outage
      * that this process or its reader saw; 0 when there was none. A start is no outage.
@@ -79,6 +83,8 @@
         storeAnsweredAt: 0 as Millis,
         storeWallAnsweredAt: 0,
         storeFailedAt: 0 as Millis,
+        storeFailures: 0,
+        storeFailureLoggedAt: 0 as Millis,
         rowsMayReturnUntil: 0 as Millis,
         storeEra: unknownEra,
         storeRestoredAt: 0 as Millis,
--- a/src/systems/applyConfiguration.ts
+++ b/src/systems/applyConfiguration.ts
@@ -61,6 +61,7 @@
         return false;
     }
     world.tables.targets.applyConfiguration(parsed.val.targets);
+    world.effects.append({ kind: "updateGauge", name: "configuration_version", value: version });
     logInfo(world.effects, "config:", "Configuration is active.", { version, source });
     return true;
 }
--- a/test/support/virtualFleet.ts
+++ b/test/support/virtualFleet.ts
@@ -232,6 +232,7 @@
         writeLog: effect => logs.push(effect),
         addCount: handleNothing,
         recordValue: handleNothing,
+        updateGauge: handleNothing,
         closeListeners: handleNothing,
         exitProcess: ({ code }) => exitCodes.push(code),
     };
