Ask the store for a few bytes after a failed call

Cause: the answer to a call that has failed, here by a malformed head after 75 to 124 ms, goes on to fill the link of 7 Mbit/s for 1.5 s. The next watch call has 750 ms until its answer has to begin; it times out, and its own answer of 1.3 MB is left on the link for the call after it.

Test: a link that carries the answers to calls that were given up as well. Five tests state that the check comes after a failure.

--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -69,8 +69,11 @@
     readonly position: StorePosition;
 }
 
-/** `read` is a read of the whole store, page by page; `watch` waits for changes after a position. */
-export type StoreFeedCall = "read" | "watch";
+/**
+ * `read` is a read of the whole store, page by page; `watch` waits for changes after a position; `check` asks for a few
+ * bytes after one of them has failed.
+ */
+export type StoreFeedCall = "read" | "watch" | "check";
 
 /** How the store's answer came over the link. */
 export interface StoreTransfer {
--- a/test/forward/largeConfigurations.test.ts
+++ b/test/forward/largeConfigurations.test.ts
@@ -81,6 +81,40 @@
     return request;
 }
 
+/** Lets time pass until so many calls have failed. */
+async function waitForFailures(count: number): Promise<void> {
+    while (listEvents("storeUnreachable").length < count) {
+        await vi.advanceTimersByTimeAsync(10);
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
+/** Answers the check that follows a failed call. */
+async function answerCheck(): Promise<void> {
+    const { url, response } = await waitForCall("kv-range");
+    expect(url.searchParams.get("prefix")).toBe("marjoramvane/duties/weights");
+    response.end(JSON.stringify({ "items": [], "truncated": false, "as-of": 1 }));
+}
+
+/** Answers calls in their order over one link, which goes on to carry the answers to calls that were given up. */
+function createQueuedLink({ busyMs }: { readonly busyMs: number; }) {
+    const { pieceBytes, everyMs } = linkPieces;
+    let freeAt = performance.now() + busyMs;
+    return {
+        send: ({ response }: PacedRequest, text: string): void => {
+            const beginsInMs = Math.max(0, freeAt - performance.now());
+            const pieces = Math.ceil(text.length / pieceBytes);
+            for (let index = 0; index < pieces; index += 1) {
+                const piece = text.slice(index * pieceBytes, (index + 1) * pieceBytes);
+                setTimeout(() => response.write(piece), beginsInMs + index * everyMs);
+            }
+            const endsInMs = beginsInMs + text.length / pieceBytes * everyMs;
+            setTimeout(() => response.end(), endsInMs);
+            freeAt = performance.now() + endsInMs;
+        },
+    };
+}
+
 /** Answers the first read with a small configuration. */
 async function startFeed(): Promise<void> {
     feed.start();
@@ -109,6 +143,7 @@
         await server.sendPieces(cutResponse, formatChanges(2).slice(0, 40_000), linkPieces);
         cutResponse.destroy();
         await waitForConnections(() => listEvents("storeUnreachable").length > 0);
+        await answerCheck();
         const { response } = await waitForCall("kv-watch");
         await server.sendPieces(response, formatChanges(2), linkPieces);
         response.end();
@@ -123,6 +158,7 @@
         const { response: cutResponse } = await waitForCall("kv-watch");
         await server.sendPieces(cutResponse, formatChanges(2, 3).slice(0, 400_000), linkPieces);
         cutResponse.destroy();
+        await answerCheck();
         const { response } = await waitForCall("kv-range");
         await server.sendPieces(response, formatPage(3), linkPieces);
         response.end();
@@ -131,6 +167,56 @@
         expect(listEvents("storeUnreachable")).toHaveLength(1);
     });
 
+    // Guards against calls that fail one after the other because what the ones before have asked for fills the link.
+    it("is asked for again only when the store has answered a call with a few bytes", async () => {
+        await startFeed();
+        const { response: cutResponse } = await waitForCall("kv-watch");
+        cutResponse.destroy();
+        for (let check = 1; check <= 3; check += 1) {
+            const { url } = await waitForCall("kv-range");
+            expect(url.searchParams.get("prefix")).toBe("marjoramvane/duties/weights");
+            await waitForFailures(check + 1);
+        }
+        await answerCheck();
+        const { response } = await waitForCall("kv-watch");
+        await server.sendPieces(response, formatChanges(2), linkPieces);
+        response.end();
+        await waitForConnections(() => listEvents("publishedChanged").length > 0);
+        expect(listEvents("publishedChanged")[0]?.changes.document?.version).toBe(2);
+    });
+
+    // Guards against CONFIG: a process whose link still carried a failed answer asked for it again every second, each time
+    // behind the answer to the call before, and kept the old configuration for good.
+    it("comes into force although the answer to a call that failed at its head still fills the link", async () => {
+        await startFeed();
+        const { response: malformedResponse } = await waitForCall("kv-watch");
+        const link = createQueuedLink({ busyMs: 1500 });
+        malformedResponse.socket?.write("{\"events\":[");
+        await waitForFailures(1);
+        const endsAt = performance.now() + 20_000;
+        let taken: PacedRequest | undefined;
+        const waitForNext = (): void => {
+            void server.waitForRequest().then(request => {
+                taken = request;
+            });
+        };
+        waitForNext();
+        while (listEvents("publishedChanged").length === 0 && performance.now() < endsAt) {
+            if (taken) {
+                const isWatch = taken.url.pathname === "/-/kv-watch";
+                link.send(
+                    taken,
+                    isWatch ? formatChanges(2) : JSON.stringify({ items: [], truncated: false, "as-of": 1 }),
+                );
+                taken = undefined;
+                waitForNext();
+            }
+            await vi.advanceTimersByTimeAsync(10);
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        expect(listEvents("publishedChanged")[0]?.changes.document?.version).toBe(2);
+    });
+
     // Guards against a process that starts and never becomes ready.
     it("is read by a process that starts", async () => {
         feed.start();
@@ -151,6 +237,7 @@
         response.end();
         const { response: cutResponse } = await waitForCall("kv-range");
         cutResponse.destroy();
+        await answerCheck();
         const { url, response: lastResponse } = await waitForCall("kv-range");
         expect(url.searchParams.get("after")).toBe("op/config");
         const weights = { "key": "op/version/m", "value": "eyJtb2RlbCI6Im0iLCJ2ZXJzaW9uIjoyfQ==", "revision": 6 };
@@ -167,6 +254,7 @@
         feed.start();
         const { response: busyResponse } = await waitForCall("kv-range");
         busyResponse.writeHead(503).end();
+        await answerCheck();
         const { response } = await waitForCall("kv-range");
         const sentAt = performance.now();
         response.end(formatPage(5, 1));
