Read a value that cannot be decoded again until it can

Callers: requests with a withdrawn key are served, and routes that were added get 404, by a process whose copy of the configuration was damaged on its way.

Cause: the store was read once more for each revision. When that copy was damaged too, the process kept the configuration before for good (seen by the users at revision 16, then 18: it was in force 6 s later with the next version).

Change: values that cannot be decoded stand in a table. The system readValuesAgain reads each of them by its key until it, or a newer one, is decoded: after 0.1 to 0.3 s while the bytes differ from read to read, less and less often, at most once a minute, while they are the same. The same holds for rows of the fleet, targets, orders and weights; what the store returns twice in the same way is left alone there, as other writers may leave odd entries. A row of the fleet that is damaged no longer counts as removed. An answer of the store that is no JSON counts with its length, so that the newest values are read after it. The gauge undecodable_values shows what is read again.

The test 'is not read for a third time' is replaced: it asked for the rest that is the fault.

--- a/src/adapters/httpClient.ts
+++ b/src/adapters/httpClient.ts
@@ -28,6 +28,8 @@
     readonly agent?: http.Agent;
     /** Maximum length of the answer. */
     readonly maxBytes?: number;
+    /** Ends the call, and with it the transfer of its answer. */
+    readonly signal?: AbortSignal;
     /** Called with the bytes of the answer that have arrived, at each piece. */
     readonly onReceived?: (receivedBytes: number) => void;
 }
@@ -108,7 +110,7 @@
 /** Sends a request and reads the whole answer. */
 export function sendHttpCall(call: HttpCall): Promise<HttpAnswer> {
     const { method, address, path, headers = {}, body, maxBytes = maxAnswerBytes } = call;
-    const { agent = defaultAgent } = call;
+    const { agent = defaultAgent, signal } = call;
     return new Promise((resolve, reject) => {
         let mayHaveBeenSent = false;
         let receivedBytes = 0;
@@ -118,6 +120,7 @@
             path,
             headers: body === undefined ? headers : { "content-length": Buffer.byteLength(body), ...headers },
             agent,
+            ...(signal ? { signal } : {}),
         });
         const handleTimeout = (): void => {
             request.destroy(new Error("The call timed out."));
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -64,7 +64,9 @@
     /** Version of the configuration in force; 0 before the first one. */
     | "configuration_version"
     /** Calls to the store that have failed one after the other; 0 while it answers. */
-    | "store_failures_in_a_row";
+    | "store_failures_in_a_row"
+    /** Values of the store that could not be decoded and are read again. */
+    | "undecodable_values";
 
 export type Effect =
     /* callers */
--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -179,6 +179,8 @@
         callStore: store.call,
         recordServiceRollout: store.recordServiceRollout,
         updateStoreSource: store.updateSource,
+        readValue: store.readValue,
+        cancelValueRead: store.cancelValueRead,
         callPeer: peers.call,
         answerPeer: peers.answer,
         answerRelayCall: peers.answerRelayCall,
--- a/src/forward/codec/fleetRows.ts
+++ b/src/forward/codec/fleetRows.ts
@@ -85,3 +85,16 @@
 /** Decodes a rollout of a service version; undefined when the text is invalid. */
 export const decodeServiceRollout = (text: string): StoredServiceRollout | undefined =>
     parseJsonAs(serviceRolloutSchema, text);
+
+type RowDecoder = (text: string) => unknown;
+
+const rowDecoders: readonly (readonly [prefix: string, decode: RowDecoder])[] = [
+    [memberPrefix, decodeMember],
+    [orderPrefix, decodeOrder],
+    [quarantinePrefix, decodeQuarantine],
+    [serviceRolloutPrefix, decodeServiceRollout],
+];
+
+/** True when the value of a row can be decoded. Keys of which this version knows nothing have any value. */
+export const isDecodableRow = (key: string, text: string): boolean =>
+    rowDecoders.every(([prefix, decode]) => !key.startsWith(prefix) || decode(text) !== undefined);
--- a/src/forward/effects.ts
+++ b/src/forward/effects.ts
@@ -74,6 +74,10 @@
         readonly state: ServiceRolloutState;
         readonly to: ServerVersion;
     }
+    /** Reads one value of the store; the outcome is posted as `valueRead`. */
+    | { readonly kind: "readValue"; readonly key: string; }
+    /** Ends a read of a value that is no longer needed, so that it leaves the link. */
+    | { readonly kind: "cancelValueRead"; readonly key: string; }
     /** Sets where changes of the store come from, and the timing of watch calls. */
     | {
         readonly kind: "updateStoreSource";
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -13,7 +13,7 @@
     WeightsOrderOutcome,
 } from "./calls";
 import type { ForwardDocument, RegisteredTarget } from "./document";
-import type { PartId, ServiceId, WeightsVersion } from "./ids";
+import type { Fingerprint, PartId, ServiceId, WeightsVersion } from "./ids";
 import type { PeerState } from "./peers";
 import type { KnownOrder } from "./policy/serviceRolloutRules";
 import type { RelayedChanges, StoreItem, StorePosition } from "./storeChanges";
@@ -53,6 +53,19 @@
     readonly target: RegisteredTarget | undefined;
 }
 
+export type StoreValueKind = "configuration" | "weights" | "target" | "serviceOrder" | "row";
+
+/** Value of the store that could not be decoded. It may have been damaged on its way, or stand in the store like that. */
+export interface UndecodableValue {
+    readonly key: string;
+    readonly kind: StoreValueKind;
+    /** Revision of the value. */
+    readonly revision: number;
+    /** Length of the value as it was received. */
+    readonly length: number;
+    readonly fingerprint: Fingerprint;
+}
+
 /** Decoded keys of the store: all of them after a read, the changed ones after a watch call. */
 export interface PublishedChanges {
     /** Undefined when the configuration did not change or cannot be decoded. */
@@ -61,8 +74,8 @@
     readonly targets: readonly TargetChange[];
     readonly serviceOrders: readonly ServiceOrderChange[];
     readonly rows: readonly FleetRow[];
-    /** Keys whose values could not be decoded. */
-    readonly undecodableKeys: readonly string[];
+    /** Values that could not be decoded. */
+    readonly undecodable: readonly UndecodableValue[];
     /** The changes as the store sent them; empty after a read of the whole store. */
     readonly items: readonly StoreItem[];
     /** Position in the store's history up to which the changes reach. */
@@ -75,6 +88,12 @@
  */
 export type StoreFeedCall = "read" | "watch" | "check";
 
+/** `found` has the changes of the one key, also when its value cannot be decoded again. */
+export type ValueReadOutcome =
+    | { readonly kind: "found"; readonly changes: PublishedChanges; readonly revision: number; }
+    | { readonly kind: "absent"; }
+    | { readonly kind: "failed"; readonly message: string; };
+
 /** How the store's answer came over the link. */
 export interface StoreTransfer {
     readonly bytes: number;
@@ -173,6 +192,8 @@
         /** Bytes of the answer that had arrived. */
         readonly receivedBytes: number;
     }
+    /** One value was read again. It was looked up after the effect that asked for it. */
+    | { readonly kind: "valueRead"; readonly key: string; readonly outcome: ValueReadOutcome; }
     /** The process that passes the store's changes on gave no usable answer. */
     | { readonly kind: "relayFailed"; readonly vm: VmId; readonly message: string; }
     | { readonly kind: "storeReplied"; readonly purpose: ForwardStorePurpose; readonly outcome: StoreOutcome; }
--- a/src/forward/ids.ts
+++ b/src/forward/ids.ts
@@ -15,6 +15,9 @@
 /** Number of times that the store has come back from an older copy; a revision identifies nothing without it. */
 export type StoreEra = Branded<number, "StoreEra">;
 
+/** Hash of a value of the store, by which two copies of it are compared. */
+export type Fingerprint = Branded<string, "Fingerprint">;
+
 export const toServiceId = (value: string): ServiceId => value as ServiceId;
 export const toWeightsVersion = (value: number): WeightsVersion => value as WeightsVersion;
 export const toPartId = (value: string): PartId => value as PartId;
@@ -29,5 +32,6 @@
 /** Revision of the store at which an order for a service rollout was written. */
 export type OrderRevision = Branded<number, "OrderRevision">;
 
+export const toFingerprint = (value: string): Fingerprint => value as Fingerprint;
 export const toServerVersion = (value: string): ServerVersion => value as ServerVersion;
 export const toOrderRevision = (value: number): OrderRevision => value as OrderRevision;
--- a/src/forward/ports.ts
+++ b/src/forward/ports.ts
@@ -13,6 +13,8 @@
     /** Writes a service rollout; the reply is posted as `storeReplied`. */
     recordServiceRollout(effect: ForwardEffectOf<"recordServiceRollout">): void;
     updateSource(effect: ForwardEffectOf<"updateStoreSource">): void;
+    readValue(effect: ForwardEffectOf<"readValue">): void;
+    cancelValueRead(effect: ForwardEffectOf<"cancelValueRead">): void;
     close(): void;
 }
 
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -16,6 +16,7 @@
 import { closeForwardTarget } from "./closeTarget";
 import { confirmRecordedCrash } from "./followCrashes";
 import { computeExpectedLoadMs, recordLoad } from "./loadPace";
+import { listValueReads, recordDelivered } from "./readValuesAgain";
 import { isCopyOutdated, recordReadPosition } from "./restoredStore";
 import { recordStoreContact, recordStoreFailures, recordStoreTransfer } from "./storeContact";
 import { confirmRegistrations, hasAnnouncedDeparture, recordDeparture, recordRemoval } from "./targetDepartures";
@@ -259,12 +260,6 @@
 ): void {
     applyDocument(world, changes, source, transfer);
     applyWeights(world, tick, changes);
-    for (const key of changes.undecodableKeys) {
-        logWarning(world.effects, "store:", "A row of the store cannot be read and is ignored.", {
-            key,
-            ...changes.position,
-        });
-    }
     for (const change of changes.targets) {
         applyTarget(world, tick, change, source);
     }
@@ -276,11 +271,12 @@
 /** Removes targets, members, quarantines and the rollout leader that a full read of the store no longer contains. */
 function removeUnpublished(world: ForwardWorld, tick: ForwardTick, changes: PublishedChanges): void {
     const { targets, members, node, quarantine } = world.tables;
+    const undecodableKeys = changes.undecodable.map(({ key }) => key);
     const names = new Set(changes.targets.map(change => change.name));
     for (const name of targets.listNames().filter(registered => !names.has(registered))) {
         applyTarget(world, tick, { name, target: undefined }, { learnedFrom: "read", ...changes.position });
     }
-    const keys = new Set(changes.rows.map(row => row.key));
+    const keys = new Set([...changes.rows.map(row => row.key), ...undecodableKeys]);
     for (const vm of members.listVms().filter(member => !keys.has(`${memberPrefix}${member}`))) {
         if (isCopyOutdated(world, tick)) {
             members.missingUntil.set(vm, node.copyOutdatedUntil);
@@ -303,12 +299,17 @@
 }
 
 /**
- * Writes: configuration, targets, departures, crashes, quarantine, members, rollouts (last orders), cached parts, node (contact with the store, leader).
+ * Writes: configuration, targets, departures, crashes, quarantine, members, rollouts (last orders), cached parts,
+ * undecodable values, node (contact with the store, leader).
  * Effects: caller limits, closed targets, log lines.
  */
 export function applyPublished(world: ForwardWorld, tick: ForwardTick): void {
     const { node } = world.tables;
     recordStoreFailures(world, tick);
+    recordDelivered(world, tick);
+    for (const changes of listValueReads(world, tick)) {
+        applyChanges(world, tick, changes, { learnedFrom: "read", ...changes.position }, undefined);
+    }
     for (const { changes, confirmedAt, transfer } of tick.events.list("publishedRead")) {
         recordReadPosition(world, tick, changes.position);
         recordStoreContact(world, tick, { confirmedAt });
--- a/src/forward/systems/followServiceRollouts.ts
+++ b/src/forward/systems/followServiceRollouts.ts
@@ -7,6 +7,7 @@
 import { chooseRollout, isFinalState } from "../policy/serviceRolloutRules";
 import { createServiceRolloutRow, type ServiceRolloutRow, startCounting } from "../tables/serviceRollouts";
 import type { ForwardWorld } from "../world";
+import { listValueReads } from "./readValuesAgain";
 import { scheduleRolloutCheck } from "./serviceVersions";
 
 /** Bits of a hash that a number holds exactly. */
@@ -139,6 +140,9 @@
     if (world.settings.bounds.canaryShare === undefined) {
         return;
     }
+    for (const changes of listValueReads(world, tick)) {
+        applyChanges(world, tick, changes, false);
+    }
     for (const { changes } of tick.events.list("publishedRead")) {
         applyChanges(world, tick, changes, true);
     }
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -11,6 +11,7 @@
 import { followParts } from "./followParts";
 import { followServiceRollouts } from "./followServiceRollouts";
 import { placeWeights } from "./placeWeights";
+import { readValuesAgain } from "./readValuesAgain";
 import { recordServiceAnswers } from "./recordServiceAnswers";
 import { relayStore } from "./relayStore";
 import { resumeOnOtherEngines } from "./resumeOnOtherEngines";
@@ -23,6 +24,7 @@
 export const forwardSystems: readonly ForwardSystem[] = [
     applyPublished,
     followServiceRollouts,
+    readValuesAgain,
     updateMembership,
     relayStore,
     exchangeWithPeers,
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -21,6 +21,7 @@
 import { createTargetOutcomesTable, type TargetOutcomesTable } from "./targetOutcomes";
 import { createForwardTargetsTable, type ForwardTargetsTable } from "./targets";
 import { createTransferDelaysTable, type TransferDelaysTable } from "./transferDelays";
+import { createUndecodableValuesTable, type UndecodableValuesTable } from "./undecodableValues";
 import { createUsageWindowsTable, type UsageWindowsTable } from "./usageWindows";
 
 export interface ForwardTables {
@@ -41,6 +42,7 @@
     readonly rollouts: RolloutsTable;
     readonly serviceRollouts: ServiceRolloutsTable;
     readonly storeRelay: StoreRelayTable;
+    readonly undecodableValues: UndecodableValuesTable;
     readonly slotUse: SlotUseTable;
     readonly targetOutcomes: TargetOutcomesTable;
     readonly transferDelays: TransferDelaysTable;
@@ -69,6 +71,7 @@
         rollouts: createRolloutsTable(),
         serviceRollouts: createServiceRolloutsTable(),
         storeRelay: createStoreRelayTable(),
+        undecodableValues: createUndecodableValuesTable(),
         slotUse: createSlotUseTable(),
         targetOutcomes: createTargetOutcomesTable(),
         transferDelays: createTransferDelaysTable(),
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -38,6 +38,7 @@
     | "targetReports"
     | "missingMember"
     | "missingTarget"
+    | "valueRead"
     | "vmList"
     | "watchRetry";
 
