Get late configurations from other processes

Cause: over 7 Mbit/s a value of the largest size takes 1.5 s, so who needs it twice from the store is late, whatever the reason: a reset, damage, two versions in quick succession. The store was the only source.

A process whose store's answer was damaged, has failed, takes long, or that hears of a newer configuration, asks two others while the read of the store goes on; whichever comes first counts.

Messages of processes move to a module of their own, as does the code that puts a configuration into force.

--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -35,7 +35,12 @@
     "store_transfer_ms",
     "write_delay_ms",
 ];
-const gaugeNames: readonly GaugeName[] = ["configuration_version", "store_failures_in_a_row", "undecodable_values"];
+const gaugeNames: readonly GaugeName[] = [
+    "configuration_behind",
+    "configuration_version",
+    "store_failures_in_a_row",
+    "undecodable_values",
+];
 const reportedPercentiles = [50, 95, 99, 99.9] as const;
 /** Longer durations are recorded as this value, one hour. */
 const maxDurationMs = 3_600_000;
--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -128,7 +128,8 @@
     });
     const peers = createPeerLink({ address: listen.peers, post, clientBounds: clients, reportFailure });
     const portOptions = { clock, post, reportFailure };
-    const store = ports.createStore({ ...portOptions, ...storeSettings, requestChanges: peers.requestChanges });
+    const { requestChanges, requestCopy } = peers;
+    const store = ports.createStore({ ...portOptions, ...storeSettings, requestChanges, requestCopy });
     const engines = ports.createEngines(portOptions);
     const directory = ports.createDirectory({
         ...portOptions,
@@ -181,9 +182,11 @@
         updateStoreSource: store.updateSource,
         readValue: store.readValue,
         cancelValueRead: store.cancelValueRead,
+        requestCopy: store.requestCopy,
         callPeer: peers.call,
         answerPeer: peers.answer,
         answerRelayCall: peers.answerRelayCall,
+        answerCopyCall: peers.answerCopyCall,
         writeLog: write,
         addCount: metrics.addCount,
         recordValue: metrics.recordValue,
--- a/src/forward/adapters/peerLink.ts
+++ b/src/forward/adapters/peerLink.ts
@@ -12,118 +12,39 @@
 import { BodyDiscardedError } from "../../adapters/requestBodies";
 import { type CallId, toCallId } from "../../ids";
 import type { FailureReporter } from "../../runner";
+import {
+    copyAnswerSchema,
+    decodeCopyAnswer,
+    decodeRelayAnswer,
+    encodeCopyAnswer,
+    encodeRelayAnswer,
+    relayAnswerSchema,
+    stateSchema,
+} from "../codec/peerMessages";
 import type { ForwardEffectOf } from "../effects";
 import type { ForwardEvent } from "../events";
-import { type StoreEra, toStoreEra, unknownEra } from "../ids";
+import { toStoreEra, unknownEra } from "../ids";
 import type { PeerState } from "../peers";
-import type { RequestChanges } from "../ports";
-import type { RelayAnswer, RelayedChanges, StorePosition } from "../storeChanges";
+import type { RequestChanges, RequestCopy } from "../ports";
+import type { CopyAnswer, RelayAnswer, StorePosition } from "../storeChanges";
 
 /** Timeout of a call, on both sides, and longest pause within an answer; a failed call is retried at the next exchange. */
 const callTimeoutMs = 600;
 /** Maximum size of a state in a request. */
 const maxStateBytes = 4 * 1024 * 1024;
 
-const routeAnswersSchema = z.tuple([
-    z.string(),
-    z.number().min(0),
-    z.number().min(0),
-    z.number().min(0),
-    z.array(z.tuple([z.number().int().min(0), z.number().min(0)])).max(64),
-]);
-const serviceRolloutSchema = z.tuple([
-    z.string(),
-    z.number(),
-    z.enum(["observing", "shifting", "completed", "rolledBack"]),
-    z.number().min(0),
-    z.boolean(),
-    z.array(routeAnswersSchema).max(4096),
-    z.array(z.tuple([z.string(), z.array(routeAnswersSchema).max(4096)])).max(16384),
-]);
-
-const tokenCounts = z.array(z.tuple([z.string(), z.number()])).max(4096);
-const stateSchema = z.object({
-    vm: z.string(),
-    startedAt: z.number(),
-    usage: tokenCounts,
-    knownStart: z.number(),
-    earlier: tokenCounts.optional(),
-    endedRuns: z.array(z.tuple([z.string(), z.number(), z.number().min(0), tokenCounts])).max(1024).optional(),
-    named: z.array(z.tuple([z.string(), z.number(), z.number()])).max(1024),
-    load: z.array(z.tuple([z.string(), z.number(), z.number()])).max(16384),
-    queued: z.array(z.tuple([z.string(), z.array(z.tuple([z.number().int().min(0).max(9), z.number()])).max(16)])).max(
-        16384,
-    )
-        .optional(),
-    failures: z.array(
-        z.tuple([z.string(), z.number().min(0), z.number().min(0), z.number().min(0), z.number().min(-1)]),
-    )
-        .max(16384).optional(),
-    partsHeard: z.number(),
-    partsTold: z.number(),
-    parts: z.array(z.tuple([z.string(), z.array(z.tuple([z.string(), z.number()])).max(16384)])).max(4096),
-    crashes: z.array(
-        z.tuple([z.string(), z.number(), z.boolean(), z.array(z.tuple([z.string(), z.number()])).max(1024)]),
-    ).max(256).optional(),
-    answered: tokenCounts.optional(),
-    quarantined: z.array(z.tuple([z.string(), z.number(), z.number()])).max(1024).optional(),
-    limits: z.array(z.tuple([z.string(), z.number(), z.number()])).max(16384).optional(),
-    endedLimits: z.array(z.tuple([z.string(), z.number()])).max(16384).optional(),
-    departures: z.array(z.tuple([z.string(), z.number(), z.boolean()])).max(4096).optional(),
-    requests: tokenCounts.optional(),
-    serviceRollouts: z.array(serviceRolloutSchema).max(1024).optional(),
-});
-
 /** Time-out of a call for changes of the store, on both sides; the answer waits for a change for up to a second. */
 const changesTimeoutMs = 1500;
-/** Maximum number of changes in one answer. */
-const maxChanges = 4096;
-
-const relayAnswerSchema = z.discriminatedUnion("kind", [
-    z.object({
-        kind: z.literal("changes"),
-        changes: z.object({
-            items: z.array(z.object({
-                key: z.string(),
-                value: z.string().optional(),
-                createRevision: z.number(),
-                revision: z.number(),
-            })).max(maxChanges),
-            revision: z.number(),
-            /** Absent from processes that know no eras, as in calls. */
-            era: z.number().optional(),
-            confirmedAgeMs: z.number().min(0),
-            reachableMs: z.number().min(0),
-            rowsMayReturnMs: z.number().min(0).optional(),
-        }),
-    }),
-    z.object({ kind: z.literal("readStore") }),
-    z.object({ kind: z.literal("unavailable"), reason: z.enum(["not_a_reader", "outdated"]) }),
-]);
+/** Time-out of a call for a configuration, on both sides; the answer waits for one for up to a second. */
+const copyTimeoutMs = 1600;
 
 interface PeerContext {
     /** Applies the caller's state and returns the state of this process. */
     readonly exchangeState: (state: PeerState) => Promise<PeerState>;
     /** Waits for changes of the store after the position. */
     readonly waitForChanges: (after: StorePosition) => Promise<RelayAnswer>;
-}
-
-/** Older processes read the revision and know no era, so the two are separate fields on the wire. */
-function encodeRelayAnswer(answer: RelayAnswer): z.input<typeof relayAnswerSchema> {
-    if (answer.kind !== "changes") {
-        return answer;
-    }
-    const { position, items, ...ages } = answer.changes;
-    return { kind: "changes", changes: { items: [...items], ...position, ...ages } };
-}
-
-/** Decodes an answer; one without an era belongs to that of the call, as it did before there were eras. */
-function decodeRelayAnswer(answer: z.output<typeof relayAnswerSchema>, callEra: StoreEra): RelayAnswer {
-    if (answer.kind !== "changes") {
-        return answer;
-    }
-    const { era = callEra, revision, ...changes } = answer.changes;
-    return { kind: "changes", changes: { ...changes, position: { era: toStoreEra(era), revision } } as RelayedChanges };
+    /** Waits for a configuration after the position. */
+    readonly waitForCopy: (after: StorePosition) => Promise<CopyAnswer>;
 }
 
 const { router, procedure } = initTRPC.context<PeerContext>().create();
@@ -135,6 +56,9 @@
     changes: procedure.input(z.object({ after: z.number(), era: z.number().default(unknownEra) })).query((
         { ctx, input },
     ) => ctx.waitForChanges({ era: toStoreEra(input.era), revision: input.after }).then(encodeRelayAnswer)),
+    configuration: procedure.input(z.object({ after: z.number(), era: z.number() })).query(({ ctx, input }) =>
+        ctx.waitForCopy({ era: toStoreEra(input.era), revision: input.after }).then(encodeCopyAnswer)
+    ),
 });
 
 type PeerProcedure = keyof typeof peerRouter["_def"]["procedures"];
@@ -142,6 +66,7 @@
 const timeoutsMs: { readonly [Name in PeerProcedure]: number; } = {
     exchange: callTimeoutMs,
     changes: changesTimeoutMs,
+    configuration: copyTimeoutMs,
 };
 const isPeerProcedure = (name: string): name is PeerProcedure => Object.hasOwn(timeoutsMs, name);
 
@@ -211,6 +136,8 @@
     answer(effect: ForwardEffectOf<"answerPeer">): void;
     readonly requestChanges: RequestChanges;
     answerRelayCall(effect: ForwardEffectOf<"answerRelayCall">): void;
+    readonly requestCopy: RequestCopy;
+    answerCopyCall(effect: ForwardEffectOf<"answerCopyCall">): void;
     close(): void;
 }
 
@@ -229,6 +156,7 @@
 ): PeerLink {
     const pendingStates = createPendingAnswers<PeerState>(timeoutsMs.exchange);
     const pendingChanges = createPendingAnswers<RelayAnswer>(timeoutsMs.changes);
+    const pendingCopies = createPendingAnswers<CopyAnswer>(timeoutsMs.configuration);
     const agent = createKeepAliveAgent();
     const clients = new Map<string, PeerClient>();
 
@@ -241,6 +169,10 @@
             pendingChanges.wait(call => {
                 post({ kind: "relayCallReceived", call, after });
             }),
+        waitForCopy: after =>
+            pendingCopies.wait(call => {
+                post({ kind: "copyCallReceived", call, after });
+            }),
     });
 
     async function handleCall(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
@@ -310,6 +242,18 @@
         answerRelayCall: ({ call, answer }) => {
             pendingChanges.answer(call, answer);
         },
+        requestCopy: async (peer, { era, revision }) => {
+            const answer = copyAnswerSchema.safeParse(
+                await getClient(peer).configuration.query({ after: revision, era }),
+            );
+            if (!answer.success) {
+                throw new Error("The answer to a call for a configuration is invalid.");
+            }
+            return decodeCopyAnswer(answer.data);
+        },
+        answerCopyCall: ({ call, answer }) => {
+            pendingCopies.answer(call, answer);
+        },
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/src/forward/effects.ts
+++ b/src/forward/effects.ts
@@ -9,7 +9,7 @@
 import type { ServerVersion, ServiceId } from "./ids";
 import type { PeerState } from "./peers";
 import type { ServiceRolloutState } from "./policy/serviceRolloutRules";
-import type { RelayAnswer } from "./storeChanges";
+import type { CopyAnswer, RelayAnswer, StorePosition } from "./storeChanges";
 
 export type ForwardEffect =
     /* callers */
@@ -94,6 +94,14 @@
     | { readonly kind: "callPeer"; readonly vm: VmId; readonly address: string; readonly state: PeerState; }
     | { readonly kind: "answerPeer"; readonly call: CallId; readonly state: PeerState; }
     | { readonly kind: "answerRelayCall"; readonly call: CallId; readonly answer: RelayAnswer; }
+    /** Asks another process for a configuration after the position; the outcome is posted as `copyReceived`. */
+    | {
+        readonly kind: "requestCopy";
+        readonly vm: VmId;
+        readonly address: string;
+        readonly after: StorePosition;
+    }
+    | { readonly kind: "answerCopyCall"; readonly call: CallId; readonly answer: CopyAnswer; }
     /* process */
     | EffectOf<"writeLog">
     | EffectOf<"addCount">
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -16,7 +16,7 @@
 import type { Fingerprint, PartId, ServiceId, WeightsVersion } from "./ids";
 import type { PeerState } from "./peers";
 import type { KnownOrder } from "./policy/serviceRolloutRules";
-import type { RelayedChanges, StoreItem, StorePosition } from "./storeChanges";
+import type { ConfigurationCopy, RelayedChanges, StoreItem, StorePosition } from "./storeChanges";
 
 /** Purpose of a store call, by which its reply reaches the right system. */
 export type ForwardStorePurpose =
@@ -70,6 +70,8 @@
 export interface PublishedChanges {
     /** Undefined when the configuration did not change or cannot be decoded. */
     readonly document: ForwardDocument | undefined;
+    /** Copy of the document for other processes; present whenever a platform has decoded the document. */
+    readonly copy?: ConfigurationCopy | undefined;
     readonly weights: readonly { readonly model: ModelId; readonly version: WeightsVersion; }[];
     readonly targets: readonly TargetChange[];
     readonly serviceOrders: readonly ServiceOrderChange[];
@@ -94,6 +96,12 @@
     | { readonly kind: "absent"; }
     | { readonly kind: "failed"; readonly message: string; };
 
+/** `found` has the decoded configuration of another process. */
+export type CopyOutcome =
+    | { readonly kind: "found"; readonly changes: PublishedChanges; readonly packedLength: number; }
+    | { readonly kind: "absent"; }
+    | { readonly kind: "failed"; readonly message: string; };
+
 /** How the store's answer came over the link. */
 export interface StoreTransfer {
     readonly bytes: number;
@@ -201,6 +209,10 @@
     | { readonly kind: "peerCallReceived"; readonly call: CallId; readonly state: PeerState; }
     /** Another process requests the store's changes after a position in its history. */
     | { readonly kind: "relayCallReceived"; readonly call: CallId; readonly after: StorePosition; }
+    /** Another process asks for a configuration at a later position. */
+    | { readonly kind: "copyCallReceived"; readonly call: CallId; readonly after: StorePosition; }
+    /** The answer to a call for a newer configuration. */
+    | { readonly kind: "copyReceived"; readonly vm: VmId; readonly outcome: CopyOutcome; }
     | {
         readonly kind: "peerReplied";
         readonly vm: VmId;
--- a/src/forward/peers.ts
+++ b/src/forward/peers.ts
@@ -4,8 +4,9 @@
  * acknowledges them.
  */
 import type { AccountId, ModelId, RouteId, TargetId, VmId } from "../ids";
-import type { CachedPartKey, OrderRevision, PartId, ServiceId, WeightsVersion } from "./ids";
+import type { CachedPartKey, Fingerprint, OrderRevision, PartId, ServiceId, WeightsVersion } from "./ids";
 import type { ServiceRolloutState } from "./policy/serviceRolloutRules";
+import type { StorePosition } from "./storeChanges";
 
 export interface PeerState {
     readonly vm: VmId;
@@ -68,6 +69,8 @@
     readonly failures?: readonly (readonly [TargetId, number, number, number, number])[];
     /** Requests that the sender has admitted in the last seconds, by service; absent when there are none. */
     readonly requests?: readonly (readonly [ServiceId, number])[];
+    /** Position and fingerprint of the newest configuration that the sender has decoded; absent before the first one. */
+    readonly configuration?: StorePosition & { readonly fingerprint: Fingerprint; };
     /** Rollouts of service versions that have not ended; absent when there are none. */
     readonly serviceRollouts?: readonly ServiceRolloutReport[];
 }
--- a/src/forward/ports.ts
+++ b/src/forward/ports.ts
@@ -4,7 +4,7 @@
 import type { HeaderCodec } from "./calls";
 import type { ForwardEffectOf } from "./effects";
 import type { ForwardEvent } from "./events";
-import type { RelayAnswer, StorePosition } from "./storeChanges";
+import type { CopyAnswer, RelayAnswer, StorePosition } from "./storeChanges";
 
 export interface StorePort {
     /** Starts to read and watch the store; its contents and failures are posted as events. */
@@ -15,6 +15,7 @@
     updateSource(effect: ForwardEffectOf<"updateStoreSource">): void;
     readValue(effect: ForwardEffectOf<"readValue">): void;
     cancelValueRead(effect: ForwardEffectOf<"cancelValueRead">): void;
+    requestCopy(effect: ForwardEffectOf<"requestCopy">): void;
     close(): void;
 }
 
@@ -41,6 +42,9 @@
 /** Requests the store's changes after a position from another process; rejects when it gives no usable answer. */
 export type RequestChanges = (address: string, after: StorePosition) => Promise<RelayAnswer>;
 
+/** Requests a configuration after a position from another process; rejects when it gives no usable answer. */
+export type RequestCopy = (address: string, after: StorePosition) => Promise<CopyAnswer>;
+
 /** Behaviour that a term of the platform can ask for. */
 export interface AgreedBehaviour {
     /** Engines fail when they are sent more than they can hold, so requests are admitted by their slots. */
@@ -55,6 +59,7 @@
             readonly address: string;
             readonly timeoutMs: number;
             readonly requestChanges: RequestChanges;
+            readonly requestCopy: RequestCopy;
         },
     ): StorePort;
     createEngines(options: PortOptions): EnginePort;
--- a/src/forward/storeChanges.ts
+++ b/src/forward/storeChanges.ts
@@ -1,5 +1,5 @@
 /** Changes of the store as one process passes them on to others. */
-import type { StoreEra } from "./ids";
+import type { Fingerprint, StoreEra } from "./ids";
 
 /** Point in the history of the store. Revisions of two eras can't be compared. */
 export interface StorePosition {
@@ -20,6 +20,9 @@
 export const isAtOrAfter = (position: StorePosition, other: StorePosition): boolean =>
     position.era === other.era ? position.revision >= other.revision : position.era > other.era;
 
+/** True when the first position is after the second one. */
+export const isAfter = (position: StorePosition, other: StorePosition): boolean => !isAtOrAfter(other, position);
+
 /** A key of the store as it was written, or its removal. */
 export interface StoreItem {
     readonly key: string;
@@ -55,3 +58,19 @@
     | { readonly kind: "changes"; readonly changes: RelayedChanges; }
     | { readonly kind: "readStore"; }
     | { readonly kind: "unavailable"; readonly reason: RelayFault; };
+
+/** A configuration as one process hands it on to another. */
+export interface ConfigurationCopy {
+    /** Era of the store, and revision of the value. */
+    readonly position: StorePosition;
+    /** Fingerprint of the value as the store sends it. */
+    readonly fingerprint: Fingerprint;
+    /** Compressed value; undefined when it is too long to be handed on. */
+    readonly packed: string | undefined;
+}
+
+/** A copy whose value is present. */
+export type PackedCopy = ConfigurationCopy & { readonly packed: string; };
+
+/** Answer to a call for a newer configuration. */
+export type CopyAnswer = { readonly kind: "copy"; readonly copy: PackedCopy; } | { readonly kind: "absent"; };
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -1,5 +1,5 @@
 /** Applies what operators, targets and other processes publish in the store. */
-import { logInfo, logWarning } from "../../effects";
+import { logInfo } from "../../effects";
 import { addMillis, type TargetId } from "../../ids";
 import {
     decodeMember,
@@ -10,9 +10,9 @@
     rolloutLeaderKey,
 } from "../codec/fleetRows";
 import type { FleetRow, ForwardTick, PublishedChanges, StoreTransfer, TargetChange } from "../events";
-import type { StoreEra } from "../ids";
 import { addPublishedWeights, getNewestWeights } from "../tables/configuration";
 import type { ForwardWorld } from "../world";
+import { applyDocument, type ChangeSource } from "./applyDocument";
 import { closeForwardTarget } from "./closeTarget";
 import { confirmRecordedCrash } from "./followCrashes";
 import { computeExpectedLoadMs, recordLoad } from "./loadPace";
@@ -26,47 +26,6 @@
 /** Assumed age of a version that is found at the start of the process, until a peer reports when it was published. */
 const assumedWeightsAgeMs = 6500;
 
-/** How this process learned of a change, for its log line. */
-interface ChangeSource {
-    readonly learnedFrom: "read" | "watch" | "reader";
-    /** Position in the store's history up to which the delivery reaches. */
-    readonly era: StoreEra;
-    readonly revision: number;
-}
-
-function applyDocument(
-    world: ForwardWorld,
-    { document }: PublishedChanges,
-    source: ChangeSource,
-    transfer: StoreTransfer | undefined,
-): void {
-    const { configuration } = world.tables;
-    if (!document) {
-        return;
-    }
-    const before = configuration.version;
-    if (!configuration.apply(document)) {
-        if (document.version < before) {
-            logWarning(world.effects, "config:", "An older configuration was read and is ignored.", {
-                version: document.version,
-                inForce: before,
-            });
-        }
-        return;
-    }
-    world.effects.append({ kind: "applyLimits", limits: document.limits });
-    world.effects.append({ kind: "updateGauge", name: "configuration_version", value: document.version });
-    logInfo(world.effects, "config:", "Configuration is active.", {
-        version: document.version,
-        before,
-        routes: document.routes.length,
-        accounts: document.accounts.size,
-        keys: [...document.accounts.values()].reduce((sum, { keys }) => sum + keys.length, 0),
-        ...source,
-        ...(transfer ? { answerBytes: transfer.bytes, transferMs: Math.round(transfer.ms) } : {}),
-    });
-}
-
 function applyWeights(world: ForwardWorld, tick: ForwardTick, { weights, position }: PublishedChanges): void {
     const { configuration, node } = world.tables;
     for (const { model, version } of weights) {
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -12,6 +12,7 @@
 import { applyCrashReports, buildCrashReports } from "./crashReports";
 import { applyEndedRunReports, buildEndedRunReports } from "./endedRunReports";
 import { applyFailureReports, buildFailureReports, removeOutdatedFailures } from "./failureReports";
+import { applyConfigurationReport, buildConfigurationReport } from "./followConfigurationCopies";
 import { applyLoadReports, buildLoadReports } from "./loadReports";
 import { applyLimitReports, buildLimitReports } from "./requestLimits";
 import { applyServiceRolloutReports, buildServiceRolloutReports, findWaitingDecider } from "./serviceRolloutReports";
@@ -140,6 +141,7 @@
         ...buildDepartureReports(world, tick),
         ...buildFailureReports(world, tick),
         ...buildServiceRolloutReports(world),
+        ...buildConfigurationReport(world),
     };
 }
 
@@ -156,6 +158,7 @@
     applyDepartureReports(world, tick, state);
     applyFailureReports(world, tick, state);
     applyServiceRolloutReports(world, tick, state);
+    applyConfigurationReport(world, tick, state);
     // `knownStart` differs when the peer has not noticed the restart yet; its report is then about another run.
     if (state.earlier && state.knownStart === world.startedAt) {
         const isFirst = !peers.ownPreviousRun;
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -7,6 +7,7 @@
 import { exchangeWithPeers } from "./exchangeWithPeers";
 import { expireRequests } from "./expireRequests";
 import { followAttempts } from "./followAttempts";
+import { followConfigurationCopies } from "./followConfigurationCopies";
 import { followCrashes } from "./followCrashes";
 import { followParts } from "./followParts";
 import { followServiceRollouts } from "./followServiceRollouts";
@@ -28,6 +29,7 @@
     updateMembership,
     relayStore,
     exchangeWithPeers,
+    followConfigurationCopies,
     recordSlotUse,
     followParts,
     followCrashes,
--- a/src/forward/systems/readValuesAgain.ts
+++ b/src/forward/systems/readValuesAgain.ts
@@ -7,6 +7,7 @@
 import type { ForwardEventOf, ForwardTick, PublishedChanges, UndecodableValue, ValueReadOutcome } from "../events";
 import type { StoreEra } from "../ids";
 import { computeValueReadDelayMs } from "../policy/valueReads";
+import { isNewerThanOwn } from "../tables/configurationCopies";
 import { addUndecodableValue, type UndecodableRow } from "../tables/undecodableValues";
 import type { ForwardWorld } from "../world";
 
@@ -64,6 +65,16 @@
 const isReplaced = ({ items }: PublishedChanges, key: string, revision: number): boolean =>
     items.some(item => item.key === key && item.revision > revision);
 
+/** Settles configurations that came into force in another way, or were replaced by newer ones. */
+export function settleOutdatedConfigurations(world: ForwardWorld, tick: ForwardTick): void {
+    const { configurationCopies, undecodableValues } = world.tables;
+    for (const { value: { key, kind, revision }, era } of [...undecodableValues.rows.values()]) {
+        if (kind === "configuration" && !isNewerThanOwn(configurationCopies, { era, revision })) {
+            settleUndecodable(world, tick, key, "in force");
+        }
+    }
+}
+
 /** Settles the values that a delivery has replaced by others or removed; those that cannot be decoded are added later. */
 function settleDelivered(world: ForwardWorld, tick: ForwardTick): void {
     const { rows } = world.tables.undecodableValues;
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -5,6 +5,7 @@
 import { type AnsweredPartsTable, createAnsweredPartsTable } from "./answeredParts";
 import { type CachedPartsTable, createCachedPartsTable } from "./cachedParts";
 import { createForwardConfigurationTable, type ForwardConfigurationTable } from "./configuration";
+import { type ConfigurationCopiesTable, createConfigurationCopiesTable } from "./configurationCopies";
 import { type CrashesTable, createCrashesTable } from "./crashes";
 import { createDeparturesTable, type DeparturesTable } from "./departures";
 import { createForwardMembersTable, type ForwardMembersTable } from "./members";
@@ -27,6 +28,7 @@
 export interface ForwardTables {
     readonly node: ForwardNodeRow;
     readonly configuration: ForwardConfigurationTable;
+    readonly configurationCopies: ConfigurationCopiesTable;
     readonly members: ForwardMembersTable;
     readonly targets: ForwardTargetsTable;
     readonly departures: DeparturesTable;
@@ -56,6 +58,7 @@
     return {
         node: createForwardNodeRow(),
         configuration: createForwardConfigurationTable(),
+        configurationCopies: createConfigurationCopiesTable(),
         members: createForwardMembersTable(),
         targets: createForwardTargetsTable(),
         departures: createDeparturesTable(),
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -9,6 +9,8 @@
     | "changeDeadline"
     | "changeRetry"
     | "claimSweep"
+    | "copyCall"
+    | "copyRequest"
     | "crashEvaluation"
     | "configurationRetry"
     | "drain"
