Read a configuration again of which other processes have other bytes

Cause: the store sends no checksum, so a configuration that was damaged on its way and still decodes stayed in force until the next version; with a version that was damaged to a higher one, until the operator had come to that version.

Change: the exchange carries the fingerprint of the configuration. A process of whose bytes as many others have other ones as have the same, after a second of reports, reads the configuration again, at most five times. What the store returns twice is confirmed; what another process has as well replaces the configuration in force, whatever its version. A damaged configuration that is in force already by a copy is no longer read again.

--- a/src/forward/storeChanges.ts
+++ b/src/forward/storeChanges.ts
@@ -61,6 +61,8 @@
 
 /** A configuration as one process hands it on to another. */
 export interface ConfigurationCopy {
+    /** Key of the value. */
+    readonly key: string;
     /** Era of the store, and revision of the value. */
     readonly position: StorePosition;
     /** Fingerprint of the value as the store sends it. */
@@ -69,8 +71,8 @@
     readonly packed: string | undefined;
 }
 
-/** A copy whose value is present. */
-export type PackedCopy = ConfigurationCopy & { readonly packed: string; };
+/** A copy on its way, whose value is present. The receiver knows the key. */
+export type PackedCopy = Omit<ConfigurationCopy, "key"> & { readonly packed: string; };
 
 /** Answer to a call for a newer configuration. */
 export type CopyAnswer = { readonly kind: "copy"; readonly copy: PackedCopy; } | { readonly kind: "absent"; };
--- a/src/forward/systems/applyDocument.ts
+++ b/src/forward/systems/applyDocument.ts
@@ -1,9 +1,12 @@
 /** Puts a configuration into force. Shared by systems. */
-import { logInfo, logWarning } from "../../effects";
-import type { VmId } from "../../ids";
+import { type LogFields, logInfo, logWarning } from "../../effects";
+import type { ConfigVersion, VmId } from "../../ids";
+import type { ForwardDocument } from "../document";
 import type { PublishedChanges, StoreTransfer } from "../events";
 import type { StoreEra } from "../ids";
+import type { ConfigurationCopy } from "../storeChanges";
 import { applyOwnCopy } from "../tables/configurationCopies";
+import { startComparison } from "../tables/configurationDoubts";
 import type { ForwardWorld } from "../world";
 
 /** How this process learned of a change, for its log line. */
@@ -18,41 +21,76 @@
     readonly packedLength?: number;
 }
 
+type NewConfiguration = Pick<PublishedChanges, "document" | "copy">;
+
+/** Records that a configuration has come into force. */
+function recordActive(
+    world: ForwardWorld,
+    document: ForwardDocument,
+    before: ConfigVersion,
+    fields: LogFields,
+): void {
+    world.effects.append({ kind: "applyLimits", limits: document.limits });
+    world.effects.append({ kind: "updateGauge", name: "configuration_version", value: document.version });
+    logInfo(world.effects, "config:", "Configuration is active.", {
+        version: document.version,
+        before,
+        routes: document.routes.length,
+        accounts: document.accounts.size,
+        keys: [...document.accounts.values()].reduce((sum, { keys }) => sum + keys.length, 0),
+        ...fields,
+    });
+}
+
+const buildCopyFields = (copy: ConfigurationCopy | undefined): LogFields =>
+    copy ? { valueRevision: copy.position.revision, fingerprint: copy.fingerprint } : {};
+
 /** Applies a configuration if its version is higher than that in force. Its copy is kept for other processes. */
 export function applyDocument(
     world: ForwardWorld,
-    { document, copy }: Pick<PublishedChanges, "document" | "copy">,
+    { document, copy }: NewConfiguration,
     source: ChangeSource,
     transfer: StoreTransfer | undefined,
 ): void {
-    const { configuration, configurationCopies } = world.tables;
+    const { configuration, configurationCopies, configurationDoubts } = world.tables;
     if (!document) {
         return;
     }
     const before = configuration.version;
     const isApplied = configuration.apply(document);
-    if (copy && document.version >= before) {
-        applyOwnCopy(configurationCopies, copy);
+    if (copy && document.version >= before && applyOwnCopy(configurationCopies, copy)) {
+        startComparison(configurationDoubts, copy);
     }
-    if (!isApplied) {
-        if (document.version < before) {
-            logWarning(world.effects, "config:", "An older configuration was read and is ignored.", {
-                version: document.version,
-                inForce: before,
-            });
-        }
-        return;
+    if (isApplied) {
+        recordActive(world, document, before, {
+            ...source,
+            ...buildCopyFields(copy),
+            ...(transfer ? { answerBytes: transfer.bytes, transferMs: Math.round(transfer.ms) } : {}),
+        });
     }
-    world.effects.append({ kind: "applyLimits", limits: document.limits });
-    world.effects.append({ kind: "updateGauge", name: "configuration_version", value: document.version });
-    logInfo(world.effects, "config:", "Configuration is active.", {
-        version: document.version,
-        before,
-        routes: document.routes.length,
-        accounts: document.accounts.size,
-        keys: [...document.accounts.values()].reduce((sum, { keys }) => sum + keys.length, 0),
-        ...source,
-        ...(copy ? { valueRevision: copy.position.revision, fingerprint: copy.fingerprint } : {}),
-        ...(transfer ? { answerBytes: transfer.bytes, transferMs: Math.round(transfer.ms) } : {}),
+    else if (document.version < before) {
+        logWarning(world.effects, "config:", "An older configuration was read and is ignored.", {
+            version: document.version,
+            inForce: before,
+        });
+    }
+}
+
+/** Replaces the configuration in force, whose bytes were damaged, by another copy of the same value. */
+export function applyCorrection(
+    world: ForwardWorld,
+    document: ForwardDocument,
+    copy: ConfigurationCopy,
+    source: ChangeSource,
+): void {
+    const { configuration, configurationCopies, configurationDoubts } = world.tables;
+    const before = configuration.version;
+    logWarning(world.effects, "config:", "The configuration in force was damaged and is replaced.", {
+        before: configurationCopies.own?.fingerprint,
+        ...buildCopyFields(copy),
     });
+    configuration.replace(document);
+    configurationCopies.own = copy;
+    startComparison(configurationDoubts, copy);
+    recordActive(world, document, before, { ...source, ...buildCopyFields(copy) });
 }
--- a/src/forward/systems/followConfigurationCopies.ts
+++ b/src/forward/systems/followConfigurationCopies.ts
@@ -14,6 +14,7 @@
 import type { ForwardMemberRow } from "../tables/members";
 import type { ForwardWorld } from "../world";
 import { applyDocument } from "./applyDocument";
+import { recordConfiguration } from "./checkConfigurations";
 import { settleOutdatedConfigurations } from "./readValuesAgain";
 
 /** Longest time for which a call waits for a newer configuration. */
@@ -189,7 +190,11 @@
 /** The copy that answers the call; undefined while there is none. */
 function findCopy(world: ForwardWorld, { after }: CopyCall): PackedCopy | undefined {
     const { own } = world.tables.configurationCopies;
-    return own?.packed !== undefined && isAfter(own.position, after) ? { ...own, packed: own.packed } : undefined;
+    if (own?.packed === undefined || !isAfter(own.position, after)) {
+        return undefined;
+    }
+    const { position, fingerprint, packed } = own;
+    return { position, fingerprint, packed };
 }
 
 function answerCalls(world: ForwardWorld, tick: ForwardTick): void {
@@ -231,8 +236,10 @@
     { vm, configuration }: Pick<PeerState, "vm" | "configuration">,
 ): void {
     if (configuration) {
-        const { era, revision } = configuration;
-        recordReport(world.tables.configurationCopies, { vm, position: { era, revision }, now: tick.now });
+        const { era, revision, fingerprint } = configuration;
+        const position = { era, revision };
+        recordReport(world.tables.configurationCopies, { vm, position, now: tick.now });
+        recordConfiguration(world, tick, { vm, position, fingerprint });
     }
 }
 
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -3,6 +3,7 @@
 import { admitRequests } from "./admitRequests";
 import { answerAddresses } from "./answerAddresses";
 import { applyPublished } from "./applyPublished";
+import { checkConfigurations } from "./checkConfigurations";
 import { drainNode } from "./drainNode";
 import { exchangeWithPeers } from "./exchangeWithPeers";
 import { expireRequests } from "./expireRequests";
@@ -30,6 +31,7 @@
     relayStore,
     exchangeWithPeers,
     followConfigurationCopies,
+    checkConfigurations,
     recordSlotUse,
     followParts,
     followCrashes,
--- a/src/forward/systems/readValuesAgain.ts
+++ b/src/forward/systems/readValuesAgain.ts
@@ -21,8 +21,10 @@
     value: UndecodableValue,
     era: StoreEra,
 ): void {
-    const { undecodableValues } = world.tables;
-    const isAdded = addUndecodableValue(undecodableValues, value, { era, now: tick.now });
+    const { configurationCopies, undecodableValues } = world.tables;
+    const isNeeded = value.kind !== "configuration"
+        || isNewerThanOwn(configurationCopies, { era, revision: value.revision });
+    const isAdded = isNeeded && addUndecodableValue(undecodableValues, value, { era, now: tick.now });
     logWarning(world.effects, "store:", "A row of the store cannot be read and is ignored.", {
         ...value,
         era,
--- a/src/forward/tables/configuration.ts
+++ b/src/forward/tables/configuration.ts
@@ -26,6 +26,8 @@
     readonly weights: Map<ModelId, PublishedWeights[]>;
     /** Replaces the configuration and returns true if the given one is newer. */
     apply(document: ForwardDocument): boolean;
+    /** Replaces the configuration by one of any version, where that in force has turned out to be damaged. */
+    replace(document: ForwardDocument): void;
     findRoute(host: string, path: string): ForwardRoute | undefined;
     findAccount(key: KeyHash): ForwardAccount | undefined;
     getAccount(id: AccountId): ForwardAccount | undefined;
@@ -45,6 +47,10 @@
             if (table.document && document.version <= table.document.version) {
                 return false;
             }
+            table.replace(document);
+            return true;
+        },
+        replace: (document: ForwardDocument) => {
             table.document = document;
             routesByHost.clear();
             accountsByKey.clear();
@@ -65,7 +71,6 @@
                     accountsByKey.set(key, account);
                 }
             }
-            return true;
         },
         findRoute: (host: string, path: string) => routesByHost.get(host)?.find(route => path.startsWith(route.prefix)),
         findAccount: (key: KeyHash) => accountsByKey.get(key),
--- a/src/forward/tables/configurationCopies.ts
+++ b/src/forward/tables/configurationCopies.ts
@@ -57,15 +57,16 @@
 export const isNewerThanOwn = ({ own }: ConfigurationCopiesTable, position: StorePosition): boolean =>
     !own || isAfter(position, own.position);
 
-/** Replaces the copy of this process by one at a later position. */
-export function applyOwnCopy(table: ConfigurationCopiesTable, copy: ConfigurationCopy): void {
+/** Replaces the copy of this process if the given one is at a later position, and returns true if so. */
+export function applyOwnCopy(table: ConfigurationCopiesTable, copy: ConfigurationCopy): boolean {
     if (!isNewerThanOwn(table, copy.position)) {
-        return;
+        return false;
     }
     table.own = copy;
     if (table.reported && !isAfter(table.reported.position, copy.position)) {
         table.reported = undefined;
     }
+    return true;
 }
 
 /** Records the position that another process reports. */
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -6,6 +6,7 @@
 import { type CachedPartsTable, createCachedPartsTable } from "./cachedParts";
 import { createForwardConfigurationTable, type ForwardConfigurationTable } from "./configuration";
 import { type ConfigurationCopiesTable, createConfigurationCopiesTable } from "./configurationCopies";
+import { type ConfigurationDoubtsTable, createConfigurationDoubtsTable } from "./configurationDoubts";
 import { type CrashesTable, createCrashesTable } from "./crashes";
 import { createDeparturesTable, type DeparturesTable } from "./departures";
 import { createForwardMembersTable, type ForwardMembersTable } from "./members";
@@ -29,6 +30,7 @@
     readonly node: ForwardNodeRow;
     readonly configuration: ForwardConfigurationTable;
     readonly configurationCopies: ConfigurationCopiesTable;
+    readonly configurationDoubts: ConfigurationDoubtsTable;
     readonly members: ForwardMembersTable;
     readonly targets: ForwardTargetsTable;
     readonly departures: DeparturesTable;
@@ -59,6 +61,7 @@
         node: createForwardNodeRow(),
         configuration: createForwardConfigurationTable(),
         configurationCopies: createConfigurationCopiesTable(),
+        configurationDoubts: createConfigurationDoubtsTable(),
         members: createForwardMembersTable(),
         targets: createForwardTargetsTable(),
         departures: createDeparturesTable(),
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -12,6 +12,7 @@
     | "copyCall"
     | "copyRequest"
     | "crashEvaluation"
+    | "configurationComparison"
     | "configurationRetry"
     | "drain"
     | "exchange"
--- a/test/forward/configurationCopies.test.ts
+++ b/test/forward/configurationCopies.test.ts
@@ -38,7 +38,7 @@
 /** A configuration as the platform decodes it: its version is the revision of its value unless said otherwise. */
 const buildConfiguration = (revision: number, version = revision, era = 1): Partial<PublishedChanges> => ({
     document: buildDocument({ version }),
-    copy: buildCopy(revision, era),
+    copy: { ...buildCopy(revision, era), key: "a/configuration" },
     position: buildPosition(revision, era),
 });
 
@@ -251,7 +251,7 @@
     });
 
     it("does not hand on what is too long", () => {
-        const copy = { ...buildCopy(8), packed: undefined };
+        const copy = { ...buildCopy(8), key: "a/configuration", packed: undefined };
         node.run([node.buildChangeEvent({ ...buildConfiguration(8), copy })]);
         expect(listAnswers(node.run([buildCall("a", 5)]))).toEqual([]);
         expect(listAnswers(node.runFor(1010))).toEqual([{ kind: "absent" }]);
