--- a/src/forward/systems/readValuesAgain.ts
+++ b/src/forward/systems/readValuesAgain.ts
@@ -4,9 +4,9 @@
  */
 import { logInfo, logWarning } from "../../effects";
 import { addMillis } from "../../ids";
+import { computeValueReadDelayMs } from "../../policy/valueReads";
 import type { ForwardEventOf, ForwardTick, PublishedChanges, UndecodableValue, ValueReadOutcome } from "../events";
 import type { StoreEra } from "../ids";
-import { computeValueReadDelayMs } from "../policy/valueReads";
 import { isNewerThanOwn } from "../tables/configurationCopies";
 import { addUndecodableValue, type UndecodableRow } from "../tables/undecodableValues";
 import type { ForwardWorld } from "../world";
--- a/src/systems/applyConfiguration.ts
+++ b/src/systems/applyConfiguration.ts
@@ -130,6 +130,8 @@
 
 function handleChanges(world: World, tick: Tick, outcome: StoreOutcome): void {
     if (outcome.result.err) {
+        // Changes are read only when a newer version is known to exist.
+        scheduleLoad(world, tick);
         return;
     }
     const { configuration } = world.tables;
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -1,6 +1,6 @@
 /** The active configuration never goes back to a lower version and converges, whatever the sources deliver. */
 import * as fc from "fast-check";
-import { Ok } from "ts-results";
+import { Err, Ok } from "ts-results";
 import { describe, expect, it } from "vitest";
 import { applyChange, computeChange } from "../src/config/change";
 import { type ConfigurationDocument, type Fault, parseDocument, parseEntries } from "../src/config/document";
@@ -189,6 +189,23 @@
         expect(getVersion(node)).toBe(5);
     });
 
+    // Guards against a process that knows of a newer version and waits for the next look at the head, 1.5 to 2.5 s.
+    it("reads the store again soon after a read of changes has failed", async () => {
+        const node = await createVirtualNode(systems);
+        node.run();
+        node.run([buildLoadReply(buildHeadRow(2), buildRow(snapshotKey, buildSnapshot(2)))]);
+        node.run([buildWatchDelivery(3)], 100);
+        node.run([{
+            kind: "storeReplied",
+            purpose: { for: "configurationChanges", above: toConfigVersion(2) },
+            outcome: { sentAt: toMillis(0), result: Err({ effect: "none", message: "reset" }) },
+        }]);
+        expect(node.run([], 750)).toContainEqual(expect.objectContaining({
+            kind: "callStore",
+            purpose: { for: "configurationHead", step: "load" },
+        }));
+    });
+
     it("does not read the store in a loop when changes are missing and no snapshot covers them", async () => {
         const node = await createVirtualNode(systems);
         node.run();
