List the members again when the row of one cannot be decoded

Completions mode: a row that was damaged on its way left its member unknown until the next watch, and in a list it counted as removed. A compressed value that was damaged failed the whole answer, other damage went through as Node skips and replaces what is malformed.

--- a/src/codec/etcd.ts
+++ b/src/codec/etcd.ts
@@ -1,4 +1,5 @@
 /** JSON mapping of the etcd v3 API, as far as the store client uses it. Keys and values are base64-encoded. */
+import { isUtf8 } from "node:buffer";
 import { gunzipSync, gzipSync } from "node:zlib";
 import { z } from "zod";
 import { toLeaseId } from "../ids";
@@ -27,11 +28,29 @@
 const encodeValue = (text: string): string =>
     encodeBytes(text.length > maxUncompressedLength ? compressedPrefix + gzipSync(text).toString("base64") : text);
 
+const isUtf8Base64 = (bytes: string): boolean => {
+    const decoded = Buffer.from(bytes, "base64");
+    return decoded.toString("base64") === bytes && isUtf8(decoded);
+};
+
+/**
+ * Decodes a value. One that is damaged is returned as an empty text, which is no record of any kind, so that it does not
+ * keep back the other values of the answer. Node would skip what is no base64 and replace what is no UTF-8.
+ */
 function decodeValue(bytes: string): string {
+    if (!isUtf8Base64(bytes)) {
+        return "";
+    }
     const text = decodeBytes(bytes);
-    return text.startsWith(compressedPrefix)
-        ? gunzipSync(Buffer.from(text.slice(compressedPrefix.length), "base64")).toString("utf8")
-        : text;
+    if (!text.startsWith(compressedPrefix)) {
+        return text;
+    }
+    try {
+        return gunzipSync(Buffer.from(text.slice(compressedPrefix.length), "base64")).toString("utf8");
+    }
+    catch {
+        return "";
+    }
 }
 
 /** 64-bit number, encoded as a string. */
--- a/src/systems/updateMembership.ts
+++ b/src/systems/updateMembership.ts
@@ -2,6 +2,7 @@
 import { z } from "zod";
 import { logInfo, logWarning } from "../effects";
 import { addMillis, type Millis, toConfigVersion, toLeaseId, toVmId, type VmId } from "../ids";
+import { computeValueReadDelayMs } from "../policy/valueReads";
 import { listAnswerRows, type StoreOutcome } from "../store";
 import type { MemberRow } from "../tables/members";
 import { isLeaseValid } from "../tables/node";
@@ -197,6 +198,18 @@
     }
 }
 
+/** Lists the members again, since a row cannot be decoded and may have been damaged on its way. */
+function scheduleListAgain(world: World, tick: Tick, key: string): void {
+    const { node } = world.tables;
+    const delayMs = computeValueReadDelayMs({ sameReads: 0, failedReads: node.undecodableMemberLists });
+    node.undecodableMemberLists += 1;
+    logWarning(world.effects, "member:", "Row of a member cannot be decoded; the members are listed again.", {
+        key,
+        lists: node.undecodableMemberLists,
+    });
+    world.timers.schedule({ name: "watchRetry", at: addMillis(tick.now, addJitter(world, delayMs)), key: "members" });
+}
+
 function handleMemberList(world: World, tick: Tick, outcome: StoreOutcome): void {
     if (outcome.result.err || outcome.result.val.kind !== "rows") {
         world.timers.schedule({
@@ -206,18 +219,31 @@
         });
         return;
     }
-    const records = listAnswerRows(outcome.result.val)
-        .map(row => parseMember(row.value))
-        .filter(record => record !== undefined);
-    const registeredVms = new Set(records.map(record => record.vm));
-    for (const record of records) {
-        applyRecord(world, record);
+    const rows = listAnswerRows(outcome.result.val);
+    // A row that cannot be decoded still says that its VM is registered.
+    const registeredVms = new Set(rows.map(row => row.key.slice(memberPrefix.length)));
+    const undecodableKeys: string[] = [];
+    for (const { key, value } of rows) {
+        const record = parseMember(value);
+        if (record) {
+            applyRecord(world, record);
+        }
+        else {
+            undecodableKeys.push(key);
+        }
     }
     for (const row of world.tables.members.list()) {
         if (!registeredVms.has(row.vm)) {
             removeRegistration(world, tick, row.vm);
         }
     }
+    const [undecodableKey] = undecodableKeys;
+    if (undecodableKey === undefined) {
+        world.tables.node.undecodableMemberLists = 0;
+    }
+    else {
+        scheduleListAgain(world, tick, undecodableKey);
+    }
     world.effects.append({
         kind: "openWatch",
         watch: "members",
@@ -241,6 +267,9 @@
                 if (record) {
                     applyRecord(world, record);
                 }
+                else {
+                    scheduleListAgain(world, tick, change.key);
+                }
             }
         }
     }
--- a/src/tables/node.ts
+++ b/src/tables/node.ts
@@ -24,6 +24,8 @@
     slotLeaseGrantedAt: Millis;
     /** Number of unanswered calls that revoke leases; undefined until the process starts to revoke them. */
     pendingRevocations: number | undefined;
+    /** Lists of the members in a row that had a row which cannot be decoded. */
+    undecodableMemberLists: number;
     /** Time of the last successful answer of the store to any call. */
     storeAnsweredAt: Millis | undefined;
 }
@@ -43,6 +45,7 @@
         slot: undefined,
         slotLeaseGrantedAt: 0 as Millis,
         pendingRevocations: undefined,
+        undecodableMemberLists: 0,
         storeAnsweredAt: undefined,
     };
 }
