Let the soak damage large answers of the store, and keep its proxies' pieces in order

A new fault, drawn apart: one process receives every large answer of the store damaged, the others whole.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -264,6 +264,19 @@
     },
 };
 
+/** Damage to large answers of the store, drawn apart for the same reason. The other processes receive them whole. */
+const damageFaultKinds: typeof faultKinds = {
+    "large configurations arrive damaged": (world, { selector }) => {
+        const { storeProxy } = choose(world.routers, selector);
+        storeProxy.update("damaged");
+        const end = startLargeConfiguration(world);
+        return () => {
+            storeProxy.update("pass");
+            end();
+        };
+    },
+};
+
 /** Clients outside the limits, drawn apart for the same reason. */
 const clientFaultKinds: typeof faultKinds = {
     "clients pipeline requests and read no answers": (world, { selector }) => {
@@ -289,6 +302,7 @@
         ...deathFaultKinds,
         ...clientFaultKinds,
         ...configurationFaultKinds,
+        ...damageFaultKinds,
     })
         [fault.kind]?.(world, fault)
         ?? endNothing;
@@ -347,10 +361,10 @@
 export const createClientFaults = (random: () => number, { durationMs }: SoakWorld, count: number): SoakFault[] =>
     createFaultsOf({ random, durationMs, count, kinds: Object.keys(clientFaultKinds) });
 
-/**
- * Draws large configurations with a generator of their own. They last longer than a change may take to come into force,
- * and end before the fault-free end of the run.
- */
+/** Large configurations last longer than a change may take to come into force, and end before the fault-free end. */
+const configurationTimes = { startFraction: 0.25, minFaultMs: 6000 };
+
+/** Draws large configurations with a generator of their own. */
 export const createConfigurationFaults = (
     random: () => number,
     { durationMs }: SoakWorld,
@@ -361,10 +375,13 @@
         durationMs,
         count,
         kinds: Object.keys(configurationFaultKinds),
-        startFraction: 0.25,
-        minFaultMs: 6000,
+        ...configurationTimes,
     });
 
+/** Draws large configurations that arrive damaged with a generator of their own. */
+export const createDamageFaults = (random: () => number, { durationMs }: SoakWorld, count: number): SoakFault[] =>
+    createFaultsOf({ random, durationMs, count, kinds: Object.keys(damageFaultKinds), ...configurationTimes });
+
 /** Starts and ends the faults that are due. Skips a fault of a process that another fault already disturbs. */
 export function runFaults(world: SoakWorld): void {
     const now = getSoakTime(world);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -10,6 +10,7 @@
     createClientFaults,
     createConfigurationFaults,
     createContentFaults,
+    createDamageFaults,
     createDeathFaults,
     createEngineFaults,
     createFaults,
@@ -36,6 +37,8 @@
 const clientFaultSeedOffset = 5_000_000;
 const configurationFaultsPerRun = 1;
 const configurationFaultSeedOffset = 6_000_000;
+const damageFaultsPerRun = 1;
+const damageFaultSeedOffset = 7_000_000;
 /** Time after the last deadline in which answers can still arrive. */
 const lateAnswerMs = 1500;
 
@@ -75,6 +78,7 @@
     const deathFaultGenerator = xoroshiro128plus(seed + deathFaultSeedOffset);
     const clientFaultGenerator = xoroshiro128plus(seed + clientFaultSeedOffset);
     const configurationFaultGenerator = xoroshiro128plus(seed + configurationFaultSeedOffset);
+    const damageFaultGenerator = xoroshiro128plus(seed + damageFaultSeedOffset);
     world.faults.push(
         ...createFaults(world, faultsPerRun),
         ...createEngineFaults(() => uniformFloat64(engineFaultGenerator), world, engineFaultsPerRun),
@@ -87,6 +91,7 @@
             world,
             configurationFaultsPerRun,
         ),
+        ...createDamageFaults(() => uniformFloat64(damageFaultGenerator), world, damageFaultsPerRun),
     );
     for (let tick = 0; getSoakTime(world) < durationMs; tick += 1) {
         runFaults(world);
--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -4,10 +4,11 @@
 
 /**
  * `pass` forwards; `reset` resets every connection; `silent` drops all data; `oneWay` drops data from the server;
- * `slow` forwards with a delay; `narrow` forwards what the server sends at 7 Mbit/s in all; `paused` forwards when the mode ends; `closed` closes every connection in the orderly way
- * and refuses new ones, as the system of a killed process does.
+ * `slow` forwards with a delay; `narrow` forwards what the server sends at 7 Mbit/s in all; `damaged` overwrites a part of
+ * each long piece that the server sends; `paused` forwards when the mode ends; `closed` closes every connection in the
+ * orderly way and refuses new ones, as the system of a killed process does.
  */
-export type ProxyMode = "pass" | "reset" | "silent" | "oneWay" | "slow" | "narrow" | "paused" | "closed";
+export type ProxyMode = "pass" | "reset" | "silent" | "oneWay" | "slow" | "narrow" | "damaged" | "paused" | "closed";
 
 export interface Proxy {
     readonly address: string;
@@ -21,6 +22,48 @@
 
 const narrowBytesPerMs = 875;
 
+/** Pieces from this length on are damaged in the mode `damaged`; shorter ones hold small answers or the end of a large one. */
+const minDamagedBytes = 16 * 1024;
+const damagedBytes = 96;
+
+/** Overwrites a part of the piece with bytes from its beginning, as base64 in most cases. */
+function buildDamaged(bytes: Buffer): Buffer {
+    const damaged = Buffer.from(bytes);
+    damaged.copy(damaged, damaged.length / 2, 2048, 2048 + damagedBytes);
+    return damaged;
+}
+
+interface DelayQueue {
+    add(delayMs: number, action: () => void): void;
+}
+
+/** Runs actions in the order in which they were added; timers of their own would overtake each other in a busy process. */
+function createDelayQueue(): DelayQueue {
+    const waiting: { readonly dueAt: number; readonly action: () => void; }[] = [];
+    let lastDueAt = 0;
+    let isScheduled = false;
+    const runDue = (): void => {
+        isScheduled = false;
+        while (waiting[0] && waiting[0].dueAt <= performance.now()) {
+            waiting.shift()?.action();
+        }
+        schedule();
+    };
+    const schedule = (): void => {
+        if (waiting[0] && !isScheduled) {
+            isScheduled = true;
+            setTimeout(runDue, Math.max(0, waiting[0].dueAt - performance.now()));
+        }
+    };
+    return {
+        add: (delayMs, action) => {
+            lastDueAt = Math.max(lastDueAt, performance.now() + delayMs);
+            waiting.push({ dueAt: lastDueAt, action });
+            schedule();
+        },
+    };
+}
+
 /** Starts a proxy for the server at the address. */
 export async function startProxy(target: string): Promise<Proxy> {
     const sockets = new Set<net.Socket>();
@@ -30,7 +73,7 @@
     let linkFreeAt = 0;
     const getDelayMs = (): number => Math.max(proxy.mode === "slow" ? slowDelayMs : 0, linkFreeAt - performance.now());
 
-    function addSocket(socket: net.Socket, other: net.Socket): void {
+    function addSocket(socket: net.Socket, other: net.Socket, queue: DelayQueue): void {
         sockets.add(socket);
         socket.on("error", () => undefined);
         socket.on("close", hadError => {
@@ -45,33 +88,35 @@
                     other.end();
                 }
             };
-            setTimeout(closeOther, getDelayMs());
+            queue.add(getDelayMs(), closeOther);
         });
     }
 
-    function openPipe(from: net.Socket, to: net.Socket, isFromServer: boolean): void {
-        from.on("data", bytes => {
+    function openPipe(from: net.Socket, to: net.Socket, queue: DelayQueue, isFromServer: boolean): void {
+        from.on("data", received => {
             if (proxy.mode === "silent" || (proxy.mode === "oneWay" && isFromServer)) {
                 lossySockets.add(from);
                 return;
             }
+            const isDamaged = proxy.mode === "damaged" && isFromServer && received.length >= minDamagedBytes;
+            const bytes = isDamaged ? buildDamaged(received) : received;
             if (proxy.mode === "narrow" && isFromServer) {
                 linkFreeAt = Math.max(linkFreeAt, performance.now()) + bytes.length / narrowBytesPerMs;
             }
-            setTimeout(() => {
+            queue.add(getDelayMs(), () => {
                 if (!to.destroyed) {
                     to.write(bytes);
                 }
-            }, getDelayMs());
+            });
         });
         // A reset that comes with data is reported as an end; a write of no bytes fails then, and "close" passes it on.
         from.prependListener("end", () => from.write(Buffer.alloc(0)));
         from.on("end", () => {
-            setTimeout(() => {
+            queue.add(getDelayMs(), () => {
                 if (!from.errored && !lossySockets.has(from)) {
                     to.end();
                 }
-            }, getDelayMs());
+            });
         });
     }
 
@@ -82,10 +127,11 @@
             return;
         }
         const upstream = net.connect(parseAddress(target));
-        addSocket(client, upstream);
-        addSocket(upstream, client);
-        openPipe(client, upstream, false);
-        openPipe(upstream, client, true);
+        const [toServer, toClient] = [createDelayQueue(), createDelayQueue()];
+        addSocket(client, upstream, toServer);
+        addSocket(upstream, client, toClient);
+        openPipe(client, upstream, toServer, false);
+        openPipe(upstream, client, toClient, true);
         if (proxy.mode === "paused") {
             client.pause();
             upstream.pause();
