Count a refusal of the store as one without bytes

A 503 with a body counted as an answer that had arrived in part since malformed answers count with their length, and had a line of its own each time.

--- a/src/forward/systems/storeContact.ts
+++ b/src/forward/systems/storeContact.ts
@@ -92,7 +92,7 @@
         const fields = { call, message, receivedBytes, elapsedMs: Math.round(tick.now - sentAt), failures };
         const isFirst = failures === 1;
         if (receivedBytes > 0) {
-            logWarning(world.effects, "store:", "An answer of the store was not received whole.", fields);
+            logWarning(world.effects, "store:", "An answer of the store was cut short or malformed.", fields);
         }
         else if (isFirst || tick.now - node.storeFailureLoggedAt >= failureLogIntervalMs) {
             const message = isFirst ? "The store does not answer." : "The store still does not answer.";
--- a/test/forward/largeConfigurations.test.ts
+++ b/test/forward/largeConfigurations.test.ts
@@ -391,6 +391,18 @@
     });
 });
 
+// Guards against a line for each refusal of a store that is busy, as if large answers were cut short.
+it("counts no bytes of a refusal", async () => {
+    feed.start();
+    const { response } = await waitForCall("kv-range");
+    response.writeHead(503).end("{}");
+    await waitForFailures(1);
+    expect(listEvents("storeUnreachable")[0]).toMatchObject({
+        receivedBytes: 0,
+        message: "The store responded to a read with status 503.",
+    });
+});
+
 describe("a value that is read again", () => {
     let values: ValueReader;
 
