Leave keys alone for a minute whose odd values stand in the store

A writer of odd entries may write one with each heartbeat, and every process would read each of them again: N calls a second from a fleet. Found by reading. The new test fails without the change.

--- a/src/forward/tables/undecodableValues.ts
+++ b/src/forward/tables/undecodableValues.ts
@@ -1,5 +1,5 @@
 /** Values of the store that could not be decoded and are read again. */
-import type { Millis } from "../../ids";
+import { addMillis, type Millis } from "../../ids";
 import type { UndecodableValue } from "../events";
 import type { StoreEra } from "../ids";
 
@@ -21,17 +21,35 @@
 
 export interface UndecodableValuesTable {
     readonly rows: Map<string, UndecodableRow>;
+    /** Keys of values that stand in the store like that, with the time until which their values are not read again. */
+    readonly leftAloneUntil: Map<string, Millis>;
 }
 
 /** Odd entries of another writer may be many; beyond this number they are logged and not read again. */
 const maxRows = 256;
 
+/** A writer of odd entries may write them with each of its heartbeats; every process would read each of them again. */
+const leftAloneMs = 60_000;
+
 /** Creates an empty table. */
-export const createUndecodableValuesTable = (): UndecodableValuesTable => ({ rows: new Map() });
+export const createUndecodableValuesTable = (): UndecodableValuesTable => ({
+    rows: new Map(),
+    leftAloneUntil: new Map(),
+});
+
+/** Leaves the values of a key alone for a while, as the one that was read stands in the store. */
+export function recordStoredLikeThat({ leftAloneUntil }: UndecodableValuesTable, key: string, now: Millis): void {
+    for (const [other, until] of leftAloneUntil) {
+        if (now >= until || leftAloneUntil.size >= maxRows) {
+            leftAloneUntil.delete(other);
+        }
+    }
+    leftAloneUntil.set(key, addMillis(now, leftAloneMs));
+}
 
 /** Adds a value or replaces the row of its key, unless the row has a newer one. Returns true if a read is due for it. */
 export function addUndecodableValue(
-    { rows }: UndecodableValuesTable,
+    { rows, leftAloneUntil }: UndecodableValuesTable,
     value: UndecodableValue,
     { era, now }: { readonly era: StoreEra; readonly now: Millis; },
 ): boolean {
@@ -39,7 +57,8 @@
     if (row?.era === era && row.value.revision >= value.revision) {
         return false;
     }
-    if (!row && rows.size >= maxRows) {
+    const isLeftAlone = now < (leftAloneUntil.get(value.key) ?? 0);
+    if (!row && (isLeftAlone || rows.size >= maxRows)) {
         return false;
     }
     rows.set(value.key, {
--- a/test/forward/undecodableValues.test.ts
+++ b/test/forward/undecodableValues.test.ts
@@ -185,6 +185,17 @@
         expect(listReads(node.runFor(120_000))).toEqual([]);
     });
 
+    // Guards against a call to the store from every process for each heartbeat of a writer of odd entries.
+    it("is not read with each new revision for a minute after that", () => {
+        const odd = buildUndecodable(5, "odd", "target");
+        node.run([buildDelivery(odd)]);
+        node.run([buildFound(5, { undecodable: [odd] }, key)]);
+        for (let revision = 6; revision < 50; revision += 1) {
+            expect(listReads(node.run([buildDelivery(buildUndecodable(revision, "odd", "target"))], 1200))).toEqual([]);
+        }
+        expect(listReads(node.run([buildDelivery(buildUndecodable(50, "odd", "target"))], 10_000))).toEqual([key]);
+    });
+
     it("is left alone when its key is gone", () => {
         node.run([buildDelivery(buildUndecodable(5, "odd", "row"))]);
         node.run([{ kind: "valueRead", key: "a/row", outcome: { kind: "absent" } }]);
