--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -55,7 +55,7 @@
 
 export type StoreValueKind = "configuration" | "weights" | "target" | "serviceOrder" | "row";
 
-/** Value of the store that could not be decoded. It may have been damaged on its way, or stand in the store like that. */
+/** Value of the store that could not be decoded. It may have been damaged on its way, or be malformed in the store. */
 export interface UndecodableValue {
     readonly key: string;
     readonly kind: StoreValueKind;
--- a/src/forward/systems/readValuesAgain.ts
+++ b/src/forward/systems/readValuesAgain.ts
@@ -8,7 +8,7 @@
 import type { ForwardEventOf, ForwardTick, PublishedChanges, UndecodableValue, ValueReadOutcome } from "../events";
 import type { StoreEra } from "../ids";
 import { isNewerThanOwn } from "../tables/configurationCopies";
-import { addUndecodableValue, recordStoredLikeThat, type UndecodableRow } from "../tables/undecodableValues";
+import { addUndecodableValue, recordMalformedKey, type UndecodableRow } from "../tables/undecodableValues";
 import type { ForwardWorld } from "../world";
 
 /** Reads under way at once, which share the link with the watch of the store. */
@@ -138,8 +138,8 @@
         const isInStore = row.sameReads > 0;
         if (isInStore && again.kind !== "configuration") {
             // The platform says that entries of other writers may stand in the store; configurations are checked by it.
-            recordStoredLikeThat(world.tables.undecodableValues, again.key, tick.now);
-            settleUndecodable(world, tick, again.key, "stands in the store like that");
+            recordMalformedKey(world.tables.undecodableValues, again.key, tick.now);
+            settleUndecodable(world, tick, again.key, "malformed in the store");
             return;
         }
         logWarning(world.effects, "store:", "A row of the store was read again and still cannot be decoded.", {
--- a/src/forward/tables/undecodableValues.ts
+++ b/src/forward/tables/undecodableValues.ts
@@ -21,35 +21,35 @@
 
 export interface UndecodableValuesTable {
     readonly rows: Map<string, UndecodableRow>;
-    /** Keys of values that stand in the store like that, with the time until which their values are not read again. */
-    readonly leftAloneUntil: Map<string, Millis>;
+    /** Keys whose values are malformed in the store itself, with the time until which they are not read again. */
+    readonly ignoredUntil: Map<string, Millis>;
 }
 
 /** Odd entries of another writer may be many; beyond this number they are logged and not read again. */
 const maxRows = 256;
 
 /** A writer of odd entries may write them with each of its heartbeats; every process would read each of them again. */
-const leftAloneMs = 60_000;
+const ignoredMs = 60_000;
 
 /** Creates an empty table. */
 export const createUndecodableValuesTable = (): UndecodableValuesTable => ({
     rows: new Map(),
-    leftAloneUntil: new Map(),
+    ignoredUntil: new Map(),
 });
 
-/** Leaves the values of a key alone for a while, as the one that was read stands in the store. */
-export function recordStoredLikeThat({ leftAloneUntil }: UndecodableValuesTable, key: string, now: Millis): void {
-    for (const [other, until] of leftAloneUntil) {
-        if (now >= until || leftAloneUntil.size >= maxRows) {
-            leftAloneUntil.delete(other);
+/** Records that the value of a key is malformed in the store itself; the key is not read again for a while. */
+export function recordMalformedKey({ ignoredUntil }: UndecodableValuesTable, key: string, now: Millis): void {
+    for (const [other, until] of ignoredUntil) {
+        if (now >= until || ignoredUntil.size >= maxRows) {
+            ignoredUntil.delete(other);
         }
     }
-    leftAloneUntil.set(key, addMillis(now, leftAloneMs));
+    ignoredUntil.set(key, addMillis(now, ignoredMs));
 }
 
 /** Adds a value or replaces the row of its key, unless the row has a newer one. Returns true if a read is due for it. */
 export function addUndecodableValue(
-    { rows, leftAloneUntil }: UndecodableValuesTable,
+    { rows, ignoredUntil }: UndecodableValuesTable,
     value: UndecodableValue,
     { era, now }: { readonly era: StoreEra; readonly now: Millis; },
 ): boolean {
@@ -57,8 +57,8 @@
     if (row?.era === era && row.value.revision >= value.revision) {
         return false;
     }
-    const isLeftAlone = now < (leftAloneUntil.get(value.key) ?? 0);
-    if (!row && (isLeftAlone || rows.size >= maxRows)) {
+    const isIgnored = now < (ignoredUntil.get(value.key) ?? 0);
+    if (!row && (isIgnored || rows.size >= maxRows)) {
         return false;
     }
     rows.set(value.key, {
