Read a damaged configuration again however many odd entries there are

Callers: a process whose configuration was damaged would have kept the one before for good. Cause: the table of values that are read again holds 256 rows of any kind, and four are read at a time, so odd entries of another writer kept the configuration out of it. The configuration, which is one key, now has its place and its read apart from the bound. The new test fails without the change.

--- a/src/forward/systems/readValuesAgain.ts
+++ b/src/forward/systems/readValuesAgain.ts
@@ -187,7 +187,9 @@
     const rows = [...undecodableValues.rows.values()];
     const free = maxPendingReads - rows.filter(({ isPending }) => isPending).length;
     const due = rows.filter(({ isPending, readAt }) => !isPending && tick.now >= readAt);
-    for (const row of due.slice(0, Math.max(0, free))) {
+    const isConfiguration = ({ value }: UndecodableRow): boolean => value.kind === "configuration";
+    const others = due.filter(row => !isConfiguration(row)).slice(0, Math.max(0, free));
+    for (const row of [...due.filter(isConfiguration), ...others]) {
         row.isPending = true;
         row.reads += 1;
         world.effects.append({ kind: "readValue", key: row.value.key });
--- a/src/forward/tables/undecodableValues.ts
+++ b/src/forward/tables/undecodableValues.ts
@@ -25,7 +25,7 @@
     readonly ignoredUntil: Map<string, Millis>;
 }
 
-/** Odd entries of another writer may be many; beyond this number they are logged and not read again. */
+/** Odd entries of another writer may be many; beyond this number they are logged and not read again. The configuration is. */
 const maxRows = 256;
 
 /** A writer of odd entries may write them with each of its heartbeats; every process would read each of them again. */
@@ -58,7 +58,7 @@
         return false;
     }
     const isIgnored = now < (ignoredUntil.get(value.key) ?? 0);
-    if (!row && (isIgnored || rows.size >= maxRows)) {
+    if (!row && value.kind !== "configuration" && (isIgnored || rows.size >= maxRows)) {
         return false;
     }
     rows.set(value.key, {
--- a/test/forward/undecodableValues.test.ts
+++ b/test/forward/undecodableValues.test.ts
@@ -202,6 +202,16 @@
         expect(listReads(node.runFor(120_000))).toEqual([]);
     });
 
+    // Guards against CONFIG: odd entries of another writer keep a process from reading a damaged configuration again.
+    it("does not keep back the configuration, however many there are", () => {
+        const undecodable = Array.from({ length: 300 }, (_, index) => ({
+            ...buildUndecodable(5, "odd", "target"),
+            key: `a/${index}`,
+        }));
+        node.run([node.buildReadEvent({ undecodable, position: buildPosition(5) })]);
+        expect(listReads(node.run([buildDelivery(buildUndecodable(6))]))).toEqual([configurationKey]);
+    });
+
     it("is read with at most three others at a time, and not kept beyond 256", () => {
         const undecodable = Array.from({ length: 300 }, (_, index) => ({
             ...buildUndecodable(5, "odd", "target"),
