Log the cache salt of requests and the isolated accounts

Logs could not distinguish a salt that does not depend on the isolated accounts from requests that were sent with what their account was at arrival: neither the salt nor the isolated accounts were logged. The route line now has the salt, the config line the isolated accounts, and the gauge isolated_accounts counts them.

No logic is changed.

--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -38,6 +38,7 @@
 const gaugeNames: readonly GaugeName[] = [
     "configuration_behind",
     "configuration_version",
+    "isolated_accounts",
     "store_failures_in_a_row",
     "undecodable_values",
 ];
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -63,9 +63,11 @@
 export type GaugeName =
     /** Version of the configuration in force; 0 before the first one. */
     | "configuration_version"
-    /** Calls to the store that have failed one after the other; 0 while it answers. */
     /** 1 while a newer configuration than that in force is known to exist, else 0. */
     | "configuration_behind"
+    /** Accounts that share no cached parts, by the configuration in force. */
+    | "isolated_accounts"
+    /** Calls to the store that have failed one after the other; 0 while it answers. */
     | "store_failures_in_a_row"
     /** Values of the store that could not be decoded and are read again. */
     | "undecodable_values";
--- a/src/forward/systems/applyDocument.ts
+++ b/src/forward/systems/applyDocument.ts
@@ -21,6 +21,9 @@
     readonly packedLength?: number;
 }
 
+/** Isolated accounts that a log line names. */
+const maxNamedAccounts = 20;
+
 type NewConfiguration = Pick<PublishedChanges, "document" | "copy">;
 
 /** Records that a configuration has come into force. */
@@ -30,14 +33,19 @@
     before: ConfigVersion,
     fields: LogFields,
 ): void {
+    const accounts = [...document.accounts.values()];
+    const isolated = accounts.filter(({ isIsolated }) => isIsolated).map(({ id }) => id);
     world.effects.append({ kind: "applyLimits", limits: document.limits });
     world.effects.append({ kind: "updateGauge", name: "configuration_version", value: document.version });
+    world.effects.append({ kind: "updateGauge", name: "isolated_accounts", value: isolated.length });
     logInfo(world.effects, "config:", "Configuration is active.", {
         version: document.version,
         before,
         routes: document.routes.length,
-        accounts: document.accounts.size,
-        keys: [...document.accounts.values()].reduce((sum, { keys }) => sum + keys.length, 0),
+        accounts: accounts.length,
+        isolatedAccounts: isolated.length,
+        isolated: isolated.slice(0, maxNamedAccounts),
+        keys: accounts.reduce((sum, { keys }) => sum + keys.length, 0),
         ...fields,
     });
 }
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -189,6 +189,7 @@
         sharedPart: row.arrival.parts.at(-2)?.id,
         sharedTokens: row.arrival.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0),
         weights: version,
+        salt: call.engine?.salt,
         work: target.inFlight.size,
         limitPerSecond: target.requestLimit?.perSecond,
         isRowMissing: target.missingUntil !== undefined || undefined,
