Choose the cache salt by what the account is when a request is sent

What callers saw: requests of an account that had just been isolated left their prompt parts where other accounts found them, if they had been admitted before the change and were sent after it: from a queue, once more after a refusal, or to go on with a stream at another engine.

Cause: the salt was computed from the request's row, whose account is the one of its arrival. The salt is now computed once for each choice of an engine, from the configuration in force, and goes with the choice into the call, the attempt and the record of cached parts, so that all of them have the same even if the configuration changes in between. The row of a request whose account has been removed keeps what the account was.

test/forward/isolatedAccounts.test.ts: four of its six tests fail without the change (from a queue, after a refusal, resumed, shared again); the two on records and removed accounts hold before and after.

--- a/src/forward/ids.ts
+++ b/src/forward/ids.ts
@@ -9,6 +9,8 @@
 export type PartId = Branded<string, "PartId">;
 /** Namespace of cached parts on an engine; requests with different salts share no cached parts. */
 export type CacheSalt = Branded<string, "CacheSalt">;
+/** Group of requests that may share cached parts; a part of the salt. */
+export type CacheScope = Branded<string, "CacheScope">;
 /** Key of a cached part: salt and part id. */
 export type CachedPartKey = Branded<string, "CachedPartKey">;
 
@@ -25,6 +27,7 @@
 /** Era of processes that know no eras and of stores that name none. */
 export const unknownEra: StoreEra = toStoreEra(0);
 export const toCacheSalt = (value: string): CacheSalt => value as CacheSalt;
+export const toCacheScope = (value: string): CacheScope => value as CacheScope;
 export const toCachedPartKey = (salt: CacheSalt, part: PartId): CachedPartKey => `${salt}/${part}` as CachedPartKey;
 
 /** Version of the software of a service's servers. */
--- a/src/forward/systems/cacheSalts.ts
+++ b/src/forward/systems/cacheSalts.ts
@@ -2,19 +2,33 @@
 import type { TargetId } from "../../ids";
 import type { PromptPart } from "../calls";
 import type { ForwardTick } from "../events";
-import { type CacheSalt, toCachedPartKey, toCacheSalt, type WeightsVersion } from "../ids";
+import {
+    type CacheSalt,
+    type CacheScope,
+    toCachedPartKey,
+    toCacheSalt,
+    toCacheScope,
+    type WeightsVersion,
+} from "../ids";
 import type { ForwardAttempt, ForwardRequestRow } from "../tables/requests";
 import type { ForwardWorld } from "../world";
 
 /**
- * Computes the salt from the model, the version of the weights (part stores keep parts across a change of weights), and
- * the account if it is isolated.
+ * Finds the scope in which the request may share cached parts, by the configuration in force: its account may have been
+ * isolated while it waited. A request whose account has been removed keeps what the account was at its arrival.
  */
-export function computeSalt(row: ForwardRequestRow, version: WeightsVersion): CacheSalt {
-    const scope = row.account?.isIsolated ? row.account.id : "";
-    return toCacheSalt(`${row.arrival.model ?? ""}.${version}.${scope}`);
+export function findCacheScope(world: ForwardWorld, { account }: Pick<ForwardRequestRow, "account">): CacheScope {
+    const current = account && (world.tables.configuration.getAccount(account.id) ?? account);
+    return toCacheScope(current?.isIsolated ? current.id : "");
 }
 
+/** Computes the salt from the model, the version of its weights (part stores keep parts across a change), and the scope. */
+export const computeSalt = (
+    { arrival: { model } }: Pick<ForwardRequestRow, "arrival">,
+    version: WeightsVersion,
+    scope: CacheScope,
+): CacheSalt => toCacheSalt(`${model ?? ""}.${version}.${scope}`);
+
 /** Tokens of the longest prefix of the parts that the target is recorded to have cached. */
 export function computeCachedTokens(
     world: ForwardWorld,
@@ -36,27 +50,26 @@
 /** Fraction of an engine's memory that is assumed to hold cached parts; running requests use the rest. */
 const cacheMemoryFraction = 0.8;
 
-/** Records that the engine of the attempt has cached the prompt. */
+/** Records that the engine of the attempt has cached the prompt, under the salt that went out with it. */
 export function recordCachedParts(
     world: ForwardWorld,
     tick: ForwardTick,
     row: ForwardRequestRow,
-    attempt: Pick<ForwardAttempt, "target" | "weights">,
+    { target, salt }: Pick<ForwardAttempt, "target" | "salt">,
 ): void {
-    if (attempt.weights === undefined) {
+    if (salt === undefined) {
         return;
     }
     const { cachedParts, configuration, members } = world.tables;
-    const salt = computeSalt(row, attempt.weights);
     for (const part of row.arrival.parts) {
-        cachedParts.update(attempt.target, toCachedPartKey(salt, part.id), part.tokens);
+        cachedParts.update(target, toCachedPartKey(salt, part.id), part.tokens);
     }
     const memory = configuration.document?.services.get(row.service)?.engine?.memoryTokens;
     if (memory !== undefined) {
         // Without cache events, a process sees only its own share of the requests that evict parts.
-        const visibleFraction = cachedParts.hasCacheEvents(attempt.target, tick.now)
+        const visibleFraction = cachedParts.hasCacheEvents(target, tick.now)
             ? 1
             : 1 / Math.max(1, members.countLive());
-        cachedParts.removeOldestBeyond(attempt.target, memory * cacheMemoryFraction * visibleFraction);
+        cachedParts.removeOldestBeyond(target, memory * cacheMemoryFraction * visibleFraction);
     }
 }
--- a/src/forward/systems/chooseEngine.ts
+++ b/src/forward/systems/chooseEngine.ts
@@ -1,13 +1,13 @@
 /** Chooses an engine for a prompt, where it fetches cached parts, and whether they are copied to the part store. */
 import type { TargetId } from "../../ids";
 import type { ForwardTick } from "../events";
-import type { WeightsVersion } from "../ids";
+import type { CacheSalt, WeightsVersion } from "../ids";
 import { computeEngineScore, estimateFirstEventMs, estimatePromptMs, estimateQueueMs } from "../policy/engineScore";
 import { findOutdatedSince } from "../tables/configuration";
 import type { ForwardRequestRow } from "../tables/requests";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
-import { computeCachedTokens, computeSalt } from "./cacheSalts";
+import { computeCachedTokens, computeSalt, findCacheScope } from "./cacheSalts";
 import { computeRequestPriority, type EngineCandidate, listCandidates } from "./engineCandidates";
 import { computeLoadFreshness, computeLoadScale } from "./engineLoad";
 import { computeFailureShare } from "./failureReports";
@@ -37,6 +37,8 @@
     /** Rank of the engine for the shared part; 0 for all engines over which the part is spread. */
     readonly rank?: number;
     readonly version: WeightsVersion | undefined;
+    /** Salt by which the cached parts were looked up, and with which the request is sent. */
+    readonly salt: CacheSalt | undefined;
     /** Prompt tokens that the engine has cached or will fetch. */
     readonly reusedTokens: number;
     readonly fetchFrom: string | undefined;
@@ -70,6 +72,7 @@
 
 interface EngineState extends EngineCandidate {
     readonly version: WeightsVersion | undefined;
+    readonly salt: CacheSalt | undefined;
     /** True when the engine's weights were replaced more than `outdatedAfterMs` ago. */
     readonly isOutdated: boolean;
     /** Prompt tokens that the engine is known or assumed to have cached. */
@@ -101,12 +104,12 @@
 ): ReadonlyMap<WeightsVersion, FetchSource> {
     const sources = new Map<WeightsVersion, FetchSource>();
     const partStore = findPartStore(world, findSharedPart(row));
-    for (const { target, cachedTokens, version } of engines) {
-        if (version === undefined) {
+    for (const { target, cachedTokens, version, salt } of engines) {
+        if (version === undefined || salt === undefined) {
             continue;
         }
         if (partStore && !sources.has(version)) {
-            const tokens = computeCachedTokens(world, partStore.id, computeSalt(row, version), row.arrival.parts);
+            const tokens = computeCachedTokens(world, partStore.id, salt, row.arrival.parts);
             sources.set(version, { address: partStore.address, tokens });
         }
         if (cachedTokens > (sources.get(version)?.tokens ?? 0)) {
@@ -140,17 +143,17 @@
     world: ForwardWorld,
     tick: ForwardTick,
     row: ForwardRequestRow,
-    version: WeightsVersion | undefined,
+    salt: CacheSalt | undefined,
 ): string | undefined {
     const partStore = findPartStore(world, findSharedPart(row));
     const shared = row.arrival.parts.slice(0, -1);
     const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
-    if (!partStore || version === undefined || sharedTokens < minCopyTokens) {
+    if (!partStore || salt === undefined || sharedTokens < minCopyTokens) {
         return undefined;
     }
     // Without cache events of the part store, every part would be copied to it many times.
     const hasEvents = world.tables.cachedParts.hasCacheEvents(partStore.id, tick.now);
-    const cachedTokens = computeCachedTokens(world, partStore.id, computeSalt(row, version), shared);
+    const cachedTokens = computeCachedTokens(world, partStore.id, salt, shared);
     return hasEvents && cachedTokens < sharedTokens ? partStore.address : undefined;
 }
 
@@ -174,18 +177,18 @@
     eligible: readonly ForwardTargetRow[],
 ): TargetChoice | undefined {
     const { model, parts, promptTokens } = row.arrival;
+    const scope = findCacheScope(world, row);
     const engines = listCandidates(world, tick, row, eligible).map((candidate): EngineState => {
         const { target, rank } = candidate;
         const { id } = target.registration;
         const version = model && target.weights.get(model);
-        const knownTokens = version === undefined
-            ? 0
-            : computeCachedTokens(world, id, computeSalt(row, version), parts);
+        const salt = version === undefined ? undefined : computeSalt(row, version, scope);
+        const knownTokens = salt === undefined ? 0 : computeCachedTokens(world, id, salt, parts);
         const cachedTokens = rank === 0
             ? Math.max(knownTokens, estimateCachedTokens(world, tick, row, id))
             : knownTokens;
         const isOutdated = computeOutdatedAge(world, tick, row, target) > outdatedAfterMs;
-        return { ...candidate, version, isOutdated, cachedTokens };
+        return { ...candidate, version, salt, isOutdated, cachedTokens };
     });
     const sources = listFetchSources(world, row, engines);
     const loadFreshness = computeLoadFreshness(world);
@@ -195,7 +198,7 @@
     let best: TargetChoice | undefined;
     let lowestMs = Infinity;
     for (const engine of engines) {
-        const { target, version, cachedTokens, noiseMs, queue, rank, requests } = engine;
+        const { target, version, salt, cachedTokens, noiseMs, queue, rank, requests } = engine;
         const source = findFetchSource(world, tick, sources, engine);
         const fetchedTokens = source ? source.tokens - cachedTokens : 0;
         const queueMs = Math.max(estimateQueueMs(queue, loadScale), estimateSlotWait?.(engine) ?? 0);
@@ -221,10 +224,11 @@
                 firstEventMs: estimateFirstEventMs(missedTokens),
                 rank,
                 version,
+                salt,
                 reusedTokens: cachedTokens + fetchedTokens,
                 fetchFrom: source?.address,
             };
         }
     }
-    return best && { ...best, copyTo: findCopyTarget(world, tick, row, best.version) };
+    return best && { ...best, copyTo: findCopyTarget(world, tick, row, best.salt) };
 }
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -9,7 +9,6 @@
 import { formatAttemptKey, type ForwardRequestRow, type MissingResource } from "../tables/requests";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
-import { computeSalt } from "./cacheSalts";
 import { chooseEngine, type TargetChoice } from "./chooseEngine";
 import { isUsable, listEligible } from "./eligibleTargets";
 import { computeRequestPriority } from "./engineCandidates";
@@ -47,6 +46,7 @@
                 queueMs: 0,
                 firstEventMs: 0,
                 version: undefined,
+                salt: undefined,
                 reusedTokens: 0,
                 fetchFrom: undefined,
             };
@@ -83,14 +83,15 @@
         idleTimeoutMs: computeIdleTimeoutMs(tick, row),
         resumeAfterEventId: row.lastEventId > 0 ? row.lastEventId : undefined,
     };
-    if (choice.version === undefined) {
+    const { version, salt } = choice;
+    if (version === undefined || salt === undefined) {
         return call;
     }
     return {
         ...call,
         engine: {
-            salt: computeSalt(row, choice.version),
-            version: choice.version,
+            salt,
+            version,
             priority: computeRequestPriority(row),
             fetchFrom: choice.fetchFrom,
             copyTo: choice.copyTo,
@@ -127,7 +128,7 @@
 }
 
 function sendToTarget(world: ForwardWorld, tick: ForwardTick, row: ForwardRequestRow, choice: TargetChoice): void {
-    const { target, version } = choice;
+    const { target, version, salt } = choice;
     recordSend(world, row);
     recordTrial(world, row);
     reserveRequestToken(target);
@@ -138,6 +139,7 @@
         sentAt: tick.now,
         writeStartedAt: undefined,
         weights: version,
+        salt,
         evidence: { hasWrittenBytes: false, answer: "none" },
         isOpen: true,
         firstEventAt: undefined,
@@ -189,7 +191,7 @@
         sharedPart: row.arrival.parts.at(-2)?.id,
         sharedTokens: row.arrival.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0),
         weights: version,
-        salt: call.engine?.salt,
+        salt,
         work: target.inFlight.size,
         limitPerSecond: target.requestLimit?.perSecond,
         isRowMissing: target.missingUntil !== undefined || undefined,
--- a/src/forward/tables/requests.ts
+++ b/src/forward/tables/requests.ts
@@ -3,7 +3,7 @@
 import type { AttemptEvidence } from "../../verdict";
 import type { ForwardArrival } from "../calls";
 import type { ForwardAccount, ForwardRoute } from "../document";
-import type { PartId, ServiceId, WeightsVersion } from "../ids";
+import type { CacheSalt, PartId, ServiceId, WeightsVersion } from "../ids";
 
 export type ForwardRequestState = "queued" | "running" | "done";
 
@@ -17,6 +17,8 @@
     /** Time at which the first bytes were handed to the socket; undefined before. */
     writeStartedAt: Millis | undefined;
     readonly weights: WeightsVersion | undefined;
+    /** Salt under which the engine caches the prompt; undefined for a plain service. */
+    readonly salt: CacheSalt | undefined;
     evidence: AttemptEvidence;
     isOpen: boolean;
     /** Time of the first event that the target sent in this attempt. */
--- /dev/null
+++ b/test/forward/isolatedAccounts.test.ts
@@ -0,0 +1,144 @@
+/** Which requests may share cached prompt parts while the configuration isolates accounts and shares them again. */
+import { describe, expect, it } from "vitest";
+import type { ForwardDocument } from "../../src/forward/document";
+import type { ForwardEffect } from "../../src/forward/effects";
+import { type CacheSalt, toCachedPartKey, toPartId } from "../../src/forward/ids";
+import { toAccountId, toKeyHash, toMillis, toRequestId } from "../../src/ids";
+import {
+    account as shop,
+    buildArrival,
+    buildDocument,
+    buildHeaderFields,
+    buildStreamBegin,
+    buildTarget,
+    createForwardTestNode,
+    type ForwardTestNode,
+    listEffects,
+} from "../support/forwardNode";
+
+const press = toAccountId("press");
+const pressKey = toKeyHash("b".repeat(64));
+const catalogue = toPartId("catalogue");
+const parts = [{ id: catalogue, tokens: 600 }, { id: toPartId("own"), tokens: 400 }];
+const buildEngine = (name: string) => ({ name, target: buildTarget(name) });
+
+/** Builds a configuration with the accounts `shop` and `press`, of which those named are isolated. */
+function buildVersion(version: number, isolated: readonly string[]): ForwardDocument {
+    const document = buildDocument({ version });
+    const template = document.accounts.get(shop);
+    if (!template) {
+        throw new Error("The document has no account.");
+    }
+    const accounts = [template, { ...template, id: press, keys: [pressKey] }];
+    return {
+        ...document,
+        accounts: new Map(accounts.map(row => [row.id, { ...row, isIsolated: isolated.includes(row.id) }])),
+    };
+}
+
+async function createNode(isolated: readonly string[], targets = [buildEngine("e1")]): Promise<ForwardTestNode> {
+    const node = await createForwardTestNode();
+    node.run([]);
+    node.run([node.buildReadEvent({ document: buildVersion(1, isolated), targets })]);
+    return node;
+}
+
+const buildRequest = (node: ForwardTestNode, id: string, keyHash = buildArrival("r").keyHash) => ({
+    kind: "requestArrived" as const,
+    arrival: buildArrival(id, { keyHash, parts, arrivedAt: toMillis(node.getNow()) }),
+});
+
+const buildChange = (node: ForwardTestNode, version: number, isolated: readonly string[]) =>
+    node.buildChangeEvent({ document: buildVersion(version, isolated) });
+
+/** Salt of the only request that the effects send. */
+function getSalt(effects: readonly ForwardEffect[]): CacheSalt | undefined {
+    const sent = listEffects(effects, "sendRequest");
+    expect(sent).toHaveLength(1);
+    return sent[0]?.call.engine?.salt;
+}
+
+const sendAs = (node: ForwardTestNode, id: string, keyHash?: Parameters<typeof buildRequest>[2]) =>
+    getSalt(node.run([buildRequest(node, id, keyHash)], 10));
+
+describe("a request whose account is isolated before the request is sent", () => {
+    // Guards against a request that was admitted before the change and leaves its parts where other accounts find them.
+    it("goes out under the account's own salt when it has waited for an engine", async () => {
+        const node = await createNode([], []);
+        node.run([buildRequest(node, "waiting")]);
+        node.run([buildChange(node, 2, [shop])], 10);
+        const salt = getSalt(node.run([node.buildChangeEvent({ targets: [buildEngine("e1")] })], 10));
+        expect(salt).toBe(sendAs(node, "later"));
+        expect(salt).not.toBe(sendAs(node, "other", pressKey));
+    });
+
+    // Guards against the same for the second attempt of a request that its first engine has refused.
+    it("is sent again under the account's own salt", async () => {
+        const node = await createNode([], [buildEngine("e1"), buildEngine("e2")]);
+        const shared = sendAs(node, "r1");
+        node.run([buildChange(node, 2, [shop])], 10);
+        const again = getSalt(node.run([{
+            kind: "attemptAnswered",
+            request: toRequestId("r1"),
+            attempt: 1,
+            status: 503,
+            headerFields: { ...buildHeaderFields("r1"), isNotRun: true },
+            isOpenStream: false,
+        }], 10));
+        expect(again).toBe(sendAs(node, "later"));
+        expect(again).not.toBe(shared);
+    });
+
+    // Guards against the same for a stream that goes on at another engine.
+    it("is resumed under the account's own salt", async () => {
+        const node = await createNode([], [buildEngine("e1"), buildEngine("e2")]);
+        const shared = sendAs(node, "r1");
+        const request = toRequestId("r1");
+        node.run(buildStreamBegin(request, 1), 10);
+        node.run([buildChange(node, 2, [shop])], 10);
+        const resumed = getSalt(
+            node.run([{ kind: "attemptFailed", request, attempt: 1, fault: "closed", lastEventId: 2 }], 10),
+        );
+        expect(resumed).toBe(sendAs(node, "later"));
+        expect(resumed).not.toBe(shared);
+    });
+
+    // Guards against an account that is shared again but whose waiting requests still compute all their parts.
+    it("goes out under the shared salt when its account has been shared again meanwhile", async () => {
+        const node = await createNode([shop], []);
+        node.run([buildRequest(node, "waiting")]);
+        node.run([buildChange(node, 2, [])], 10);
+        const salt = getSalt(node.run([node.buildChangeEvent({ targets: [buildEngine("e1")] })], 10));
+        expect(salt).toBe(sendAs(node, "other", pressKey));
+    });
+
+    // Guards against a stream that leaves its parts under the shared salt since its account is in no configuration.
+    it("is resumed under the account's own salt when the account has been removed", async () => {
+        const node = await createNode([shop], [buildEngine("e1"), buildEngine("e2")]);
+        const own = sendAs(node, "r1");
+        const request = toRequestId("r1");
+        node.run(buildStreamBegin(request, 1), 10);
+        const { accounts, ...document } = buildVersion(2, [shop]);
+        const others = new Map([...accounts].filter(([id]) => id !== shop));
+        node.run([node.buildChangeEvent({ document: { ...document, accounts: others } })], 10);
+        const resumed = getSalt(
+            node.run([{ kind: "attemptFailed", request, attempt: 1, fault: "closed", lastEventId: 2 }], 10),
+        );
+        expect(resumed).toBe(own);
+    });
+});
+
+describe("records of cached parts", () => {
+    // Guards against records under a salt that never went out: engines would be chosen for parts that they lack.
+    it("name the salt that went out when the account is isolated before the stream begins", async () => {
+        const node = await createNode([]);
+        const sent = sendAs(node, "r1");
+        node.run([buildChange(node, 2, [shop])], 10);
+        node.run(buildStreamBegin(toRequestId("r1"), 1), 10);
+        const now = sendAs(node, "later");
+        const { cachedParts } = node.world.tables;
+        const getTokens = (salt: CacheSalt | undefined) =>
+            salt && cachedParts.getTokens(buildTarget("e1").id, toCachedPartKey(salt, catalogue));
+        expect([getTokens(sent), getTokens(now)]).toEqual([600, 0]);
+    });
+});
