Leave the shared prompt parts of an account behind when it is isolated

Cause: the shared salt was made of the model and its version only. Isolating an account gave it a salt of its own and left its parts under the salt of all others.

The shared scope is now a digest of the set of isolated accounts, and the scope of an isolated account a digest of its name. No account makes parts in the scope of a set that contains it, whatever came before, so a request of the newest configuration finds no part of an isolated account; and as nothing but the configuration is used, all processes agree, also those that start later or missed versions. Order, keys, limits, routes and accounts that share do not matter. Without isolated accounts the salt is what it was. The digest also ends texts that two different models, versions and accounts gave ("a.1" version 2, and "a" version 1 with an isolated account "2."), and names that no header may hold.

Each change of the set of isolated accounts makes all shared parts of the other accounts be computed once more. Weighed against it: the set of accounts that share (starts afresh with each new account); the version (with each version); a history in the store, which would spare accounts that are isolated from their first version on, but is lost with a restored store and differs between processes that missed versions; engines offer no call that drops parts.

The salt that routing.test.ts expects for an isolated account now has the digest in place of the name; it is still compared as a whole.

--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -22,6 +22,7 @@
     unframed_ends_total: ["state"],
     waits_total: ["missing"],
     orders_total: ["outcome"],
+    shared_scope_changes_total: [],
     service_rollout_states_total: ["service", "state"],
     canary_requests_total: ["service"],
     clients_outside_limits_total: ["listener", "fault"],
--- a/src/forward/systems/applyDocument.ts
+++ b/src/forward/systems/applyDocument.ts
@@ -1,10 +1,12 @@
 /** Puts a configuration into force. Shared by systems. */
 import { type LogFields, logInfo, logWarning } from "../../effects";
-import type { ConfigVersion, VmId } from "../../ids";
+import type { AccountId, VmId } from "../../ids";
 import type { ForwardDocument } from "../document";
 import type { PublishedChanges, StoreTransfer } from "../events";
 import type { StoreEra } from "../ids";
+import { listIsolated } from "../policy/cacheScope";
 import type { ConfigurationCopy } from "../storeChanges";
+import type { ForwardConfigurationTable } from "../tables/configuration";
 import { applyOwnCopy } from "../tables/configurationCopies";
 import { startComparison } from "../tables/configurationDoubts";
 import type { ForwardWorld } from "../world";
@@ -26,28 +28,63 @@
 
 type NewConfiguration = Pick<PublishedChanges, "document" | "copy">;
 
+/** What was in force before a configuration. */
+type ConfigurationBefore = Pick<ForwardConfigurationTable, "document" | "version" | "sharedScope">;
+
+const listWithout = (accounts: readonly AccountId[], without: readonly AccountId[]): readonly AccountId[] => {
+    const excluded = new Set(without);
+    return accounts.filter(id => !excluded.has(id));
+};
+
+/** Reports that accounts share cached parts in another scope than before, so that each part is computed once more. */
+function recordSharedScope(
+    world: ForwardWorld,
+    document: ForwardDocument,
+    before: ConfigurationBefore,
+): void {
+    const { sharedScope } = world.tables.configuration;
+    const accounts = [...document.accounts.values()];
+    if (!before.document || before.sharedScope === sharedScope || accounts.every(({ isIsolated }) => isIsolated)) {
+        return;
+    }
+    const isolatedBefore = listIsolated(before.document.accounts.values());
+    const isolated = listWithout(listIsolated(accounts), isolatedBefore);
+    const noLongerIsolated = listWithout(isolatedBefore, listIsolated(accounts));
+    world.effects.append({ kind: "addCount", name: "shared_scope_changes_total", value: 1, labels: {} });
+    logWarning(world.effects, "config:", "Shared prompt parts start afresh, since other accounts are isolated now.", {
+        version: document.version,
+        scope: sharedScope,
+        scopeBefore: before.sharedScope,
+        changedAccounts: isolated.length + noLongerIsolated.length,
+        isolated: isolated.slice(0, maxNamedAccounts),
+        noLongerIsolated: noLongerIsolated.slice(0, maxNamedAccounts),
+    });
+}
+
 /** Records that a configuration has come into force. */
 function recordActive(
     world: ForwardWorld,
     document: ForwardDocument,
-    before: ConfigVersion,
+    before: ConfigurationBefore,
     fields: LogFields,
 ): void {
     const accounts = [...document.accounts.values()];
-    const isolated = accounts.filter(({ isIsolated }) => isIsolated).map(({ id }) => id);
+    const isolated = listIsolated(accounts);
     world.effects.append({ kind: "applyLimits", limits: document.limits });
     world.effects.append({ kind: "updateGauge", name: "configuration_version", value: document.version });
     world.effects.append({ kind: "updateGauge", name: "isolated_accounts", value: isolated.length });
     logInfo(world.effects, "config:", "Configuration is active.", {
         version: document.version,
-        before,
+        before: before.version,
         routes: document.routes.length,
         accounts: accounts.length,
         isolatedAccounts: isolated.length,
         isolated: isolated.slice(0, maxNamedAccounts),
+        sharedScope: world.tables.configuration.sharedScope,
         keys: accounts.reduce((sum, { keys }) => sum + keys.length, 0),
         ...fields,
     });
+    recordSharedScope(world, document, before);
 }
 
 const buildCopyFields = (copy: ConfigurationCopy | undefined): LogFields =>
@@ -64,9 +101,9 @@
     if (!document) {
         return;
     }
-    const before = configuration.version;
+    const before = { ...configuration };
     const isApplied = configuration.apply(document);
-    if (copy && document.version >= before && applyOwnCopy(configurationCopies, copy)) {
+    if (copy && document.version >= before.version && applyOwnCopy(configurationCopies, copy)) {
         startComparison(configurationDoubts, copy);
     }
     if (isApplied) {
@@ -76,10 +113,10 @@
             ...(transfer ? { answerBytes: transfer.bytes, transferMs: Math.round(transfer.ms) } : {}),
         });
     }
-    else if (document.version < before) {
+    else if (document.version < before.version) {
         logWarning(world.effects, "config:", "An older configuration was read and is ignored.", {
             version: document.version,
-            inForce: before,
+            inForce: before.version,
         });
     }
 }
@@ -92,7 +129,7 @@
     source: ChangeSource,
 ): void {
     const { configuration, configurationCopies, configurationDoubts } = world.tables;
-    const before = configuration.version;
+    const before = { ...configuration };
     logWarning(world.effects, "config:", "The configuration in force was damaged and is replaced.", {
         before: configurationCopies.own?.fingerprint,
         ...buildCopyFields(copy),
--- a/src/forward/systems/cacheSalts.ts
+++ b/src/forward/systems/cacheSalts.ts
@@ -2,14 +2,8 @@
 import type { TargetId } from "../../ids";
 import type { PromptPart } from "../calls";
 import type { ForwardTick } from "../events";
-import {
-    type CacheSalt,
-    type CacheScope,
-    toCachedPartKey,
-    toCacheSalt,
-    toCacheScope,
-    type WeightsVersion,
-} from "../ids";
+import { type CacheSalt, type CacheScope, toCachedPartKey, type WeightsVersion } from "../ids";
+import { computeOwnScope, formatSalt } from "../policy/cacheScope";
 import type { ForwardAttempt, ForwardRequestRow } from "../tables/requests";
 import type { ForwardWorld } from "../world";
 
@@ -18,16 +12,17 @@
  * isolated while it waited. A request whose account has been removed keeps what the account was at its arrival.
  */
 export function findCacheScope(world: ForwardWorld, { account }: Pick<ForwardRequestRow, "account">): CacheScope {
-    const current = account && (world.tables.configuration.getAccount(account.id) ?? account);
-    return toCacheScope(current?.isIsolated ? current.id : "");
+    const { configuration } = world.tables;
+    const current = account && (configuration.getAccount(account.id) ?? account);
+    return current?.isIsolated ? computeOwnScope(current.id) : configuration.sharedScope;
 }
 
-/** Computes the salt from the model, the version of its weights (part stores keep parts across a change), and the scope. */
+/** Computes the salt of the request on an engine with that version of the weights. */
 export const computeSalt = (
     { arrival: { model } }: Pick<ForwardRequestRow, "arrival">,
     version: WeightsVersion,
     scope: CacheScope,
-): CacheSalt => toCacheSalt(`${model ?? ""}.${version}.${scope}`);
+): CacheSalt => formatSalt(model ?? "", version, scope);
 
 /** Tokens of the longest prefix of the parts that the target is recorded to have cached. */
 export function computeCachedTokens(
--- a/src/forward/tables/configuration.ts
+++ b/src/forward/tables/configuration.ts
@@ -8,7 +8,8 @@
     toConfigVersion,
 } from "../../ids";
 import type { ForwardAccount, ForwardDocument, ForwardRoute } from "../document";
-import type { WeightsVersion } from "../ids";
+import type { CacheScope, WeightsVersion } from "../ids";
+import { computeSharedScope } from "../policy/cacheScope";
 
 /** A version of a model's weights that was published for rollout. */
 export interface PublishedWeights {
@@ -22,6 +23,8 @@
     /** Undefined until a configuration was read. */
     document: ForwardDocument | undefined;
     readonly version: ConfigVersion;
+    /** Scope of the cached parts of all requests but those of isolated accounts. */
+    sharedScope: CacheScope;
     /** Published versions of each model that this process has seen, oldest first. */
     readonly weights: Map<ModelId, PublishedWeights[]>;
     /** Replaces the configuration and returns true if the given one is newer. */
@@ -42,6 +45,7 @@
         get version() {
             return table.document?.version ?? toConfigVersion(0);
         },
+        sharedScope: computeSharedScope([]),
         weights: new Map<ModelId, PublishedWeights[]>(),
         apply: (document: ForwardDocument) => {
             if (table.document && document.version <= table.document.version) {
@@ -52,6 +56,7 @@
         },
         replace: (document: ForwardDocument) => {
             table.document = document;
+            table.sharedScope = computeSharedScope(document.accounts.values());
             routesByHost.clear();
             accountsByKey.clear();
             for (const route of document.routes) {
--- a/test/forward/isolatedAccounts.test.ts
+++ b/test/forward/isolatedAccounts.test.ts
@@ -3,7 +3,7 @@
 import type { ForwardDocument } from "../../src/forward/document";
 import type { ForwardEffect } from "../../src/forward/effects";
 import { type CacheSalt, toCachedPartKey, toPartId } from "../../src/forward/ids";
-import { toAccountId, toKeyHash, toMillis, toRequestId } from "../../src/ids";
+import { toAccountId, toDataCentreId, toKeyHash, toMillis, toRequestId, toTargetId } from "../../src/ids";
 import {
     account as shop,
     buildArrival,
@@ -61,6 +61,64 @@
 const sendAs = (node: ForwardTestNode, id: string, keyHash?: Parameters<typeof buildRequest>[2]) =>
     getSalt(node.run([buildRequest(node, id, keyHash)], 10));
 
+describe("prompt parts that an account made before it was isolated", () => {
+    // Guards against WALL: other accounts went on using the parts that the account had made under the shared salt.
+    it("are not found by requests of other accounts", async () => {
+        const node = await createNode([]);
+        const shared = sendAs(node, "before");
+        expect(sendAs(node, "other-before", pressKey)).toBe(shared);
+        node.run([buildChange(node, 2, [shop])], 10);
+        const own = sendAs(node, "after");
+        const others = sendAs(node, "other-after", pressKey);
+        expect(new Set([shared, own, others]).size).toBe(3);
+    });
+
+    // Guards against the same in a part store, which keeps parts for as long as it has room.
+    it("are not fetched from a part store for requests of other accounts", async () => {
+        const node = await createNode([]);
+        const address = "127.0.0.1:7";
+        const partStore = {
+            id: toTargetId(`store@${address}`),
+            address,
+            dataCentre: toDataCentreId("dc-0"),
+            maxFollowers: 8,
+        };
+        node.run([node.buildChangeEvent({ document: { ...buildVersion(2, []), partStores: [partStore] } })]);
+        node.runFor(1100);
+        const salt = sendAs(node, "before");
+        const change = { part: toCachedPartKey(salt as CacheSalt, catalogue), tokens: 600 };
+        const report = { epoch: 1, nextEventNumber: 2, hasGap: false, changes: [change] };
+        node.run([{ kind: "partsReported", target: partStore.id, report }], 10);
+        const getSource = (id: string) =>
+            listEffects(node.run([buildRequest(node, id, pressKey)], 10), "sendRequest")[0]?.call.engine?.fetchFrom;
+        expect(getSource("other-before")).toBe(address);
+        node.run([node.buildChangeEvent({ document: { ...buildVersion(3, [shop]), partStores: [partStore] } })], 10);
+        expect(getSource("other-after")).toBeUndefined();
+    });
+
+    // Guards against processes that never share a part again since they have seen other versions before.
+    it("are left behind in the same way by a process that starts later or missed a version", async () => {
+        const [first, second] = [await createNode([]), await createNode([press])];
+        first.run([buildChange(first, 2, [press])], 10);
+        first.run([buildChange(first, 3, [shop])], 10);
+        second.run([buildChange(second, 3, [shop])], 10);
+        const third = await createNode([shop]);
+        expect(new Set([first, second, third].map(node => sendAs(node, "r", pressKey))).size).toBe(1);
+        expect(new Set([first, second, third].map(node => sendAs(node, "q"))).size).toBe(1);
+    });
+
+    // Guards against an operator who cannot tell why all prompts are computed again.
+    it("are reported as started afresh, with the accounts that changed", async () => {
+        const node = await createNode([press]);
+        const effects = node.run([buildChange(node, 2, [shop])], 10);
+        const line = listEffects(effects, "writeLog").find(({ message }) => message.startsWith("Shared prompt parts"));
+        expect(line?.fields).toMatchObject({ changedAccounts: 2, isolated: ["shop"], noLongerIsolated: ["press"] });
+        expect(listEffects(effects, "addCount").map(({ name }) => name)).toContain("shared_scope_changes_total");
+        const sameAccounts = node.run([buildChange(node, 3, [shop])], 10);
+        expect(listEffects(sameAccounts, "addCount")).toEqual([]);
+    });
+});
+
 describe("a request whose account is isolated before the request is sent", () => {
     // Guards against a request that was admitted before the change and leaves its parts where other accounts find them.
     it("goes out under the account's own salt when it has waited for an engine", async () => {
--- a/test/forward/routing.test.ts
+++ b/test/forward/routing.test.ts
@@ -338,7 +338,7 @@
             targets: buildEngines(1),
         });
         const salt = listEffects(sendArrival(node, "r1"), "sendRequest")[0]?.call.engine?.salt;
-        expect(salt).toBe("model-a.1.shop");
+        expect(salt).toBe("model-a.1.bI0e72MwID5PUTsZt8Jaaw");
     });
 });
 
