Give each request to an engine a cache salt

What callers would see: a request that names no model, that goes to an engine which has registered no weights for its model, or whose list of parts cannot be read went out without a salt. Engines take an absent salt for one text that all share, so an isolated account's prompt parts could be used by others and parts of older weights be used again.

Cause: the salt was part of what is known only with the version of the weights. Such a request now gets a salt of its own, of its id and the scope of its account. Requests to plain services still get none.

Four of the new tests in isolatedAccounts.test.ts fail without the change.

--- a/src/forward/calls.ts
+++ b/src/forward/calls.ts
@@ -58,7 +58,8 @@
     /** Present for engines. */
     readonly engine?: {
         readonly salt: CacheSalt;
-        readonly version: WeightsVersion;
+        /** Version of the weights that the engine must have; undefined when it is not known. */
+        readonly version: WeightsVersion | undefined;
         /** 0 is the most urgent. */
         readonly priority: number;
         /** Address from which the engine fetches cached parts that it lacks. */
--- a/src/forward/policy/cacheScope.ts
+++ b/src/forward/policy/cacheScope.ts
@@ -3,16 +3,16 @@
  * keep it for as long as they have room, also after its account has been isolated.
  */
 import { createHash } from "node:crypto";
-import type { AccountId } from "../../ids";
+import type { AccountId, RequestId } from "../../ids";
 import type { ForwardAccount } from "../document";
 import { type CacheSalt, type CacheScope, toCacheSalt, toCacheScope, type WeightsVersion } from "../ids";
 
 /** 132 bits in base64url, which has no dot and only characters that a header may hold. */
 const scopeLength = 22;
 
-const computeDigest = (kind: "account" | "shared", accounts: readonly AccountId[]): CacheScope =>
+const computeDigest = (kind: "account" | "shared" | "request", names: readonly string[]): CacheScope =>
     toCacheScope(
-        createHash("sha256").update(JSON.stringify([kind, ...accounts])).digest("base64url").slice(0, scopeLength),
+        createHash("sha256").update(JSON.stringify([kind, ...names])).digest("base64url").slice(0, scopeLength),
     );
 
 /** Lists the accounts that share no cached parts, in an order that does not depend on the configuration's. */
@@ -34,6 +34,10 @@
 /** Computes the scope of an isolated account, in which no other account makes parts. */
 export const computeOwnScope = (account: AccountId): CacheScope => computeDigest("account", [account]);
 
+/** Computes the scope of a single request within that of its account. */
+export const computeRequestScope = (scope: CacheScope, request: RequestId): CacheScope =>
+    computeDigest("request", [scope, request]);
+
 /**
  * Formats the salt. Part stores keep parts across a change of weights, so their version is in it. The scope and the
  * version have no dots, so that no two models, versions and scopes give the same text.
@@ -41,5 +45,5 @@
  * @example
  * formatSalt(toModelId("catalogue.large"), toWeightsVersion(2), toCacheScope("")); // "catalogue.large.2."
  */
-export const formatSalt = (model: string, version: WeightsVersion, scope: CacheScope): CacheSalt =>
-    toCacheSalt(`${model}.${version}.${scope}`);
+export const formatSalt = (model: string, version: WeightsVersion | undefined, scope: CacheScope): CacheSalt =>
+    toCacheSalt(`${model}.${version ?? ""}.${scope}`);
--- a/src/forward/systems/cacheSalts.ts
+++ b/src/forward/systems/cacheSalts.ts
@@ -3,7 +3,7 @@
 import type { PromptPart } from "../calls";
 import type { ForwardTick } from "../events";
 import { type CacheSalt, type CacheScope, toCachedPartKey, type WeightsVersion } from "../ids";
-import { computeOwnScope, formatSalt } from "../policy/cacheScope";
+import { computeOwnScope, computeRequestScope, formatSalt } from "../policy/cacheScope";
 import type { ForwardAttempt, ForwardRequestRow } from "../tables/requests";
 import type { ForwardWorld } from "../world";
 
@@ -17,12 +17,25 @@
     return current?.isIsolated ? computeOwnScope(current.id) : configuration.sharedScope;
 }
 
-/** Computes the salt of the request on an engine with that version of the weights. */
-export const computeSalt = (
-    { arrival: { model } }: Pick<ForwardRequestRow, "arrival">,
-    version: WeightsVersion,
+/**
+ * Computes the salt of the request on an engine with that version of the weights. A request whose version is not known
+ * shares its parts with no other: without a salt, engines would let it share them with all such requests.
+ */
+export function computeSalt(
+    { id, arrival }: Pick<ForwardRequestRow, "id" | "arrival">,
+    version: WeightsVersion | undefined,
     scope: CacheScope,
-): CacheSalt => formatSalt(model ?? "", version, scope);
+): CacheSalt {
+    return formatSalt(arrival.model ?? "", version, version === undefined ? computeRequestScope(scope, id) : scope);
+}
+
+/** True when the targets of the request's service are engines. */
+const hasEngines = (world: ForwardWorld, { service }: Pick<ForwardRequestRow, "service">): boolean =>
+    world.tables.configuration.document?.services.get(service)?.engine !== undefined;
+
+/** The salt of a request without prompt parts that can be read; undefined for a plain service. */
+export const findSaltWithoutParts = (world: ForwardWorld, row: ForwardRequestRow): CacheSalt | undefined =>
+    hasEngines(world, row) ? computeSalt(row, undefined, findCacheScope(world, row)) : undefined;
 
 /** Tokens of the longest prefix of the parts that the target is recorded to have cached. */
 export function computeCachedTokens(
@@ -50,9 +63,9 @@
     world: ForwardWorld,
     tick: ForwardTick,
     row: ForwardRequestRow,
-    { target, salt }: Pick<ForwardAttempt, "target" | "salt">,
+    { target, salt, weights }: Pick<ForwardAttempt, "target" | "salt" | "weights">,
 ): void {
-    if (salt === undefined) {
+    if (salt === undefined || weights === undefined) {
         return;
     }
     const { cachedParts, configuration, members } = world.tables;
--- a/src/forward/systems/chooseEngine.ts
+++ b/src/forward/systems/chooseEngine.ts
@@ -37,7 +37,7 @@
     /** Rank of the engine for the shared part; 0 for all engines over which the part is spread. */
     readonly rank?: number;
     readonly version: WeightsVersion | undefined;
-    /** Salt by which the cached parts were looked up, and with which the request is sent. */
+    /** Salt by which the cached parts were looked up, and with which the request is sent; undefined for plain services. */
     readonly salt: CacheSalt | undefined;
     /** Prompt tokens that the engine has cached or will fetch. */
     readonly reusedTokens: number;
@@ -72,7 +72,7 @@
 
 interface EngineState extends EngineCandidate {
     readonly version: WeightsVersion | undefined;
-    readonly salt: CacheSalt | undefined;
+    readonly salt: CacheSalt;
     /** True when the engine's weights were replaced more than `outdatedAfterMs` ago. */
     readonly isOutdated: boolean;
     /** Prompt tokens that the engine is known or assumed to have cached. */
@@ -105,7 +105,7 @@
     const sources = new Map<WeightsVersion, FetchSource>();
     const partStore = findPartStore(world, findSharedPart(row));
     for (const { target, cachedTokens, version, salt } of engines) {
-        if (version === undefined || salt === undefined) {
+        if (version === undefined) {
             continue;
         }
         if (partStore && !sources.has(version)) {
@@ -143,12 +143,12 @@
     world: ForwardWorld,
     tick: ForwardTick,
     row: ForwardRequestRow,
-    salt: CacheSalt | undefined,
+    { version, salt }: Pick<TargetChoice, "version" | "salt">,
 ): string | undefined {
     const partStore = findPartStore(world, findSharedPart(row));
     const shared = row.arrival.parts.slice(0, -1);
     const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
-    if (!partStore || salt === undefined || sharedTokens < minCopyTokens) {
+    if (!partStore || version === undefined || salt === undefined || sharedTokens < minCopyTokens) {
         return undefined;
     }
     // Without cache events of the part store, every part would be copied to it many times.
@@ -182,8 +182,8 @@
         const { target, rank } = candidate;
         const { id } = target.registration;
         const version = model && target.weights.get(model);
-        const salt = version === undefined ? undefined : computeSalt(row, version, scope);
-        const knownTokens = salt === undefined ? 0 : computeCachedTokens(world, id, salt, parts);
+        const salt = computeSalt(row, version, scope);
+        const knownTokens = version === undefined ? 0 : computeCachedTokens(world, id, salt, parts);
         const cachedTokens = rank === 0
             ? Math.max(knownTokens, estimateCachedTokens(world, tick, row, id))
             : knownTokens;
@@ -230,5 +230,5 @@
             };
         }
     }
-    return best && { ...best, copyTo: findCopyTarget(world, tick, row, best.salt) };
+    return best && { ...best, copyTo: findCopyTarget(world, tick, row, best) };
 }
--- a/src/forward/systems/routeRequests.ts
+++ b/src/forward/systems/routeRequests.ts
@@ -9,6 +9,7 @@
 import { formatAttemptKey, type ForwardRequestRow, type MissingResource } from "../tables/requests";
 import type { ForwardTargetRow } from "../tables/targets";
 import type { ForwardWorld } from "../world";
+import { findSaltWithoutParts } from "./cacheSalts";
 import { chooseEngine, type TargetChoice } from "./chooseEngine";
 import { isUsable, listEligible } from "./eligibleTargets";
 import { computeRequestPriority } from "./engineCandidates";
@@ -31,7 +32,12 @@
 const serviceRemoteCostMs = 5;
 const serviceFailureCostMs = 200;
 
-function chooseServiceTarget(world: ForwardWorld, eligible: readonly ForwardTargetRow[]): TargetChoice | undefined {
+function chooseServiceTarget(
+    world: ForwardWorld,
+    row: ForwardRequestRow,
+    eligible: readonly ForwardTargetRow[],
+): TargetChoice | undefined {
+    const salt = findSaltWithoutParts(world, row);
     let best: TargetChoice | undefined;
     for (const target of eligible) {
         const remoteMs = target.registration.dataCentre === world.settings.dataCentre ? 0 : serviceRemoteCostMs;
@@ -46,7 +52,7 @@
                 queueMs: 0,
                 firstEventMs: 0,
                 version: undefined,
-                salt: undefined,
+                salt,
                 reusedTokens: 0,
                 fetchFrom: undefined,
             };
@@ -84,7 +90,7 @@
         resumeAfterEventId: row.lastEventId > 0 ? row.lastEventId : undefined,
     };
     const { version, salt } = choice;
-    if (version === undefined || salt === undefined) {
+    if (salt === undefined) {
         return call;
     }
     return {
@@ -308,7 +314,7 @@
     const eligible = listEligible(world, tick, row);
     const choice = row.arrival.parts.length > 0
         ? chooseEngine(world, tick, row, eligible)
-        : chooseServiceTarget(world, eligible);
+        : chooseServiceTarget(world, row, eligible);
     if (choice && row.attempts.length === 0 && refuseLateRequest(world, tick, row, choice)) {
         return;
     }
--- a/test/forward/isolatedAccounts.test.ts
+++ b/test/forward/isolatedAccounts.test.ts
@@ -1,19 +1,23 @@
 /** Which requests may share cached prompt parts while the configuration isolates accounts and shares them again. */
 import { describe, expect, it } from "vitest";
-import type { ForwardDocument } from "../../src/forward/document";
+import type { ForwardArrival } from "../../src/forward/calls";
+import type { ForwardDocument, RegisteredTarget } from "../../src/forward/document";
 import type { ForwardEffect } from "../../src/forward/effects";
 import { type CacheSalt, toCachedPartKey, toPartId } from "../../src/forward/ids";
-import { toAccountId, toDataCentreId, toKeyHash, toMillis, toRequestId, toTargetId } from "../../src/ids";
+import { type KeyHash, toAccountId, toDataCentreId, toKeyHash, toMillis, toRequestId, toTargetId } from "../../src/ids";
 import {
     account as shop,
     buildArrival,
     buildDocument,
     buildHeaderFields,
+    buildRoute,
     buildStreamBegin,
     buildTarget,
     createForwardTestNode,
     type ForwardTestNode,
+    key,
     listEffects,
+    plainService,
 } from "../support/forwardNode";
 
 const press = toAccountId("press");
@@ -43,7 +47,7 @@
     return node;
 }
 
-const buildRequest = (node: ForwardTestNode, id: string, keyHash = buildArrival("r").keyHash) => ({
+const buildRequest = (node: ForwardTestNode, id: string, keyHash: KeyHash = key) => ({
     kind: "requestArrived" as const,
     arrival: buildArrival(id, { keyHash, parts, arrivedAt: toMillis(node.getNow()) }),
 });
@@ -58,7 +62,7 @@
     return sent[0]?.call.engine?.salt;
 }
 
-const sendAs = (node: ForwardTestNode, id: string, keyHash?: Parameters<typeof buildRequest>[2]) =>
+const sendAs = (node: ForwardTestNode, id: string, keyHash: KeyHash = key) =>
     getSalt(node.run([buildRequest(node, id, keyHash)], 10));
 
 describe("prompt parts that an account made before it was isolated", () => {
@@ -200,3 +204,47 @@
         expect([getTokens(sent), getTokens(now)]).toEqual([600, 0]);
     });
 });
+
+describe("a request for which no version of the weights is known", () => {
+    const cases: readonly (readonly [string, Partial<ForwardArrival>, Partial<RegisteredTarget>])[] = [
+        ["names no model", { model: undefined }, {}],
+        ["goes to an engine that has registered no weights", {}, { weights: new Map() }],
+        ["has no parts that can be read", { parts: [] }, {}],
+    ];
+
+    // Guards against requests without a salt: engines let all of them share their parts, isolated or not.
+    it.each(cases)("shares its parts with no other when it %s", async (_, arrival, registration) => {
+        const targets = [{ name: "e1", target: buildTarget("e1", registration) }];
+        const node = await createNode([shop], targets);
+        const getOwnSalt = (id: string, keyHash: KeyHash) => {
+            const event = buildRequest(node, id, keyHash);
+            return getSalt(node.run([{ ...event, arrival: { ...event.arrival, ...arrival } }], 10));
+        };
+        const salts = [getOwnSalt("r1", key), getOwnSalt("r2", key), getOwnSalt("r3", pressKey)];
+        expect(salts).not.toContain(undefined);
+        expect(new Set(salts).size).toBe(3);
+    });
+
+    // Guards against two accounts whose callers use the same id.
+    it("shares its parts with no other account that uses its id", async () => {
+        const [node, other] = [await createNode([shop]), await createNode([shop])];
+        const arrival = { model: undefined };
+        const sendTo = (to: ForwardTestNode, keyHash: KeyHash) => {
+            const event = buildRequest(to, "r1", keyHash);
+            return getSalt(to.run([{ ...event, arrival: { ...event.arrival, ...arrival } }], 10));
+        };
+        expect(sendTo(node, key)).not.toBe(sendTo(other, pressKey));
+    });
+
+    // Guards against a request to a plain service that gets the header of an engine.
+    it("goes to a plain service without a salt", async () => {
+        const route = buildRoute({ services: [{ service: plainService, weight: 1 }] });
+        const node = await createNode([shop], [
+            { name: "s1", target: buildTarget("s1", { service: plainService, weights: new Map() }) },
+        ]);
+        node.run([node.buildChangeEvent({ document: { ...buildVersion(2, [shop]), routes: [route] } })], 10);
+        const event = buildRequest(node, "r1");
+        const effects = node.run([{ ...event, arrival: { ...event.arrival, model: undefined, parts: [] } }], 10);
+        expect(listEffects(effects, "sendRequest")[0]?.call.engine).toBeUndefined();
+    });
+});
