--- a/src/systems/routeRequests.ts
+++ b/src/systems/routeRequests.ts
@@ -277,6 +277,7 @@
     logInfo(world.effects, "route:", "Request routed.", {
         request: row.id,
         account: row.account,
+        model: send.call.engine?.model,
         route: row.routeId,
         attempt: number,
         target: target.id,
