--- a/src/configCheck/differences.ts
+++ b/src/configCheck/differences.ts
@@ -80,6 +80,23 @@
     ];
 }
 
+const isSharing = ({ isIsolated }: AccountRow): boolean => !isIsolated;
+
+const listIsolatedIds = ({ accounts }: ConfigView): readonly string[] =>
+    [...buildRowIndex(accounts).values()].filter(({ isIsolated }) => isIsolated).map(({ id }) => id).sort();
+
+/** Accounts that share cached prompt parts begin without any when other accounts are isolated than before. */
+function listSharedPartDifferences(after: ConfigView, before: ConfigView): readonly Difference[] {
+    const [newIds, oldIds] = [listIsolatedIds(after), listIsolatedIds(before)];
+    const isSame = newIds.length === oldIds.length && newIds.every((id, index) => id === oldIds[index]);
+    return isSame || !after.accounts.some(isSharing) || !before.accounts.some(isSharing) ? [] : [{
+        code: "shared-parts-restart",
+        place: [],
+        impact: "changes",
+        message: "other accounts are isolated than before: all prompt parts that accounts share are computed once more",
+    }];
+}
+
 /** Digits of a key's hash that are shown. */
 const shownHashDigits = 8;
 
@@ -218,6 +235,7 @@
     listAccessDifferences,
     listRouteDifferences,
     listAccountDifferences,
+    listSharedPartDifferences,
     listKeyDifferences,
     ...(Object.keys(rowTexts) as RowSection[]).map(section => (after: ConfigView, before: ConfigView) =>
         listRowDifferences(section, after, before)
--- a/test/configCheck.test.ts
+++ b/test/configCheck.test.ts
@@ -41,6 +41,12 @@
 const buildAccount = (overrides: Values): Values => ({
     tenants: [{ "name": "shop", "api-keys": ["key-1"], ...overrides }],
 });
+const buildTwoAccounts = (overrides: Values): Values => ({
+    tenants: [
+        { "name": "shop", "api-keys": ["key-1"] },
+        { "name": "press", "api-keys": ["key-2"], ...overrides },
+    ],
+});
 
 /** One document for each code, with the path at which it is found. Other parts of it have no finding. */
 const findingCases: Readonly<Record<FindingCode, FindingCase>> = {
@@ -206,6 +212,24 @@
         ["a closed route", "forward", route({ "no-auth": true }), route({}), [
             "narrows requests to shop.example/lookup/ are refused without a key",
         ]],
+        // The processes compute all shared parts once more then, which the operator is told before.
+        [
+            "an account that is isolated",
+            "forward",
+            buildTwoAccounts({}),
+            buildTwoAccounts({ isolated: true }),
+            [
+                "changes account \"press\" no longer shares cached prompt parts with other accounts",
+                "changes other accounts are isolated than before: all prompt parts that accounts share are computed once more",
+            ],
+        ],
+        [
+            "an isolated account where no other shares",
+            "forward",
+            buildAccount({ isolated: true }),
+            buildAccount({ isolated: true, priority: 1 }),
+            ["narrows account \"shop\" has later turns under load"],
+        ],
         [
             "a rate without limit",
             "forward",
