--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -37,6 +37,7 @@
     "write_delay_ms",
 ];
 const gaugeNames: readonly GaugeName[] = [
+    "answered_upload_bytes",
     "configuration_behind",
     "configuration_version",
     "isolated_accounts",
--- a/src/adapters/node.ts
+++ b/src/adapters/node.ts
@@ -10,6 +10,7 @@
 import { createTables } from "../tables";
 import { createTimerService } from "../timers";
 import type { World } from "../world";
+import { createAnsweredUploads, createUploadReporter } from "./answeredUploads";
 import { createCallerServer } from "./callerServer";
 import { createEndReporter } from "./checkedEnds";
 import { createClientBounds } from "./clientBounds";
@@ -94,6 +95,7 @@
         post,
         openRequests,
         answers: clients.answers,
+        uploads: createAnsweredUploads({ ...createUploadReporter({ writeLog: write, metrics }), reportFailure }),
         onEndChecked: createEndReporter({ writeLog: write, metrics }),
         reportFailure,
     });
--- a/src/adapters/targetClient.ts
+++ b/src/adapters/targetClient.ts
@@ -7,6 +7,7 @@
 import type { RequestId } from "../ids";
 import type { AttemptFailure, TargetCall } from "../requests";
 import type { FailureReporter } from "../runner";
+import { type AnsweredUploads, createAnsweredUploads } from "./answeredUploads";
 import type { AnswerRoom } from "./answerRoom";
 import { type BufferedAnswer, buildAnswerRecord, buildBufferedAnswer, type WholeResponse } from "./bufferedAnswer";
 import type { CheckedEnd } from "./checkedEnds";
@@ -38,6 +39,8 @@
     readonly openRequests: OpenRequests;
     /** Room for large answers; the default is no bound. */
     readonly answers?: AnswerRoom;
+    /** Uploads that targets have answered; the default follows them without a report. */
+    readonly uploads?: AnsweredUploads;
     /** Called for each answer without framing whose end was checked. */
     readonly onEndChecked?: (end: CheckedEnd) => void;
     readonly reportFailure?: FailureReporter;
@@ -82,6 +85,7 @@
         post,
         openRequests,
         answers,
+        uploads = createAnsweredUploads(),
         onEndChecked = () => undefined,
         reportFailure = handleUnreportedFailure,
     }: TargetClientOptions,
@@ -275,6 +279,7 @@
             },
             agent: call.needsNewConnection ? singleUseAgent : agent,
         }, "closed");
+        uploads.follow(request, { bodyBytes: body.length });
         const handleHead = (response: http.IncomingMessage): void => {
             if (attempts.get(id) !== runningAttempt) {
                 response.destroy();
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -62,6 +62,8 @@
 
 /** Names of the levels that systems report; each update replaces the value. */
 export type GaugeName =
+    /** Bytes of request bodies that targets have answered and not read yet. */
+    | "answered_upload_bytes"
     /** Version of the configuration in force; 0 before the first one. */
     | "configuration_version"
     /** 1 while a newer configuration than that in force is known to exist, else 0. */
--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -1,5 +1,6 @@
 /** Sends requests to targets, buffers plain responses and relays event streams. */
 import * as http from "node:http";
+import { type AnsweredUploads, createAnsweredUploads } from "../../adapters/answeredUploads";
 import type { AnswerRoom } from "../../adapters/answerRoom";
 import type { CheckedEnd } from "../../adapters/checkedEnds";
 import { applyHeadLimit } from "../../adapters/headLimit";
@@ -35,6 +36,8 @@
     readonly openRequests: OpenForwardRequests;
     /** Room for large answers; the default is no bound. */
     readonly answers?: AnswerRoom;
+    /** Uploads that targets have answered; the default follows them without a report. */
+    readonly uploads?: AnsweredUploads;
     /** True when responses must carry `Connection: close`. */
     readonly isClosing: () => boolean;
     /** Finds out whether a target still runs that has ended a response without framing. */
@@ -91,6 +94,7 @@
 export function createForwardClient(options: ForwardClientOptions): ForwardClient {
     const { codec, post, openRequests, answers, isClosing, reportFailure = handleUnreportedFailure } = options;
     const { checkListener = createListenerCheck(), onEndChecked = () => undefined } = options;
+    const { uploads = createAnsweredUploads() } = options;
     const agents = createTargetAgents();
     const attempts = new Map<RequestId, RunningAttempt>();
     const responseWriter = createResponseWriter({ codec, isClosing, reportFailure });
@@ -217,6 +221,7 @@
             agent: agents.get(call.target),
             setHost: false,
         });
+        uploads.follow(request, { bodyBytes: body.length });
         const guard = createListenerGuard({
             part: "forwardClient",
             fields: { request: id, attempt, target: call.target },
--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -1,5 +1,6 @@
 /** Assembles one process of the forwarding mode: tables, systems, timers and all adapters. */
 import type * as http from "node:http";
+import { createAnsweredUploads, createUploadReporter } from "../../adapters/answeredUploads";
 import { createEndReporter } from "../../adapters/checkedEnds";
 import { type ClientBounds, createClientBounds } from "../../adapters/clientBounds";
 import { createClientReporter } from "../../adapters/clientReports";
@@ -122,6 +123,7 @@
         post,
         openRequests,
         answers: clients.answers,
+        uploads: createAnsweredUploads({ ...createUploadReporter({ writeLog: write, metrics }), reportFailure }),
         isClosing: front.isClosing,
         onEndChecked: createEndReporter({ writeLog: write, metrics }),
         reportFailure,
