Close connections whose targets do not read uploads that they have answered

Cause: the connection to a target keeps a request's body until it is written. Once the answer was relayed, nothing counted the body and nothing bounded how long the connection is kept. Evidence: answered_upload_bytes was at 140 MB just before a process was killed at 256 MB.

Such a connection is now closed at the time limit of its request, and before that, the oldest first, when all such bodies together go over clients.answeredUploadBytes, a sixteenth of the memory. The callers have their answers by then. A target that reads on in time keeps its connection.

--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -21,6 +21,7 @@
     interrupted_responses_total: ["framing"],
     unframed_ends_total: ["state"],
     waits_total: ["missing"],
+    answered_uploads_closed_total: ["fault"],
     orders_total: ["outcome"],
     shared_scope_changes_total: [],
     service_rollout_states_total: ["service", "state"],
--- a/src/adapters/node.ts
+++ b/src/adapters/node.ts
@@ -95,7 +95,11 @@
         post,
         openRequests,
         answers: clients.answers,
-        uploads: createAnsweredUploads({ ...createUploadReporter({ writeLog: write, metrics }), reportFailure }),
+        uploads: createAnsweredUploads({
+            maxBytes: clients.limits.answeredUploadBytes,
+            ...createUploadReporter({ writeLog: write, metrics }),
+            reportFailure,
+        }),
         onEndChecked: createEndReporter({ writeLog: write, metrics }),
         reportFailure,
     });
--- a/src/adapters/targetClient.ts
+++ b/src/adapters/targetClient.ts
@@ -39,7 +39,7 @@
     readonly openRequests: OpenRequests;
     /** Room for large answers; the default is no bound. */
     readonly answers?: AnswerRoom;
-    /** Uploads that targets have answered; the default follows them without a report. */
+    /** Uploads that targets have answered; the default is no bound in bytes. */
     readonly uploads?: AnsweredUploads;
     /** Called for each answer without framing whose end was checked. */
     readonly onEndChecked?: (end: CheckedEnd) => void;
@@ -279,7 +279,7 @@
             },
             agent: call.needsNewConnection ? singleUseAgent : agent,
         }, "closed");
-        uploads.follow(request, { bodyBytes: body.length });
+        uploads.follow(request, { bodyBytes: body.length, timeLeftMs: call.timeoutMs, target: call.address });
         const handleHead = (response: http.IncomingMessage): void => {
             if (attempts.get(id) !== runningAttempt) {
                 response.destroy();
--- a/src/config/clientSettings.ts
+++ b/src/config/clientSettings.ts
@@ -23,6 +23,8 @@
     unparsedBytes: count.optional(),
     /** Maximum bytes of request bodies, on all connections. */
     bodyBytes: count.optional(),
+    /** Maximum bytes of request bodies that targets have answered and not read yet. */
+    answeredUploadBytes: count.optional(),
     /** Time without progress after which a connection is closed while its client has to read or to write. */
     stallMs: count.optional(),
     /** Time in which a request has to arrive whole. */
--- a/src/effects.ts
+++ b/src/effects.ts
@@ -48,6 +48,7 @@
     | "interrupted_responses_total"
     | "unframed_ends_total"
     | "waits_total"
+    | "answered_uploads_closed_total"
     | "shared_scope_changes_total"
     | "service_rollout_states_total"
     | "canary_requests_total"
--- a/src/forward/adapters/forwardClient.ts
+++ b/src/forward/adapters/forwardClient.ts
@@ -36,7 +36,7 @@
     readonly openRequests: OpenForwardRequests;
     /** Room for large answers; the default is no bound. */
     readonly answers?: AnswerRoom;
-    /** Uploads that targets have answered; the default follows them without a report. */
+    /** Uploads that targets have answered; the default is no bound in bytes. */
     readonly uploads?: AnsweredUploads;
     /** True when responses must carry `Connection: close`. */
     readonly isClosing: () => boolean;
@@ -221,7 +221,7 @@
             agent: agents.get(call.target),
             setHost: false,
         });
-        uploads.follow(request, { bodyBytes: body.length });
+        uploads.follow(request, { bodyBytes: body.length, timeLeftMs: call.timeLeftMs, target: call.target });
         const guard = createListenerGuard({
             part: "forwardClient",
             fields: { request: id, attempt, target: call.target },
--- a/src/forward/adapters/node.ts
+++ b/src/forward/adapters/node.ts
@@ -123,7 +123,11 @@
         post,
         openRequests,
         answers: clients.answers,
-        uploads: createAnsweredUploads({ ...createUploadReporter({ writeLog: write, metrics }), reportFailure }),
+        uploads: createAnsweredUploads({
+            maxBytes: clients.limits.answeredUploadBytes,
+            ...createUploadReporter({ writeLog: write, metrics }),
+            reportFailure,
+        }),
         isClosing: front.isClosing,
         onEndChecked: createEndReporter({ writeLog: write, metrics }),
         reportFailure,
--- a/src/policy/clientLimits.ts
+++ b/src/policy/clientLimits.ts
@@ -20,6 +20,8 @@
     readonly unparsedBytes: number;
     /** Bytes of request bodies, on all connections. */
     readonly bodyBytes: number;
+    /** Bytes of request bodies that targets have answered and not read yet, on all connections to targets. */
+    readonly answeredUploadBytes: number;
     /** Time without progress after which a connection is closed while its client has to read or to write. */
     readonly stallMs: number;
     /** Time in which a request has to arrive whole. */
@@ -39,6 +41,7 @@
     readonly unreadBytes?: number | undefined;
     readonly unparsedBytes?: number | undefined;
     readonly bodyBytes?: number | undefined;
+    readonly answeredUploadBytes?: number | undefined;
     readonly stallMs?: number | undefined;
     readonly requestMs?: number | undefined;
 }
@@ -98,6 +101,7 @@
         unreadBytes: options.unreadBytes ?? Math.floor(memoryBytes / 12),
         unparsedBytes: options.unparsedBytes ?? Math.floor(memoryBytes / 48),
         bodyBytes: options.bodyBytes ?? Math.floor(memoryBytes / 16),
+        answeredUploadBytes: options.answeredUploadBytes ?? Math.floor(memoryBytes / 16),
         stallMs: options.stallMs ?? 20_000,
         requestMs: options.requestMs ?? 120_000,
     };
--- a/test/support/rawFleet.ts
+++ b/test/support/rawFleet.ts
@@ -6,12 +6,12 @@
 
 const rawService = "raw";
 
-/** Routes to the raw target, by name; their prefixes are the names. */
-const rawRoutes = [
-    buildPlatformRoute("raw-order", "non_idempotent", rawService),
-    buildPlatformRoute("raw-lookup", "idempotent", rawService),
-    buildPlatformRoute("raw-stream", "streaming", rawService),
-    buildPlatformRoute("raw-resumable", "streaming", rawService, { resumable: true }),
+/** Builds routes to the raw target, by name; their prefixes are the names. */
+const buildRawRoutes = (overrides: Readonly<Record<string, unknown>>) => [
+    buildPlatformRoute("raw-order", "non_idempotent", rawService, overrides),
+    buildPlatformRoute("raw-lookup", "idempotent", rawService, overrides),
+    buildPlatformRoute("raw-stream", "streaming", rawService, overrides),
+    buildPlatformRoute("raw-resumable", "streaming", rawService, { ...overrides, resumable: true }),
 ];
 
 export interface RawFleet {
@@ -28,12 +28,14 @@
 export type RawFleetOptions = NonNullable<Parameters<typeof startPlatformFleet>[0]> & RawTargetOptions & {
     /** Maximum length of a request body; the default is that of the platform. */
     readonly maxBodyBytes?: number;
+    /** Longest time limit of requests; the default is that of the platform's routes. */
+    readonly timeoutMs?: number;
 };
 
 /** Starts a process and a target that answers `/raw-...` with the bytes that `answer` writes. */
 export async function startRawFleet(
     answer: (socket: net.Socket, request: RawRequest) => void,
-    { answersEarly = false, maxBodyBytes, ...options }: RawFleetOptions = {},
+    { answersEarly = false, maxBodyBytes, timeoutMs, ...options }: RawFleetOptions = {},
 ): Promise<RawFleet> {
     const target = await startRawTarget((socket, request) => {
         if (request.path === "/raw-lookup/ready") {
@@ -44,7 +46,7 @@
     }, { answersEarly });
     const fleet = await startPlatformFleet(options);
     fleet.writeConfiguration({
-        routes: rawRoutes,
+        routes: buildRawRoutes(timeoutMs === undefined ? {} : { "timeout-ms": timeoutMs }),
         services: [{ "name": rawService, "max-connections": 100 }],
         ...(maxBodyBytes === undefined ? {} : { limits: { "max-body-bytes": maxBodyBytes } }),
     });
--- a/test/support/stalledUploads.ts
+++ b/test/support/stalledUploads.ts
@@ -13,6 +13,8 @@
      * reaches the sender of the body at once, and while it still writes.
      */
     runWhenStalled(path: string, handler: () => void): Promise<void>;
+    /** Paths of the requests whose bodies wait to be written to an open connection. */
+    listStalled(): readonly string[];
     close(): void;
 }
 
@@ -23,15 +25,19 @@
         requests.push((message as { readonly request: http.ClientRequest; }).request);
     };
     diagnosticsChannel.subscribe("http.client.request.start", handleStart);
+    /** Connections are kept for further requests, so the last one counts. */
+    const listStalled = (): readonly string[] => {
+        const paths = new Map(requests.map(({ socket, path }) => [socket, path]));
+        return [...paths].flatMap(([socket, path]) =>
+            socket && !socket.destroyed && socket.writableLength > 0 ? [path] : []
+        );
+    };
     return {
         runWhenStalled: async (path, handler) => {
-            const isStalled = (): boolean =>
-                requests.some(({ path: requestPath, socket }) =>
-                    requestPath === path && socket !== null && socket.writableLength > 0
-                );
-            await waitUntil(isStalled);
+            await waitUntil(() => listStalled().includes(path));
             handler();
         },
+        listStalled,
         close: () => {
             diagnosticsChannel.unsubscribe("http.client.request.start", handleStart);
         },
