Keep the guard time of orders by an engine's name

Cause: the last order to an engine was kept by the id of its run, deleted when the run ended, and ignored while the engine had no row.

Each process also keeps the sender of the last order by the engine's name, until the guard time has passed.

--- a/src/forward/ids.ts
+++ b/src/forward/ids.ts
@@ -14,6 +14,9 @@
 /** Key of a cached part: salt and part id. */
 export type CachedPartKey = Branded<string, "CachedPartKey">;
 
+/** Registered name of a target, which it may keep when it starts again. */
+export type TargetName = Branded<string, "TargetName">;
+
 /** Number of times that the store has come back from an older copy; a revision identifies nothing without it. */
 export type StoreEra = Branded<number, "StoreEra">;
 
@@ -23,6 +26,7 @@
 export const toServiceId = (value: string): ServiceId => value as ServiceId;
 export const toWeightsVersion = (value: number): WeightsVersion => value as WeightsVersion;
 export const toPartId = (value: string): PartId => value as PartId;
+export const toTargetName = (value: string): TargetName => value as TargetName;
 export const toStoreEra = (value: number): StoreEra => value as StoreEra;
 /** Era of processes that know no eras and of stores that name none. */
 export const unknownEra: StoreEra = toStoreEra(0);
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -1,6 +1,6 @@
 /** Applies what operators, targets and other processes publish in the store. */
 import { logInfo } from "../../effects";
-import { addMillis, type TargetId } from "../../ids";
+import { addMillis, type TargetId, type VmId } from "../../ids";
 import {
     decodeMember,
     decodeOrder,
@@ -10,6 +10,7 @@
     rolloutLeaderKey,
 } from "../codec/fleetRows";
 import type { FleetRow, ForwardTick, PublishedChanges, StoreTransfer, TargetChange } from "../events";
+import { type TargetName, toTargetName } from "../ids";
 import { addPublishedWeights, getNewestWeights } from "../tables/configuration";
 import type { ForwardWorld } from "../world";
 import { applyDocument, type ChangeSource } from "./applyDocument";
@@ -21,6 +22,7 @@
 import { recordStoreContact, recordStoreFailures, recordStoreTransfer } from "./storeContact";
 import { confirmRegistrations, hasAnnouncedDeparture, recordDeparture, recordRemoval } from "./targetDepartures";
 import { endBackOff, expectLoading, recordSignOfLife } from "./targetHealth";
+import { computeLeaderGuardMs } from "./updateMembership";
 import { applyQuarantineRow, writeQuarantinesAgain } from "./updateQuarantine";
 
 /** Assumed age of a version that is found at the start of the process, until a peer reports when it was published. */
@@ -161,10 +163,25 @@
 /** Delay before streams are moved off an engine: short ones end by then, long ones would delay the load by seconds. */
 const streamMoveDelayMs = 300;
 
+/** Records who has ordered the engine, also if it is not registered at the moment, and removes senders of long ago. */
+function recordSender(world: ForwardWorld, tick: ForwardTick, name: TargetName, vm: VmId): void {
+    const { orderSenders } = world.tables.rollouts;
+    const guardMs = computeLeaderGuardMs(world);
+    for (const [other, { seenAt }] of orderSenders) {
+        if (tick.now >= addMillis(seenAt, guardMs)) {
+            orderSenders.delete(other);
+        }
+    }
+    orderSenders.set(name, { vm, seenAt: tick.now });
+}
+
 /** Applies a recorded order: every process stops sending requests to an engine that is about to load weights. */
-function applyOrder(world: ForwardWorld, tick: ForwardTick, text: string): void {
+function applyOrder(world: ForwardWorld, tick: ForwardTick, name: TargetName, text: string): void {
     const { targets, rollouts } = world.tables;
     const order = decodeOrder(text);
+    if (order) {
+        recordSender(world, tick, name, order.vm);
+    }
     const target = order && targets.get(order.target);
     if (!order || !target) {
         return;
@@ -181,7 +198,7 @@
 function applyFleetRow(world: ForwardWorld, tick: ForwardTick, { key, value, createRevision }: FleetRow): void {
     const { members, node } = world.tables;
     if (key.startsWith(orderPrefix) && value !== undefined) {
-        applyOrder(world, tick, value);
+        applyOrder(world, tick, toTargetName(key.slice(orderPrefix.length)), value);
         return;
     }
     if (key === rolloutLeaderKey) {
--- a/src/forward/systems/placeWeights.ts
+++ b/src/forward/systems/placeWeights.ts
@@ -4,7 +4,7 @@
 import type { WeightsOrderOutcome } from "../calls";
 import { encodeOrder, orderPrefix } from "../codec/fleetRows";
 import type { ForwardTick } from "../events";
-import { toWeightsVersion, type WeightsVersion } from "../ids";
+import { toTargetName, toWeightsVersion, type WeightsVersion } from "../ids";
 import { findOutdatedSince, getNewestWeights } from "../tables/configuration";
 import { isForwardLeaseValid } from "../tables/node";
 import type { RolloutRow, RolloutState } from "../tables/rollouts";
@@ -64,11 +64,15 @@
 }
 
 /** True when another process ordered the engine to load weights less than the guard time ago. */
-function isWithinGuardTime(world: ForwardWorld, tick: ForwardTick, target: TargetId): boolean {
-    const lastOrder = world.tables.rollouts.lastOrders.get(target);
-    return lastOrder !== undefined
-        && lastOrder.vm !== world.settings.vm
-        && tick.now < addMillis(lastOrder.seenAt, computeLeaderGuardMs(world));
+function isWithinGuardTime(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    { registration }: Pick<ForwardTargetRow, "registration">,
+): boolean {
+    const sender = world.tables.rollouts.orderSenders.get(toTargetName(registration.instance));
+    return sender !== undefined
+        && sender.vm !== world.settings.vm
+        && tick.now < addMillis(sender.seenAt, computeLeaderGuardMs(world));
 }
 
 function updateRolloutState(rollout: RolloutRow, state: RolloutState, now: Millis): void {
@@ -93,7 +97,7 @@
     return listEngines(world, model)
         .filter(target => !target.registration.isLeaving && isBehind(target, model, version))
         .filter(({ registration }) => !world.tables.rollouts.rows.has(registration.id))
-        .filter(({ registration }) => !isWithinGuardTime(world, tick, registration.id))
+        .filter(target => !isWithinGuardTime(world, tick, target))
         .sort((left, right) => getVersion(left) - getVersion(right) || left.inFlight.size - right.inFlight.size);
 }
 
@@ -236,7 +240,7 @@
         // A record of another era stands in a history in which this process holds no leadership.
         const isRecorded = result.ok && result.val.kind === "transaction" && result.val.succeeded
             && (result.val.era ?? storeEra) === storeEra;
-        if (isRecorded && canOrder(world, tick) && !isWithinGuardTime(world, tick, purpose.target)) {
+        if (isRecorded && canOrder(world, tick) && !isWithinGuardTime(world, tick, target)) {
             sendOrder(world, tick, target, rollout);
         }
         else {
--- a/src/forward/tables/rollouts.ts
+++ b/src/forward/tables/rollouts.ts
@@ -1,6 +1,6 @@
 /** Rollouts of new weights by this process, and the last orders of the whole fleet. */
 import type { Millis, ModelId, TargetId, VmId } from "../../ids";
-import type { WeightsVersion } from "../ids";
+import type { TargetName, WeightsVersion } from "../ids";
 
 /**
  * `reading`: waiting for the engine's report; `recording`: the order is being written to the store; `ordered`: the
@@ -31,10 +31,21 @@
     hasEnded: boolean;
 }
 
+/** Process that has last ordered an engine. */
+export interface OrderSender {
+    readonly vm: VmId;
+    readonly seenAt: Millis;
+}
+
 export interface RolloutsTable {
     readonly rows: Map<TargetId, RolloutRow>;
     /** Last order to each engine, by any process. */
     readonly lastOrders: Map<TargetId, RecordedOrder>;
+    /**
+     * Sender of the last order to each engine, by its name: an engine that starts again, or whose row lapses and returns,
+     * is the same one to its senders. Rows are removed once the guard time has passed.
+     */
+    readonly orderSenders: Map<TargetName, OrderSender>;
     /** Mean time from an order to the registration of the engine with the new weights. */
     cycleMs: number;
 }
@@ -46,5 +57,6 @@
 export const createRolloutsTable = (): RolloutsTable => ({
     rows: new Map(),
     lastOrders: new Map(),
+    orderSenders: new Map(),
     cycleMs: initialCycleMs,
 });
--- a/test/forward/weights.test.ts
+++ b/test/forward/weights.test.ts
@@ -49,6 +49,15 @@
     return node;
 }
 
+/** An engine with the oldest weights, which is ordered first. */
+const buildOldEngine = (name: string, start = 1) => ({
+    name,
+    target: buildTarget(name, {
+        id: toTargetId(`${name}@${start}`),
+        weights: new Map([[model, toWeightsVersion(0)]]),
+    }),
+});
+
 describe("orders for new weights", () => {
     it("are not sent within the guard time after the first read, because earlier orders are not known", async () => {
         const node = await createLeader();
@@ -85,6 +94,41 @@
         expect(new Set(ordersWithinGuard.map(effect => effect.target))).toEqual(new Set([toTargetId("e6@1")]));
     });
 
+    // Guards against ONE: the engine crashed with its sender, and the next leader took its new start for another engine.
+    it.each([
+        ["has started again under its name", [buildOldEngine("e1", 2)]],
+        ["has lost its row and is back", [{ name: "e1", target: undefined }, buildOldEngine("e1")]],
+    ])(
+        "are not sent within the guard time to an engine that %s since another process ordered it",
+        async (_, changes) => {
+            const node = await createLeader();
+            node.runFor(4000, createEffectHandler(node));
+            const value = encodeOrder({ vm: toVmId("other"), target: toTargetId("e1@1"), model, version: version2 });
+            const rows = [{ key: `${orderPrefix}e1`, value, createRevision: 1 }];
+            node.run([node.buildChangeEvent({ rows })], 1);
+            for (const target of changes) {
+                node.run([node.buildChangeEvent({ targets: [target] })], 200);
+            }
+            const published = [node.buildChangeEvent({ weights: [{ model, version: version2 }] })];
+            const within = listEffects(node.runFor(2500, createEffectHandler(node), published), "orderWeights");
+            expect(within.length).toBeGreaterThan(0);
+            expect(within.map(({ instance }) => instance)).not.toContain("e1");
+        },
+    );
+
+    // Guards against the same for a process that reads the order before the row of its engine.
+    it("are not sent within the guard time to an engine that registers after another process's order", async () => {
+        const node = await createLeader();
+        node.runFor(4000, createEffectHandler(node));
+        const value = encodeOrder({ vm: toVmId("other"), target: toTargetId("e7@1"), model, version: version2 });
+        node.run([node.buildChangeEvent({ rows: [{ key: `${orderPrefix}e7`, value, createRevision: 1 }] })], 1);
+        const effects = node.runFor(2500, createEffectHandler(node), [node.buildChangeEvent({
+            targets: [buildOldEngine("e7")],
+            weights: [{ model, version: version2 }],
+        })]);
+        expect(listEffects(effects, "orderWeights").map(({ instance }) => instance)).not.toContain("e7");
+    });
+
     it("begin with the engine that has the oldest weights", async () => {
         const node = await createLeader();
         node.runFor(4000, createEffectHandler(node));
