Let the soak isolate accounts and check which parts requests find

A second account sends a part of the requests, and two changes a run isolate some of the accounts, drawn apart so that the faults of earlier seeds stay the same.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -6,6 +6,7 @@
 import {
     crashingPart,
     getSoakTime,
+    pressKey,
     type RequestKind,
     secondKey,
     type SoakRequest,
@@ -34,6 +35,8 @@
 const kinds = Object.keys(shapes) as RequestKind[];
 /** Every so many requests, a stream has the crashing part in its prompt. */
 const requestsPerCrashingPart = 5;
+/** Every so many requests, one that does not have the second key comes from the second account. */
+const requestsPerPress = 3;
 const crashingHeaders = {
     ...streamHeaders,
     "x-marjoramvane-prompt-prefix": `5c1e07a2:800,${crashingPart}:410,e4402b7d:250`,
@@ -44,6 +47,7 @@
 async function sendOneRequest(world: SoakWorld, router: SoakRouter): Promise<void> {
     const kind = kinds[Math.floor(world.random() * kinds.length)] ?? "lookup";
     const configurationVersion = 1 + Math.floor(world.random() * world.configurationVersion);
+    const firstKey = world.requests.length % requestsPerPress === 0 ? pressKey : apiKey;
     const request: SoakRequest = {
         attempt: randomBytes(8).toString("hex"),
         kind,
@@ -51,7 +55,7 @@
         runNumber: router.runNumber,
         sentAt: getSoakTime(world),
         configurationVersion,
-        key: world.random() < 0.3 ? secondKey : apiKey,
+        key: world.random() < 0.3 ? secondKey : firstKey,
         hasCrashingPart: shapes[kind] === streamShape && world.requests.length % requestsPerCrashingPart === 0,
         isDisturbed: router.isDisturbed,
         answer: undefined,
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -1,6 +1,6 @@
 /** Guarantees that a soak run checks: what callers received is compared with what servers ran. */
 import { deadlineMs } from "./callers";
-import { type RequestKind, secondKey, type SoakRequest, type SoakWorld } from "./tables";
+import { pressKey, type RequestKind, secondKey, type SoakRequest, type SoakWorld } from "./tables";
 
 /** Number of events in each stream of the stand-in engine. */
 const streamEventCount = 4;
@@ -41,6 +41,20 @@
         : undefined;
 }
 
+const saltHeader = "x-marjoramvane-cache-salt";
+const accountHeader = "x-marjoramvane-tenant-id";
+
+/** Accounts whose earlier requests have left parts on an engine where the attempt, which ran there, finds them. */
+function listPartMakers({ engines }: SoakWorld, attempt: string): readonly string[] {
+    return engines.flatMap(({ server: { receivedRequests } }) => {
+        const index = receivedRequests.findIndex(request => request.hasRun && request.attempt === attempt);
+        const salt = receivedRequests[index]?.headers[saltHeader];
+        return receivedRequests.slice(0, Math.max(0, index))
+            .filter(({ hasRun, headers }) => hasRun && headers[saltHeader] === salt)
+            .map(({ headers }) => String(headers[accountHeader]));
+    });
+}
+
 const checks: Readonly<Record<string, Check>> = {
     "an answer belongs to its request and is complete": (_world, { answer, attempt, kind }) => {
         if (answer?.status !== 200) {
@@ -86,6 +100,20 @@
             ? "it was served"
             : undefined;
     },
+    "an isolated account shares no prompt parts": (world, { attempt, key, kind, sentAt, endedAt }) => {
+        const current = world.isolations.findLast(({ at }) => at <= sentAt);
+        const isSettled = current !== undefined && sentAt > current.at + maxRevocationMs
+            && !world.isolations.some(({ at }) => at > sentAt && at <= (endedAt ?? Infinity));
+        if (!isSettled || !isStream(kind) || hasRecentFault(world, sentAt, /^store|process/)) {
+            return undefined;
+        }
+        const isolated: readonly string[] = current.accounts;
+        const own = key === pressKey ? "press" : "shop";
+        const found = listPartMakers(world, attempt).filter(maker =>
+            maker !== own && (isolated.includes(own) || isolated.includes(maker))
+        );
+        return found.length > 0 ? `a request of ${own} found parts of ${found[0]}` : undefined;
+    },
     "every request ends at its deadline": (_world, { sentAt, endedAt, isDisturbed }) =>
         !isDisturbed && (endedAt === undefined || endedAt - sentAt > deadlineMs + deadlineToleranceMs)
             ? `it took ${Math.round((endedAt ?? Infinity) - sentAt)} ms`
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -5,7 +5,15 @@
 import type { PlatformStoreFaults } from "../standins/platformStore";
 import { startRouter, writeConfiguration } from "./fleet";
 import type { ProxyMode } from "./proxy";
-import { crashingPart, getSoakTime, type SoakFault, type SoakRouter, type SoakServer, type SoakWorld } from "./tables";
+import {
+    accountNames,
+    crashingPart,
+    getSoakTime,
+    type SoakFault,
+    type SoakRouter,
+    type SoakServer,
+    type SoakWorld,
+} from "./tables";
 
 /** Clients of one fault that read no answers, and the requests that each of them sends. */
 const unreadClients = 24;
@@ -293,6 +301,17 @@
     },
 };
 
+/** Changes of isolated accounts, drawn apart for the same reason. */
+const isolationFaultKinds: typeof faultKinds = {
+    "accounts are isolated": (world, { selector }) => {
+        const choice = Math.floor(selector * 2 ** accountNames.length);
+        world.isolatedAccounts = accountNames.filter((_, index) => (choice >> index) % 2 === 1);
+        world.isolations.push({ at: getSoakTime(world), accounts: world.isolatedAccounts });
+        writeConfiguration(world);
+        return endNothing;
+    },
+};
+
 const startFault = (world: SoakWorld, fault: SoakFault): () => void =>
     ({
         ...faultKinds,
@@ -303,6 +322,7 @@
         ...clientFaultKinds,
         ...configurationFaultKinds,
         ...damageFaultKinds,
+        ...isolationFaultKinds,
     })
         [fault.kind]?.(world, fault)
         ?? endNothing;
@@ -382,6 +402,19 @@
 export const createDamageFaults = (random: () => number, { durationMs }: SoakWorld, count: number): SoakFault[] =>
     createFaultsOf({ random, durationMs, count, kinds: Object.keys(damageFaultKinds), ...configurationTimes });
 
+/** Isolated accounts change early, so that there is time to see which parts requests use afterwards. */
+const isolationStartFraction = 0.3;
+
+/** Draws changes of isolated accounts with a generator of their own. */
+export const createIsolationFaults = (random: () => number, { durationMs }: SoakWorld, count: number): SoakFault[] =>
+    createFaultsOf({
+        random,
+        durationMs,
+        count,
+        kinds: Object.keys(isolationFaultKinds),
+        startFraction: isolationStartFraction,
+    });
+
 /** Starts and ends the faults that are due. Skips a fault of a process that another fault already disturbs. */
 export function runFaults(world: SoakWorld): void {
     const now = getSoakTime(world);
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -17,7 +17,15 @@
 import { startPlatformStore } from "../standins/platformStore";
 import { findPorts } from "../standins/ports";
 import { startProxy } from "./proxy";
-import { getSoakTime, secondKey, type SoakRouter, type SoakServer, type SoakWorld } from "./tables";
+import {
+    accountNames,
+    getSoakTime,
+    pressKey,
+    secondKey,
+    type SoakRouter,
+    type SoakServer,
+    type SoakWorld,
+} from "./tables";
 
 const programFile = "build/marjoramvane.cjs";
 const graceMs = 3000;
@@ -107,7 +115,13 @@
     const keys = world.withdrawnAt === undefined ? [apiKey, secondKey] : [apiKey];
     world.store.put("op/config", {
         ...base,
-        tenants: [{ "name": "shop", "api-keys": keys, "rate-per-s": 0, "burst": 0 }],
+        tenants: accountNames.map(name => ({
+            "name": name,
+            "api-keys": name === "shop" ? keys : [pressKey],
+            "rate-per-s": 0,
+            "burst": 0,
+            "isolated": world.isolatedAccounts.includes(name),
+        })),
         routes: [
             ...base["routes"] as readonly unknown[],
             ...Array.from(
@@ -178,6 +192,8 @@
         startedAt: performance.now(),
         idleRouteCount: 0,
         versionTimes: new Map(),
+        isolatedAccounts: [],
+        isolations: [],
         durationMs,
     };
     writeConfiguration(world);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -15,6 +15,7 @@
     createEngineFaults,
     createFaults,
     createFramingFaults,
+    createIsolationFaults,
     runFaults,
 } from "./faults";
 import { registerServers, startSoakWorld, stopSoakWorld } from "./fleet";
@@ -39,6 +40,8 @@
 const configurationFaultSeedOffset = 6_000_000;
 const damageFaultsPerRun = 1;
 const damageFaultSeedOffset = 7_000_000;
+const isolationFaultsPerRun = 2;
+const isolationFaultSeedOffset = 8_000_000;
 /** Time after the last deadline in which answers can still arrive. */
 const lateAnswerMs = 1500;
 
@@ -79,6 +82,7 @@
     const clientFaultGenerator = xoroshiro128plus(seed + clientFaultSeedOffset);
     const configurationFaultGenerator = xoroshiro128plus(seed + configurationFaultSeedOffset);
     const damageFaultGenerator = xoroshiro128plus(seed + damageFaultSeedOffset);
+    const isolationFaultGenerator = xoroshiro128plus(seed + isolationFaultSeedOffset);
     world.faults.push(
         ...createFaults(world, faultsPerRun),
         ...createEngineFaults(() => uniformFloat64(engineFaultGenerator), world, engineFaultsPerRun),
@@ -92,6 +96,7 @@
             configurationFaultsPerRun,
         ),
         ...createDamageFaults(() => uniformFloat64(damageFaultGenerator), world, damageFaultsPerRun),
+        ...createIsolationFaults(() => uniformFloat64(isolationFaultGenerator), world, isolationFaultsPerRun),
     );
     for (let tick = 0; getSoakTime(world) < durationMs; tick += 1) {
         runFaults(world);
--- a/soak/regressionSeeds.ts
+++ b/soak/regressionSeeds.ts
@@ -35,4 +35,10 @@
             "The stand-in engine cut a stream that it had begun without framing by an orderly close after a whole event, "
             + "which is the proper end of such a stream. It resets the connection since. Seen in one of two runs.",
     },
+    {
+        seed: 60,
+        cause:
+            "With a shared salt that did not depend on the isolated accounts, requests found parts that an account had "
+            + "made before it was isolated.",
+    },
 ];
--- a/soak/tables.ts
+++ b/soak/tables.ts
@@ -76,6 +76,10 @@
     configurationVersion: number;
     /** Times at which configurations were written. */
     readonly versionTimes: Map<number, number>;
+    /** Accounts that the last configuration isolates. */
+    isolatedAccounts: readonly AccountName[];
+    /** Times at which other accounts were isolated than before, in order. */
+    readonly isolations: { readonly at: number; readonly accounts: readonly AccountName[]; }[];
     /** Time at which the second key was withdrawn; undefined while it is valid. */
     withdrawnAt: number | undefined;
     startedAt: number;
@@ -85,6 +89,13 @@
 /** Prompt part under which engines end during some faults. */
 export const crashingPart = "bad1";
 
+/** Accounts of the callers. */
+export const accountNames = ["shop", "press"] as const;
+export type AccountName = (typeof accountNames)[number];
+
+/** Key of the second account. */
+export const pressKey = "key-of-the-press";
+
 /** Key that is withdrawn during some runs. */
 export const secondKey = "second-key-of-the-shop";
 
