--- a/src/adapters/answeredUploads.ts
+++ b/src/adapters/answeredUploads.ts
@@ -1,6 +1,6 @@
 /**
- * Bounds the bodies of requests that their targets have answered before they have read them. Their callers have their
- * answers, so all that such a body is good for is to keep the connection to the target.
+ * Bounds the bodies of requests that their targets have answered before they have read them. The callers have their
+ * answers already; the rest of such a body is written only so that the connection to the target can be used again.
  */
 import type * as http from "node:http";
 import type { Socket } from "node:net";
