--- a/src/forward/policy/crashingPart.ts
+++ b/src/forward/policy/crashingPart.ts
@@ -30,6 +30,10 @@
 /** A part that was answered within this time before a crash, or after it, did not cause the crash. */
 const answeredMemoryMs = 1000;
 
+/** True when the last answer to a part shows that the part did not cause the crash. */
+export const isCleared = (answeredAt: Millis | undefined, failedAt: Millis): boolean =>
+    answeredAt !== undefined && answeredAt >= failedAt - answeredMemoryMs;
+
 interface Candidate extends CrashingPart {
     readonly depth: number;
     readonly countedAt: Millis;
@@ -79,7 +83,7 @@
     for (const crash of unexplained.sort((left, right) => left.failedAt - right.failedAt)) {
         for (const [part, depth] of crash.suspects) {
             const answeredAt = getAnsweredAt(part);
-            if (answeredAt === undefined || answeredAt < crash.failedAt - answeredMemoryMs) {
+            if (!isCleared(answeredAt, crash.failedAt)) {
                 candidates.set(part, countCrash(candidates.get(part), part, depth, answeredAt, crash));
             }
         }
--- a/src/forward/tables/crashes.ts
+++ b/src/forward/tables/crashes.ts
@@ -28,7 +28,8 @@
     /** Returns the row of the target. A new row is not confirmed. */
     add(target: TargetId, failedAt: Millis): CrashRow;
     remove(target: TargetId): void;
-    removeOld(now: Millis): void;
+    /** Removes and returns the old rows. */
+    removeOld(now: Millis): readonly CrashRow[];
 }
 
 /** Adds a suspect unless the row has reached its maximum. */
@@ -62,11 +63,11 @@
             rows.delete(target);
         },
         removeOld: now => {
-            for (const [target, { failedAt }] of rows) {
-                if (now - failedAt > maxAgeMs) {
-                    rows.delete(target);
-                }
+            const old = [...rows.values()].filter(({ failedAt }) => now - failedAt > maxAgeMs);
+            for (const { target } of old) {
+                rows.delete(target);
             }
+            return old;
         },
     };
 }
