Keep readers of the store in use while it answers a little late

For callers it means that a busy store gets calls from the whole fleet for 5 s.

Cause: a reader passes nothing on from 1.5 s after the store's last confirmation and counted that from the beginning of the answered call. While nothing changes each call is held for 0.7 s, so the state was 1.4 s old just before each answer, and 0.1 s of delay made a sound reader answer "outdated".

An answer without changes is written when its wait is over, so the reader counts from there. The bound of 1.5 s is unchanged, and so is the age that a process which reads the store itself goes by.

Both new tests fail without the change.

--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -178,6 +178,8 @@
         readonly kind: "publishedChanged";
         readonly changes: PublishedChanges;
         readonly confirmedAt: Millis;
+        /** Shortest time for which the store held the call before it answered that nothing had changed; 0 by default. */
+        readonly heldMs?: number;
         readonly transfer?: StoreTransfer;
         readonly reader?: Pick<RelayedChanges, "reachableMs" | "rowsMayReturnMs">;
     }
--- a/src/forward/systems/relayStore.ts
+++ b/src/forward/systems/relayStore.ts
@@ -43,11 +43,19 @@
     return storeRelay.readers.vms;
 }
 
+/**
+ * Age of what this process passes on. The store holds a call until something changes, so an answer without changes is
+ * written at the end of the wait. Counted from the beginning of the call, the state before each answer would be as old as
+ * two waits, and an answer that is 0.1 s late would be too late.
+ */
+const computeRelayedAgeMs = ({ tables: { node, storeRelay } }: ForwardWorld, { now, wallNow }: ForwardTick): number =>
+    computeStoreAgeMs(node, now, wallNow) - storeRelay.heldMs;
+
 /** The answer to a call, or undefined while it waits for a change. */
 function findAnswer(world: ForwardWorld, tick: ForwardTick, { after, answerAt }: RelayCall): RelayAnswer | undefined {
     const { node, storeRelay } = world.tables;
     const { history } = storeRelay;
-    const ageMs = computeStoreAgeMs(node, tick.now, tick.wallNow);
+    const ageMs = computeRelayedAgeMs(world, tick);
     if (storeRelay.source !== undefined) {
         return { kind: "unavailable", reason: "not_a_reader" };
     }
@@ -90,30 +98,32 @@
  * contents are as old as its transfer; the next answer brings them up to date.
  */
 function isAnswerArriving(world: ForwardWorld, tick: ForwardTick): boolean {
-    const { events, now, wallNow } = tick;
-    const { node, storeRelay } = world.tables;
+    const { events } = tick;
+    const { storeRelay } = world.tables;
     const hasFailed = events.list("storeUnreachable").length > 0 || events.list("storeChangesSkipped").length > 0;
     const hasAnswer = events.list("publishedRead").length > 0 || events.list("publishedChanged").length > 0;
-    const hasEnded = hasFailed || (hasAnswer && computeStoreAgeMs(node, now, wallNow) < maxRelayedAgeMs);
+    const hasEnded = hasFailed || (hasAnswer && computeRelayedAgeMs(world, tick) < maxRelayedAgeMs);
     return !hasEnded && (storeRelay.isAnswerArriving || events.list("largeAnswerStarted").length > 0);
 }
 
 function recordChanges(world: ForwardWorld, tick: ForwardTick): void {
     const { storeRelay } = world.tables;
     const { history } = storeRelay;
-    storeRelay.isAnswerArriving = isAnswerArriving(world, tick);
     for (const { changes } of tick.events.list("publishedRead")) {
         history.restart(changes.position);
+        storeRelay.heldMs = 0;
     }
-    for (const { changes } of tick.events.list("publishedChanged")) {
+    for (const { changes, heldMs = 0 } of tick.events.list("publishedChanged")) {
         history.add(changes.items, changes.position);
+        storeRelay.heldMs = heldMs;
     }
+    storeRelay.isAnswerArriving = isAnswerArriving(world, tick);
 }
 
 function answerCalls(world: ForwardWorld, tick: ForwardTick): void {
-    const { calls } = world.tables.storeRelay;
+    const { calls, heldMs } = world.tables.storeRelay;
     for (const { call, after } of tick.events.list("relayCallReceived")) {
-        const confirmedUntil = addMillis(world.tables.node.storeConfirmedAt, maxRelayedAgeMs);
+        const confirmedUntil = addMillis(world.tables.node.storeConfirmedAt, heldMs + maxRelayedAgeMs);
         const waitUntil = addMillis(tick.now, calls.size < maxPendingCalls ? relayWaitMs : 0);
         const answerAt = confirmedUntil < waitUntil ? confirmedUntil : waitUntil;
         calls.set(call, { call, after, answerAt });
--- a/src/forward/tables/storeRelay.ts
+++ b/src/forward/tables/storeRelay.ts
@@ -35,6 +35,8 @@
     readers: { readonly membersRevision: number; readonly vms: readonly VmId[]; } | undefined;
     /** Reader from which this process gets changes; undefined while it reads the store itself. */
     source: VmId | undefined;
+    /** Shortest time from the store's last confirmation to the writing of its answer. */
+    heldMs: number;
     /** True while a large answer of the store arrives, and until its contents are confirmed as up to date. */
     isAnswerArriving: boolean;
     /** Timing that was last requested of the store's reader; empty before the first request. */
@@ -126,6 +128,7 @@
     failedUntil: new Map(),
     readers: undefined,
     source: undefined,
+    heldMs: 0,
     isAnswerArriving: false,
     requestedSource: "",
 });
--- a/test/forward/storeRelay.test.ts
+++ b/test/forward/storeRelay.test.ts
@@ -124,6 +124,21 @@
         expect(requestChanges(node, 1)).toEqual({ kind: "unavailable", reason: "outdated" });
     });
 
+    // Guards against a whole fleet that reads the store itself because the store answers a little late.
+    it("pass on what they know while each answer of the store comes at most 0.3 s late", async () => {
+        const node = await startReader();
+        const heldMs = 700;
+        const answers: (RelayAnswer | undefined)[] = [];
+        for (let round = 0; round < 6; round += 1) {
+            const confirmedAt = toMillis(node.getNow());
+            requestChanges(node, 1);
+            answers.push(...listEffects(node.runFor(heldMs + 300), "answerRelayCall").map(({ answer }) => answer));
+            node.run([{ ...node.buildChangeEvent({}), confirmedAt, heldMs } as ForwardEvent]);
+        }
+        expect(answers.length).toBeGreaterThan(4);
+        expect(answers.map(answer => answer?.kind)).toEqual(answers.map(() => "changes"));
+    });
+
     // Guards against a reader that was paused and passes on what it knew before; its monotonic clock stood still.
     it("pass nothing on after a suspension until the store has answered again", async () => {
         const node = await startReader();
@@ -358,6 +373,23 @@
             event.kind === "publishedChanged" ? event.changes.weights.map(({ version }) => `${version}`) : []
         );
 
+    // Guards against an early or empty answer that counts as written when the wait was over.
+    it("tells for how long the store held a call that ended without changes", async () => {
+        const { store, events, stop } = await startFeed(() => Promise.resolve({ kind: "readStore" }));
+        const listHeld = (isEmpty: boolean): number[] =>
+            events.flatMap(event =>
+                event.kind === "publishedChanged" && (event.changes.weights.length === 0) === isEmpty
+                    ? [event.heldMs ?? -1]
+                    : []
+            );
+        await waitUntil(() => listHeld(true).some(heldMs => heldMs > 0));
+        store.put("op/version/m", { model: "m", version: 2 });
+        await waitUntil(() => listHeld(false).length > 0, 1500);
+        await stop();
+        expect(listHeld(true).filter(heldMs => heldMs > 0)[0]).toBe(700);
+        expect(listHeld(false)).toEqual([0]);
+    });
+
     it("reads a change from the store when the relay fails, and reports the failure", async () => {
         const { store, events, stop } = await startFeed(() => Promise.reject(new Error("connection refused")));
         await waitUntil(() => events.some(({ kind }) => kind === "relayFailed"));
