Count crashes under a prompt part that come far apart

Cause: a part is blamed for three crashes, and crashes were forgotten after 30 s. Evidence: in a run with the line of all processes drop each of the five crashes at 30.0 s with the part as its only suspect.

Peers are told of crashes for 30 s, as before.

Tests: "is blamed for crashes that come 16000 ms apart" and "... 120000 ms apart" fail without the change; two more fail if cleared suspects are kept, one of them if peers are not told.

--- a/src/forward/systems/crashReports.ts
+++ b/src/forward/systems/crashReports.ts
@@ -12,12 +12,23 @@
 
 /** Newest crashes that one state message reports, and suspects of each. */
 const maxReportedCrashes = 16;
+/** Every peer has heard of an older crash, or learns of a quarantine from those that have. */
+const maxReportedAgeMs = 30_000;
 const maxReportedSuspects = 48;
 
 type CrashReports = Pick<PeerState, "crashes" | "answered" | "quarantined">;
 
-const listNewestCrashes = (world: ForwardWorld): readonly CrashRow[] =>
-    [...world.tables.crashes.list()].sort((left, right) => right.failedAt - left.failedAt).slice(0, maxReportedCrashes);
+const isReported = (tick: ForwardTick, { failedAt }: CrashRow): boolean => tick.now - failedAt <= maxReportedAgeMs;
+
+const listNewestCrashes = (world: ForwardWorld, tick: ForwardTick): readonly CrashRow[] =>
+    world.tables.crashes.list()
+        .filter(crash => isReported(tick, crash))
+        .sort((left, right) => right.failedAt - left.failedAt)
+        .slice(0, maxReportedCrashes);
+
+/** Parts of older crashes that an answer since then has cleared. */
+const listClearedSince = (world: ForwardWorld): readonly PartId[] =>
+    world.tables.crashes.list().flatMap(({ clearedSuspects }) => clearedSuspects);
 
 /** Suspects of known crashes that this process has seen answered, with the time since then; the receiver judges it. */
 function listAnswered(
@@ -25,8 +36,8 @@
     tick: ForwardTick,
     crashes: readonly CrashRow[],
 ): NonNullable<CrashReports["answered"]> {
-    const suspects = new Set(crashes.flatMap(({ suspects: parts }) => [...parts.keys()]));
-    return [...suspects].flatMap(part => {
+    const reportedSuspects = crashes.flatMap(({ suspects }) => [...suspects.keys()]);
+    return [...new Set([...reportedSuspects, ...listClearedSince(world)])].flatMap(part => {
         const answeredAt = world.tables.answeredParts.getAnsweredAt(part);
         return answeredAt === undefined ? [] : [[part, Math.round(tick.now - answeredAt)] as const];
     });
@@ -34,9 +45,9 @@
 
 /** Reports of this process: crashes, what clears suspects, and quarantines that the store does not hold yet. */
 export function buildCrashReports(world: ForwardWorld, tick: ForwardTick): CrashReports {
-    const crashes = listNewestCrashes(world);
     const unstored = world.tables.quarantine.list().filter(({ isStored }) => !isStored);
-    if (crashes.length === 0 && unstored.length === 0) {
+    const crashes = listNewestCrashes(world, tick);
+    if (crashes.length === 0 && unstored.length === 0 && listClearedSince(world).length === 0) {
         return {};
     }
     recordBegunAnswers(world, tick);
--- a/src/forward/systems/followCrashes.ts
+++ b/src/forward/systems/followCrashes.ts
@@ -1,8 +1,7 @@
 /** Follows engines that end while they run requests, and records which prompt parts may have caused it. */
-import { logInfo, logWarning } from "../../effects";
+import { logWarning } from "../../effects";
 import { addMillis, type Millis, type TargetId, toMillis } from "../../ids";
 import type { ForwardTick } from "../events";
-import { isCleared } from "../policy/crashingPart";
 import { addSuspect, type CrashRow } from "../tables/crashes";
 import { findOpenAttempt, type ForwardAttempt, type ForwardRequestRow, listSharedParts } from "../tables/requests";
 import type { ForwardWorld } from "../world";
@@ -152,22 +151,11 @@
     }
 }
 
-/** Logs that a crash no longer counts against the parts that were not answered since. */
-function logRemoval(world: ForwardWorld, tick: ForwardTick, { target, failedAt, suspects }: CrashRow): void {
-    const { answeredParts } = world.tables;
-    logInfo(world.effects, "target:", "The end of an engine no longer counts against prompt parts.", {
-        target,
-        ageMs: Math.round(tick.now - failedAt),
-        suspects: [...suspects.keys()].filter(part => !isCleared(answeredParts.getAnsweredAt(part), failedAt)),
-    });
-}
-
 /**
  * Reads: requests. Writes: targets, crashes, answered parts.
  * Effects: counts, log lines.
  */
 export function followCrashes(world: ForwardWorld, tick: ForwardTick): void {
-    const { crashes } = world.tables;
     for (const { request, attempt, fault } of tick.events.list("attemptFailed")) {
         const row = world.tables.requests.get(request);
         const target = row?.attempts.find(({ number }) => number === attempt)?.target;
@@ -181,7 +169,4 @@
         }
     }
     removeUnconfirmed(world, tick);
-    for (const crash of crashes.removeOld(tick.now)) {
-        logRemoval(world, tick, crash);
-    }
 }
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -6,6 +6,7 @@
 import { checkConfigurations } from "./checkConfigurations";
 import { drainNode } from "./drainNode";
 import { exchangeWithPeers } from "./exchangeWithPeers";
+import { expireCrashes } from "./expireCrashes";
 import { expireRequests } from "./expireRequests";
 import { followAttempts } from "./followAttempts";
 import { followConfigurationCopies } from "./followConfigurationCopies";
@@ -38,6 +39,7 @@
     recordServiceAnswers,
     followAttempts,
     updateQuarantine,
+    expireCrashes,
     resumeOnOtherEngines,
     expireRequests,
     admitRequests,
--- a/src/forward/tables/crashes.ts
+++ b/src/forward/tables/crashes.ts
@@ -13,10 +13,10 @@
      * the first part). The last part of a prompt belongs to one request or session and is left out.
      */
     readonly suspects: Map<PartId, number>;
+    /** Suspects that an answer had cleared at the last check; peers are told until the next one. */
+    clearedSuspects: readonly PartId[];
 }
 
-/** Older rows are dropped. Shorter than any quarantine, so that a crash counts for one only. */
-const maxAgeMs = 30_000;
 /** Maximum number of rows; the oldest is dropped for a new one. */
 const maxRows = 64;
 /** Maximum number of suspects of one row; further ones are not recorded. */
@@ -28,8 +28,6 @@
     /** Returns the row of the target. A new row is not confirmed. */
     add(target: TargetId, failedAt: Millis): CrashRow;
     remove(target: TargetId): void;
-    /** Removes and returns the old rows. */
-    removeOld(now: Millis): readonly CrashRow[];
 }
 
 /** Adds a suspect unless the row has reached its maximum. */
@@ -55,19 +53,12 @@
             if (rows.size >= maxRows && !oldest.done) {
                 rows.delete(oldest.value);
             }
-            const row: CrashRow = { target, failedAt, isConfirmed: false, suspects: new Map() };
+            const row: CrashRow = { target, failedAt, isConfirmed: false, suspects: new Map(), clearedSuspects: [] };
             rows.set(target, row);
             return row;
         },
         remove: target => {
             rows.delete(target);
         },
-        removeOld: now => {
-            const old = [...rows.values()].filter(({ failedAt }) => now - failedAt > maxAgeMs);
-            for (const { target } of old) {
-                rows.delete(target);
-            }
-            return old;
-        },
     };
 }
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -12,6 +12,7 @@
     | "copyCall"
     | "copyRequest"
     | "crashEvaluation"
+    | "crashExpiry"
     | "configurationComparison"
     | "configurationRetry"
     | "drain"
--- a/test/forward/crashingParts.test.ts
+++ b/test/forward/crashingParts.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "vitest";
 import { quarantinePrefix } from "../../src/forward/codec/fleetRows";
 import { toPartId } from "../../src/forward/ids";
+import { toMillis, toTargetId } from "../../src/ids";
 import { type EngineFleet, startEngineFleet } from "../support/engineFleet";
 
 const crashingPart = "crashing";
@@ -47,6 +48,21 @@
         expect(listCrashingAttempts(fleet, fifthCrash + boundMs).length).toBeLessThanOrEqual(allowedAttempts);
     });
 
+    // Guards against crashes that are forgotten before enough others follow.
+    it.each([16_000, 120_000])("is blamed for crashes that come %i ms apart", async pauseMs => {
+        const fleet = await startEngineFleet({ crashingParts: [crashingPart] });
+        for (let round = 0; round < 7; round += 1) {
+            for (const node of [0, 1, 2]) {
+                fleet.send(node, `r${round}-${node}`, ["root", `file-${node}`, crashingPart]);
+            }
+            sendTraffic(fleet, 1500, false);
+            fleet.run(pauseMs - 1500);
+        }
+        const fifthCrash = fleet.crashes[4] ?? Infinity;
+        expect(listCrashingAttempts(fleet, fifthCrash + boundMs).length).toBeLessThanOrEqual(allowedAttempts);
+        expect(fleet.listRowKeys().filter(isQuarantineKey)).toEqual([crashingPartKey]);
+    });
+
     // Guards against a crash that is taken for the end of an answer, since the answer has no length and no chunks.
     it("is blamed when engines end as they begin an answer without framing", async () => {
         const fleet = await startEngineFleet({ crashingParts: [crashingPart], isUnframed: true });
@@ -201,6 +217,35 @@
         expect(listQuarantined(fleet)).toEqual([[], [], [], []]);
     });
 
+    // Guards against a sound part that collects crashes over a long time, after its answers have been forgotten.
+    it("stop counting against a part on all processes when one of them sees it answered later", async () => {
+        const fleet = await startEngineFleet();
+        fleet.nodes.forEach(({ test }) => {
+            const crash = test.world.tables.crashes.add(toTargetId("e9-1@1"), toMillis(test.getNow()));
+            crash.isConfirmed = true;
+            ["sound", "unanswered"].forEach((part, depth) => {
+                crash.suspects.set(toPartId(part), depth);
+            });
+        });
+        const listSuspects = (): string[][] =>
+            fleet.nodes.map(({ test }) => test.world.tables.crashes.list().flatMap(row => [...row.suspects.keys()]));
+        fleet.run(60_000);
+        expect(listSuspects()).toEqual(fleet.nodes.map(() => ["sound", "unanswered"]));
+        fleet.send(0, "answered", ["root", "sound"]);
+        fleet.run(15_000);
+        expect(listSuspects()).toEqual(fleet.nodes.map(() => ["unanswered"]));
+    });
+
+    // Guards against crashes that are kept, and told to peers, although all parts in them were answered since.
+    it("are forgotten once all parts that were on them have been answered", async () => {
+        const fleet = await startEngineFleet();
+        sendTraffic(fleet, 2000, false);
+        fleet.crashEngine(0);
+        sendTraffic(fleet, 45_000, false);
+        expect(fleet.crashes).toHaveLength(1);
+        expect(fleet.nodes.map(({ test }) => test.world.tables.crashes.list())).toEqual([[], [], [], []]);
+    });
+
     it("let no part be blamed when most of them end at the same moment", async () => {
         const fleet = await startEngineFleet();
         for (const files of [["file-1"], ["file-1"], ["file-1"], ["file-1"]]) {
