Keep the limit of an account after a kill of all processes in a flood

Cause: nobody knows the usage any more. Each process assumes its share and lets that decline evenly over the window; usage of the last seconds leaves the window later.

One process for each account now writes to the store by how much the usage exceeds an even use (the surge), in steps of an eighth of the allowance. A process that starts counts its share of it until a peer tells the real usage or a window has passed. Even usage has no surge, so it costs no call and nothing more is refused after a kill. States of peers say which usage is an assumption, since that would look like a surge.

Tests: the four cases of "is kept when all processes are killed ... steps after a flood begins" fail without the change (1.10 to 1.61 of the limit).

--- a/src/forward/codec/fleetRows.ts
+++ b/src/forward/codec/fleetRows.ts
@@ -17,6 +17,9 @@
 /** Prefix of the rollouts of service versions; the rest of the key is the service's id. */
 export const serviceRolloutPrefix = `${fleetPrefix}service-rollouts/`;
 
+/** Prefix of the surges in the usage of accounts; the rest of the key is the account's id. */
+export const surgePrefix = `${fleetPrefix}surges/`;
+
 const memberSchema = z.object({
     vm: z.string(),
     address: z.string(),
@@ -86,6 +89,20 @@
 export const decodeServiceRollout = (text: string): StoredServiceRollout | undefined =>
     parseJsonAs(serviceRolloutSchema, text);
 
+const surgeSchema = z.object({ tokens: z.number().min(0), recordedAt: z.number() });
+
+/** Surge in the usage of an account. */
+export interface StoredSurge {
+    readonly tokens: number;
+    /** Milliseconds since the Unix epoch. */
+    readonly recordedAt: number;
+}
+
+export const encodeSurge = (surge: StoredSurge): string => JSON.stringify(surge);
+
+/** Decodes a surge; undefined when the text is invalid. */
+export const decodeSurge = (text: string): StoredSurge | undefined => parseJsonAs(surgeSchema, text);
+
 type RowDecoder = (text: string) => unknown;
 
 const rowDecoders: readonly (readonly [prefix: string, decode: RowDecoder])[] = [
@@ -93,6 +110,7 @@
     [orderPrefix, decodeOrder],
     [quarantinePrefix, decodeQuarantine],
     [serviceRolloutPrefix, decodeServiceRollout],
+    [surgePrefix, decodeSurge],
 ];
 
 /** True when the value of a row can be decoded. Keys of which this version knows nothing have any value. */
--- a/src/forward/codec/peerMessages.ts
+++ b/src/forward/codec/peerMessages.ts
@@ -25,6 +25,7 @@
     vm: z.string(),
     startedAt: z.number(),
     usage: tokenCounts,
+    assumedUsage: tokenCounts.optional(),
     knownStart: z.number(),
     earlier: tokenCounts.optional(),
     endedRuns: z.array(z.tuple([z.string(), z.number(), z.number().min(0), tokenCounts])).max(1024).optional(),
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -1,6 +1,6 @@
 /** Events of the forwarding mode: what its adapters observed. Systems read them in the tick that follows. */
 import type { Result } from "ts-results";
-import type { CallId, DataCentreId, Millis, ModelId, RequestId, TargetId, VmId } from "../ids";
+import type { AccountId, CallId, DataCentreId, Millis, ModelId, RequestId, TargetId, VmId } from "../ids";
 import { createKindBatch, type KindBatch } from "../kindBatch";
 import type { StoreOutcome } from "../store";
 import type { TickOf } from "../world";
@@ -25,6 +25,7 @@
     | { readonly for: "leadership"; readonly step: "claim" | "giveUp"; }
     | { readonly for: "order"; readonly target: TargetId; }
     | { readonly for: "quarantine"; readonly part: PartId; }
+    | { readonly for: "surge"; readonly account: AccountId; }
     | { readonly for: "serviceRollout"; readonly service: ServiceId; };
 
 /** A key of the store that a process of the fleet wrote; `value` is undefined for a deleted one. */
--- a/src/forward/peers.ts
+++ b/src/forward/peers.ts
@@ -17,6 +17,8 @@
      * VM may have used.
      */
     readonly usage: readonly (readonly [AccountId, number])[];
+    /** What of the usage is assumed for the sender's previous run, of which no peer has told it; absent for none. */
+    readonly assumedUsage?: PeerState["usage"];
     /** `startedAt` of the receiver in the last state that the sender got from it; 0 before the first one. */
     readonly knownStart: number;
     /**
--- a/src/forward/systems/accountUsage.ts
+++ b/src/forward/systems/accountUsage.ts
@@ -46,17 +46,18 @@
 
 /**
  * Usage of this VM's previous run that may still be in the window. Assumed to be its whole share, declining over the
- * window, until a peer reports the actual usage.
+ * window, and its share of a surge that the store holds, until a peer reports the actual usage.
  */
 function computePreviousRunTokens(world: ForwardWorld, now: Millis, account: ForwardAccount): number {
-    const { node, peers } = world.tables;
+    const { members, node, peers, usageSurges } = world.tables;
     const { quotaWindowMs } = world.settings.bounds;
     if (peers.ownPreviousRun) {
         const hasLeftWindow = now - peers.ownPreviousRun.reportedAt > quotaWindowMs;
         return hasLeftWindow ? 0 : peers.ownPreviousRun.usage.get(account.id) ?? 0;
     }
     const remainingFraction = Math.max(0, 1 - (now - node.storeFirstReadAt) / quotaWindowMs);
-    return remainingFraction === 0 ? 0 : computeAllowanceShare(world, account) * remainingFraction;
+    const surgeShare = (usageSurges.found.get(account.id) ?? 0) / Math.max(1, members.countLive());
+    return remainingFraction === 0 ? 0 : computeAllowanceShare(world, account) * remainingFraction + surgeShare;
 }
 
 /** Tokens that this VM has used, including its previous run. */
@@ -105,7 +106,7 @@
     world: ForwardWorld,
     now: Millis,
     account: AccountId,
-    { usage, previousRun }: PeerRow,
+    { usage, previousRun }: Pick<PeerRow, "usage" | "previousRun">,
 ): number {
     const reported = usage.get(account) ?? 0;
     const hasLeftWindow = !previousRun || now - previousRun.lastStateAt > world.settings.bounds.quotaWindowMs;
@@ -136,3 +137,24 @@
     const membersWithoutState = members.list().filter(({ vm }) => vm !== world.settings.vm && !peers.rows.has(vm));
     return tokens + membersWithoutState.length * share;
 }
+
+/** What this process assumes for its previous run because no peer has told it of that run's usage. */
+export const computeAssumedTokens = (world: ForwardWorld, now: Millis, account: ForwardAccount): number =>
+    world.tables.peers.ownPreviousRun ? 0 : computePreviousRunTokens(world, now, account);
+
+/**
+ * Tokens that the fleet is known to have used, by this process and by states of peers, without what is assumed for
+ * processes that are silent or have just started.
+ */
+export function computeKnownTokens(world: ForwardWorld, now: Millis, account: ForwardAccount): number {
+    const staleMs = computePeerStaleMs(world);
+    const peers = [...world.tables.peers.rows.values()];
+    const reportedTokens = peers.map(({ usage, assumedUsage, previousRun }) => {
+        const known = (usage.get(account.id) ?? 0) - (assumedUsage.get(account.id) ?? 0);
+        return computeReportedTokens(world, now, account.id, { usage: new Map([[account.id, known]]), previousRun });
+    });
+    const recentPeers = peers.filter(({ stateReceivedAt }) => now - stateReceivedAt <= staleMs);
+    const ownTokens = computeOwnTokens(world, now, account) - computeAssumedTokens(world, now, account);
+    return reportedTokens.reduce((sum, tokens) => sum + tokens, ownTokens)
+        + computeUnreportedTokens(world, now, account.id, recentPeers);
+}
--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -8,6 +8,7 @@
     orderPrefix,
     quarantinePrefix,
     rolloutLeaderKey,
+    surgePrefix,
 } from "../codec/fleetRows";
 import type { FleetRow, ForwardTick, PublishedChanges, StoreTransfer, TargetChange } from "../events";
 import { type TargetName, toTargetName } from "../ids";
@@ -18,6 +19,7 @@
 import { confirmRecordedCrash } from "./followCrashes";
 import { computeExpectedLoadMs, recordLoad } from "./loadPace";
 import { listValueReads, recordDelivered } from "./readValuesAgain";
+import { applySurgeRow } from "./recordSurges";
 import { isCopyOutdated, recordReadPosition } from "./restoredStore";
 import { recordStoreContact, recordStoreFailures, recordStoreTransfer } from "./storeContact";
 import { confirmRegistrations, hasAnnouncedDeparture, recordDeparture, recordRemoval } from "./targetDepartures";
@@ -210,6 +212,10 @@
         applyQuarantineRow(world, tick, key, value);
         return;
     }
+    if (key.startsWith(surgePrefix)) {
+        applySurgeRow(world, tick, key, value);
+        return;
+    }
     if (!key.startsWith(memberPrefix)) {
         return;
     }
@@ -246,7 +252,7 @@
 
 /** Removes targets, members, quarantines and the rollout leader that a full read of the store no longer contains. */
 function removeUnpublished(world: ForwardWorld, tick: ForwardTick, changes: PublishedChanges): void {
-    const { targets, members, node, quarantine } = world.tables;
+    const { targets, members, node, quarantine, usageSurges } = world.tables;
     const undecodableKeys = changes.undecodable.map(({ key }) => key);
     const names = new Set(changes.targets.map(change => change.name));
     for (const name of targets.listNames().filter(registered => !names.has(registered))) {
@@ -269,6 +275,11 @@
     ) {
         applyFleetRow(world, tick, { key: `${quarantinePrefix}${part}`, value: undefined, createRevision: 0 });
     }
+    for (const account of usageSurges.recorded.keys()) {
+        if (!keys.has(`${surgePrefix}${account}`)) {
+            usageSurges.recorded.delete(account);
+        }
+    }
     if (!keys.has(rolloutLeaderKey)) {
         node.rolloutLeadership.holder = undefined;
     }
--- a/src/forward/systems/exchangeWithPeers.ts
+++ b/src/forward/systems/exchangeWithPeers.ts
@@ -1,6 +1,7 @@
 /** Exchanges usage, engine loads, published weights and cached parts with the other processes of the fleet. */
 import { logInfo } from "../../effects";
-import { addMillis, type TargetId, toMillis } from "../../ids";
+import { addMillis, type Millis, type TargetId, toMillis } from "../../ids";
+import type { ForwardAccount } from "../document";
 import type { ForwardTick } from "../events";
 import type { CachedPartKey } from "../ids";
 import type { PeerState } from "../peers";
@@ -8,7 +9,7 @@
 import type { ForwardMemberRow } from "../tables/members";
 import { createPeerRow, type PeerRow } from "../tables/peers";
 import type { ForwardWorld } from "../world";
-import { computeExchangeIntervalMs, computeOwnTokens, computePeerStaleMs } from "./accountUsage";
+import { computeAssumedTokens, computeExchangeIntervalMs, computeOwnTokens, computePeerStaleMs } from "./accountUsage";
 import { applyCrashReports, buildCrashReports } from "./crashReports";
 import { applyEndedRunReports, buildEndedRunReports } from "./endedRunReports";
 import { applyFailureReports, buildFailureReports, removeOutdatedFailures } from "./failureReports";
@@ -39,10 +40,14 @@
         : [...usage].map(([account, tokens]) => [account, Math.round(tokens)]);
 }
 
-function listUsage(world: ForwardWorld, tick: ForwardTick): PeerState["usage"] {
+function listUsage(
+    world: ForwardWorld,
+    tick: ForwardTick,
+    computeTokens: (world: ForwardWorld, now: Millis, account: ForwardAccount) => number,
+): PeerState["usage"] {
     const accounts = world.tables.configuration.document?.accounts.values() ?? [];
     return [...accounts].flatMap(account => {
-        const tokens = account.rate > 0 ? Math.round(computeOwnTokens(world, tick.now, account)) : 0;
+        const tokens = account.rate > 0 ? Math.round(computeTokens(world, tick.now, account)) : 0;
         return tokens > 0 ? [[account.id, tokens] as const] : [];
     });
 }
@@ -124,10 +129,12 @@
 }
 
 function buildState(world: ForwardWorld, tick: ForwardTick, peer: PeerRow | undefined): PeerState {
+    const assumedUsage = listUsage(world, tick, computeAssumedTokens);
     return {
         vm: world.settings.vm,
         startedAt: world.startedAt,
-        usage: listUsage(world, tick),
+        usage: listUsage(world, tick, computeOwnTokens),
+        ...(assumedUsage.length > 0 ? { assumedUsage } : {}),
         knownStart: peer?.startedAt ?? 0,
         earlier: listPreviousRunUsage(world, tick, peer),
         ...buildEndedRunReports(world, tick, peer),
--- a/src/forward/systems/index.ts
+++ b/src/forward/systems/index.ts
@@ -16,6 +16,7 @@
 import { placeWeights } from "./placeWeights";
 import { readValuesAgain } from "./readValuesAgain";
 import { recordServiceAnswers } from "./recordServiceAnswers";
+import { recordSurges } from "./recordSurges";
 import { relayStore } from "./relayStore";
 import { resumeOnOtherEngines } from "./resumeOnOtherEngines";
 import { routeRequests } from "./routeRequests";
@@ -44,6 +45,7 @@
     expireRequests,
     admitRequests,
     routeRequests,
+    recordSurges,
     placeWeights,
     settleServiceRollouts,
     answerAddresses,
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -171,6 +171,7 @@
     order: () => undefined,
     // Handled by `updateQuarantine`.
     quarantine: () => undefined,
+    surge: () => undefined,
     // Handled by `settleServiceRollouts`.
     serviceRollout: () => undefined,
     member: (world, _tick, _purpose, { result }) => {
--- a/src/forward/tables/index.ts
+++ b/src/forward/tables/index.ts
@@ -24,6 +24,7 @@
 import { createForwardTargetsTable, type ForwardTargetsTable } from "./targets";
 import { createTransferDelaysTable, type TransferDelaysTable } from "./transferDelays";
 import { createUndecodableValuesTable, type UndecodableValuesTable } from "./undecodableValues";
+import { createUsageSurgesTable, type UsageSurgesTable } from "./usageSurges";
 import { createUsageWindowsTable, type UsageWindowsTable } from "./usageWindows";
 
 export interface ForwardTables {
@@ -38,6 +39,7 @@
     readonly peerLoads: PeerLoadsTable;
     readonly requests: ForwardRequestsTable;
     readonly usageWindows: UsageWindowsTable;
+    readonly usageSurges: UsageSurgesTable;
     readonly cachedParts: CachedPartsTable;
     readonly sharedParts: SharedPartsTable;
     readonly crashes: CrashesTable;
@@ -69,6 +71,7 @@
         peerLoads: createPeerLoadsTable(),
         requests: createForwardRequestsTable(),
         usageWindows: createUsageWindowsTable(),
+        usageSurges: createUsageSurgesTable(),
         cachedParts: createCachedPartsTable(),
         sharedParts: createSharedPartsTable(),
         crashes: createCrashesTable(),
--- a/src/forward/tables/peers.ts
+++ b/src/forward/tables/peers.ts
@@ -11,6 +11,8 @@
     runReceivedAt: Millis;
     stateReceivedAt: Millis;
     usage: ReadonlyMap<AccountId, number>;
+    /** What of the usage the peer assumes for its previous run. */
+    assumedUsage: ReadonlyMap<AccountId, number>;
     /** Growth of the usage between the last two states, in tokens per millisecond; only accounts whose usage grew. */
     growth: ReadonlyMap<AccountId, number>;
     /** Requests that the peer admitted in the last seconds, by service. */
@@ -50,6 +52,7 @@
     runReceivedAt: stateReceivedAt,
     stateReceivedAt,
     usage: new Map(),
+    assumedUsage: new Map(),
     growth: new Map(),
     serviceLoads: new Map(),
     previousRun: undefined,
@@ -142,6 +145,7 @@
                 runReceivedAt: sameRun?.runReceivedAt ?? now,
                 stateReceivedAt: now,
                 usage: new Map(state.usage),
+                assumedUsage: new Map(state.assumedUsage ?? []),
                 growth: sameRun ? computeUsageGrowth(sameRun, state, now) : new Map(),
                 serviceLoads: new Map(state.requests ?? []),
                 previousRun: isNewRun ? computePreviousRun(previousRow, now, windowMs) : previousRow?.previousRun,
--- a/src/timers.ts
+++ b/src/timers.ts
@@ -42,6 +42,7 @@
     | "targetReports"
     | "missingMember"
     | "missingTarget"
+    | "usageSample"
     | "valueRead"
     | "vmList"
     | "watchRetry";
--- a/test/forward/usage.test.ts
+++ b/test/forward/usage.test.ts
@@ -1,7 +1,7 @@
 import * as fc from "fast-check";
 import { Ok } from "ts-results";
 import { describe, expect, it } from "vitest";
-import type { ForwardEffect } from "../../src/forward/effects";
+import type { ForwardEffect, ForwardEffectOf } from "../../src/forward/effects";
 import type { FleetRow, ForwardEvent } from "../../src/forward/events";
 import { addUsage, createUsageWindow, updateUsageWindow } from "../../src/forward/policy/usageWindow";
 import type { ForwardSettings } from "../../src/forward/settings";
@@ -28,6 +28,9 @@
     readonly nodes: (ForwardTestNode | undefined)[];
     /** Times and tokens of admitted requests. */
     readonly admitted: { readonly at: number; readonly tokens: number; }[];
+    /** Rows about accounts in the store. */
+    readonly storedRows: ReadonlyMap<string, FleetRow>;
+    getWriteCount(): number;
     /** Runs each process for `stepMs`; `arrivals` has the index of a process for each request that it receives. */
     step(arrivals: readonly number[]): Promise<void>;
     /** Starts the process anew, killed without notice before or stopped by `stop`. */
@@ -48,8 +51,9 @@
     index: number,
     { rate, slackTokens }: Required<FleetOptions>,
     members: readonly string[] = names,
+    storedRows: Iterable<FleetRow> = [],
 ): Promise<ForwardTestNode> {
-    const rows = buildMemberRows(members);
+    const rows = [...buildMemberRows(members), ...storedRows];
     const node = await createForwardTestNode(names[index], index + 1);
     const { settings } = node.world;
     (node.world as { settings: ForwardSettings; }).settings = {
@@ -78,6 +82,8 @@
     );
     const pending: ForwardEvent[][] = names.map(() => []);
     const admitted: { at: number; tokens: number; }[] = [];
+    const storedRows = new Map<string, FleetRow>();
+    let writeCount = 0;
     let now = 0;
     let requestNumber = 0;
 
@@ -87,8 +93,33 @@
         }
     }
 
+    /** Carries out what a process writes about accounts; leases and members are not simulated. */
+    function writeRow(from: number, { purpose, call }: ForwardEffectOf<"callStore">): void {
+        if (purpose.for !== "surge" || call.kind !== "transaction") {
+            return;
+        }
+        for (const change of call.success) {
+            if (change.kind === "range") {
+                continue;
+            }
+            writeCount += 1;
+            const value = change.kind === "put" ? change.value : undefined;
+            const row = { key: change.key, value, createRevision: 1 };
+            storedRows.delete(row.key);
+            if (value !== undefined) {
+                storedRows.set(row.key, row);
+            }
+            applyRow(row);
+        }
+        const result = Ok({ kind: "transaction", succeeded: true, revision: 1 } as const);
+        nodes[from]?.run([{ kind: "storeReplied", purpose, outcome: { result } } as ForwardEvent]);
+    }
+
     function handleEffect(from: number, effect: ForwardEffect): void {
-        if (effect.kind === "callPeer") {
+        if (effect.kind === "callStore") {
+            writeRow(from, effect);
+        }
+        else if (effect.kind === "callPeer") {
             const to = names.indexOf(effect.vm);
             pending[to]?.push({ kind: "peerCallReceived", call: toCallId(`${from}`), state: effect.state });
         }
@@ -106,6 +137,8 @@
     return {
         nodes,
         admitted,
+        storedRows,
+        getWriteCount: () => writeCount,
         step: async arrivals => {
             now += stepMs;
             for (const [index, node] of nodes.entries()) {
@@ -144,7 +177,7 @@
         },
         restart: async index => {
             const members = names.filter((_, member) => member === index || nodes[member] !== undefined);
-            nodes[index] = await startNode(names, index, fleetOptions, members);
+            nodes[index] = await startNode(names, index, fleetOptions, members, storedRows.values());
             for (const row of buildMemberRows(names.slice(index, index + 1))) {
                 applyRow(row);
             }
@@ -209,6 +242,77 @@
         expect(computeMaxWindowTokens(fleet.admitted)).toBeLessThanOrEqual(maxAllowedTokens);
     });
 
+    // Guards against usage that stays in the window for longer than processes without a record of it assume.
+    it.each([20, 50, 90, 120])("is kept when all processes are killed %i steps after a flood begins", async steps => {
+        const fleet = await createFleet();
+        for (let step = 0; step < 400; step += 1) {
+            if (step === 160 + steps) {
+                await Promise.all(fleet.nodes.map((_, index) => fleet.restart(index)));
+            }
+            await fleet.step(step < 160 ? [] : [0, 1, 2, 3, 0, 1]);
+        }
+        expect(computeMaxWindowTokens(fleet.admitted)).toBeLessThanOrEqual(maxAllowedTokens);
+    });
+
+    it("is kept over generated floods in which all processes are killed, also twice", async () => {
+        const property = fc.asyncProperty(
+            fc.array(fc.integer({ min: 10, max: 150 }), { minLength: 1, maxLength: 2 }),
+            fc.array(fc.nat(3), { minLength: 1, maxLength: 6 }),
+            async (kills, arrivals) => {
+                const fleet = await createFleet();
+                for (let step = 0; step < 500; step += 1) {
+                    if (kills.includes(step - 160)) {
+                        await Promise.all(fleet.nodes.map((_, index) => fleet.restart(index)));
+                    }
+                    await fleet.step(step < 160 ? [] : arrivals);
+                }
+                expect(computeMaxWindowTokens(fleet.admitted)).toBeLessThanOrEqual(maxAllowedTokens);
+            },
+        );
+        await fc.assert(property, { numRuns: 20, seed: 20261208 });
+    });
+
+    // Guards against calls to the store, and against requests that are refused after a kill, for even usage.
+    it("costs no calls to the store while an account uses most of its allowance evenly", async () => {
+        const fleet = await createFleet();
+        for (let step = 0; step < 600; step += 1) {
+            // One request of 1,100 tokens each 150 ms is 0.67 of the allowance.
+            await fleet.step(step % 3 === 0 ? [step % 4] : []);
+        }
+        expect(fleet.getWriteCount()).toBe(0);
+    });
+
+    // Guards against the shares that are assumed for silent and new processes, which are no usage.
+    it("costs no calls to the store when processes are killed or stopped and start again under an even load", async () => {
+        const fleet = await createFleet();
+        for (let step = 0; step < 700; step += 1) {
+            if (step === 200 || step === 500) {
+                await fleet.restart(1);
+            }
+            if (step === 320) {
+                fleet.stop(2);
+            }
+            if (step === 370) {
+                await fleet.restart(2);
+            }
+            await fleet.step(step % 4 === 0 ? [step % 3] : []);
+        }
+        expect(fleet.getWriteCount()).toBe(0);
+    });
+
+    // Guards against a record that outlives its flood and has calls refused after a much later kill.
+    it("costs a few calls to the store for a flood, after which the store holds no record", async () => {
+        const fleet = await createFleet();
+        for (let step = 0; step < 600; step += 1) {
+            await fleet.step(step < 160 || step > 220 ? [] : [0, 1, 2, 3, 0, 1]);
+            if (step === 220) {
+                expect(fleet.storedRows.size).toBe(1);
+            }
+        }
+        expect(fleet.getWriteCount()).toBeLessThanOrEqual(12);
+        expect([...fleet.storedRows]).toEqual([]);
+    });
+
     it("is kept when half of the processes are killed soon after a flood begins", async () => {
         const fleet = await createFleet();
         for (let step = 0; step < 500; step += 1) {
