Log further reads of the whole store and when a new leader may order

The log shows neither that a process has read the whole store again, and so may have missed orders, nor from when on a new leader may order. Both are added; no decision changes.

--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -307,6 +307,9 @@
             node.isStoreUnread = false;
             node.storeFirstReadAt = tick.now;
         }
+        else {
+            logInfo(world.effects, "store:", "The whole store was read again.", { ...changes.position });
+        }
     }
     for (const { changes, confirmedAt, transfer, reader } of tick.events.list("publishedChanged")) {
         recordStoreContact(world, tick, { confirmedAt, reader });
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -201,7 +201,10 @@
         const knownSince = toMillis(Math.max(node.storeFirstReadAt, node.storeRestoredAt));
         leadership.orderNotBefore = addMillis(knownSince, computeLeaderGuardMs(world));
         world.timers.schedule({ name: "rollout", at: tick.now });
-        logInfo(world.effects, "place:", "Acquired the rollout leadership.", { fencing: leadership.fencingToken });
+        logInfo(world.effects, "place:", "Acquired the rollout leadership.", {
+            fencing: leadership.fencingToken,
+            ordersInMs: Math.max(0, Math.round(leadership.orderNotBefore - tick.now)),
+        });
     },
 };
 
