Count unknown orders from each read of the whole store

Cause: a new leader waited for the guard time after its first read and after a restore, but not after a read that a gap in the history made necessary. The records of the orders are deleted with their writer's lease, so such a read does not show them.

A leader now orders nothing until the guard time has passed since the last whole read or since it became the leader, whichever was earlier. This one rule replaces the list of causes; a leader in office does not wait.

Three cases of "keep the guard time when a leader orders ... ms before it exits and the store then loses its history" fail without the change.

--- a/src/forward/systems/applyPublished.ts
+++ b/src/forward/systems/applyPublished.ts
@@ -303,6 +303,7 @@
         recordStoreTransfer(world, "read", transfer);
         applyChanges(world, tick, changes, { learnedFrom: "read", ...changes.position }, transfer);
         removeUnpublished(world, tick, changes);
+        node.storeReadAt = tick.now;
         if (node.isStoreUnread) {
             node.isStoreUnread = false;
             node.storeFirstReadAt = tick.now;
--- a/src/forward/systems/placeWeights.ts
+++ b/src/forward/systems/placeWeights.ts
@@ -13,7 +13,7 @@
 import { listTargetLoads } from "./engineLoad";
 import { computeExpectedLoadMs, computePacedLoads } from "./loadPace";
 import { expectLoading } from "./targetHealth";
-import { computeLeaderGuardMs } from "./updateMembership";
+import { computeLeaderGuardMs, computeOrderStart } from "./updateMembership";
 
 /** Fraction of a model's working engines that may load at the same time while queues are short. */
 const maxLoadFractionShortQueue = 3 / 7;
@@ -59,7 +59,7 @@
 function canOrder(world: ForwardWorld, tick: ForwardTick): boolean {
     const { rolloutLeadership: leadership, lease } = world.tables.node;
     return leadership.state === "held"
-        && tick.now >= leadership.orderNotBefore
+        && tick.now >= computeOrderStart(world)
         && isForwardLeaseValid(lease, addMillis(tick.now, leaseMarginMs), tick.wallNow + leaseMarginMs);
 }
 
--- a/src/forward/systems/updateMembership.ts
+++ b/src/forward/systems/updateMembership.ts
@@ -196,18 +196,26 @@
         }
         leadership.state = "held";
         leadership.fencingToken = computeFencingToken({ era: node.storeEra, revision: result.val.revision });
-        // Orders that were recorded before this process first read the store, or that a restored store has lost, may be
-        // unknown to it.
-        const knownSince = toMillis(Math.max(node.storeFirstReadAt, node.storeRestoredAt));
-        leadership.orderNotBefore = addMillis(knownSince, computeLeaderGuardMs(world));
+        leadership.acquiredAt = tick.now;
         world.timers.schedule({ name: "rollout", at: tick.now });
         logInfo(world.effects, "place:", "Acquired the rollout leadership.", {
             fencing: leadership.fencingToken,
-            ordersInMs: Math.max(0, Math.round(leadership.orderNotBefore - tick.now)),
+            ordersInMs: Math.max(0, Math.round(computeOrderStart(world) - tick.now)),
         });
     },
 };
 
+/**
+ * Time from which on the rollout leader may order: the guard time after the last order of another process that it may not
+ * know. It knows those of the time since it last read the whole store, and none were sent since it became the leader. The
+ * first read, a restored store and a gap in the store's history all lead to such a read.
+ */
+export function computeOrderStart(world: ForwardWorld): Millis {
+    const { rolloutLeadership, storeReadAt } = world.tables.node;
+    const unknownUntil = toMillis(Math.min(storeReadAt, rolloutLeadership.acquiredAt));
+    return addMillis(unknownUntil, computeLeaderGuardMs(world));
+}
+
 function handleReplies(world: ForwardWorld, tick: ForwardTick): void {
     for (const { purpose, outcome } of tick.events.list("storeReplied")) {
         (replyHandlers[purpose.for] as (typeof replyHandlers)["lease"])(
--- a/src/forward/tables/node.ts
+++ b/src/forward/tables/node.ts
@@ -19,8 +19,8 @@
     state: "none" | "acquiring" | "held";
     /** Fencing token: the create revision of the leader's row. Orders of earlier leaders have lower tokens. */
     fencingToken: number;
-    /** No order is sent before this time, so that the guard time of the previous leader's orders has passed. */
-    orderNotBefore: Millis;
+    /** Time at which this process became the leader; no other process has sent an order since. */
+    acquiredAt: Millis;
     /** This process does not try to acquire the leadership before this time. */
     claimNotBefore: Millis;
     /** VM of the rollout leader according to the store; undefined when there is none. */
@@ -38,6 +38,8 @@
     isStoreUnread: boolean;
     /** Time of the first read of the store. */
     storeFirstReadAt: Millis;
+    /** Time of the last read of the whole store; what was written and deleted before it may be unknown. */
+    storeReadAt: Millis;
     /** Last time at which the store confirmed the published state. */
     storeConfirmedAt: Millis;
     /** The same in milliseconds since the Unix epoch; the monotonic clock stops while a VM is suspended. */
@@ -77,6 +79,7 @@
         isReady: false,
         isStoreUnread: true,
         storeFirstReadAt: 0 as Millis,
+        storeReadAt: 0 as Millis,
         storeConfirmedAt: 0 as Millis,
         storeWallConfirmedAt: 0,
         storeReachableSince: undefined,
@@ -100,7 +103,7 @@
         rolloutLeadership: {
             state: "none",
             fencingToken: 0,
-            orderNotBefore: 0 as Millis,
+            acquiredAt: 0 as Millis,
             claimNotBefore: 0 as Millis,
             holder: undefined,
             holderRevision: 0,
--- a/test/forward/orderHistories.test.ts
+++ b/test/forward/orderHistories.test.ts
@@ -5,6 +5,10 @@
 /** Two leaders must not send orders to one engine within this time; `dutyGuardMs` of the test settings. */
 const guardMs = 3000;
 
+const stepMs = 20;
+/** Time after which a fleet has a leader that may order. */
+const settledMs = 8000;
+
 type Step = (fleet: OrderFleet) => void;
 
 const anyNodeIndex = fc.integer({ min: 0, max: 2 });
@@ -79,4 +83,48 @@
         expect(orderCount).toBeGreaterThan(200);
         expect(leaderChangeCount).toBeGreaterThan(10);
     }, 300_000);
+
+    // Guards against ONE: orders of a leader that stopped are deleted with its lease, and a process that had to read the
+    // whole store instead of its changes never sees them.
+    it.each([400, 600, 800])(
+        "keep the guard time when a leader orders %i ms before it exits and the store then loses its history",
+        async beforeExitMs => {
+            const countStepsToExit = async (): Promise<number> => {
+                const fleet = await startOrderFleet();
+                fleet.run(settledMs);
+                fleet.stopLeader();
+                let steps = 0;
+                for (; !fleet.nodes.some(({ hasExited }) => hasExited) && steps < 1000; steps += 1) {
+                    fleet.run(stepMs);
+                }
+                return steps;
+            };
+            const fleet = await startOrderFleet();
+            const exitMs = await countStepsToExit() * stepMs;
+            fleet.run(settledMs);
+            fleet.stopLeader();
+            fleet.run(exitMs - beforeExitMs);
+            fleet.publishVersion(2);
+            const others = fleet.nodes.filter(({ test }) => test.world.tables.node.state === "live");
+            const updateLinks = (link: StoreLink): void => {
+                others.forEach(node => {
+                    node.storeLink = link;
+                });
+            };
+            updateLinks("cut");
+            fleet.run(beforeExitMs);
+            expect(fleet.nodes.filter(({ hasExited }) => hasExited)).toHaveLength(1);
+            fleet.loseHistory();
+            updateLinks("open");
+            fleet.publishVersion(3);
+            fleet.run(15_000);
+            const changes = listConsecutiveOrders(fleet.receivedOrders).filter(([before, after]) =>
+                before.holder !== after.holder
+            );
+            for (const [before, after] of changes) {
+                expect(after.at - before.at).toBeGreaterThanOrEqual(guardMs);
+            }
+            expect([...fleet.acceptedVersions.values()].map(versions => versions.at(-1))).toEqual([3, 3, 3]);
+        },
+    );
 });
--- a/test/support/orderFleet.ts
+++ b/test/support/orderFleet.ts
@@ -25,11 +25,14 @@
 export interface OrderNode {
     readonly test: ForwardTestNode;
     storeLink: StoreLink;
+    /** True once the process has stopped as planned. */
+    readonly hasExited: boolean;
     /** Pauses the process. With `isSuspended`, its monotonic clock stops as well, as in a suspended VM. */
     pause(ms: number, isSuspended: boolean): void;
 }
 
 interface SimulatedOrderNode extends OrderNode {
+    hasExited: boolean;
     /** Remaining time of the pause, and its length, by which the clocks advance when the process runs again. */
     activePause: { remainingMs: number; readonly ms: number; readonly isSuspended: boolean; } | undefined;
     /** Events to deliver and their times: the first read of the store, and store calls that time out. */
@@ -46,6 +49,10 @@
     /** Delay after which engines execute an order. Unless it is 0, orders get no answer. */
     orderDelayMs: number;
     publishVersion(version: number): void;
+    /** Discards the store's history, so that each process reads the whole store where the watch would have gone on. */
+    loseHistory(): void;
+    /** Stops the rollout leader as planned; it does not run again. */
+    stopLeader(): void;
     run(ms: number): void;
 }
 
@@ -118,10 +125,13 @@
     const store = createVirtualStore(getNow);
     const engines = createEngines(getNow, () => fleet.orderDelayMs);
     let publishedVersion = toWeightsVersion(1);
+    /** Number of changes that the store has discarded. */
+    let lostChangeCount = 0;
+
+    const targets = engineNames.map(name => ({ name, target: buildTarget(name) }));
 
     async function createNode(index: number): Promise<SimulatedOrderNode> {
         const test = await createForwardTestNode(`front-${index + 1}`, index + 1);
-        const targets = engineNames.map(name => ({ name, target: buildTarget(name) }));
         test.run();
         const read = test.buildReadEvent({
             document: buildDocument(),
@@ -137,6 +147,7 @@
             activePause: undefined,
             pendingEvents: [{ at: 0, event: read }],
             watchPosition: { changeCount: 0, publishedVersion, at: 0 },
+            hasExited: false,
         };
         return node;
     }
@@ -173,6 +184,10 @@
         if (effect.kind === "callStore") {
             return sendToStore(node, effect);
         }
+        if (effect.kind === "exitProcess") {
+            node.hasExited = true;
+            return [];
+        }
         if (effect.kind === "readEngine") {
             return [engines.answerReport(effect)];
         }
@@ -184,12 +199,16 @@
         const events = node.pendingEvents.filter(({ at }) => now >= at).map(({ event }) => event);
         node.pendingEvents = node.pendingEvents.filter(({ at }) => now < at);
         if (node.storeLink === "open" && now - node.watchPosition.at >= watchIntervalMs) {
-            const rows = store.changes.slice(node.watchPosition.changeCount);
-            const weights = publishedVersion > node.watchPosition.publishedVersion
-                ? [{ model, version: publishedVersion }]
-                : [];
+            const { changeCount, publishedVersion: knownVersion } = node.watchPosition;
+            const weights = [{ model, version: publishedVersion }];
             node.watchPosition = { changeCount: store.changes.length, publishedVersion, at: now };
-            events.push(node.test.buildChangeEvent({ rows, weights }));
+            if (changeCount < lostChangeCount) {
+                const document = buildDocument();
+                events.push(node.test.buildReadEvent({ document, targets, weights, rows: store.listRows() }));
+                return events;
+            }
+            const rows = store.changes.slice(changeCount);
+            events.push(node.test.buildChangeEvent({ rows, weights: publishedVersion > knownVersion ? weights : [] }));
         }
         return events;
     }
@@ -221,11 +240,20 @@
         publishVersion: version => {
             publishedVersion = toWeightsVersion(Math.max(version, publishedVersion));
         },
+        loseHistory: () => {
+            lostChangeCount = store.changes.length;
+        },
+        stopLeader: () => {
+            const leader = nodes.find(({ test, hasExited }) =>
+                !hasExited && test.world.tables.node.rolloutLeadership.state === "held"
+            );
+            leader?.pendingEvents.push({ at: now, event: { kind: "drainRequested" } });
+        },
         run: ms => {
             for (const end = now + ms; now < end; now += stepMs) {
                 engines.runDueOrders();
                 store.runDueCalls();
-                nodes.forEach(runNode);
+                nodes.filter(({ hasExited }) => !hasExited).forEach(runNode);
             }
         },
     };
