--- a/src/forward/systems/recordSurges.ts
+++ b/src/forward/systems/recordSurges.ts
@@ -18,6 +18,8 @@
 const holdMs = 2000;
 /** Longest difference between the clocks of two VMs, and time from a kill to the next start. */
 const maxClockDifferenceMs = 6000;
+/** Time after the start in which usage that a process learns of may be older than it. */
+const learningMs = 1000;
 
 /** Applies a row of the store; one that was there before this process started tells what the runs before have used. */
 export function applySurgeRow(world: ForwardWorld, tick: ForwardTick, key: string, value: string | undefined): void {
@@ -95,7 +97,8 @@
 function getSurgeBefore(world: ForwardWorld, tick: ForwardTick, account: AccountId): RecordedSurge {
     const { node, peers: { ownPreviousRun }, usageSurges: { found } } = world.tables;
     const isInWindow = tick.now - node.storeFirstReadAt <= world.settings.bounds.quotaWindowMs;
-    return (isInWindow && !ownPreviousRun && found.get(account)) || { tokens: 0, used: 0 };
+    const surge = isInWindow && !ownPreviousRun ? found.get(account) : undefined;
+    return surge ?? { tokens: 0, used: 0 };
 }
 
 /** Adds a sample of the account's usage and computes its surge. */
@@ -138,6 +141,12 @@
     readonly vm: VmId;
 }
 
+const listRecorders = (world: ForwardWorld): readonly RecorderPoint[] =>
+    world.tables.members.list()
+        .filter(({ state }) => state === "live")
+        .map(({ vm }) => ({ vm, hash: world.hasher.hashText(vm, 0n) }))
+        .sort((left, right) => left.hash < right.hash ? -1 : 1);
+
 /** The first live process after the account on a ring of hashes, so that few accounts move when members change. */
 function findRecorder(world: ForwardWorld, points: readonly RecorderPoint[], account: AccountId): VmId | undefined {
     const hash = world.hasher.hashText(account, 0n);
@@ -151,10 +160,7 @@
     if (assignment?.membersRevision === members.revision && assignment.document === document) {
         return assignment.accounts;
     }
-    const points = members.list()
-        .filter(({ state }) => state === "live")
-        .map(({ vm }) => ({ vm, hash: world.hasher.hashText(vm, 0n) }))
-        .sort((left, right) => left.hash < right.hash ? -1 : 1);
+    const points = listRecorders(world);
     const accounts = [...document.accounts.values()].filter(({ id, rate }) =>
         rate > 0 && findRecorder(world, points, id) === world.settings.vm
     );
@@ -171,17 +177,15 @@
 /** Deletes the rows of accounts that the configuration no longer limits. */
 function removeOutdated(world: ForwardWorld, tick: ForwardTick, accounts: ForwardDocument["accounts"]): void {
     const { recorded, writeNotBefore } = world.tables.usageSurges;
-    for (const id of recorded.keys()) {
-        const isLimited = (accounts.get(id)?.rate ?? 0) > 0;
-        if (!isLimited && tick.now >= (writeNotBefore.get(id) ?? 0)) {
-            writeSurge(world, tick, id, undefined);
-        }
+    const outdated = [...recorded.keys()].filter(id =>
+        (accounts.get(id)?.rate ?? 0) <= 0 && tick.now >= (writeNotBefore.get(id) ?? 0)
+    );
+    const points = outdated.length > 0 ? listRecorders(world) : [];
+    for (const id of outdated.filter(account => findRecorder(world, points, account) === world.settings.vm)) {
+        writeSurge(world, tick, id, undefined);
     }
 }
 
-/** Time after the start in which usage that a process learns of may be older than it. */
-const learningMs = 1000;
-
 /** True while usage of peers that this process has not heard from would look like a surge. */
 function isLearning(world: ForwardWorld, tick: ForwardTick): boolean {
     const { members, node, peers } = world.tables;
--- a/test/forward/usage.test.ts
+++ b/test/forward/usage.test.ts
@@ -329,6 +329,20 @@
         expect([...fleet.storedRows]).toEqual([]);
     });
 
+    // Guards against rows that pile up in the store as accounts are removed.
+    it("leaves no record of an account that is removed during a flood", async () => {
+        const fleet = await createFleet();
+        for (let step = 0; step < 240; step += 1) {
+            await fleet.step(step < 160 || step > 200 ? [] : [0, 1, 2, 3, 0, 1]);
+            if (step === 200) {
+                expect(fleet.storedRows.size).toBe(1);
+                const document = buildDocument({ version: 2, rate: 0 });
+                fleet.nodes.forEach(node => node?.run([node.buildChangeEvent({ document })]));
+            }
+        }
+        expect([...fleet.storedRows]).toEqual([]);
+    });
+
     it("is kept when half of the processes are killed soon after a flood begins", async () => {
         const fleet = await createFleet();
         for (let step = 0; step < 500; step += 1) {
