Keep the usage in the row of a surge up to date while the row stays

Found by reading: a row stays for 2 s after its surge, or for a window when its writer has changed. Usage that grew evenly meanwhile was not written, so processes that start after a kill of all would have assumed too little, by up to a quarter of the allowance within 2 s.

A row is now written again when the usage has grown past what it names. The new check in usageSurge.test.ts fails without it.

--- a/src/forward/policy/usageSurge.ts
+++ b/src/forward/policy/usageSurge.ts
@@ -48,23 +48,27 @@
     Math.min(stepsPerAllowance, Math.floor(tokens / step) + 1) * step;
 
 /**
- * The surge that should be recorded; undefined for none.
+ * The row that should be recorded; undefined for none. A row that is recorded may stay for a while after its surge, so the
+ * usage in it has to grow on.
  *
  * @example
- * chooseRecordedSurge({ surge: 260, used: 410, allowedTokens: 800 }); // { tokens: 300, used: 500 }
- * chooseRecordedSurge({ surge: 90, used: 410, allowedTokens: 800 }); // undefined
+ * chooseRecordedSurge({ surge: 260, used: 410, allowedTokens: 800, recorded: undefined }); // { tokens: 300, used: 500 }
+ * chooseRecordedSurge({ surge: 90, used: 410, allowedTokens: 800, recorded: undefined }); // undefined
  */
 export function chooseRecordedSurge(
-    { surge, used, allowedTokens }: {
+    { surge, used, allowedTokens, recorded }: {
         readonly surge: number;
         readonly used: number;
         readonly allowedTokens: number;
+        readonly recorded: RecordedSurge | undefined;
     },
 ): RecordedSurge | undefined {
     const step = allowedTokens / stepsPerAllowance;
-    return surge < step
-        ? undefined
-        : { tokens: computeNextStep(surge, step), used: computeNextStep(Math.max(surge, used), step) };
+    const nextUsed = computeNextStep(Math.max(surge, used), step);
+    if (surge >= step) {
+        return { tokens: computeNextStep(surge, step), used: nextUsed };
+    }
+    return recorded && nextUsed > recorded.used ? { tokens: recorded.tokens, used: nextUsed } : undefined;
 }
 
 /**
--- a/src/forward/systems/recordSurges.ts
+++ b/src/forward/systems/recordSurges.ts
@@ -103,7 +103,7 @@
 
 /** Adds a sample of the account's usage and computes its surge. */
 function measureSurge(world: ForwardWorld, tick: ForwardTick, account: ForwardAccount): MeasuredSurge {
-    const { samples } = world.tables.usageSurges;
+    const { recorded, samples } = world.tables.usageSurges;
     const windowMs = world.settings.bounds.quotaWindowMs;
     const now = { at: tick.now, tokens: computeKnownTokens(world, tick.now, account) };
     const earlier = (samples.get(account.id) ?? []).filter(({ at }) => tick.now - at <= windowMs);
@@ -112,7 +112,12 @@
     const surge = computeSurge({ samples: earlier, now, allowedTokens, windowMs });
     const { tokens, used } = getSurgeBefore(world, tick, account.id);
     return {
-        wanted: chooseRecordedSurge({ surge: surge + tokens, used: now.tokens + used, allowedTokens }),
+        wanted: chooseRecordedSurge({
+            surge: surge + tokens,
+            used: now.tokens + used,
+            allowedTokens,
+            recorded: recorded.get(account.id),
+        }),
         coversWindow: earlier[0] !== undefined && tick.now - earlier[0].at > windowMs - 2 * sampleIntervalMs,
     };
 }
--- a/test/forward/usageSurge.test.ts
+++ b/test/forward/usageSurge.test.ts
@@ -1,6 +1,12 @@
 import * as fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { chooseRecordedSurge, computeSurge, isTooLow, type UsageSample } from "../../src/forward/policy/usageSurge";
+import {
+    chooseRecordedSurge,
+    computeSurge,
+    isTooLow,
+    type RecordedSurge,
+    type UsageSample,
+} from "../../src/forward/policy/usageSurge";
 import { toMillis } from "../../src/ids";
 
 const windowMs = 8000;
@@ -43,12 +49,16 @@
     });
 
     it("is recorded with the usage and room for both to grow, from an eighth of the allowance on", () => {
-        const choose = (surge: number, used: number) => chooseRecordedSurge({ surge, used, allowedTokens });
+        const choose = (surge: number, used: number, recorded?: RecordedSurge) =>
+            chooseRecordedSurge({ surge, used, allowedTokens, recorded });
         expect(choose(999, 8000)).toBeUndefined();
         expect(choose(1000, 1500)).toEqual({ tokens: 2000, used: 2000 });
         expect(choose(2999, 4000)).toEqual({ tokens: 3000, used: 5000 });
         expect(choose(7900, 9000)).toEqual({ tokens: 8000, used: 8000 });
         expect(choose(2000, 1900)).toEqual({ tokens: 3000, used: 3000 });
+        // Guards against a row that stays after its surge and names less usage than there is by then.
+        expect(choose(0, 4500, { tokens: 2000, used: 4000 })).toEqual({ tokens: 2000, used: 5000 });
+        expect(choose(0, 3500, { tokens: 2000, used: 4000 })).toBeUndefined();
         expect(isTooLow(undefined, { tokens: 2000, used: 2000 })).toBe(true);
         expect(isTooLow({ tokens: 3000, used: 4000 }, { tokens: 2000, used: 5000 })).toBe(true);
         expect(isTooLow({ tokens: 3000, used: 4000 }, { tokens: 3000, used: 4000 })).toBe(false);
